Control listener, figures, new settings, and upgrades on an inherited socket

Control: its own listener, one call per connection, 16 callers on their own descriptors. Figures: counted where requests, attempts and reloads end. Reload: the whole file is checked, then classes get numbers that no open request holds. Upgrades: the inherited socket, a locked file per process, halves of the limits in the overlap.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -29,7 +29,7 @@
         try:
             node.reload(load(os.environ, node.config))
         except ConfigError as e:
-            node.log_lines.line(f"reload: {e}; the old configuration stays")
+            node.keep(str(e))
 
     loop.set_exception_handler(failed)
     loop.add_signal_handler(signal.SIGHUP, reload)  # before the node can be ready: untended, it kills
--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -101,6 +101,12 @@
     return samples[ceil(len(samples) * share) - 1]
 
 
+def allowances(settings: Settings) -> list[int]:
+    """The part of each class's aim that a round-trip of this tier may use up."""
+    share = AIM_SHARE * (settings.tiers - settings.tier) / settings.tiers
+    return [int(c.aim * share) for c in settings.classes]
+
+
 class GradientController:
     """The adaptive limit on this copy's calls in flight, over its whole subset.
 
@@ -172,6 +178,19 @@
         self.passes = 0
         self.start_pass(now)
 
+    def renew(self, allowance: Sequence[int], kept: Sequence[bool], ceiling: int) -> None:
+        """Takes on other classes; `kept` tells which places mean what they meant. The limit stays."""
+        for klass, (most, same) in enumerate(zip(allowance, kept, strict=True)):
+            if klass == len(self.min_rtt):
+                self.min_rtt.append(0.0)
+                self.target.append(0.0)
+                self.pass_samples.append([])
+            if not same:
+                self.min_rtt[klass], self.target[klass] = 0.0, float(most)
+                self.pass_samples[klass] = []
+        self.allowance = allowance
+        self.ceiling = ceiling
+
     def resize(self, members: int, copies: float) -> None:
         """Takes note of the subset's size and of the number of copies that share each member."""
         self.members = members
@@ -438,6 +457,7 @@
 
     __slots__ = (
         "id",
+        "settings",
         "klass",
         "effect",
         "useful_until",
@@ -450,11 +470,12 @@
         "sent_at",
     )
 
-    def __init__(self, request: int, klass: int, effect: Effect, useful_until: int) -> None:
+    def __init__(self, request: int, settings: Settings, klass: int, effect: Effect, until: int) -> None:
         self.id = request
+        self.settings = settings  # those it came under
         self.klass = klass
         self.effect = effect
-        self.useful_until = useful_until
+        self.useful_until = until
         self.attempts = 0
         self.out: Server | None = None
         self.ran_on: Server | None = None  # the first server that may have run it
@@ -481,10 +502,9 @@
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
         self.waiting: deque[Request] = deque()
-        classes = len(s.classes)
-        share = AIM_SHARE * (s.tiers - s.tier) / s.tiers
-        self.controller = GradientController([int(c.aim * share) for c in s.classes], s.max_open, self.rng, 0)
-        self.mean_rtt = [c.aim * share / 2 for c in s.classes]  # until measured
+        allowance = allowances(s)
+        self.controller = GradientController(allowance, s.max_open, self.rng, 0)
+        self.mean_rtt = [a / 2 for a in allowance]  # until measured
         self.rtt = [Average(m, PRIOR, SMOOTH_ALL) for m in self.mean_rtt]
         self.kinds: dict[int, Average] = {}
         self.fail_rate = 0.0
@@ -498,7 +518,7 @@
         self.retry_tokens = float(MIN_LIMIT)
         self.shed = 1.0
         self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
-        self.rank = [0] * classes
+        self.rank = [0] * len(allowance)
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
         self.list_failures = 0
@@ -515,6 +535,30 @@
         if self.settings.list_on_request:
             self.actions.watch(True)
 
+    def new_settings(self, now: int, settings: Settings) -> None:
+        old, self.settings = self.settings, settings
+        allowance = allowances(settings)
+        kept = [i < len(old.classes) and c == old.classes[i] for i, c in enumerate(settings.classes)]
+        self.controller.renew(allowance, kept, settings.max_open)
+        for klass, (most, same) in enumerate(zip(allowance, kept, strict=True)):
+            if klass == len(self.rtt):
+                self.rtt.append(Average(most / 2, PRIOR, SMOOTH_ALL))
+                self.mean_rtt.append(most / 2)
+            elif not same:
+                self.rtt[klass] = Average(most / 2, PRIOR, SMOOTH_ALL)
+                self.mean_rtt[klass] = most / 2
+        for i, t in enumerate(settings.tenants):
+            if i == len(self.tenants):
+                self.tenants.append(Tenant(0.0))
+                self.tenants[i].at = now
+            self.tenants[i].rate = t.quota / settings.instances
+        del self.tenants[len(settings.tenants) :]
+        if self.zoned != (settings.cross_zone_price >= ZONE_PRICE):
+            self.zoned = not self.zoned
+            self.spill = self.spill_least = 0.0 if self.zoned else 1.0
+        self.rank_classes()
+        self.refill(now)
+
     def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
         if kind == ListKind.FAILED:
             # Only asked-for lists fail. Jittered back-off, well inside the longest silence allowed.
@@ -563,7 +607,7 @@
         if c.late_worth <= 0 and c.aim - 2 * s.tick < useful:
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
-        r = Request(request, klass, c.effect if known else Effect.UNSAFE, now + useful)
+        r = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
         self.requests[request] = r
         ctl = self.controller
         self.retry_tokens = min(self.retry_tokens + RETRY_RATIO, max(float(MIN_LIMIT), sqrt(ctl.limit)))
@@ -683,7 +727,7 @@
 
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
-        s = self.settings
+        s = r.settings
         c = s.classes[r.klass]
         if outcome not in NEVER_RAN and r.ran_on is None:
             r.ran_on = srv
@@ -707,7 +751,7 @@
     def finish(self, r: Request, refuse: bool) -> None:
         """The one final answer. `refuse` only where a retry is known to do no harm."""
         del self.requests[r.id]
-        s = self.settings
+        s = r.settings
         if not refuse:
             self.actions.fail(r.id)
             return
@@ -1026,7 +1070,7 @@
     def draw_in_group(self, now: int, r: Request) -> Server | None:
         """A keyed request that may have run goes only to the servers that would discard its repeat."""
         first = r.ran_on
-        group = self.settings.classes[r.klass].group
+        group = r.settings.classes[r.klass].group
         assert first is not None
         pool = [
             m
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -207,6 +207,13 @@
     def start(self, now: int) -> None:
         """The instance begins to run. Where the list must be asked for, it asks."""
 
+    def new_settings(self, now: int, settings: Settings) -> None:
+        """Other settings hold for the requests that come from now on; those that are open keep theirs.
+
+        No number in use changes its meaning: a class that is dropped or changed keeps its place, with a
+        worth of 0, while a request of it is open, and what is new gets a place that no open request has.
+        """
+
     def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
         """News of the servers, in order of version; a failed ask carries no entries.
 
--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -189,7 +189,9 @@
         if self.owner.held + message.size > self.owner.most_held:
             # Failure prevented: many clients that send large requests ahead end the process for its memory.
             self.deaf = True
-            self.waiting.append(Message(503))
+            full = Message(503)
+            full.target = message.target
+            self.waiting.append(full)
             return
         self.owner.held += message.size
         self.waiting.append(message)
@@ -330,15 +332,29 @@
         self.taking: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.listening = False
+        self.shared = False  # the listening socket is other processes' as well
 
-    def start(self, address: tuple[str, int]) -> None:
-        """Binds and listens. An OSError if the address cannot be had."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    def resize(self, connections: int, most_held: int) -> None:
+        """Sets the budget of descriptors and of memory. Nobody is sent away for it."""
+        self.refusing = min(REFUSING, connections // 4)
+        self.most = connections - self.refusing
+        self.most_held = most_held
+        self.listen()
+
+    def start(self, address: tuple[str, int], inherited: int | None = None) -> None:
+        """Listens at the address, or on the socket that is inherited. An OSError if neither can be had."""
+        if inherited is not None:
+            # It belongs to the platform and to a peer as well: no address to bind, no shutdown at the end.
+            listener = socket.socket(fileno=inherited)
+            self.shared = True
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            listener = socket.socket(family, socket.SOCK_STREAM)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
         listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
+        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            listener.listen(BACKLOG)
         self.listener = listener
         self.listen()
         self.loop.call_later(SWEEP, self.sweep)
@@ -382,7 +398,7 @@
         """Takes all that waits in the backlog and closes the listener.
 
         Failure prevented: whoever connects between the last accept and the close is reset, so nothing is
-        done in between.
+        done in between. What waits on a socket that other processes have too is left to them.
         """
         listener, self.listener = self.listener, None
         assert listener is not None
@@ -391,7 +407,7 @@
             self.loop.remove_reader(listener.fileno())
         waiting: list[socket.socket] = []
         with suppress(OSError):  # none waits any more
-            while len(self.callers) + len(waiting) < self.most + self.refusing:
+            while not self.shared and len(self.callers) + len(waiting) < self.most + self.refusing:
                 waiting.append(listener.accept()[0])
         listener.close()
         for connection in waiting:
@@ -444,15 +460,19 @@
         """
         self.draining = True
         start = self.loop.time()
+        if self.shared and self.listener is not None:  # the process that takes over has the socket as well
+            self.stop_listening()
+            self.closing = True
         while self.listener is not None or self.callers:
             now = self.loop.time()
             if self.listener is not None and now >= start + TAKING:
                 self.stop_listening()
-            self.closing = now >= start + HANDOVER
+            over = now >= start + HANDOVER
+            self.closing = self.closing or over
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
                 # A request that has not come whole long after the last connection was taken is not ours.
                 stuck = caller.open is None and now > start + max(TAKING, HANDOVER) + LINGER
-                if self.closing and caller.transport is not None and (settled and caller.idle() or stuck):
+                if over and caller.transport is not None and (settled and caller.idle() or stuck):
                     caller.transport.abort()
             await asyncio.sleep(LOOK)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections import deque
 from collections.abc import Callable
 from dataclasses import fields, replace
@@ -16,13 +17,17 @@
 from typing import Any
 
 from brackenladder.balance import Balancer
-from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, State
+from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, Settings, State
 from brackenladder.net.callers import Caller, Callers, Message
-from brackenladder.net.config import Config
+from brackenladder.net.config import LEAST_CONNECTIONS, Config
+from brackenladder.net.control import Control
 from brackenladder.net.discovery import Discovery
+from brackenladder.net.handover import ALONE, LOOK, Handover
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
+from brackenladder.net.metrics import Metrics
 from brackenladder.net.peers import Peers
+from brackenladder.net.reload import ClassTable
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
@@ -36,21 +41,40 @@
     b" content-length x-budget-ms".split()
 )
 KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
-RELOADED = ("discovery", "filed_discovery", "peers", "peers_all")  # what a running node takes on
+# What a running node takes on, and what is of use at a start only.
+RELOADED = (
+    *("discovery", "filed_discovery", "filed", "peers", "peers_all", "settings", "classes", "tenants"),
+    *("zones", "kinds", "connect_timeout", "idle_time", "inline_reports", "report_names"),
+)
+STARTING = ("known", "seed")
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
 
 
 class Open:
     """A request that has been taken and not answered, or whose attempt is still out."""
 
-    __slots__ = ("id", "name", "caller", "message", "klass", "deadline", "attempts", "out", "guard")
-
-    def __init__(self, number: int, caller: Caller, message: Message, klass: int, deadline: int) -> None:
+    __slots__ = (
+        "id",
+        "name",
+        "caller",
+        "message",
+        "klass",
+        "most_attempts",
+        "deadline",
+        "attempts",
+        "out",
+        "guard",
+    )
+
+    def __init__(
+        self, number: int, caller: Caller, message: Message, klass: int, most_attempts: int, deadline: int
+    ) -> None:
         self.id = number
         self.name = message.headers[b"x-call-id"]
         self.caller: Caller | None = caller  # None once answered, or once the client has left
         self.message = message
         self.klass = klass
+        self.most_attempts = most_attempts  # by the settings it came under
         self.deadline = deadline
         self.attempts = 0
         self.out: Exchange | None = None
@@ -74,7 +98,14 @@
         self.by_name: dict[bytes, Open] = {}  # by X-Call-Id; those whose client waits
         self.last_id = 0
         self.guarded = 0
-        self.classes = {name.encode(): i for i, name in enumerate(config.classes)}
+        self.settings = config.settings  # in force, with the classes at their numbers
+        self.table = ClassTable(config.classes, config.settings)
+        self.classes = self.table.numbers
+        self.metrics = Metrics()
+        self.metrics.serves(config.classes)
+        self.control: Control | None = None
+        self.handover = Handover(config.name, os.environ.get("TMPDIR"))
+        self.peers_alive = ALONE
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.zones = {name: i for i, name in enumerate(config.zones)}
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
@@ -87,38 +118,124 @@
         )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
-        self.listed = False
+        self.listed: set[int] | None = None  # the servers in the list, once there is one
         self.ends = 1 << 62  # the time by which all that is taken must be answered
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
         if self.config.settings.peers and self.config.peer_listen is not None:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
-        self.callers.start(self.config.listen)
+        if self.config.control is not None:
+            self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
+            await self.control.start(self.config.control)
         self.post(self.balancer.start)
+        if self.config.accept_fd is not None:
+            self.handover.enter()
+            self.look()
         if self.config.known is not None:
             self.told(self.config.known)
         if not self.config.settings.list_on_request:
             self.discovery.watch(True)
+        self.callers.start(self.config.listen, self.config.accept_fd)
+
+    # ---- operators ------------------------------------------------------------------------------------
+
+    def health(self) -> tuple[bool, dict[str, Any]]:
+        """Whether clients are truly taken: there is a list, and the clients' listener is open to them."""
+        taking = self.ready() and self.callers.listener is not None
+        return taking, {"taking": taking}
+
+    def figures(self) -> tuple[bool, dict[str, Any]]:
+        """The figures."""
+        return True, self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
+
+    def ready(self) -> bool:
+        """Whether the front may send clients here."""
+        return self.listed is not None and not self.callers.draining
+
+    # ---- sharing with a process that takes over -------------------------------------------------------
+
+    def look(self) -> None:
+        """Looks for other processes of this node, and keeps to a part of its limits while there are some."""
+        peers = self.handover.look()
+        if peers != self.peers_alive:
+            if peers.count != self.peers_alive.count:
+                self.log_lines.line(f"handover: {peers.count} other processes of this node")
+            changed = peers.count != self.peers_alive.count
+            self.peers_alive = peers
+            self.divide()
+            if changed:
+                self.renew(self.table.settings)
+        # Descriptors that a peer cannot have: those in use, and those set aside.
+        used = self.config.reserved + len(self.callers.callers) + self.pool.open
+        self.handover.say(used, self.callers.draining)
+        self.loop.call_later(LOOK, self.look)
+
+    def divide(self) -> None:
+        """Sets this process's part of the node's descriptors and memory.
+
+        Failure prevented: two processes that each go by the node's limits are over them together. All
+        that an ending peer does not hold any more may be used, since it takes nothing new.
+        """
+        shares = 1 + self.peers_alive.count
+        total = self.config.connections + self.config.reserved
+        part = total // shares
+        if shares > 1 and (self.peers_alive.ending or self.peers_alive.descriptors > total - part):
+            part = total - self.peers_alive.descriptors
+        connections = max(LEAST_CONNECTIONS, part - self.config.reserved)
+        self.pool.most = connections // 2
+        self.callers.resize(connections - self.pool.most, self.config.most_held // shares)
+
+    def renew(self, settings: Settings) -> None:
+        """Hands the module other settings; while processes share the node, its part of them."""
+        shares = 1 + self.peers_alive.count
+        if shares > 1:
+            most_open = max(1, settings.max_open // shares)
+            settings = replace(settings, instances=settings.instances * shares, max_open=most_open)
+        self.settings = settings
+        self.post(self.balancer.new_settings, settings)
+
+    # ---- the course of a node -------------------------------------------------------------------------
 
     def reload(self, config: Config) -> None:
         """Takes on a new configuration: connections, requests and all that was learned stay.
 
-        What only a start can take on is named in the log. `known` and `seed` are of use at a start only.
+        What only a start can take on is named in the log. Requests that are open keep the settings they
+        came under: their classes keep their numbers, and their attempts are counted against the old bound.
         """
-        old, self.config = self.config, replace(self.config, **{f: getattr(config, f) for f in RELOADED})
+        old, in_use = self.config, {r.klass for r in self.requests.values()}
+        settings = replace(config.settings, zone=self.zone_of(config))
+        settings = self.table.renew(config.classes, settings, in_use)
+        self.classes = self.table.numbers
+        self.config = replace(old, **{f: getattr(config, f) for f in RELOADED})
+        self.metrics.serves(config.classes)
+        self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
+        self.pool.renew(config.connect_timeout, config.idle_time)
+        self.renew(settings)
         left = [
             f.name
             for f in fields(config)
-            if f.name not in (*RELOADED, "known", "seed") and getattr(config, f.name) != getattr(old, f.name)
+            if f.name not in (*RELOADED, *STARTING) and getattr(config, f.name) != getattr(old, f.name)
         ]
         if left:
             self.log_lines.line(f"reload: needs a restart: {', '.join(left)}")
         if config.discovery != old.discovery:
             self.discovery.move(config.discovery)
         self.peers.rename(config.peers, config.peers_all)
+        self.metrics.reloaded(applied=True)
         self.log_lines.line(f"reload: discovery {config.discovery[0]}:{config.discovery[1]}")
 
+    def zone_of(self, config: Config) -> int:
+        """This node's zone by the numbers that the servers' zones have here."""
+        if config.settings.zone >= len(config.zones):
+            return config.settings.zone
+        return self.zones.setdefault(config.zones[config.settings.zone], len(self.zones))
+
+    def keep(self, why: str) -> None:
+        """A new file that cannot be used: all stays as it is."""
+        self.metrics.reloaded(applied=False)
+        self.log_lines.line(f"reload: {why}; the old configuration stays")
+
     async def drain(self) -> None:
         """Answers what has been taken, and ends.
 
@@ -128,6 +245,9 @@
         self.ends = self.now() + min(longest, KILL_AFTER) - KILL_MARGIN
         await self.callers.drain()
         self.discovery.close()
+        if self.control is not None:
+            self.control.close()
+        self.handover.leave()
         if self.guarded:
             self.log_lines.line(f"{self.guarded} requests were failed at their deadline by the guard")
 
@@ -173,7 +293,10 @@
             self.place(number, line)
         for number in [n for n, e in endpoints.items() if not e.ready and not e.busy]:
             del endpoints[number]
-        self.listed = True
+        listed = self.listed if self.listed is not None and listing.kind == ListKind.CHANGES else set()
+        for number, line in latest.items():
+            (listed.discard if line.state == State.GONE else listed.add)(number)
+        self.listed = listed
         entries = [self.entry(number, line) for number, line in latest.items()]
         self.post(self.balancer.server_list, listing.kind, entries)
 
@@ -224,52 +347,68 @@
     def accept(self, caller: Caller, message: Message) -> None:
         """Checks a request and hands it to the module."""
         now = self.now()
-        path = message.target.partition(b"?")[0]
-        klass = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        klass = self.class_of(message)
         if klass is None:
-            if path != b"/ready":
+            if message.target.partition(b"?")[0] != b"/ready":
                 caller.answer(404)
             elif message.method != b"GET":
                 caller.answer(405, headers=b"Allow: GET\r\n")
             else:
-                caller.answer(200 if self.listed and not self.callers.draining else 503)
+                caller.answer(200 if self.ready() else 503)
             return
-        effect = self.config.settings.classes[klass].effect
+        effect = self.settings.classes[klass].effect
         if message.method != METHODS[effect]:
-            caller.answer(405, headers=b"Allow: %b\r\n" % METHODS[effect])
+            self.turn_away(caller, klass, 405, b"Allow: %b\r\n" % METHODS[effect])
             return
         budget = message.headers.get(b"x-budget-ms") or b""
         keyed = effect != Effect.KEYED or message.headers.get(b"idempotency-key")
         tenant = message.headers.get(b"x-caller")
         name = message.headers.get(b"x-call-id")
         if not (name and keyed and (tenant or not self.tenants) and budget.isdigit() and len(budget) <= 9):
-            caller.answer(400)
+            self.turn_away(caller, klass, 400)
             return
-        if len(self.requests) >= self.config.settings.max_open:
+        if len(self.requests) >= self.settings.max_open:
             self.beyond(caller)
             return
         twin = self.by_name.get(name)
         if twin is not None and twin.caller is not None and not twin.caller.gone():
             # Failure prevented: servers take the second one of an id for a mistake. Its errors, which no
             # server has made, eject servers and close the limit to everybody else.
-            caller.answer(409)
+            self.turn_away(caller, klass, 409)
             return
         left = min(int(budget) * 1000, max(0, self.ends - now))
         self.last_id += 1
-        request = self.by_name[name] = Open(self.last_id, caller, message, klass, now + left)
+        most = self.settings.max_attempts
+        request = self.by_name[name] = Open(self.last_id, caller, message, klass, most, now + left)
         self.requests[request.id] = self.by_caller[caller] = request
+        self.metrics.taken()
         request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
         repeat = message.headers.get(b"x-again") == b"1"
         number = self.tenants.get(tenant or b"", len(self.tenants))
         self.post(self.balancer.request, request.id, klass, number, left, repeat)
 
+    def class_of(self, message: Message | None) -> int | None:
+        """The class that a request's path names."""
+        path = message.target.partition(b"?")[0] if message is not None else b""
+        return self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+
+    def turn_away(self, caller: Caller, klass: int, status: int, headers: bytes = b"") -> None:
+        """Answers a request of which the module never hears."""
+        self.metrics.ended(self.table.names[klass], status)
+        caller.answer(status, headers=headers)
+
     def beyond(self, caller: Caller) -> None:
         """Refuses a request for which the node itself has no room; the module never hears of it.
 
         Failure prevented: a client that is not told when to come back does so at once.
         """
-        s = self.config.settings
-        caller.answer(503, headers=advice(min(FULL_ADVICE, s.max_retry_after) if s.retry_after else 0))
+        s = self.settings
+        headers = advice(min(FULL_ADVICE, s.max_retry_after) if s.retry_after else 0)
+        klass = self.class_of(caller.open)
+        if klass is None:
+            caller.answer(503, headers=headers)
+        else:
+            self.turn_away(caller, klass, 503, headers)
 
     def left(self, caller: Caller) -> None:
         """A client closed its connection with its request open."""
@@ -292,12 +431,14 @@
         request = self.requests.get(number)
         if request is not None and request.caller is not None:
             caller = request.caller
+            self.metrics.ended(self.table.names[request.klass], status)
             self.release(request)
             caller.answer(status, body, headers)
 
     def release(self, request: Open) -> None:
         """Nothing more is owed to the client."""
         if request.caller is not None:
+            self.metrics.released()
             del self.by_caller[request.caller]
             request.caller = None
             if self.by_name.get(request.name) is request:
@@ -320,7 +461,7 @@
             r is None
             or r.caller is None
             or r.out is not None
-            or number >= self.config.settings.max_attempts
+            or number >= r.most_attempts
             or endpoint is None
             or not endpoint.ready
         ):
@@ -336,7 +477,7 @@
         def done(outcome: Outcome, answer: Answer | None) -> None:
             self.ended(r, number, server, now, outcome, answer)
 
-        exchange = Exchange(self.pool, endpoint, compose, done)
+        exchange = Exchange(self.pool, endpoint, compose, done, self.metrics.forwarded)
         r.out = exchange
         exchange.start(max(0, expires - now) / 1e6)
 
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -9,6 +9,7 @@
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import cast
 
 import httptools
@@ -92,6 +93,8 @@
 
     def resume_writing(self) -> None:
         self.unsent = False
+        if self.exchange is not None:
+            self.exchange.sent()
 
     def begin(self, exchange: Exchange, data: bytes) -> None:
         """Writes the exchange's request."""
@@ -111,6 +114,8 @@
             # It was lost before the write or by it, so the server cannot have got the whole request.
             self.unsent = True
             self.broken()
+        elif not self.unsent:
+            exchange.sent()
 
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
@@ -220,11 +225,19 @@
     `compose` is asked for the bytes just before they are written; None says that nothing may be written.
     """
 
-    def __init__(self, pool: Pool, endpoint: Endpoint, compose: Compose, done: Done) -> None:
+    def __init__(
+        self,
+        pool: Pool,
+        endpoint: Endpoint,
+        compose: Compose,
+        done: Done,
+        sent: Callable[[], None] = lambda: None,
+    ) -> None:
         self.pool = pool
         self.endpoint = endpoint
         self.compose = compose
         self.done = done
+        self.sent = sent  # called when the last byte has been written
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -308,12 +321,18 @@
     ) -> None:
         self.loop = loop
         self.most = most
-        self.connect_timeout = connect_timeout
-        self.most_idle = self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
+        self.idle_time = inf
+        self.renew(connect_timeout, idle_time)
         self.open = 0
         self.endpoints: dict[int, Endpoint] = {}
         self.sweeping = False
 
+    def renew(self, connect_timeout: float, idle_time: float) -> None:
+        """Sets the settings' times. What was learned of the time to idle stays, within them."""
+        self.connect_timeout = connect_timeout
+        self.most_idle = max(idle_time - IDLE_MARGIN, idle_time / 2)
+        self.idle_time = min(self.idle_time, self.most_idle)
+
     def take(self, endpoint: Endpoint) -> Connection | None:
         """The most recently used idle connection that is still good."""
         now = self.loop.time()
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,490 @@
+"""What operators meet: the control listener, the figures, new settings and upgrades, over loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import suppress
+from dataclasses import replace
+
+import pytest
+from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, play, settings, until
+from test_node import BROKEN, FULL, always, connected, free_port, node_table
+
+from brackenladder.interface import Effect
+from brackenladder.net import control as control_module
+from brackenladder.net.config import ConfigError, load
+from brackenladder.net.control import MOST, Control
+from brackenladder.net.handover import Handover
+from brackenladder.net.reload import ClassTable, missing
+
+CONTROL = {"control": "127.0.0.1:0"}
+
+
+async def ask(port: int, path: str, method: str = "GET") -> tuple[int, dict, dict]:
+    """One call to the control listener: status, headers, decoded body; the connection ends after it."""
+    client = await Client(port).open()
+    status, headers, body = await client.ask(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+    assert headers["connection"] == "close" and await client.ended()
+    client.writer.close()
+    return status, headers, json.loads(body) if body else {}
+
+
+def port_of(bench: Bench) -> int:
+    assert bench.node.control is not None
+    return bench.node.control.port
+
+
+# ---- control -----------------------------------------------------------------------------------------
+
+
+def test_health_says_yes_only_while_clients_are_taken():
+    async def scene():
+        bench = await Bench(Server(), config=CONTROL | {"known": None}).start()
+        assert (await ask(port_of(bench), "/admin/health"))[0] == 503  # no list yet
+        bench.discovery.say(1, True, bench.servers[0].entry("s0"))
+        await until(lambda: bench.node.listed is not None)
+        assert (await ask(port_of(bench), "/admin/health"))[0] == 200
+        bench.node.callers.draining = True
+        assert (await ask(port_of(bench), "/admin/health"))[0] == 503
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /admin/other HTTP/1.1\r\n\r\n", 404),
+        (b"GET / HTTP/1.1\r\n\r\n", 404),
+        (b"POST /admin/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /admin/stats HTTP/1.1\r\nX: " + b"x" * 9000, 400),
+        (b"GET /admin/stats?now HTTP/1.1\r\n\r\nGET /admin/other HTTP/1.1\r\n\r\n", 200),
+    ],
+)
+def test_a_call_gets_its_status_and_the_connection_ends(data, status):
+    async def scene():
+        bench = await Bench(Server(), config=CONTROL).start()
+        client = await Client(port_of(bench)).open()
+        assert (await client.ask(data))[0] == status
+        assert await client.ended()
+
+    play(scene)
+
+
+def test_callers_that_stall_and_a_full_client_table_delay_nobody():
+    async def scene():
+        bench = await Bench(Server(), config=CONTROL | {"limits": {"sockets": 72}}).start()
+        crowd = []
+        for _ in range(30):
+            crowd.append(client := await bench.client())
+            client.send(b"GET /view HTTP/1.1\r\n")
+            await until(lambda: len(bench.node.callers.callers) >= min(len(crowd), 8))
+        await until(lambda: not bench.node.callers.listening)  # the table is full
+        stalled = [await Client(port_of(bench)).open() for _ in range(2 * MOST)]
+        for client in stalled:
+            client.send(b"GET /admin/he")
+        assert (await ask(port_of(bench), "/admin/stats"))[0] == 200
+        assert bench.node.control is not None
+        assert len(bench.node.control.callers) <= MOST
+        for client in (*stalled, *crowd):
+            client.writer.close()
+
+    play(scene)
+
+
+def test_a_call_that_never_comes_whole_is_given_up(monkeypatch):
+    monkeypatch.setattr(control_module, "READ_TIME", 0.05)
+
+    async def scene():
+        bench = await Bench(Server(), config=CONTROL).start()
+        client = await Client(port_of(bench)).open()
+        client.send(b"GET /admin/he")
+        assert (await client.receive())[0] == 408 and await client.ended()
+        client.writer.close()
+        assert bench.node.control is not None
+        await until(lambda: not bench.node.control.callers)
+
+    play(scene)
+
+
+def test_without_a_control_address_nothing_more_listens():
+    async def scene():
+        bench = await Bench(Server()).start()
+        assert bench.node.control is None and (await bench.once(call()))[0] == 200
+
+    play(scene)
+
+
+def test_the_environment_names_the_control_address_and_the_socket(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(node_table(1, settings(), "127.0.0.1:1") | {"control": "127.0.0.1:2"}))
+    environ = {"LB_CONFIG": str(file)}
+    config = load(environ)
+    assert config.control == ("127.0.0.1", 2) and config.accept_fd is None
+    config = load(environ | {"LB_CONTROL": "127.0.0.1:3", "LB_ACCEPT_FD": "3"})
+    assert config.control == ("127.0.0.1", 3) and config.accept_fd == 3
+    with pytest.raises(ConfigError, match="LB_ACCEPT_FD"):
+        load(environ | {"LB_ACCEPT_FD": "x"})
+
+
+# ---- figures -----------------------------------------------------------------------------------------
+
+
+def test_each_end_is_counted_once_under_its_class():
+    async def scene():
+        answers = always(OK, FULL, OK, BROKEN, OK)
+        bench = await Bench(server := Server(answers), config=CONTROL).start()
+        assert (await bench.once(call()))[0] == 200
+        assert (await bench.once(call("invite")))[0] == 200  # turned away once, then served
+        assert (await bench.once(call("invite")))[0] == 502
+        assert (await bench.once(call("offer")))[0] == 200
+        assert (await bench.once(call("offer", body=b"x").replace(b"Idempotency", b"X")))[0] == 400
+        assert (await bench.once(call("view", budget=0)))[0] in (502, 503)
+        _, _, figures = await ask(port_of(bench), "/admin/stats")
+        results = figures["results"]
+        assert results["invite"] == {"succeeded": 1, "declined": 0, "aborted": 1}
+        assert results["offer"] == {"succeeded": 1, "declined": 0, "aborted": 1}
+        assert results["view"]["succeeded"] == 1 and sum(results["view"].values()) == 2
+        assert figures["forwards"] == len(server.requests) == 5
+        assert figures["outstanding"] == 0 and figures["discovered"] == 1 and figures["ejected"] == 0
+
+    play(scene)
+
+
+def test_what_is_open_is_outstanding_until_it_ends_or_its_client_leaves():
+    async def scene():
+        bench = await Bench(server := Server(always(None)), config=CONTROL).start()
+        clients = [await bench.client() for _ in range(3)]
+        for client in clients:
+            client.send(call("invite"))
+        await until(lambda: len(server.requests) == 3)
+        _, _, figures = await ask(port_of(bench), "/admin/stats")
+        assert figures["outstanding"] == 3 and figures["forwards"] == 3
+        clients[0].writer.close()
+        await until(lambda: bench.node.metrics.outstanding == 2)
+
+    play(scene)
+
+
+def test_the_list_and_what_the_module_avoids_are_shown():
+    async def scene():
+        bench = await Bench(*[Server() for _ in range(6)], config=CONTROL).start()
+        entries = [s.entry(f"s{i}") for i, s in enumerate(bench.servers)]
+        entries[1]["state"], entries[2]["state"] = "draining", "gone"
+        bench.discovery.say(42, False, *entries)
+        await until(lambda: bench.node.listed is not None and len(bench.node.listed) == 5)
+        balancer = bench.node.balancer
+        balancer.eject(bench.node.now(), balancer.members[0], silent=False)
+        _, _, figures = await ask(port_of(bench), "/admin/stats")
+        assert (figures["discovered"], figures["ejected"]) == (5, 1)
+
+    play(scene)
+
+
+# ---- new settings ------------------------------------------------------------------------------------
+
+
+def broken_files(table: dict) -> dict[str, str]:
+    """Files that a node must turn down, by what is wrong with them."""
+    whole = json.dumps(table)
+
+    def changed(change) -> str:
+        copy = json.loads(whole)
+        change(copy)
+        return json.dumps(copy)
+
+    return {
+        "empty": "",
+        "cut off": whole[: len(whole) // 2],
+        "no object": "[]",
+        "no settings": changed(lambda t: t.pop("settings")),
+        "no listen": changed(lambda t: t.pop("listen")),
+        "no limits": changed(lambda t: t.pop("limits")),
+        "no classes": changed(lambda t: t["settings"].pop("classes")),
+        "empty classes": changed(lambda t: t["settings"].update(classes=[])),
+        "no attempts": changed(lambda t: t["settings"]["policy_limits"].pop("max_attempts")),
+        "no idle time": changed(lambda t: t["settings"]["policy_limits"].pop("conn_idle")),
+        "no deadline": changed(lambda t: t["settings"]["classes"][1].pop("hard_limit")),
+        "no window": changed(lambda t: t["settings"]["classes"][2].pop("window")),
+        "deadline 0": changed(lambda t: t["settings"]["classes"][0].update(hard_limit=0)),
+        "deadline -1": changed(lambda t: t["settings"]["classes"][0].update(hard_limit=-1)),
+        "attempts 0": changed(lambda t: t["settings"]["policy_limits"].update(max_attempts=0)),
+        "attempts -3": changed(lambda t: t["settings"]["policy_limits"].update(max_attempts=-3)),
+        "twice a class": changed(lambda t: t["settings"]["classes"].append(t["settings"]["classes"][0])),
+    }
+
+
+@pytest.mark.parametrize("kind", sorted(broken_files(node_table(1, settings()))))
+def test_a_broken_file_is_turned_down_whole(kind, tmp_path):
+    table = node_table(1, settings(), "127.0.0.1:1")
+    environ = {"LB_CONFIG": str(tmp_path / "config.json"), "LB_LISTEN": "127.0.0.1:1"}
+    (tmp_path / "config.json").write_text(json.dumps(table))
+    config = load(environ)
+    assert load(environ, config) == config  # the same file once more is whole
+    (tmp_path / "config.json").write_text(broken_files(table)[kind])
+    with pytest.raises(ConfigError) as e:
+        load(environ, config)
+    assert "\n" not in str(e.value)
+
+
+def test_new_settings_hold_for_new_requests_and_old_ones_keep_theirs(capsys):
+    async def scene():
+        release = asyncio.Event()
+
+        async def late(request, writer):
+            await release.wait()
+            return FULL if len(server.requests) == 1 else OK
+
+        bench = await Bench(server := Server(late), Server(late), config=CONTROL).start()
+        before = bench.node.balancer.controller
+        (client := await bench.client()).send(call("invite"))
+        await until(lambda: len(bench.node.requests) == 1)
+        given = settings()
+        classes = given["classes"]
+        del classes[0]  # view
+        classes[0]["effect"], classes[0]["hard_limit"] = "free", 7 * MOMENT  # invite is safe to repeat now
+        classes.append(classes[1] | {"name": "look", "effect": "free"})
+        given["policy_limits"]["max_attempts"] = 1
+        table = bench.node.config.filed
+        config = replace(
+            bench.node.config,
+            settings=replace(
+                bench.node.config.settings,
+                classes=tuple(
+                    replace(
+                        bench.node.config.settings.classes[1],
+                        effect=Effect.SAFE,
+                        deadline=c["hard_limit"],
+                        worth=1.0,
+                    )
+                    if c["effect"] == "free"
+                    else bench.node.config.settings.classes[2]
+                    for c in classes
+                ),
+                max_attempts=1,
+            ),
+            classes=tuple(c["name"] for c in classes),
+            filed=table,
+        )
+        bench.node.reload(config)
+        assert bench.node.balancer.controller is before  # what was learned stays
+        assert (await bench.once(call()))[0] == 404  # view was dropped
+        assert (await bench.once(call("invite")))[0] == 405  # it asks by GET from now on
+        release.set()
+        new = call().replace(b"/view?", b"/look?")
+        assert (await bench.once(new))[0] == 200
+        # The open one was turned away once, and still had the old bound's further attempts.
+        assert (await client.receive())[0] in (200, 503)
+        _, _, figures = await ask(port_of(bench), "/admin/stats")
+        assert figures["sighup_applied"] == 1 and figures["results"]["look"]["succeeded"] == 1
+        assert "view" in figures["results"]
+
+    play(scene)
+
+
+def test_a_number_in_use_keeps_its_meaning_and_is_free_later():
+    async def scene():
+        bench = await Bench().start()
+        base = bench.node.config.settings
+        safe, unsafe, keyed = base.classes
+        table = ClassTable(("view", "invite", "offer"), base)
+        turned = replace(unsafe, effect=Effect.SAFE)
+        new = replace(base, classes=(keyed, turned))
+        merged = table.renew(("offer", "invite"), new, in_use={1})
+        assert table.numbers == {b"offer": 2, b"invite": 0}
+        assert merged.classes == (turned, replace(unsafe, worth=0.0), keyed)
+        merged = table.renew(("offer", "invite", "view"), replace(new, classes=(keyed, turned, safe)), ())
+        assert table.numbers == {b"offer": 2, b"invite": 0, b"view": 1} and merged.classes[1] == safe
+        merged = table.renew(("view", "more"), replace(new, classes=(safe, keyed)), {0, 2})
+        assert table.numbers == {b"view": 1, b"more": 3} and len(merged.classes) == 4
+
+    play(scene)
+
+
+def test_a_key_that_the_old_file_had_must_be_there():
+    old = {"a": {"b": 1}, "list": [{"x": 1, "y": 2}, {"x": 1}], "known": 1}
+    assert missing(old, old) is None
+    assert missing({"a": {"b": 2}, "list": [{"x": 3}]}, old) is None
+    assert missing({"a": {}, "list": []}, old) == "a.b"
+    assert missing({"a": {"b": 1}, "list": [{"y": 3}]}, old) == "list.x"
+    assert missing({"a": 3, "list": []}, old) == "a"
+
+
+def test_sighup_with_every_broken_file_leaves_the_program_serving(tmp_path):
+    async def scene():
+        await (server := Server()).start()
+        await (discovery := Discovery()).start()
+        port, control = free_port(), free_port()
+        table = node_table(discovery.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+        node = await start_process(tmp_path, table, {"LB_CONTROL": f"127.0.0.1:{control}"})
+        await connected(client := Client(port))
+        file = tmp_path / "config.json"
+        broken = broken_files(table)
+        for count, text in enumerate(broken.values(), 1):
+            file.write_text(text)
+            node.send_signal(signal.SIGHUP)
+            assert b"the old configuration stays" in await node.stderr.readline()
+            assert (await ask(control, "/admin/stats"))[2]["sighup_rejected"] == count
+        assert (await client.ask(call("invite")))[0] == 200
+        table["settings"]["classes"].append(table["settings"]["classes"][0] | {"name": "look"})
+        file.write_text(json.dumps(table))
+        node.send_signal(signal.SIGHUP)
+        assert b"reload: " in await node.stderr.readline()
+        assert (await client.ask(call().replace(b"/view?", b"/look?")))[0] == 200
+        figures = (await ask(control, "/admin/stats"))[2]
+        assert (figures["sighup_applied"], figures["sighup_rejected"]) == (1, len(broken))
+        client.writer.close()
+        node.terminate()
+        assert await asyncio.wait_for(node.wait(), 20) == 0
+
+    play(scene)
+
+
+# ---- upgrades ----------------------------------------------------------------------------------------
+
+
+async def start_process(tmp_path, table: dict, environ: dict, fd: int | None = None):
+    """A node as a process of its own; `fd` is the clients' listening socket, which it inherits."""
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(table))
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "brackenladder",
+        env=os.environ | {"LB_CONFIG": str(file)} | environ,
+        stderr=asyncio.subprocess.PIPE,
+        pass_fds=() if fd is None else (fd,),
+    )
+
+
+async def healthy(port: int) -> None:
+    """Waits until a process says that it takes clients."""
+    while True:
+        with suppress(ConnectionError):
+            if (await ask(port, "/admin/health"))[0] == 200:
+                return
+        await asyncio.sleep(0.02)
+
+
+def test_an_upgrade_under_load_loses_nothing(tmp_path):
+    """Two processes on one inherited socket: the first gets SIGTERM while clients ask without a pause."""
+
+    async def scene():
+        async def handle(request, writer):
+            await asyncio.sleep(0.01)
+            return OK
+
+        await (server := Server(handle)).start()
+        await (discovery := Discovery()).start()
+        (tmp_path / "shared").mkdir()
+        stale = Handover("n0", str(tmp_path / "shared"))
+        stale.enter()
+        os.close(stale.file)  # a killed process leaves its file, and no lock
+        with socket.create_server(("127.0.0.1", 0), backlog=512) as listener:
+            port = listener.getsockname()[1]
+            table = node_table(discovery.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+            environ = {"LB_ACCEPT_FD": str(listener.fileno()), "TMPDIR": str(tmp_path / "shared")}
+            controls = free_port(), free_port()
+
+            async def start(control):
+                environ["LB_CONTROL"] = f"127.0.0.1:{control}"
+                node = await start_process(tmp_path, table, environ, listener.fileno())
+                await healthy(control)
+                return node
+
+            old = await start(controls[0])
+            assert not os.path.exists(stale.path)
+            stop = asyncio.Event()
+            served = [0, 0]
+
+            async def load(keep: bool):
+                client = await Client(port).open()
+                while not stop.is_set():
+                    if client.writer.is_closing():
+                        client = await Client(port).open()
+                    status, headers, _ = await client.ask(call("invite"))
+                    assert status in (200, 503)  # refused is an answer too, while the new one warms up
+                    served[0] += 1
+                    if headers.get("connection") == "close":
+                        served[1] += 1
+                        assert await client.ended()
+                        client.writer.close()
+                    elif not keep:
+                        client.writer.close()
+
+            clients = [asyncio.create_task(load(i % 2 == 0)) for i in range(8)]
+            await until(lambda: served[0] > 50)
+            new = await start(controls[1])
+            assert b"handover: 1 other processes of this node" in await old.stderr.readline()
+            old.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(old.wait(), 20) == 0
+            count = served[0]
+            await until(lambda: served[0] > count + 100)
+            stop.set()
+            await asyncio.gather(*clients)
+            assert served[1] > 0  # the old one said that it closes
+            assert len(os.listdir(tmp_path / "shared")) == 1
+            new.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(new.wait(), 20) == 0
+            assert not os.listdir(tmp_path / "shared")
+
+    play(scene)
+
+
+def test_processes_of_one_node_share_its_limits(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    async def scene():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            shared = {"limits": {"sockets": 400, "memory_mb": 80}}
+            first = Bench(Server(), config=shared)
+            second = Bench(Server(), config=shared)
+            for bench in (first, second):
+                bench.accept_fd = os.dup(listener.fileno())
+                await bench.start()
+            nodes = first.node, second.node
+            await until(lambda: all(node.peers_alive.count == 1 for node in nodes))
+
+            def budgets():
+                return [n.pool.most + n.callers.most + n.callers.refusing + n.config.reserved for n in nodes]
+
+            assert sum(budgets()) <= 400
+            assert sum(n.callers.most_held for n in nodes) <= 10 << 20
+            assert all(n.settings.instances == 2 == n.balancer.settings.instances for n in nodes)
+            assert all(n.settings.max_open == 10000 for n in nodes)
+            await first.node.drain()
+            await until(lambda: second.node.peers_alive.count == 0)
+            assert budgets()[1] == 400 and second.node.balancer.settings.instances == 1
+            # The socket itself was not shut down: the second still takes clients on it.
+            assert (await second.once(call()))[0] == 200
+
+    play(scene)
+
+
+def test_a_lock_says_who_lives_and_stale_files_are_removed(tmp_path):
+    first, second = Handover("n0", str(tmp_path)), Handover("n0", str(tmp_path))
+    other = Handover("n1", str(tmp_path))
+    for handover in (first, second, other):
+        handover.enter()
+    second.say(57, True)
+    peers = first.look()
+    assert (peers.count, peers.descriptors, peers.ending) == (1, 57, True)
+    (tmp_path / f"{first.prefix}junk.node").write_text("what is this")
+    assert first.look().count == 1 and len(list(tmp_path.iterdir())) == 3
+    os.close(second.file)  # it was killed: the file stays, the lock does not
+    assert first.look().count == 0 and len(list(tmp_path.iterdir())) == 2
+    for handover in (Handover("n0", None), Handover("n0", str(tmp_path / "none"))):
+        handover.enter()
+        handover.say(1, False)
+        assert handover.look().count == 0
+        handover.leave()
+
+
+def test_control_can_be_closed_before_it_listens():
+    async def scene():
+        Control(asyncio.get_running_loop(), {}).close()
+
+    play(scene)
