Bodies up to 32 MiB flow both ways within one budget of memory

Above 64 KiB a body flows with backpressure; reads shrink while the budget is spent. The module hears of an upload's last byte, of what cannot be sent again, and of an answer that begins to flow.

Ruled out by logs: time-outs of slow senders (no 408 was given), resets and module refusals (they came at the start only). The cause was 400 answers to headers with white space behind their values, which is no part of a value; it is now stripped.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -468,6 +468,8 @@
         "begun",
         "held",
         "sent_at",
+        "coming",
+        "once",
     )
 
     def __init__(self, request: int, settings: Settings, klass: int, effect: Effect, until: int) -> None:
@@ -483,6 +485,8 @@
         self.begun = False
         self.held = False
         self.sent_at = 0
+        self.coming = 0  # more of it is to come: the time that it then has
+        self.once = False  # it cannot be sent again
 
 
 class Balancer:
@@ -523,6 +527,7 @@
         self.warm_sent = 0
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
+        self.apart: set[int] = set()  # requests that are out and count nowhere: coming still, or flowing back
         self.rank_classes()
 
     # ---- events ---------------------------------------------------------------------------------------
@@ -597,7 +602,16 @@
         self.forget_gone()
         self.refill(now)
 
-    def request(self, now: int, request: int, klass: int, tenant: int, time_left: int, repeat: bool) -> None:
+    def request(
+        self,
+        now: int,
+        request: int,
+        klass: int,
+        tenant: int,
+        time_left: int,
+        repeat: bool,
+        whole: bool = True,
+    ) -> None:
         s = self.settings
         # Failure prevented: a request of an unknown class gets the retry rights of some other class.
         known = klass < len(s.classes)
@@ -608,6 +622,8 @@
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
         r = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
+        if not whole:
+            r.coming = max(1, useful)
         self.requests[request] = r
         ctl = self.controller
         self.retry_tokens = min(self.retry_tokens + RETRY_RATIO, max(float(MIN_LIMIT), sqrt(ctl.limit)))
@@ -642,7 +658,14 @@
     ) -> None:
         srv = self.servers.get(server)
         r = self.requests.get(request)
-        if srv is not None and srv.in_flight > 0:
+        if request in self.apart:
+            self.apart.discard(request)
+            if srv is not None:
+                srv.trial_out = False
+                if outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET):
+                    srv.fail_rate += SMOOTH * (1 - srv.fail_rate)
+                    srv.fails_in_row += 1
+        elif srv is not None and srv.in_flight > 0:
             self.settle(now, srv, r, outcome, latency)
         if r is not None and r.out is not None and attempt == r.attempts - 1:
             r.out = None
@@ -656,9 +679,36 @@
             self.serve_waiting(now)
 
     def response_started(self, now: int, request: int, attempt: int, server: int, latency: int) -> None:
+        """The server's work is done; how long the client takes to read says nothing of it.
+
+        Failure prevented: slow readers of long answers fill the limit, and their time counts as overload.
+        """
+        r = self.requests.get(request)
+        srv = self.servers.get(server)
+        if r is None or r.begun or r.out is None or r.out is not srv or attempt != r.attempts - 1:
+            return
+        if r.coming:
+            self.request_whole(now, request)  # answered before all of it had come
+        r.begun = True
+        self.apart.add(request)
+        self.settle(now, srv, r, Outcome.OK, latency)
+        if self.waiting:
+            self.serve_waiting(now)
+
+    def request_whole(self, now: int, request: int) -> None:
+        r = self.requests.get(request)
+        if r is not None and r.coming:
+            r.useful_until = now + r.coming
+            r.coming = 0
+            if r.out is not None:
+                r.sent_at = now
+                self.apart.discard(request)
+                self.book(now, r.out)
+
+    def not_repeatable(self, now: int, request: int) -> None:
         r = self.requests.get(request)
         if r is not None:
-            r.begun = True
+            r.once = True
 
     def client_left(self, now: int, request: int) -> None:
         r = self.requests.pop(request, None)
@@ -709,10 +759,21 @@
         if srv is None:
             self.finish(r, refuse=r.ran_on is None)
             return
-        timeout = r.useful_until - now
+        timeout = r.coming or r.useful_until - now
         if srv.aside and r.effect != Effect.UNSAFE:
             # A trial of an ejected server must not cost the request its whole time.
             timeout = min(timeout, max(self.settings.tick, int(SILENT_FACTOR * self.mean_rtt[r.klass])))
+        if r.coming:
+            self.apart.add(r.id)
+        else:
+            self.book(now, srv)
+        r.out = srv
+        r.sent_at = now
+        r.attempts += 1
+        self.actions.send(r.id, srv.id, timeout)
+
+    def book(self, now: int, srv: Server) -> None:
+        """A server begins a call. One whose request is still coming takes no place until it is whole."""
         if srv.in_flight == 0:
             srv.quiet_since = now
         srv.in_flight += 1
@@ -720,10 +781,6 @@
             self.controller.note(now, 1)
         if srv.cold_until <= now:
             self.warm_sent += 1
-        r.out = srv
-        r.sent_at = now
-        r.attempts += 1
-        self.actions.send(r.id, srv.id, timeout)
 
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
@@ -738,9 +795,10 @@
         )
         if (
             allowed
+            and not r.once
             and r.attempts < s.max_attempts
             and self.retry_tokens >= 1
-            and now + self.mean_rtt[r.klass] < r.useful_until
+            and now + self.mean_rtt[r.klass] < (now + r.coming if r.coming else r.useful_until)
         ):
             # Retries multiply through tiers and clients: each copy spends a share of its first attempts.
             self.retry_tokens -= 1
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -220,13 +220,31 @@
         From here on nothing new goes to a server that is not ready, or that a full list leaves out.
         """
 
-    def request(self, now: int, request: int, klass: int, tenant: int, time_left: int, repeat: bool) -> None:
+    def request(
+        self,
+        now: int,
+        request: int,
+        klass: int,
+        tenant: int,
+        time_left: int,
+        repeat: bool,
+        whole: bool = True,
+    ) -> None:
         """A request with a fresh id. One final answer is owed within `time_left`.
 
+        Of one that is not `whole` more is to come: its server begins, and its time runs, only from the
+        `request_whole` that follows. An attempt asked for before has its time-out counted from there.
+
         That is `refuse`, `fail` or an outcome that is final. A class that the settings lack gets no right
         to a repeat, a tenant that they lack has no quota.
         """
 
+    def request_whole(self, now: int, request: int) -> None:
+        """All of a request has come: its time runs from now on."""
+
+    def not_repeatable(self, now: int, request: int) -> None:
+        """Part of what a further attempt would need is not held any more: another one cannot be sent."""
+
     def outcome(
         self,
         now: int,
@@ -245,7 +263,10 @@
         """
 
     def response_started(self, now: int, request: int, attempt: int, server: int, latency: int) -> None:
-        """A stream began to flow: the request is bound to this attempt, which still gets its outcome."""
+        """An answer began to flow: the request is bound to this attempt, which still gets its outcome.
+
+        The server's work counts as done, in `latency`; no time runs any more.
+        """
 
     def client_left(self, now: int, request: int) -> None:
         """Nobody waits any more; nothing is owed. Attempts that are out still get their outcomes."""
--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import fcntl
+import os
 import select
 import socket
+import struct
 import termios
 from collections import deque
 from contextlib import suppress
@@ -13,17 +15,32 @@
 
 import httptools
 
-LARGEST_BODY = 65536
+from brackenladder.net.bodies import (
+    HOLD,
+    LARGEST_BODY,
+    LAST_CHUNK,
+    Budget,
+    Source,
+    Upload,
+    chunk_of,
+    framing_ok,
+)
+
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
 LARGEST_LINES = 128  # header lines of one request
-LARGEST_MESSAGE = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
 REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
-SLOW = 2.5  # seconds for a request to come whole: from its first byte, or from the accept if it is the first
+SLOW = (
+    2.5  # seconds for a head, or a small request: from its first byte, or from the accept if it is the first
+)
+BODY_GRACE = 1.0  # seconds after its head in which a body may begin...
+LEAST_RATE = 40_000  # ...and the bytes a second that it then brings at the least
 SWEEP = 0.25  # seconds between two looks at who is slow
 STALLED = 0.5  # seconds after which an incomplete request may be given up for want of room
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
+LINGER_FLOW = 10.0  # the same where it sends, or reads, what is too large for that
+FLOW_BUFFER = 131_072  # bytes of an answer that flows which the kernel may hold
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
@@ -48,6 +65,9 @@
 }
 
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+RESETS = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
+
 # Failure prevented: of two values this node goes by one, and whoever comes behind by the other.
 SINGLE = frozenset((b"host", b"x-call-id", b"idempotency-key", b"x-budget-ms", b"x-caller", b"x-again"))
 
@@ -55,7 +75,21 @@
 class Message:
     """A request as it came, or why it could not be read (`error`, a status)."""
 
-    __slots__ = ("error", "method", "target", "lines", "headers", "body", "keep", "size")
+    __slots__ = (
+        "error",
+        "method",
+        "target",
+        "lines",
+        "headers",
+        "length",
+        "pieces",
+        "body",
+        "upload",
+        "whole",
+        "keep",
+        "version",
+        "size",
+    )
 
     def __init__(self, error: int = 0) -> None:
         self.error = error
@@ -63,8 +97,13 @@
         self.target = b""
         self.lines: list[tuple[bytes, bytes, bytes]] = []  # headers: lower-case name, name, value
         self.headers: dict[bytes, bytes] = {}  # by lower-case name; of several the first
-        self.body = b""
+        self.length: int | None = 0  # of the body; None for one in chunks
+        self.pieces: list[bytes] = []
+        self.body = b""  # once it is whole, unless it flows
+        self.upload: Upload | None = None  # the body if it flows
+        self.whole = error != 0
         self.keep = error == 0
+        self.version = "1.1"
         self.size = 0  # bytes that count as held while it waits or is open
 
 
@@ -72,7 +111,10 @@
     """What a connection hands its requests to."""
 
     def message(self, caller: Caller, message: Message) -> None:
-        """A whole request; `caller.answer` must be called once for it."""
+        """A request, whole or with a body that flows; `caller.answer` must be called once for it."""
+
+    def completed(self, caller: Caller) -> None:
+        """The last byte of the open request, whose body flows, has come."""
 
     def beyond(self, caller: Caller) -> None:
         """A request for which there is no room; `caller.answer` must be called once for it."""
@@ -81,7 +123,7 @@
         """The client went away while its request was open."""
 
 
-class Caller(asyncio.Protocol):
+class Caller(asyncio.BufferedProtocol):
     """A client's connection. One request is open at a time; the next ones wait their turn."""
 
     def __init__(self, owner: Callers, refusing: bool) -> None:
@@ -91,7 +133,9 @@
         self.parser = httptools.HttpRequestParser(self)
         self.partial: Message | None = None
         self.headed = False  # the head has come whole
+        self.headed_at = 0.0
         self.bytes = 0  # of the request that has begun
+        self.received = 0  # bytes of its body
         self.asked = False  # a request has come whole
         self.since = owner.loop.time()  # the accept, or the first byte of the request that has begun
         self.waiting: deque[Message] = deque()
@@ -99,6 +143,11 @@
         self.deaf = False  # nothing further is read from this client
         self.full = False  # it does not read its answers
         self.paused = False
+        self.paused_at = 0.0
+        self.flowing = False  # the answer to the open request flows
+        self.framed = False  # in chunks
+        self.source: Source | None = None
+        self.stuck = 0  # bytes of it that the kernel has not taken
         self.active = owner.loop.time()
         self.lost = False
 
@@ -107,12 +156,20 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.owner.budget.read_into()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.owner.budget.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         self.active = self.owner.loop.time()
         for start in range(0, len(data), SLICE):
             if not self.deaf:
                 self.feed(data[start : start + SLICE])
         self.next()
+        if self.open is not None and self.open.upload is not None:
+            self.open.upload.flow()
 
     def feed(self, data: bytes) -> None:
         """Parses a slice, small beside the bound on a head, which is measured in whole slices."""
@@ -130,13 +187,13 @@
             self.bytes += len(data)
             if not self.headed and self.bytes > LARGEST_HEAD:
                 self.reject(431)
-            elif self.bytes > LARGEST_MESSAGE:
+            elif self.headed and not framing_ok(self.bytes, self.received, LARGEST_HEAD):
                 self.reject(413)
 
     def on_message_begin(self) -> None:
         self.partial = Message()
         self.headed = False
-        self.bytes = 0
+        self.bytes = self.received = 0
         if self.asked:
             self.since = self.owner.loop.time()
 
@@ -147,6 +204,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.partial is not None and not self.headed:  # trailers go no further
             key = name.lower()
+            value = value.strip(b" \t")  # white space around a value is no part of it
             self.partial.lines.append((key, name, value))
             if len(self.partial.lines) > LARGEST_LINES:
                 self.reject(431)
@@ -157,48 +215,122 @@
 
     def on_headers_complete(self) -> None:
         self.headed = True
-        if self.partial is None:
+        self.headed_at = self.owner.loop.time()
+        message = self.partial
+        if message is None:
             return
-        length = int(self.partial.headers.get(b"content-length", b"0"))
-        coding = self.partial.headers.get(b"transfer-encoding", b"chunked").strip().lower()
-        chunked = b"transfer-encoding" in self.partial.headers
-        if coding != b"chunked" or chunked and self.parser.get_http_version() != "1.1":
+        message.method = self.parser.get_method()
+        message.version = self.parser.get_http_version()
+        length = int(message.headers.get(b"content-length", b"0"))
+        coding = message.headers.get(b"transfer-encoding", b"chunked").strip().lower()
+        chunked = b"transfer-encoding" in message.headers
+        message.length = None if chunked else length
+        if coding != b"chunked" or chunked and message.version != "1.1":
             # Failure prevented: where a body ends is a matter of opinion, and a request hides in it.
             self.reject(400)
-        elif length > LARGEST_BODY:
+            return
+        if length > LARGEST_BODY:
             self.reject(413)
-        elif b"expect" in self.partial.headers and self.open is None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        message.size = len(message.target)
+        message.size += sum(len(name) + len(value) for _, name, value in message.lines)
+        self.owner.budget.held += message.size
+        if length > HOLD:
+            self.begin_flow(message)
+        elif b"expect" in message.headers and self.open is None:
+            self.transport.write(CONTINUE)
+
+    def begin_flow(self, message: Message) -> None:
+        """The body is too large to hold: the request is handed on now, if it is its turn.
+
+        Otherwise no more of it is read until the earlier ones on this connection have been answered.
+        """
+        message.keep = self.parser.should_keep_alive()
+        upload = message.upload = Upload(self.owner.budget, self, message.length)
+        for piece in message.pieces:
+            upload.pieces.append(piece)  # counted already, with the message
+            message.size -= len(piece)
+        message.pieces = []
+        if self.open is None and not self.waiting and not self.full:
+            self.hand_on(message)
+        else:
+            self.pause()
+
+    def hand_on(self, message: Message) -> None:
+        """Gives the handler a request whose body flows."""
+        self.asked = True
+        self.open = message
+        if self.refusing:
+            self.owner.handler.beyond(self)
+            return
+        self.owner.handler.message(self, message)
+        if self.open is message and b"expect" in message.headers and not self.received:
+            self.transport.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         message = self.partial
-        if message is not None and not self.deaf:
-            message.body += body
-            if len(message.body) > LARGEST_BODY:
-                self.reject(413)
+        if message is None or self.deaf:
+            return
+        self.received += len(body)
+        if self.received > LARGEST_BODY:
+            self.reject(413)
+        elif message.upload is not None:
+            message.upload.add(body)
+        else:
+            message.pieces.append(body)
+            message.size += len(body)
+            self.owner.budget.held += len(body)
+            if self.received > HOLD:
+                self.begin_flow(message)
 
     def on_message_complete(self) -> None:
         message, self.partial = self.partial, None
         if message is None or self.deaf:
             return
         self.asked = True
-        message.method = self.parser.get_method()
-        message.keep = self.parser.should_keep_alive()
-        message.size = len(message.target) + len(message.body)
-        message.size += sum(len(name) + len(value) for _, name, value in message.lines)
-        if self.owner.held + message.size > self.owner.most_held:
+        message.whole = True
+        message.keep = message.keep and self.parser.should_keep_alive()
+        if message.upload is not None:
+            message.upload.whole = True
+            if self.open is message:
+                self.owner.handler.completed(self)
+                return
+        elif not self.owner.budget.fits(0):
             # Failure prevented: many clients that send large requests ahead end the process for its memory.
             self.deaf = True
             full = Message(503)
             full.target = message.target
+            self.release(message)
             self.waiting.append(full)
             return
-        self.owner.held += message.size
+        else:
+            message.body = b"".join(message.pieces)
+            message.pieces = []
         self.waiting.append(message)
-        if len(self.waiting) >= PIPELINED and not self.paused:
+        if len(self.waiting) >= PIPELINED:
+            self.pause()
+
+    def release(self, message: Message) -> None:
+        """Nothing of a request is held any more."""
+        self.owner.budget.held -= message.size
+        message.size = 0
+        if message.upload is not None:
+            message.upload.release()
+
+    def pause(self) -> None:
+        """Reads no further for now."""
+        if not self.paused and not self.transport.is_closing():
             self.paused = True
+            self.paused_at = self.owner.loop.time()
             self.transport.pause_reading()
 
+    def resume(self) -> None:
+        """Reads on. The time that we did not read is not the client's."""
+        if self.paused and not self.transport.is_closing():
+            self.paused = False
+            self.headed_at += self.owner.loop.time() - self.paused_at
+            self.transport.resume_reading()
+
     def reject(self, status: int) -> None:
         """Answers at once with an error and reads no further, whatever else is open or waits here.
 
@@ -208,7 +340,7 @@
         if self.deaf:
             return
         self.deaf = True
-        self.partial = None
+        self.give_up_partial()
         self.forget()
         self.drop()
         self.open = Message(status)
@@ -216,12 +348,18 @@
 
     def next(self) -> None:
         """Hands on the request that waits, once nothing is in its way."""
-        if self.open is not None or self.full or self.lost or not self.waiting:
+        if self.open is not None or self.full or self.lost:
+            return
+        if not self.waiting:
+            if self.partial is not None and self.partial.upload is not None and not self.deaf:
+                self.resume()
+                self.hand_on(self.partial)
+                if self.partial is not None and self.partial.upload is not None:
+                    self.partial.upload.flow()
             return
         self.open = message = self.waiting.popleft()
-        if self.paused:
-            self.paused = False
-            self.transport.resume_reading()
+        if self.partial is None or self.partial.upload is None:
+            self.resume()
         if self.refusing or message.error:
             self.owner.handler.beyond(self)
         else:
@@ -231,13 +369,16 @@
 
     def answer(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         """The one answer to the open request. `headers` are whole lines."""
+        if self.flowing:
+            self.cut()
+            return
         message, self.open = self.open, None
         if message is None:
             return
-        self.owner.held -= message.size
+        self.release(message)
         if self.transport.is_closing():
             return
-        close = not message.keep or self.refusing or self.owner.closing
+        close = self.closes(message)
         data = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status,
             REASONS[status],
@@ -248,12 +389,81 @@
         )
         self.active = self.owner.loop.time()
         self.transport.write(data)
+        self.after_answer(message, close)
+
+    def closes(self, message: Message) -> bool:
+        """Whether the connection ends with the answer; what has not come whole cannot be read past."""
+        return not message.keep or not message.whole or self.refusing or self.owner.closing
+
+    def after_answer(self, message: Message, close: bool) -> None:
+        if not message.whole:
+            self.partial = None
         if close:
-            self.finish()
-        elif self.waiting:
+            self.finish(LINGER if message.whole else LINGER_FLOW)
+        else:
             self.owner.loop.call_soon(self.next)
 
-    def finish(self) -> None:
+    def begin_answer(self, headers: bytes, length: int | None, source: Source) -> None:
+        """Begins the open request's answer, which flows from `source`; `end_answer` or `cut` must follow."""
+        message = self.open
+        assert message is not None
+        self.flowing = True
+        self.source = source
+        self.framed = length is None and message.version == "1.1"
+        if length is None and not self.framed:
+            message.keep = False  # the connection's end is all that delimits it
+        lines = b"Content-Length: %d\r\n" % length if length is not None else b""
+        if self.framed:
+            lines = b"Transfer-Encoding: chunked\r\n"
+        if self.closes(message):
+            message.keep = False
+            lines += b"Connection: close\r\n"
+        self.transport.set_write_buffer_limits(high=0)
+        with suppress(OSError):
+            number = self.transport.get_extra_info("socket").fileno()
+            with socket.socket(fileno=os.dup(number)) as s:
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, FLOW_BUFFER)
+        self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b\r\n" % (headers, lines))
+
+    def pass_on(self, data: bytes) -> None:
+        """A piece of the answer."""
+        if self.transport.is_closing() or not data:
+            return
+        self.active = self.owner.loop.time()
+        self.transport.write(chunk_of(data) if self.framed else data)
+        if self.full:
+            self.stuck += len(data)
+            self.owner.budget.held += len(data)
+
+    def end_answer(self) -> None:
+        """The answer is whole."""
+        message, self.open = self.open, None
+        if message is None:
+            return
+        self.flowing = False
+        self.source = None
+        self.release(message)
+        if self.transport.is_closing():
+            return
+        if self.framed:
+            self.transport.write(LAST_CHUNK)
+        self.after_answer(message, self.closes(message))
+
+    def cut(self) -> None:
+        """Breaks off an answer that cannot be finished, by a reset: so it is seen in every framing."""
+        message, self.open = self.open, None
+        self.flowing = False
+        self.source = None
+        if message is not None:
+            self.release(message)
+        if not self.transport.is_closing():
+            with suppress(OSError):
+                number = self.transport.get_extra_info("socket").fileno()
+                with socket.socket(fileno=os.dup(number)) as s:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            self.transport.abort()
+
+    def finish(self, linger: float = LINGER) -> None:
         """Closes after the last answer.
 
         Failure prevented: closing while the client still sends resets the connection, and the answer is
@@ -261,37 +471,69 @@
         """
         self.deaf = True
         self.forget()
+        self.resume()
         if self.transport.is_closing():
             return
         self.transport.write_eof()
-        self.owner.loop.call_later(LINGER, self.transport.abort)
+        self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + linger)
+
+    def leave(self, until: float) -> None:
+        """Ends the connection, once the client has read its answer and sends no more, or its time is up."""
+        now = self.owner.loop.time()
+        unread = self.transport.get_write_buffer_size() if not self.transport.is_closing() else 0
+        if unread:
+            until = max(until, self.active + LINGER_FLOW)
+        if now < until and (unread or now - self.active < LINGER):
+            self.owner.loop.call_later(LINGER, self.leave, until)
+        else:
+            self.transport.abort()
 
     def pause_writing(self) -> None:
         self.full = True
 
     def resume_writing(self) -> None:
         self.full = False
+        self.active = self.owner.loop.time()
+        self.unstick()
+        if self.source is not None:
+            self.source.resume()
         self.next()
 
+    def unstick(self) -> None:
+        """The kernel has taken what was written of an answer that flows."""
+        self.owner.budget.held -= self.stuck
+        self.stuck = 0
+
     # ---- ends -----------------------------------------------------------------------------------------
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.owner.callers.discard(self)
+        self.unstick()
+        self.give_up_partial()
         self.forget()
         self.drop()
         self.owner.listen()
 
     def drop(self) -> None:
         """Gives the open request up: nobody waits for its answer."""
-        if self.open is not None:
-            self.owner.held -= self.open.size
-            self.open = None
+        message, self.open = self.open, None
+        self.flowing = False
+        self.source = None
+        if message is not None:
+            self.release(message)
             self.owner.handler.left(self)
 
+    def give_up_partial(self) -> None:
+        """What has come of the request that is not whole is of no use."""
+        message, self.partial = self.partial, None
+        if message is not None and message is not self.open:
+            self.release(message)
+
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
-        self.owner.held -= sum(message.size for message in self.waiting)
+        for message in self.waiting:
+            self.release(message)
         self.waiting.clear()
 
     def gone(self) -> bool:
@@ -317,7 +559,7 @@
 
 
 class Callers:
-    """The listener and its connections, within a budget of descriptors."""
+    """The listener and its connections, within a budget of descriptors and one of memory."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, most_held: int, handler: Handler) -> None:
         self.loop = loop
@@ -327,18 +569,31 @@
         self.callers: set[Caller] = set()
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
-        self.most_held = most_held  # bytes of the whole requests that wait or are open
-        self.held = 0
+        self.budget = Budget(most_held)
         self.taking: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.listening = False
         self.shared = False  # the listening socket is other processes' as well
 
+    @property
+    def held(self) -> int:
+        """Bytes that are held for requests and answers."""
+        return self.budget.held
+
+    @property
+    def most_held(self) -> int:
+        """Bytes that may be."""
+        return self.budget.most
+
+    @most_held.setter
+    def most_held(self, most: int) -> None:
+        self.budget.most = most
+
     def resize(self, connections: int, most_held: int) -> None:
         """Sets the budget of descriptors and of memory. Nobody is sent away for it."""
         self.refusing = min(REFUSING, connections // 4)
         self.most = connections - self.refusing
-        self.most_held = most_held
+        self.budget.most = most_held
         self.listen()
 
     def start(self, address: tuple[str, int], inherited: int | None = None) -> None:
@@ -444,7 +699,12 @@
         """Ends what has not brought a whole request in its time; a client that has asked may stay idle."""
         now = self.loop.time()
         for caller in list(self.callers):
-            if caller.open or caller.waiting or caller.deaf or now - caller.since <= SLOW:
+            if caller.waiting or caller.deaf or caller.paused or now - caller.since <= SLOW:
+                continue
+            if caller.open is not None and caller.open is not caller.partial:
+                continue
+            body = caller.headed_at + BODY_GRACE + caller.received / LEAST_RATE
+            if caller.partial is not None and caller.headed and now <= body:
                 continue
             if caller.partial is not None:
                 caller.reject(408)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -18,6 +18,7 @@
 
 from brackenladder.balance import Balancer
 from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, Settings, State
+from brackenladder.net.bodies import Source
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import LEAST_CONNECTIONS, Config
 from brackenladder.net.control import Control
@@ -62,6 +63,9 @@
         "most_attempts",
         "deadline",
         "attempts",
+        "timeout",
+        "flowing",
+        "completed",
         "out",
         "guard",
     )
@@ -77,6 +81,9 @@
         self.most_attempts = most_attempts  # by the settings it came under
         self.deadline = deadline
         self.attempts = 0
+        self.timeout = 0  # of the attempt that is out, in microseconds
+        self.flowing = False  # its answer flows
+        self.completed = 0  # when the last byte of a body that flows came
         self.out: Exchange | None = None
         self.guard: asyncio.TimerHandle | None = None
 
@@ -110,8 +117,8 @@
         self.zones = {name: i for i, name in enumerate(config.zones)}
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
         half = config.connections // 2
-        self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
         self.callers = Callers(loop, config.connections - half, config.most_held, self)
+        self.pool = Pool(loop, half, config.connect_timeout, config.idle_time, self.callers.budget)
         version = config.known.version if config.known else None
         self.discovery = Discovery(
             loop, config.discovery, version, config.settings.instances, self.told, strays
@@ -376,16 +383,40 @@
             # server has made, eject servers and close the limit to everybody else.
             self.turn_away(caller, klass, 409)
             return
-        left = min(int(budget) * 1000, max(0, self.ends - now))
+        left = self.capped(int(budget) * 1000)
         self.last_id += 1
         most = self.settings.max_attempts
         request = self.by_name[name] = Open(self.last_id, caller, message, klass, most, now + left)
         self.requests[request.id] = self.by_caller[caller] = request
         self.metrics.taken()
-        request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
+        whole = message.whole
+        if whole:
+            request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
+        else:
+            request.deadline = 1 << 62  # its time runs from its last byte
+        if message.upload is not None:
+            message.upload.on_spent = lambda: self.post(self.balancer.not_repeatable, request.id)
         repeat = message.headers.get(b"x-again") == b"1"
         number = self.tenants.get(tenant or b"", len(self.tenants))
-        self.post(self.balancer.request, request.id, klass, number, left, repeat)
+        self.post(self.balancer.request, request.id, klass, number, left, repeat, whole)
+
+    def capped(self, budget: int) -> int:
+        """The time for a request that came whole now: while the node ends, no more than it has itself."""
+        return min(budget, max(0, self.ends - self.now()))
+
+    def completed(self, caller: Caller) -> None:
+        """The last byte of a body that flows: the request's time runs from now on."""
+        request = self.by_caller.get(caller)
+        if request is None:
+            return
+        left = self.capped(int(request.message.headers[b"x-budget-ms"]) * 1000)
+        request.completed = self.now()
+        request.deadline = request.completed + left
+        if not caller.flowing:
+            request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
+            if request.out is not None:
+                request.out.limit(min(left, request.timeout) / 1e6)
+        self.post(self.balancer.request_whole, request.id)
 
     def class_of(self, message: Message | None) -> int | None:
         """The class that a request's path names."""
@@ -414,8 +445,12 @@
         """A client closed its connection with its request open."""
         request = self.by_caller.get(caller)
         if request is not None:
+            # What it would still have sent or read is part of the attempt, which cannot go on without it.
+            halved = request.out if not request.message.whole or request.flowing else None
             self.release(request)
             self.post(self.balancer.client_left, request.id)
+            if halved is not None:
+                halved.stop(Outcome.CANCELLED)
 
     def expire(self, request: Open) -> None:
         """The guard: a request still open after its deadline. The module should have answered it."""
@@ -433,7 +468,10 @@
             caller = request.caller
             self.metrics.ended(self.table.names[request.klass], status)
             self.release(request)
-            caller.answer(status, body, headers)
+            if request.flowing and status == 200:
+                caller.end_answer()
+            else:
+                caller.answer(status, body, headers)
 
     def release(self, request: Open) -> None:
         """Nothing more is owed to the client."""
@@ -464,22 +502,55 @@
             or number >= r.most_attempts
             or endpoint is None
             or not endpoint.ready
+            or (r.message.upload is not None and r.message.upload.spent)
         ):
             self.post(self.balancer.outcome, request, number, server, Outcome.NOT_SENT, 0, False, ())
             return
-        now = self.now()
-        expires = min(now + timeout, r.deadline)
+        began = self.now()
+        r.timeout = timeout
+        upload = r.message.upload
+
+        def left() -> int:
+            if not r.message.whole:
+                return timeout
+            return min(self.since(r, began) + timeout, r.deadline) - self.now()
 
         def compose() -> bytes | None:
-            left = expires - self.now()
-            return head_of(r.message, left // 1000) if r.caller is not None and left > 0 else None
+            time = left()
+            return head_of(r.message, time // 1000) if r.caller is not None and time > 0 else None
 
         def done(outcome: Outcome, answer: Answer | None) -> None:
-            self.ended(r, number, server, now, outcome, answer)
+            self.ended(r, number, server, began, outcome, answer)
+
+        def begin(answer: Answer, source: Source) -> Caller | None:
+            return self.flows(r, number, server, began, answer, source)
 
-        exchange = Exchange(self.pool, endpoint, compose, done, self.metrics.forwarded)
+        exchange = Exchange(self.pool, endpoint, compose, done, self.metrics.forwarded, begin, upload)
         r.out = exchange
-        exchange.start(max(0, expires - now) / 1e6)
+        exchange.start(max(0, left()) / 1e6 if r.message.whole else None)
+
+    def flows(
+        self, r: Open, number: int, server: int, began: int, answer: Answer, source: Source
+    ) -> Caller | None:
+        """An attempt's answer is too large to hold: it goes to the client as it comes.
+
+        From its first byte on the request is bound to this attempt, and no time runs any more.
+        """
+        caller = r.caller
+        if caller is None or caller.transport.is_closing():
+            return None
+        if r.guard is not None:
+            r.guard.cancel()
+        r.flowing = True
+        kind = answer.content_type
+        caller.begin_answer(b"Content-Type: %b\r\n" % kind if kind else b"", answer.length, source)
+        latency = max(0, self.now() - self.since(r, began))
+        self.post(self.balancer.response_started, r.id, number, server, latency)
+        return caller
+
+    def since(self, r: Open, began: int) -> int:
+        """When the attempt's server could begin: a body that flows comes to its end later than its head."""
+        return max(began, r.completed)
 
     def ended(
         self, r: Open, number: int, server: int, began: int, outcome: Outcome, answer: Answer | None
@@ -490,13 +561,15 @@
         if answer is not None:
             if self.config.inline_reports:
                 report = self.report(answer.report)
-            if outcome == Outcome.OK and r.caller is not None:
+            if outcome == Outcome.OK and r.caller is not None and not r.flowing:
                 kind = answer.content_type
                 self.conclude(r.id, 200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+        if r.flowing and r.caller is not None:
+            self.conclude(r.id, 200 if outcome == Outcome.OK else 502)
         final = r.caller is None
         if final:
             self.requests.pop(r.id, None)
-        latency = self.now() - began
+        latency = max(0, self.now() - self.since(r, began))
         self.post(self.balancer.outcome, r.id, number, server, outcome, latency, final, report)
 
     def cancel(self, request: int, attempt: int) -> None:
@@ -593,6 +666,10 @@
     hop = hop_headers(message)
     lines += [b"%b: %b" % (name, value) for key, name, value in message.lines if key not in hop]
     lines.append(b"X-Budget-Ms: %d" % budget)
-    if message.body or message.method != b"GET":
+    if message.upload is not None and message.length is None:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif message.upload is not None and message.length is not None:
+        lines.append(b"Content-Length: %d" % message.length)
+    elif message.body or message.method != b"GET":
         lines.append(b"Content-Length: %d" % len(message.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -10,36 +10,61 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
 from brackenladder.interface import Outcome
+from brackenladder.net.bodies import (
+    FRAMING,
+    HOLD,
+    LARGEST_BODY,
+    LAST_CHUNK,
+    STALL,
+    Budget,
+    Source,
+    Upload,
+    chunk_of,
+    framing_ok,
+)
 
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
 SWEEP = 0.5  # seconds between two looks at idle connections
 AFTER_ANSWER = 0.05  # a close within so many seconds of an answer tells nothing of the time to idle
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
-LARGEST_BODY = 65536
 LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
 LARGEST_LINES = 128  # header lines of the same, and trailers
-LARGEST_ANSWER = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
+FRAMED = FRAMING * HOLD  # what framing may take, which a head may not
 
 
 @dataclass
 class Answer:
-    """A server's whole answer."""
+    """A server's answer: whole, or the head of one that flows."""
 
     status: int
     body: bytes
     content_type: bytes
     rejected: bool
     report: bytes
+    length: int | None = None  # of one that flows, where the head says it
+
+
+class Sink(Protocol):
+    """Where an answer flows to."""
+
+    full: bool  # nothing more should be written now
+
+    def begin_answer(self, headers: bytes, length: int | None, source: Source) -> None:
+        """The head of an answer that flows from `source`."""
+
+    def pass_on(self, data: bytes) -> None:
+        """A piece of it."""
 
 
 Compose = Callable[[], bytes | None]
 Done = Callable[[Outcome, Answer | None], None]
+Begin = Callable[[Answer, Source], Sink | None]  # where an answer is to flow; None if nowhere
 
 
 class Spoilt(Exception):
@@ -71,7 +96,7 @@
         self.idle.clear()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to a server: one exchange at a time."""
 
     def __init__(self, pool: Pool, endpoint: Endpoint) -> None:
@@ -79,7 +104,13 @@
         self.endpoint = endpoint
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
-        self.unsent = False  # part of the request is still in this process
+        self.blocked = False  # part of what was written is still in this process
+        self.unsent = False  # the server has not got the whole request
+        self.upload: Upload | None = None
+        self.sink: Sink | None = None  # where the answer flows
+        self.paused = False
+        self.held = 0  # bytes of the answer's body
+        self.active = 0.0  # when something last moved
         self.counted = False
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
 
@@ -89,60 +120,126 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def pause_writing(self) -> None:
-        self.unsent = True
+        self.blocked = self.unsent = True
 
     def resume_writing(self) -> None:
-        self.unsent = False
-        if self.exchange is not None:
-            self.exchange.sent()
-
-    def begin(self, exchange: Exchange, data: bytes) -> None:
-        """Writes the exchange's request."""
+        self.blocked = False
+        self.active = self.pool.loop.time()
+        if self.upload is not None:
+            self.upload.taken()
+            self.pump()
+        elif self.unsent:
+            self.all_sent()
+
+    def begin(self, exchange: Exchange, data: bytes, upload: Upload | None = None) -> None:
+        """Writes the exchange's request; an upload's pieces follow as they come."""
         self.exchange = exchange
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
-        self.body = b""
+        self.pieces: list[bytes] = []
         self.content_type = b""
         self.rejected = False
         self.report = b""
         self.complete = self.stray = self.keep = False
         self.headed = False  # the final answer's head has come whole
-        self.size = self.lines = 0
+        self.length: int | None = None
+        self.chunked = False
+        self.size = self.lines = self.received = 0
+        self.upload = upload
+        self.unsent = upload is not None
         if not self.transport.is_closing():
             self.transport.write(data)
+            if upload is not None:
+                upload.pump = self.pump
+                self.pump()
         if self.transport.is_closing():
             # It was lost before the write or by it, so the server cannot have got the whole request.
             self.unsent = True
             self.broken()
-        elif not self.unsent:
+        elif not self.unsent and self.exchange is exchange and upload is None:
             exchange.sent()
 
+    def pump(self) -> None:
+        """Writes what has come of the upload, as long as the kernel takes it."""
+        upload = self.upload
+        while upload is not None and upload.pieces and not self.blocked and not self.transport.is_closing():
+            piece = upload.take()
+            self.active = self.pool.loop.time()
+            self.transport.write(piece if upload.length is not None else chunk_of(piece))
+            if not self.blocked:
+                upload.taken()
+        if upload is None or self.blocked or self.transport.is_closing():
+            return
+        if not upload.whole:
+            upload.source.resume()
+            return
+        self.upload = upload.pump = None
+        if upload.length is None:
+            self.transport.write(LAST_CHUNK)
+        if not self.blocked:
+            self.all_sent()
+
+    def all_sent(self) -> None:
+        """The server has the whole request."""
+        self.unsent = False
+        if self.exchange is not None:
+            self.exchange.sent()
+
+    def pause(self) -> None:
+        """The client does not take what comes: no more is read."""
+        if not self.paused and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """The client has taken what came."""
+        if self.paused and not self.transport.is_closing():
+            self.paused = False
+            self.active = self.pool.loop.time()
+            self.transport.resume_reading()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.budget.read_into()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.pool.budget.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
             self.close()
             return
+        self.active = self.pool.loop.time()
+        self.size += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.stray = True
-        self.size += len(data)
-        if self.size > (LARGEST_ANSWER if self.headed else LARGEST_HEAD):
+        if not framing_ok(self.size if self.headed else self.size + FRAMED, self.received, LARGEST_HEAD):
             self.stray = True
+        if self.exchange is None:  # it was given up meanwhile
+            return
         if self.complete:
             # Failure prevented: a whole answer is thrown away for the noise behind it, and fails a request
             # that has run. What follows it belongs to nobody, so the connection is of no further use.
-            answer = Answer(self.status, self.body, self.content_type, self.rejected, self.report)
-            self.finish(outcome_of(answer), answer, self.keep and not self.stray)
+            answer = self.answer(b"".join(self.pieces))
+            self.finish(outcome_of(answer), answer, self.keep and not self.stray and not self.unsent)
         elif self.stray:
             self.finish(Outcome.RESET, None, reuse=False)
+        elif self.sink is not None and self.sink.full:
+            self.pause()
+
+    def answer(self, body: bytes) -> Answer:
+        return Answer(self.status, body, self.content_type, self.rejected, self.report, self.length)
 
     def on_message_begin(self) -> None:
         self.stray = self.complete
         if not self.complete:  # what an interim answer said is not the final one's
             self.content_type = self.report = b""
             self.rejected = False
+            self.length = None
+            self.chunked = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.complete:
@@ -153,37 +250,84 @@
         if self.headed:  # a trailer
             return
         key = name.lower()
+        value = value.strip(b" \t")  # white space around a value is no part of it
         if key == b"content-type":
             self.content_type = value
         elif key == b"x-rejected":
             self.rejected = value.strip() == b"1"
         elif key == b"x-load-report":
             self.report = value
-        elif key == b"content-length" and int(value) > LARGEST_BODY:
-            raise Spoilt  # here, not when so much has come
-        elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            raise Spoilt  # coded: the body as it comes is not the answer's
+        elif key == b"content-length":
+            self.length = int(value)
+            if self.length > LARGEST_BODY:
+                raise Spoilt  # here, not when so much has come
+        elif key == b"transfer-encoding":
+            self.chunked = True
+            if value.strip().lower() != b"chunked":
+                raise Spoilt  # coded: the body as it comes is not the answer's
 
     def on_headers_complete(self) -> None:
-        self.headed = self.headed or self.parser.get_status_code() >= 200
+        if self.complete or self.headed:
+            return
+        status = self.parser.get_status_code()
+        if status >= 200:
+            self.headed = True
+            self.status = status
+            if self.length is not None and self.length > HOLD:
+                self.start_flow()
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
-        self.body += body
-        if len(self.body) > LARGEST_BODY:
+        self.received += len(body)
+        if self.received > LARGEST_BODY:
+            raise Spoilt
+        if self.sink is None and (self.received > HOLD or not self.pool.budget.fits(len(body))):
+            self.start_flow()
+        if self.sink is not None:
+            self.sink.pass_on(body)
+        elif self.status == 200:  # what other answers say goes no further
+            self.pieces.append(body)
+            self.held += len(body)
+            self.pool.budget.held += len(body)
+
+    def start_flow(self) -> None:
+        """Begins to pass the answer on: there is too much of it to hold."""
+        exchange = self.exchange
+        if exchange is None or self.status != 200:
+            return
+        self.sink = exchange.begin(self.answer(b""), self)
+        if self.sink is None:
             raise Spoilt
+        for piece in self.pieces:
+            self.sink.pass_on(piece)
+        self.let_go()
+
+    def let_go(self) -> None:
+        """Holds nothing of the answer any more."""
+        self.pieces = []
+        if self.held:
+            self.pool.budget.held -= self.held
+            self.held = 0
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if self.complete or status < 200:  # stray bytes, or an interim answer
             return
-        self.status = status
         self.keep = self.parser.should_keep_alive()  # known here only: the parser then starts afresh
         self.complete = True
 
+    def eof_received(self) -> None:
+        """The server has ended its side: so ends an answer that neither a length nor chunks delimit."""
+        if self.exchange is None or not self.headed or self.complete or self.chunked or self.stray:
+            return
+        if self.length is None:
+            self.complete = True
+            answer = self.answer(b"".join(self.pieces))
+            self.finish(outcome_of(answer), answer, reuse=False)
+
     def finish(self, outcome: Outcome, answer: Answer | None, reuse: bool) -> None:
-        exchange, self.exchange = self.exchange, None
+        exchange = self.detach()
         if reuse and self.endpoint.ready and not self.transport.is_closing():
             self.pool.keep(self)
         else:
@@ -196,6 +340,20 @@
         if self.exchange is not None:
             self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET, None, reuse=False)
 
+    def detach(self) -> Exchange | None:
+        """Ends the exchange's hold on the connection."""
+        exchange, self.exchange = self.exchange, None
+        self.sink = None
+        if self.upload is not None:
+            self.upload.taken()
+            self.upload.pump = None
+            self.upload = None
+        if exchange is not None:
+            self.let_go()
+        if self.paused:
+            self.resume()
+        return exchange
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.endpoint.ready and self in self.endpoint.idle:
             self.pool.closed_idle(self.pool.loop.time() - self.idle_since)
@@ -232,21 +390,31 @@
         compose: Compose,
         done: Done,
         sent: Callable[[], None] = lambda: None,
+        begin: Begin = lambda answer, source: None,
+        upload: Upload | None = None,
     ) -> None:
         self.pool = pool
         self.endpoint = endpoint
         self.compose = compose
         self.done = done
         self.sent = sent  # called when the last byte has been written
+        self.begin_flow = begin
+        self.upload = upload
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         endpoint.busy += 1
 
-    def start(self, timeout: float) -> None:
-        """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds."""
-        self.timer = self.pool.loop.call_later(timeout, self.expire)
+    def start(self, timeout: float | None) -> None:
+        """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds.
+
+        With None no time runs yet: the request has not come whole, and only a stand-still ends it.
+        """
+        if timeout is not None:
+            self.limit(timeout)
+        else:
+            self.timer = self.pool.loop.call_later(STALL, self.watch)
         connection = self.pool.take(self.endpoint)
         if connection is not None:
             self.use(connection)
@@ -255,6 +423,33 @@
         else:
             self.end(Outcome.CONNECT_FAILED, None)
 
+    def limit(self, timeout: float) -> None:
+        """The exchange may take so many seconds from now on."""
+        if not self.over:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = self.pool.loop.call_later(timeout, self.expire)
+
+    def begin(self, answer: Answer, source: Source) -> Sink | None:
+        """The answer is too large to hold. From here on only a stand-still ends the exchange."""
+        sink = self.begin_flow(answer, source)
+        if sink is not None and self.timer is not None:
+            self.timer.cancel()
+            self.timer = self.pool.loop.call_later(STALL, self.watch)
+        return sink
+
+    def watch(self) -> None:
+        """Ends a body that flows and has not moved for long: one of its sides is gone or dead."""
+        connection = self.connection
+        rest = STALL
+        if connection is not None:
+            rest -= self.pool.loop.time() - connection.active
+            waits = connection.upload is not None and not connection.blocked  # for the client's next piece
+            if rest <= 0 and not waits:
+                connection.broken()
+                return
+        self.timer = self.pool.loop.call_later(max(rest, STALL / 10), self.watch)
+
     async def connect(self) -> None:
         """Opens a connection within the connect time-out."""
         pool = self.pool
@@ -286,18 +481,20 @@
             self.end(Outcome.NOT_SENT, None)
         else:
             self.connection = connection
-            connection.begin(self, data)
+            connection.active = self.pool.loop.time()
+            connection.begin(self, data, self.upload)
 
     def expire(self) -> None:
-        """The time is up. A connection that never came up has carried nothing."""
-        self.stop(Outcome.CONNECT_FAILED if self.connection is None else Outcome.TIMEOUT)
+        """The time is up. A server that has not got the last byte has run nothing."""
+        never = self.connection is None or self.connection.unsent
+        self.stop(Outcome.CONNECT_FAILED if never else Outcome.TIMEOUT)
 
     def stop(self, outcome: Outcome) -> None:
         """Gives the exchange up; its connection is closed, so that no late answer meets another request."""
         if self.over:
             return
         if self.connection is not None:
-            self.connection.exchange = None
+            self.connection.detach()
             self.connection.close()
         elif self.connecting is not None:
             self.connecting.cancel()
@@ -317,10 +514,16 @@
     """All connections to servers, within a budget of descriptors."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float, idle_time: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        most: int,
+        connect_timeout: float,
+        idle_time: float,
+        budget: Budget,
     ) -> None:
         self.loop = loop
         self.most = most
+        self.budget = budget
         self.idle_time = inf
         self.renew(connect_timeout, idle_time)
         self.open = 0
