Answers of unknown length flow after 16 KiB

Not chosen: to flow from the first byte, since spoilt answers are mostly small and an answer that flows cannot be replaced by another attempt.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -33,6 +33,7 @@
 AFTER_ANSWER = 0.05  # a close within so many seconds of an answer tells nothing of the time to idle
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
+HOLD_UNKNOWN = 16384  # bytes held of an answer that does not say how long it is
 LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
 LARGEST_LINES = 128  # header lines of the same, and trailers
 FRAMED = FRAMING * HOLD  # what framing may take, which a head may not
@@ -282,7 +283,8 @@
         self.received += len(body)
         if self.received > LARGEST_BODY:
             raise Spoilt
-        if self.sink is None and (self.received > HOLD or not self.pool.budget.fits(len(body))):
+        most = HOLD if self.length is not None else HOLD_UNKNOWN
+        if self.sink is None and (self.received > most or not self.pool.budget.fits(len(body))):
             self.start_flow()
         if self.sink is not None:
             self.sink.pass_on(body)
