Half-written connections make way at once for those with requests

Cause, found by a flood test: with the table full of half-written connections nobody was accepted until their 2.5 s were over, and a request on a new connection waited 20 s in the queue. Now the stillest make way at once, and a full table is looked at again every 50 ms.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -11,6 +11,7 @@
 import termios
 from collections import deque
 from contextlib import suppress
+from heapq import nsmallest
 from typing import Protocol, cast
 
 import httptools
@@ -37,7 +38,7 @@
 BODY_GRACE = 1.0  # seconds after its head in which a body may begin...
 LEAST_RATE = 40_000  # ...and the bytes a second that it then brings at the least
 SWEEP = 0.25  # seconds between two looks at who is slow
-STALLED = 0.5  # seconds after which an incomplete request may be given up for want of room
+FRESH = 0.05  # seconds in which a request that has begun, and brought something, makes no way for others
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
 LINGER_FLOW = 10.0  # the same where it sends, or reads, what is too large for that
 FLOW_BUFFER = 131_072  # bytes of an answer that flows which the kernel may hold
@@ -45,6 +46,8 @@
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
 HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further requests
+ROOM = 4  # connections at most that make way in one go...
+ROOM_SHARE = 32  # ...one for so many that are open
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
 LOOK = 0.02
 
@@ -625,6 +628,15 @@
             assert self.listener is not None
             self.listening = False
             self.loop.remove_reader(self.listener.fileno())
+            self.loop.call_later(FRESH, self.retry)
+
+    def retry(self) -> None:
+        """Looks for room again: who had just come may be still by now."""
+        if self.listener is not None and not self.listening:
+            self.make_room()
+            self.listen()
+            if not self.listening:
+                self.loop.call_later(FRESH, self.retry)
 
     def accept(self) -> None:
         """Takes what waits in the backlog."""
@@ -676,24 +688,27 @@
             self.callers.discard(caller)
 
     def make_room(self) -> None:
-        """Closes a connection for another: one that never asked, else one that is idle, else one that stalls.
+        """Closes a few connections for others: who never asked, else who is idle, else who stalls.
 
-        Of each sort the one that has been so longest. Failure prevented: hundreds that connect and say
-        nothing, or half of something, push out clients that are served.
+        Of each sort those that have been still for longest. Nobody is asked to wait for them: requests come
+        on new connections, and thousands of half-written ones may stand before them. Failure prevented:
+        hundreds that connect and say nothing, or half of something, push out clients that are served; or
+        looking for one among hundreds for each that comes costs the time that answers need.
         """
-        now = self.loop.time()
+        still = self.loop.time() - FRESH
         spare = [
             c
             for c in self.callers
-            if c.transport is not None
-            and not (c.open or c.waiting or c.deaf)
-            and (c.partial is None or now - c.since > STALLED)
+            if not (c.open or c.waiting or c.deaf)
+            and c.transport is not None
+            and (c.partial is None or c.active < still)
         ]
-        for caller in sorted(spare, key=lambda c: (c.partial is not None, c.asked, c.active)):
-            if not caller.unread():
+        closed, most = 0, max(1, min(ROOM, len(self.callers) // ROOM_SHARE))
+        for caller in nsmallest(2 * ROOM, spare, key=lambda c: (c.partial is not None, c.asked, c.active)):
+            if closed < most and not caller.unread():
                 self.callers.discard(caller)
                 caller.transport.abort()
-                return
+                closed += 1
 
     def sweep(self) -> None:
         """Ends what has not brought a whole request in its time; a client that has asked may stay idle."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1488,7 +1488,7 @@
         stalling.send(b"GET /view HTTP/1.1\r\n")
         await until(lambda: any(c.partial for c in callers.callers))
         for caller in callers.callers:
-            caller.since -= 1.0
+            caller.active -= 1.0
         (new := await bench.client()).send(call())
         assert await silent.ended() and (await new.receive())[0] == 200
         bench.node.balancer.request = lambda *args: None  # all stay open
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -184,6 +184,86 @@
     play(scene)
 
 
+def test_a_flood_of_idle_and_half_written_connections_delays_no_answer_for_long(tmp_path):
+    """Far more connections than descriptors; requests on new and on kept connections are answered."""
+
+    async def scene():
+        await (server := Server()).start()
+        await (discovery := Discovery()).start()
+        port, control = free_port(), free_port()
+        table = node_table(discovery.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+        table["limits"] = {"sockets": 128, "memory_mb": 40}
+        node = await start_process(tmp_path, table, {"LB_CONTROL": f"127.0.0.1:{control}"})
+        await healthy(control)
+        kept = await Client(port).open()
+        assert (await kept.ask(call("invite")))[0] == 200
+        crowd: list[Client] = []
+        over = asyncio.Event()
+
+        async def flood(half: bool):
+            for _ in range(400):
+                with suppress(ConnectionError):
+                    crowd.append(client := await Client(port).open())
+                    if half:
+                        client.send(b"POST /invite HTTP/1.1\r\nX-Call-Id: 1\r\n")
+            over.set()
+
+        floods = [asyncio.create_task(flood(i % 2 == 0)) for i in range(4)]
+        asked = served = 0
+        while not over.is_set() or asked < 50:
+            (client := await Client(port).open()).send(call("invite"))
+            status, headers, _ = await client.receive()
+            assert status == 200 or (status == 503 and float(headers["retry-after"]) > 0)
+            served += status == 200
+            client.writer.close()
+            assert (await ask(control, "/admin/health"))[0] == 200
+            assert len(os.listdir(f"/proc/{node.pid}/fd")) <= 128
+            asked += 1
+        await asyncio.gather(*floods)
+        kept.writer.close()
+        status = 0
+        while status != 200:  # what is left of the flood makes way
+            status = (await (last := await Client(port).open()).ask(call("invite")))[0]
+            last.writer.close()
+        served += 1
+        figures = (await ask(control, "/admin/stats"))[2]
+        assert figures["results"]["invite"]["succeeded"] == served + 1 > 10
+        for client in crowd:
+            client.writer.close()
+        node.terminate()
+        assert await asyncio.wait_for(node.wait(), 20) == 0
+
+    play(scene)
+
+
+def test_who_writes_slowly_is_not_taken_for_one_that_stalls():
+    async def scene():
+        bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
+        callers = bench.node.callers
+        stalling, slow = await bench.client(), await bench.client()
+        for client in (stalling, slow):
+            client.send(b"GET /view HTTP/1.1\r\n")
+        await until(lambda: sum(c.partial is not None for c in callers.callers) == 2)
+        for caller in callers.callers:
+            caller.active -= 1.0
+        (
+            moving := min(
+                callers.callers,
+                key=lambda c: (
+                    c.transport.get_extra_info("peername") != (slow.writer.get_extra_info("sockname"))
+                ),
+            )
+        ).since -= 1.0
+        slow.send(b"X-Caller: acme\r\n")
+        await until(lambda: moving.active > bench.node.loop.time() - 0.5)
+        callers.make_room()
+        assert await stalling.ended()
+        slow.send(call()[len(b"GET /view?obj=7f HTTP/1.1\r\n") :].replace(b"X-Caller: acme\r\n", b""))
+        assert (await slow.receive())[0] == 200
+
+    play(scene)
+
+
 # ---- new settings ------------------------------------------------------------------------------------
 
 
