--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -422,10 +422,7 @@
             message.keep = False
             lines += b"Connection: close\r\n"
         self.transport.set_write_buffer_limits(high=0)
-        with suppress(OSError):
-            number = self.transport.get_extra_info("socket").fileno()
-            with socket.socket(fileno=os.dup(number)) as s:
-                s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, FLOW_BUFFER)
+        self.set_option(socket.SO_SNDBUF, FLOW_BUFFER)
         self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b\r\n" % (headers, lines))
 
     def pass_on(self, data: bytes) -> None:
@@ -460,12 +457,19 @@
         if message is not None:
             self.release(message)
         if not self.transport.is_closing():
-            with suppress(OSError):
-                number = self.transport.get_extra_info("socket").fileno()
-                with socket.socket(fileno=os.dup(number)) as s:
-                    s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            self.set_option(socket.SO_LINGER, RESETS)
             self.transport.abort()
 
+    def set_option(self, option: int, value: int | bytes) -> None:
+        """Sets a socket's option, which the event loop's own view of it does not offer."""
+        with suppress(OSError), socket.socket(fileno=os.dup(self.number())) as s:
+            s.setsockopt(socket.SOL_SOCKET, option, value)
+
+    def number(self) -> int:
+        """The socket's descriptor."""
+        number: int = self.transport.get_extra_info("socket").fileno()
+        return number
+
     def finish(self, linger: float = LINGER) -> None:
         """Closes after the last answer.
 
@@ -544,7 +548,7 @@
         if self.transport is None or self.transport.is_closing():
             return True
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(self.number(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
     def idle(self) -> bool:
@@ -557,8 +561,7 @@
         """Whether bytes wait in the socket: closing now would reset a client that has just sent."""
         if self.transport is None or self.transport.is_closing():
             return False
-        number = self.transport.get_extra_info("socket").fileno()
-        return any(fcntl.ioctl(number, termios.FIONREAD, b"\0\0\0\0"))
+        return any(fcntl.ioctl(self.number(), termios.FIONREAD, b"\0\0\0\0"))
 
 
 class Callers:
--- a/brackenladder/net/handover.py
+++ b/brackenladder/net/handover.py
@@ -35,7 +35,7 @@
     """This process's file and a look at the others'. Whatever fails here, the node goes on alone."""
 
     def __init__(self, name: str, folder: str | None) -> None:
-        self.folder = folder or None
+        self.folder = os.path.abspath(folder) if folder else None
         self.prefix = f"{blake2b(name.encode(), digest_size=6).hexdigest()}-"
         self.path = ""
         self.file = -1
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -563,6 +563,16 @@
         handover.leave()
 
 
+def test_a_process_does_not_take_its_own_file_for_a_peers(tmp_path, monkeypatch):
+    """Failure prevented: with a relative folder a node keeps to half of its limits for good."""
+    monkeypatch.chdir(tmp_path)
+    handover = Handover("n0", ".")
+    handover.enter()
+    assert handover.look().count == 0 and len(os.listdir(".")) == 1
+    handover.leave()
+    assert not os.listdir(".")
+
+
 def test_control_can_be_closed_before_it_listens():
     async def scene():
         Control(asyncio.get_running_loop(), {}).close()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -24,6 +24,7 @@
     State,
     TenantSettings,
 )
+from brackenladder.net.metrics import Metrics
 
 ROOT = Path(__file__).parent.parent
 
@@ -332,11 +333,20 @@
     source = (ROOT / "brackenladder" / "balance.py").read_text()
     named = set(re.findall(r"`([a-z_]+)`", page))
     stats = World(1, 20).node.stats()
+    metrics = Metrics()
+    metrics.serves(("any",))
+    figures = metrics.figures(0, 0)
+    figures = set(figures) - {"results"} | set(figures["results"]["any"])
+    assert figures <= named  # every figure is explained
+    named -= figures - set(stats)
     unknown = {n for n in named if n not in stats and n not in {"eject", "readmit", "fail_rate"}}
     assert len(named & set(stats)) >= 10 and not unknown
     logged = re.findall(r'log\(\s*f"(\w+) ([a-z]+)=', source)
     assert set(logged) == {("eject", "server"), ("readmit", "server")}
     assert "eject server=" in page and "readmit server=" in page
+    for path in sorted((ROOT / "brackenladder").rglob("*.py")):
+        for line in re.findall(r'(?:log_lines|log)\.line\(\s*f?"([a-z ]+)', path.read_text()):
+            assert line.strip() in page, f"{path.name}: {line}"
 
 
 def test_state_is_given_up_when_its_cause_is_gone():
