--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -195,10 +195,10 @@
 
     def renew(self, settings: Settings) -> None:
         """Hands the module other settings; while processes share the node, its part of them."""
-        shares = 1 + self.peers_alive.count
-        if shares > 1:
-            most_open = max(1, settings.max_open // shares)
-            settings = replace(settings, instances=settings.instances * shares, max_open=most_open)
+        peers = self.peers_alive.count
+        if peers:
+            most_open = max(1, settings.max_open // (1 + peers))
+            settings = replace(settings, instances=settings.instances + peers, max_open=most_open)
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
