--- a/brackenladder/net/control.py
+++ b/brackenladder/net/control.py
@@ -13,6 +13,8 @@
 
 import httptools
 
+from brackenladder.net.callers import REASONS
+
 MOST = 16  # callers at a time
 DESCRIPTORS = MOST + 4  # set aside: theirs, the listener's, and those accepted to be told apart
 READ_TIME = 2.0  # seconds for a call to come whole
@@ -20,15 +22,6 @@
 LARGEST = 8192  # bytes of a call
 BACKLOG = 64
 
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    503: b"Service Unavailable",
-}
-
 
 class Call(asyncio.Protocol):
     """One caller's connection."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,6 +1,7 @@
 """The four rules for each effect, and each failure that the module answers."""
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -648,3 +649,34 @@
     end(node, rec, 10_000, 1, 0, server, Outcome.OK)
     node.client_left(11_000, 1)
     assert end(node, rec, 12_000, 1, 0, server, Outcome.ERROR) == [] and node.controller.in_flight == 0
+
+
+def test_new_settings_keep_the_limit_and_what_is_open_keeps_the_old():
+    node, rec = balancer(4, max_attempts=2)
+    for i in range(40):
+        kind, *rest = ask(node, rec, i * 10_000, i, klass=0)
+        if kind == "send":
+            end(node, rec, i * 10_000 + 5_000, i, 0, rest[1], Outcome.OK, 5_000)
+    assert ask(node, rec, SEC, 100, klass=0)[0] == "send"
+    (server,) = [r.out.id for r in node.requests.values()]
+    before = node.controller.limit, node.mean_rtt[0], node.mean_rtt[2]
+    classes = (SAFE, replace(UNSAFE, worth=3), UNSAFE, KEYED)  # place 1 means something else from now on
+    new = replace(node.settings, classes=classes, max_attempts=1, instances=2)
+    node.new_settings(SEC, new)
+    assert (node.controller.limit, node.mean_rtt[0], node.mean_rtt[2]) == before
+    assert len(node.mean_rtt) == len(node.rank) == len(node.controller.target) == 4
+    # The open request was promised two attempts; one that comes now gets one.
+    (action,) = end(node, rec, SEC + 1000, 100, 0, server, Outcome.CONNECT_FAILED)
+    assert action[0] == "send"
+    kind, _, server, _ = ask(node, rec, SEC + 2000, 101, klass=3)
+    assert kind == "send"
+    (action,) = end(node, rec, SEC + 3000, 101, 0, server, Outcome.CONNECT_FAILED)
+    assert action[0] == "refuse"
+
+
+def test_an_open_request_of_a_dropped_class_is_never_sent_twice():
+    node, rec = balancer(4)
+    kind, _, server, _ = ask(node, rec, 0, 1, klass=2)
+    node.new_settings(1000, replace(node.settings, classes=(SAFE, KEYED, replace(SAFE, worth=0))))
+    (action,) = end(node, rec, 2000, 1, 0, server, Outcome.RESET)
+    assert kind == "send" and action[0] == "fail"
