A lab that plays the real decision module in virtual time, and a command line

Change: brackenladder/lab hosts the Balancer against modelled servers, clients, discovery and network, with one event heap and a named random stream for each concern. The node without arguments imports none of it.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -1,4 +1,7 @@
-"""One real node: `python -m brackenladder`."""
+"""`python -m brackenladder`: the node, or a command of the command line.
+
+Without an argument, and with `node`, it is one real node: nothing but what a node needs is imported then.
+"""
 
 from __future__ import annotations
 
@@ -41,7 +44,7 @@
     await node.drain()
 
 
-def main() -> int:
+def run_node() -> int:
     """Starts a node; 2 if it was told what it cannot start with."""
     try:
         config = load(os.environ)
@@ -56,5 +59,21 @@
     return 0
 
 
+def main() -> int:
+    """The node or, with any other command, the command line, whose packages the node does without."""
+    if sys.argv[1:] in ([], ["node"]):
+        return run_node()
+    try:
+        from brackenladder.cli.main import cli
+    except ModuleNotFoundError as e:
+        print(
+            f"brackenladder: the command line needs {e.name}: pip install -r requirements-lab.txt",
+            file=sys.stderr,
+        )
+        return 2
+    cli(prog_name="brackenladder")
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/brackenladder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. The node's own start imports nothing of it."""
--- /dev/null
+++ b/brackenladder/cli/lab.py
@@ -0,0 +1,233 @@
+"""`brackenladder lab`: experiments in virtual time and with real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+from brackenladder.cli import show
+from brackenladder.lab import results
+from brackenladder.lab.experiments import (
+    ExperimentError,
+    Run,
+    Task,
+    checkout,
+    differences,
+    make,
+    read_seeds,
+    read_values,
+)
+from brackenladder.lab.modules import find
+from brackenladder.lab.scenario import Scenario, ScenarioError, load
+
+CHANGE = click.option(
+    "--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change the scenario: load.rps=500."
+)
+SEEDS = click.option("--seed", "--seeds", "seeds", default="1", show_default=True, help="3, 1-10 or 1,4,7-9.")
+WORKERS = click.option(
+    "--workers", type=click.IntRange(1, 64), default=1, show_default=True, help="Processes."
+)
+MODULE = click.option("--module", default="brackenladder", show_default=True, help="Decision module to play.")
+SCENARIO = click.argument("scenario", type=click.Path(path_type=Path))
+
+
+@click.group()
+def lab() -> None:
+    """Play scenarios: the real decisions against modelled or real servers."""
+
+
+def stop(text: str) -> NoReturn:
+    """Ends with status 2 and one line that says what to mend."""
+    click.echo(f"brackenladder: {text}", err=True)
+    sys.exit(2)
+
+
+def prepare(path: Path, changes: tuple[str, ...], seeds: str, module: str) -> tuple[str, Scenario, list[int]]:
+    """The scenario's text, the scenario and the seeds, all checked before anything is played."""
+    try:
+        scenario = load(path, changes)
+        numbers = read_seeds(seeds)
+        find(module)
+    except (ScenarioError, ValueError) as e:
+        stop(str(e))
+    return path.read_text(), scenario, numbers
+
+
+def play(tasks: list[Task], workers: int, words: str) -> list[Run]:
+    with show.bar() as bar:
+        alone = workers == 1 and len(tasks) == 1
+        line = bar.add_task(words, total=None if alone else len(tasks))
+
+        def seconds(at: float, of: float) -> None:
+            bar.update(line, completed=int(at), total=int(of))
+
+        try:
+            return make(
+                tasks, workers, lambda _: bar.advance(line, 0 if alone else 1), seconds if alone else None
+            )
+        except ExperimentError as e:
+            stop(str(e))
+
+
+def keep(folder: Path | None, runs: list[Run]) -> None:
+    """Writes the rows, and beside them the times that are not the same in every run."""
+    if folder is None:
+        return
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        results.write(folder / results.RESULTS, [row for run in runs for row in run.rows])
+        times = [{"seed": r.task.seed, "wall_s": round(r.wall, 3), "events": r.events} for r in runs]
+        (folder / "timing.json").write_text(json.dumps(times, indent=1) + "\n")
+    except OSError as e:
+        stop(f"{folder}: {e.strerror}")
+
+
+def plain(run: Run) -> dict[str, Any]:
+    """A run for machines."""
+    counts = {k: v for k, v in run.rules.items() if k not in ("type", "notes")}
+    return {
+        "seed": run.task.seed,
+        "summary": {k: v for k, v in run.summary.items() if k not in ("type", "scenario", "seed")},
+        "rules": counts,
+        "claims": run.claims,
+        "ok": not run.failed_claims,
+    }
+
+
+@lab.command()
+@SCENARIO
+@SEEDS
+@CHANGE
+@WORKERS
+@MODULE
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="Folder for results.jsonl.")
+@click.option("--json", "as_json", is_flag=True, help="Print a summary for machines.")
+def run(
+    scenario: Path,
+    seeds: str,
+    changes: tuple[str, ...],
+    workers: int,
+    module: str,
+    out: Path | None,
+    as_json: bool,
+) -> None:
+    """Play SCENARIO in virtual time and hold it against its claims."""
+    text, read, numbers = prepare(scenario, changes, seeds, module)
+    tasks = [Task(text, str(scenario), seed, changes, module) for seed in numbers]
+    made = play(tasks, workers, read.name)
+    keep(out, made)
+    if as_json:
+        click.echo(json.dumps({"scenario": read.name, "module": module, "runs": [plain(r) for r in made]}))
+    else:
+        show.runs(made)
+    sys.exit(1 if any(r.failed_claims for r in made) else 0)
+
+
+@lab.command()
+@SCENARIO
+@click.option("--seeds", default="1-10", show_default=True)
+@WORKERS
+@click.option("--a", "a_root", help="Checkout or revision of side a; this one if not given.")
+@click.option("--b", "b_root", help="The same of side b.")
+@click.option(
+    "--set-a", "a_changes", multiple=True, metavar="KEY=VALUE", help="Change the scenario of side a."
+)
+@click.option("--set-b", "b_changes", multiple=True, metavar="KEY=VALUE")
+@click.option("--module-a", default="brackenladder", show_default=True)
+@click.option("--module-b", default="brackenladder", show_default=True)
+@CHANGE
+@click.option("--json", "as_json", is_flag=True, help="Print the differences for machines.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), help="Folder for the rows of both sides."
+)
+def compare(
+    scenario: Path,
+    seeds: str,
+    workers: int,
+    a_root: str | None,
+    b_root: str | None,
+    a_changes: tuple[str, ...],
+    b_changes: tuple[str, ...],
+    module_a: str,
+    module_b: str,
+    changes: tuple[str, ...],
+    as_json: bool,
+    out: Path | None,
+) -> None:
+    """Play SCENARIO twice under equal seeds and tell which differences are more than noise."""
+    text, _, numbers = prepare(scenario, changes + a_changes, seeds, module_a)
+    prepare(scenario, changes + b_changes, seeds, module_b)
+    try:
+        with checkout(a_root) as a, checkout(b_root) as b:
+            sides = [(changes + a_changes, module_a, a), (changes + b_changes, module_b, b)]
+            tasks = [
+                Task(text, str(scenario), seed, laid, module, root)
+                for seed in numbers
+                for laid, module, root in sides
+            ]
+            made = play(tasks, workers, "compare")
+    except ExperimentError as e:
+        stop(str(e))
+    first, second = made[0::2], made[1::2]
+    if out is not None:
+        keep(out / "a", first)
+        keep(out / "b", second)
+    rows = differences(first, second)
+    if as_json:
+        fields = ("name", "a", "b", "mean", "low", "high", "pairs", "verdict")
+        click.echo(json.dumps([{f: getattr(d, f) for f in fields} for d in rows]))
+    else:
+        names = [
+            " ".join([root or "here", *([module] if module != "brackenladder" else []), *laid])
+            for root, module, laid in ((a_root, module_a, a_changes), (b_root, module_b, b_changes))
+        ]
+        show.comparison(rows, *names)
+
+
+@lab.command()
+@SCENARIO
+@click.option("--over", required=True, metavar="KEY=VALUES", help="load.of_capacity=0.5:1.5:0.25 or =1,2,4")
+@click.option("--seeds", default="1-3", show_default=True)
+@click.option("--workers", type=click.IntRange(1, 64), help="Processes; all cores if not given.")
+@MODULE
+@CHANGE
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="Folder for results.jsonl.")
+@click.option("--json", "as_json", is_flag=True)
+def sweep(
+    scenario: Path,
+    over: str,
+    seeds: str,
+    workers: int | None,
+    module: str,
+    changes: tuple[str, ...],
+    out: Path | None,
+    as_json: bool,
+) -> None:
+    """Play SCENARIO with each of a parameter's values."""
+    key, equals, values_text = over.partition("=")
+    try:
+        if not equals:
+            raise ValueError(f"--over {over!r}: write it as KEY=VALUES")
+        values = read_values(values_text)
+    except ValueError as e:
+        stop(str(e))
+    text, _, numbers = prepare(scenario, (*changes, f"{key}={values[0]}"), seeds, module)
+    for value in values[1:]:
+        prepare(scenario, (*changes, f"{key}={value}"), seeds, module)
+    tasks = [
+        Task(text, str(scenario), seed, (*changes, f"{key}={value}"), module)
+        for value in values
+        for seed in numbers
+    ]
+    made = play(tasks, workers or len(os.sched_getaffinity(0)), key)
+    keep(out, made)
+    rows = [(v, made[i * len(numbers) : (i + 1) * len(numbers)]) for i, v in enumerate(values)]
+    if as_json:
+        click.echo(json.dumps([{"value": v, "runs": [plain(r) for r in runs]} for v, runs in rows]))
+    else:
+        show.sweep(key, rows)
--- /dev/null
+++ b/brackenladder/cli/show.py
@@ -0,0 +1,138 @@
+"""Tables and progress on a terminal."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from rich.console import Console
+from rich.progress import (
+    BarColumn,
+    MofNCompleteColumn,
+    Progress,
+    TextColumn,
+    TimeElapsedColumn,
+    TimeRemainingColumn,
+)
+from rich.table import Table
+
+from brackenladder.lab.experiments import Run
+from brackenladder.lab.stats import Difference
+
+out = Console(highlight=False)
+err = Console(stderr=True, highlight=False)
+HEADLINES = (
+    "service",
+    "in_time",
+    "worst_window",
+    "served",
+    "refused",
+    "failed",
+    "unanswered",
+    "p50_ms",
+    "p99_ms",
+    "tries",
+)
+MOST_COLUMNS = 6
+RULE_NAMES = ("lost", "duplicate", "drain", "pushed_over", "illegal", "crash")
+
+
+def bar() -> Progress:
+    """A progress bar on standard error; silent where that is no terminal."""
+    return Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+        TimeRemainingColumn(),
+        console=err,
+        transient=True,
+        disable=not err.is_terminal,
+    )
+
+
+def number(value: Any) -> str:
+    """A figure as a person reads it."""
+    if value is None:
+        return "never"
+    if isinstance(value, float):
+        return (
+            f"{value:.0f}" if abs(value) >= 1000 else f"{value:.1f}" if abs(value) >= 10 else f"{value:.4f}"
+        )
+    return str(value)
+
+
+def runs(made: Iterable[Run], wall: bool = True) -> None:
+    """One line for each run, then the claims that fail or that are known gaps."""
+    made = list(made)
+    table = Table(title=f"{made[0].rows[0]['scenario']}: {made[0].rows[0]['title']}", title_justify="left")
+    table.add_column("seed")
+    many = len(made) > MOST_COLUMNS
+    for name in ("mean", "least", "most") if many else [str(run.task.seed) for run in made]:
+        table.add_column(name, justify="right")
+    for name in HEADLINES:
+        values = [float(run.summary[name]) for run in made]
+        if many:
+            values = [sum(values) / len(values), min(values), max(values)]
+        table.add_row(name, *map(number, values))
+    if many:
+        table.add_row("rules broken", str(sum(run.rules[n] for run in made for n in RULE_NAMES) or "none"))
+    else:
+        broken = [", ".join(f"{n} {run.rules[n]}" for n in RULE_NAMES if run.rules[n]) for run in made]
+        table.add_row("rules broken", *(text or "none" for text in broken))
+        table.add_row(
+            "claims held", *(f"{sum(c['holds'] for c in run.claims)} of {len(run.claims)}" for run in made)
+        )
+        if wall:
+            table.add_row("events/s", *(f"{run.events / max(run.wall, 1e-9):,.0f}" for run in made))
+    out.print(table)
+    for run in made:
+        for c in run.claims:
+            if not c["holds"]:
+                word = "known gap" if c["known_gap"] is not None else "FAILS"
+                why = f" ({c['known_gap']})" if c["known_gap"] else ""
+                out.print(
+                    f"seed {run.task.seed}: claim {c['metric']} {c['op']} {c['bound']:g} {word}:"
+                    f" it is {number(c['value'])}{why}",
+                    soft_wrap=True,
+                    markup=False,
+                )
+            elif c["known_gap"] is not None:
+                out.print(
+                    f"seed {run.task.seed}: claim {c['metric']} {c['op']} {c['bound']:g} holds at"
+                    f" {number(c['value'])}, though it is marked as a known gap",
+                    soft_wrap=True,
+                    markup=False,
+                )
+        for note in run.rules["notes"][:5]:
+            out.print(
+                f"seed {run.task.seed}: {note['us'] / 1e6:.3f} s: {note['rule']}: {note['what']}",
+                soft_wrap=True,
+                markup=False,
+            )
+
+
+def comparison(rows: list[Difference], a: str, b: str) -> None:
+    """Paired differences, with what they show."""
+    table = Table(
+        title=f"a: {a}   b: {b}   {rows[0].pairs} seeds, 95% bootstrap interval", title_justify="left"
+    )
+    for name in ("figure", "a", "b", "b - a", "interval", ""):
+        table.add_column(name, justify="left" if name in ("figure", "") else "right")
+    for d in rows:
+        table.add_row(
+            d.name, number(d.a), number(d.b), f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}", d.verdict
+        )
+    out.print(table)
+
+
+def sweep(key: str, rows: list[tuple[str, list[Run]]]) -> None:
+    """A parameter's values against the mean figures."""
+    table = Table(title=f"{key}, means over {len(rows[0][1])} seeds", title_justify="left")
+    for name in (key, *HEADLINES, "rules broken"):
+        table.add_column(name, justify="right")
+    for value, made in rows:
+        means = [number(sum(r.summary[n] for r in made) / len(made)) for n in HEADLINES]
+        broken = sum(r.rules[n] for r in made for n in RULE_NAMES)
+        table.add_row(value, *means, str(broken or "none"))
+    out.print(table)
--- /dev/null
+++ b/brackenladder/lab/directory.py
@@ -0,0 +1,114 @@
+"""The list of servers, as late as discovery is.
+
+What happens to a server is noticed after a time, gathered until the next round, and reaches each node at its
+own moment after that. A node that starts anew has the list that it held when it died and is brought up to
+date like any other. Only what has been delivered to a node counts as told.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brackenladder.interface import ListKind, ServerEntry, State
+
+if TYPE_CHECKING:
+    from brackenladder.lab.emulator import Emulator
+    from brackenladder.lab.fleet import Server
+    from brackenladder.lab.nodes import Node
+
+
+class Directory:
+    """One tier's list: what stood at the start, and the rounds of changes since."""
+
+    def __init__(self, emu: Emulator, tier: int) -> None:
+        self.emu = emu
+        self.tier = tier
+        self.first: dict[int, ServerEntry] = {}
+        self.rounds: list[list[ServerEntry]] = []  # the changes that lead to version 1, 2, ...
+        self.pending: dict[int, ServerEntry] = {}
+        self.armed = False
+        self.down_until = 0
+
+    def open(self, servers: list[Server]) -> None:
+        """The list of the servers that run from the start."""
+        self.first = {s.id: self.entry(s, State.READY, 0) for s in servers if s.machine.up}
+
+    def entry(self, server: Server, state: State, ready_at: int) -> ServerEntry:
+        return ServerEntry(
+            server.id, state, cell=server.cell, zone=server.zone, kind=server.build.kind, ready_at=ready_at
+        )
+
+    # ---- what happens to servers ---------------------------------------------------------------------
+
+    def began(self, server: Server) -> None:
+        """A process has started."""
+        self.note(server, State.READY, self.emu.world.add)
+
+    def drains(self, server: Server) -> None:
+        """A process says that it wants nothing new: its own word, heard with the next round."""
+        self.note(server, State.DRAINING, 0)
+
+    def ended(self, server: Server, notice: int) -> None:
+        """A process has ended, or its machine is silent; noticed so much later."""
+        self.note(server, State.GONE, notice)
+
+    def note(self, server: Server, state: State, delay: int) -> None:
+        entry = self.entry(server, state, server.machine.started)
+        self.emu.kernel.after(delay, self.noticed, server, entry, server.generation)
+
+    def noticed(self, server: Server, entry: ServerEntry, generation: int) -> None:
+        """It has been noticed; it counts unless the server has gone through another life since."""
+        if entry.state == State.READY and (generation != server.generation or not server.reachable):
+            return
+        if entry.state == State.GONE and server.reachable:
+            return  # it is back already; its new start is noticed by itself
+        self.pending[server.id] = entry
+        if not self.armed:
+            self.armed = True
+            now = self.emu.kernel.now
+            period = self.emu.world.period
+            self.emu.kernel.at(max(now - now % period + period, self.down_until), self.publish)
+
+    def publish(self) -> None:
+        """A round of changes goes out to all nodes."""
+        emu = self.emu
+        if emu.kernel.now < self.down_until:
+            emu.kernel.at(self.down_until, self.publish)
+            return
+        self.armed = False
+        if not self.pending:
+            return
+        self.rounds.append(list(self.pending.values()))
+        self.pending = {}
+        for node in emu.tiers[self.tier].nodes:
+            self.catch_up(node)
+
+    # ---- what nodes hold -----------------------------------------------------------------------------
+
+    def as_of(self, version: int) -> list[ServerEntry]:
+        """The whole list at a version."""
+        held = dict(self.first)
+        for changes in self.rounds[:version]:
+            for entry in changes:
+                if entry.state == State.GONE:
+                    held.pop(entry.server, None)
+                else:
+                    held[entry.server] = entry
+        return list(held.values())
+
+    def catch_up(self, node: Node) -> None:
+        """What a node lacks reaches it soon."""
+        emu = self.emu
+        if node.version < len(self.rounds):
+            delay = emu.discovery_stream.random() * emu.world.spread
+            emu.kernel.at(emu.on_tick(emu.kernel.now + int(delay)), self.deliver, node, node.generation)
+
+    def deliver(self, node: Node, generation: int) -> None:
+        if not node.alive or generation != node.generation or node.version == len(self.rounds):
+            return
+        latest: dict[int, ServerEntry] = {}
+        for changes in self.rounds[node.version :]:
+            for entry in changes:
+                latest[entry.server] = entry
+        node.version = len(self.rounds)
+        node.take(list(latest.values()), ListKind.CHANGES)
--- /dev/null
+++ b/brackenladder/lab/scenario.py
@@ -0,0 +1,432 @@
+"""Scenarios: what a TOML file may say, read into structs that reject what they do not know.
+
+A figure that is written as a pair `[low, high]` is a range: every seed draws its own value from it. Times
+carry their unit in the key (`_ms`, `_s`); `seconds` and `at` are seconds of the day that is played.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, field
+
+Figure = float | tuple[float, float]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=0)]
+Points = list[tuple[float, float]]  # (second, factor), joined by straight lines
+
+
+class ScenarioError(Exception):
+    """A scenario that cannot be played; the text says where it is wrong and what to do."""
+
+
+class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One table of a scenario."""
+
+
+class RequestClass(Table, frozen=True):
+    """A class of requests, and what an answer to one is worth."""
+
+    name: str
+    share: Figure  # of all first tries
+    work_ms: Figure  # mean, on the yardstick core, at all tiers together
+    aim_ms: Positive
+    deadline_ms: Positive
+    dist: Literal["exp", "lognormal", "fixed"] = "lognormal"
+    cv: Figure = 1.0
+    attempt_noise: Figure = 0.0  # deviation of an attempt's work from its request's
+    worth: Annotated[float, Meta(ge=0)] = 1.0
+    late_worth: Share = 0.0
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    group: Literal["all", "zone", "cell"] = "all"
+    window_ms: float = 0.0
+
+
+class Zone(Table, frozen=True):
+    """A zone, and the part of the clients that stand in it."""
+
+    name: str
+    share: float = 1.0
+
+
+class Tenant(Table, frozen=True):
+    """A team: its part of the load, its quota, and how its load changes over the day."""
+
+    name: str
+    share: Positive
+    quota_rps: float = 0.0
+    shape: Points = field(default_factory=list)
+
+
+class Load(Table, frozen=True):
+    """First tries a second: as many as stated, or as part of what the narrowest tier can do."""
+
+    rps: Figure | None = None
+    of_capacity: Figure | None = None
+    shape: Points = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        if (self.rps is None) == (self.of_capacity is None):
+            raise ValueError("give one of `rps` and `of_capacity`")
+
+
+class Network(Table, frozen=True):
+    """One-way delays."""
+
+    same_ms: Figure = 0.2  # node to server, in one zone
+    cross_ms: Figure = 3.0  # from zone to zone
+    client_ms: Figure = 0.5
+    jitter: Figure = 0.1  # coefficient of variation of each
+
+
+class Front(Table, frozen=True):
+    """What spreads clients over the nodes of their zone."""
+
+    notice_s: Figure = 2.0  # a dead node is sent to for so long
+
+
+class Clients(Table, frozen=True):
+    """How clients behave while they wait and when they are not served."""
+
+    retries: Figure = 2.0
+    try_share: Figure = 0.55  # a try is given up after this part of the deadline
+    backoff: Literal["none", "fixed", "exponential"] = "none"
+    backoff_ms: Figure = 100.0
+    honour: Figure = 0.3  # share that waits as long as `Retry-After` says
+    impatient: Figure = 0.0  # share that leaves at some moment before its time is up
+    marks_retry: bool = False
+
+
+class Discovery(Table, frozen=True):
+    """How late the list of servers is."""
+
+    notice_s: Figure = 1.5  # until a process that ends in order is noticed
+    silent_notice_s: Figure = 8.0  # and one that says nothing
+    add_s: Figure = 1.0  # and one that has started
+    period_ms: Figure = 500.0  # changes go out so often...
+    spread_ms: Figure = 200.0  # ...and reach each node within so long after
+
+
+class Platform(Table, frozen=True):
+    """What the decision module may do."""
+
+    tick_ms: Figure = 0.0  # a node handles what has come in once a tick; 0 = at once
+    max_attempts: Annotated[int, Meta(ge=1)] = 3
+    cancel: bool = True
+    second_copies: bool = False
+    retry_after: bool = True
+    max_retry_after_ms: float = 2000.0
+    max_open: Annotated[int, Meta(ge=1)] = 20000
+    start_spread_ms: Figure = 500.0  # nodes start within so long
+
+
+class Rules(Table, frozen=True):
+    """Figures of the four rules, as the module is told them."""
+
+    drain_grace_ms: float = 400.0
+    answer_slack_ms: float = 8.0
+    cold_s: float = 22.0
+    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 0.12
+    fall_multiple: float = 3.0
+    fall_ms: float = 3000.0
+
+
+class Goal(Table, frozen=True):
+    """How `service` is put together, and what is taken off."""
+
+    whole: float = 0.7
+    worst_window: float = 0.1
+    worst_class: float = 0.2
+    waste_price: float = 0.02
+    late_fail_price: float = 0.15
+    choke_price: float = 0.0
+    cross_zone_price: float = 0.0  # the module is told it too
+
+
+class Report(Table, frozen=True):
+    """Load reports in answers."""
+
+    fields: list[Literal["inflight", "queue"]] = field(default_factory=lambda: ["inflight", "queue"])
+    period_ms: Figure = 150.0
+    delay_ms: Figure = 80.0
+    noise: Figure = 0.1
+
+
+class Connections(Table, frozen=True):
+    """What connections cost."""
+
+    handshake_rtts: Figure = 1.0
+    handshake_us: Figure = 1700.0  # work at the server
+    idle_s: float = 30.0
+    connect_timeout_ms: float = 100.0
+    cap_per_core: Figure = 800.0
+    full_tax: Figure = 0.2  # share of the capacity that a full table takes
+
+
+class Choke(Table, frozen=True):
+    """A server with far more waiting than cores turns slow, and stays so until it has had rest."""
+
+    at: Figure = 5.0  # waiting, for each core
+    over_s: Figure = 2.0
+    slower: Figure = 2.5
+    below: Figure = 0.3  # at rest: busy for less than this part of its cores
+    rest_s: Figure = 3.0
+    most_s: Figure = 25.0
+
+
+class Machine(Table, frozen=True):
+    """A kind of machine."""
+
+    name: str
+    share: Figure = 1.0  # of the tier's servers
+    cores: Annotated[int, Meta(ge=1)] = 2
+    speed: Figure = 1.0  # of a core, against the yardstick
+    speed_cv: Figure = 0.0
+    slots_per_core: Figure = 8.0  # requests in work
+    queue_per_core: Figure = 240.0  # the waiting room
+    thrash: Figure = 0.0  # loss of efficiency for each `thrash_at` requests a core beyond that many
+    thrash_at: Figure = 20.0
+    cold_from: Figure = 0.2
+    cold_s: Figure = 15.0
+    pause_every_s: Figure = 0.0  # 0 = never
+    pause_ms: Figure = 0.0
+    pause_grow: Figure = 0.0  # longer by this part when fully busy
+    error_rate: Figure = 0.0
+    cancel: Literal["none", "queued", "all"] = "queued"  # what a cancel still stops
+
+
+class Server(Table, frozen=True):
+    """One server that is named outright, in place of a draw."""
+
+    kind: str
+    speed: Positive
+    zone: str | None = None
+    cell: int = 0
+
+
+class Tier(Table, frozen=True):
+    """A tier of servers and what its nodes know of it. Every server of a tier calls the next one."""
+
+    name: str
+    kind: Annotated[list[Machine], Meta(min_length=1)]
+    servers: Figure = 0.0  # in all zones together, if they are not named
+    server: list[Server] = field(default_factory=list)
+    reserve: Count = 0  # further ones, which start only when a `join` says so
+    nodes: Figure = 0.0  # in all zones together; the first tier only, each server above has one of its own
+    work: Figure = 1.0  # part of a request's work that a call of this tier takes
+    calls: Figure = 1.0  # calls that a request of the tier above makes
+    cell_size: Figure = 6.0
+    report: Report | None = None
+    conn: Connections = field(default_factory=Connections)
+    choke: Choke | None = None
+
+
+FaultKind = Literal[
+    "fast_errors",
+    "pauses",
+    "freeze",
+    "neighbour",
+    "slow",
+    "crash",
+    "vanish",
+    "leave",
+    "restart",
+    "join",
+    "node_restart",
+    "zone_loss",
+    "report_late",
+    "discovery_down",
+    "surge",
+]
+
+
+class Fault(Table, frozen=True):
+    """One line of the script of faults: what, when, for how long, and whom it hits."""
+
+    kind: FaultKind
+    at: Annotated[float, Meta(ge=0)]
+    seconds: Annotated[float, Meta(ge=0)] = 0.0
+    tier: str | None = None  # the first, if none is named
+    zone: str | None = None
+    machine: str | None = None
+    part: Share | None = None  # of those that fit
+    count: Count | None = None
+    pick: list[int] | None = None  # or these of them, by their place
+    size: Annotated[float, Meta(ge=0)] = 0.5  # docs/lab.md says what it means for each kind
+    every_s: Positive = 2.0  # pauses: one every so long; neighbour: on, then off, for so long each
+    batch: Annotated[float, Meta(gt=0, le=1)] = 0.25  # restarts: so large a part at a time
+    down_s: Annotated[float, Meta(ge=0)] = 1.0  # restarts: so long until the process is back
+
+    def __post_init__(self) -> None:
+        if sum(x is not None for x in (self.part, self.count, self.pick)) > 1:
+            raise ValueError("give one of `part`, `count` and `pick`")
+        if self.kind in ("fast_errors", "neighbour") and self.size > 1:
+            raise ValueError(f"`size` of {self.kind} is a share: at most 1")
+        if self.kind == "slow" and self.size < 1:
+            raise ValueError("`size` of slow is a factor: at least 1")
+        if self.kind == "zone_loss" and self.zone is None:
+            raise ValueError("`zone_loss` needs a `zone`")
+
+
+class Claim(Table, frozen=True):
+    """What the scenario says will be measured. `known_gap` says why it does not hold yet."""
+
+    metric: str
+    op: Literal[">=", "<=", "=="]
+    bound: float
+    known_gap: str | None = None
+
+
+class Scenario(Table, frozen=True):
+    """All that is played."""
+
+    name: str
+    tier: Annotated[list[Tier], Meta(min_length=1)]
+    classes: Annotated[list[RequestClass], Meta(min_length=1)] = field(name="class")
+    load: Load
+    title: str = ""
+    seconds: Positive = 60.0
+    warm_s: Annotated[float, Meta(ge=0)] = 1.0  # first tries of this long at the start do not count
+    window_s: Positive = 10.0  # of `worst_window`
+    passes_deadline: bool = True  # a server's calls carry the time that its own request has left
+    zones: list[Zone] = field(name="zone", default_factory=lambda: [Zone(name="here")])
+    tenants: list[Tenant] = field(name="tenant", default_factory=list)
+    network: Network = field(default_factory=Network)
+    front: Front = field(default_factory=Front)
+    clients: Clients = field(default_factory=Clients)
+    discovery: Discovery = field(default_factory=Discovery)
+    platform: Platform = field(default_factory=Platform)
+    rules: Rules = field(default_factory=Rules)
+    goal: Goal = field(default_factory=Goal)
+    faults: list[Fault] = field(name="fault", default_factory=list)
+    claims: list[Claim] = field(name="claim", default_factory=list)
+
+
+def parse(text: str, where: str = "scenario", changes: tuple[str, ...] = ()) -> Scenario:
+    """A Scenario from TOML text with `KEY.PATH=VALUE` changes laid over it; a ScenarioError otherwise."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as e:
+        raise ScenarioError(f"{where}: not TOML: {e}") from None
+    for change in changes:
+        lay_over(table, change)
+    try:
+        scenario = msgspec.convert(table, Scenario)
+    except msgspec.ValidationError as e:
+        text = str(e).replace("Object contains unknown field", "unknown key")
+        reason, _, path = text.partition(" - at ")
+        path = path.strip("`").removeprefix("$").lstrip(".") or "the file's top"
+        raise ScenarioError(f"{where}: {path}: {reason}") from None
+    check(scenario, where)
+    return scenario
+
+
+def load(path: Path, changes: tuple[str, ...] = ()) -> Scenario:
+    """Reads and checks a scenario file. A ScenarioError names the file and the key path."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as e:
+        reason = e.strerror if isinstance(e, OSError) else "not UTF-8 text"
+        raise ScenarioError(f"{path}: {reason}") from None
+    return parse(text, str(path), changes)
+
+
+def lay_over(table: dict[str, Any], change: str) -> None:
+    """Sets one key of a decoded file: `tier.0.servers=40`. The value is TOML; a bare word is text."""
+    path, equals, value = change.partition("=")
+    steps = path.strip().split(".")
+    if not equals or not all(steps):
+        raise ScenarioError(f"change {change!r}: write it as KEY.PATH=VALUE, such as load.rps=500")
+    try:
+        parsed = tomllib.loads(f"v = {value.strip()}")["v"]
+    except tomllib.TOMLDecodeError:
+        parsed = value.strip()
+    at: Any = table
+    for i, step in enumerate(steps):
+        last = i == len(steps) - 1
+        if isinstance(at, list):
+            if not step.isdigit() or int(step) >= len(at):
+                raise ScenarioError(
+                    f"change {change!r}: {'.'.join(steps[:i])} has {len(at)} entries, from 0 on"
+                )
+            key: Any = int(step)
+        elif isinstance(at, dict):
+            key = step
+            if not last:
+                at.setdefault(step, {})
+        else:
+            raise ScenarioError(f"change {change!r}: {'.'.join(steps[:i])} is a value, not a table")
+        if last:
+            at[key] = parsed
+        else:
+            at = at[key]
+
+
+def known(name: str, names: list[str], where: str, what: str) -> None:
+    """A ScenarioError if `name` is not among `names`, with the nearest one as a hint."""
+    if name in names:
+        return
+    near = get_close_matches(name, names, 1)
+    hint = f"; did you mean {near[0]!r}?" if near else f"; known are {', '.join(names[:12]) or 'none'}"
+    raise ScenarioError(f"{where}: no {what} is called {name!r}{hint}")
+
+
+def unique(names: list[str], where: str, what: str) -> None:
+    for name in names:
+        if names.count(name) > 1:
+            raise ScenarioError(f"{where}: two of the {what} are called {name!r}")
+
+
+def check(s: Scenario, where: str) -> None:
+    """What no single table can tell: references between tables, and a fleet that exists."""
+    from brackenladder.lab.claims import check_metric
+
+    zones = [z.name for z in s.zones]
+    tiers = [t.name for t in s.tier]
+    unique(zones, f"{where}: zone", "zones")
+    unique(tiers, f"{where}: tier", "tiers")
+    unique([c.name for c in s.classes], f"{where}: class", "classes")
+    unique([t.name for t in s.tenants], f"{where}: tenant", "tenants")
+    for i, t in enumerate(s.tier):
+        kinds = [k.name for k in t.kind]
+        unique(kinds, f"{where}: tier[{i}].kind", "kinds")
+        if not t.server and least(t.servers) < 1:
+            raise ScenarioError(f"{where}: tier[{i}]: say how many `servers` it has, or name each `server`")
+        for j, named in enumerate(t.server):
+            known(named.kind, kinds, f"{where}: tier[{i}].server[{j}].kind", "kind")
+            if named.zone is not None:
+                known(named.zone, zones, f"{where}: tier[{i}].server[{j}].zone", "zone")
+        if i == 0 and least(t.nodes) < 1:
+            raise ScenarioError(f"{where}: tier[0].nodes: at least one node is needed")
+        if i > 0 and t.nodes != 0:
+            raise ScenarioError(
+                f"{where}: tier[{i}].nodes: below the first tier every server above has a node of its own"
+            )
+    for i, f in enumerate(s.faults):
+        at = f"{where}: fault[{i}]"
+        if f.tier is not None:
+            known(f.tier, tiers, f"{at}.tier", "tier")
+        if f.zone is not None:
+            known(f.zone, zones, f"{at}.zone", "zone")
+        tier = s.tier[tiers.index(f.tier) if f.tier else 0]
+        if f.machine is not None:
+            known(f.machine, [k.name for k in tier.kind], f"{at}.machine", "kind of machine")
+        if f.kind == "join" and tier.reserve == 0:
+            raise ScenarioError(f"{at}: a join needs `reserve` servers in tier {tier.name!r}")
+        if f.at >= s.seconds:
+            raise ScenarioError(f"{at}.at: the day is over after {s.seconds:g} seconds")
+    for i, c in enumerate(s.claims):
+        try:
+            check_metric(c.metric, s)
+        except ValueError as e:
+            raise ScenarioError(f"{where}: claim[{i}].metric: {e}") from None
+
+
+def least(figure: Figure) -> float:
+    """The smallest value that a figure can take."""
+    return figure if isinstance(figure, (int, float)) else min(figure)
--- /dev/null
+++ b/brackenladder/lab/worker.py
@@ -0,0 +1,54 @@
+"""One run in a process of its own: a task as JSON on standard input, its rows on standard output.
+
+The program that is measured may come from another checkout (`root`): its modules are then looked for there
+first, while the lab stays this one. So both sides of a comparison are played by the same emulator.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import brackenladder
+
+
+def take_from(root: Path) -> None:
+    """From here on, what is imported of the program comes from this checkout."""
+    package = root / "brackenladder"
+    if not (package / "balance.py").is_file():
+        raise ValueError(f"{root}: no checkout of the project: brackenladder/balance.py is missing")
+    brackenladder.__path__.insert(0, str(package))
+
+
+def play(task: dict[str, Any]) -> dict[str, Any]:
+    """Plays a task: `text` and `where` of the scenario, `changes`, `seed`, `module`, `root`."""
+    root = Path(task["root"]) if task.get("root") else None
+    if root is not None:
+        take_from(root)
+    from time import perf_counter
+
+    from brackenladder.lab import emulator, results
+    from brackenladder.lab.modules import find
+    from brackenladder.lab.scenario import parse
+
+    scenario = parse(task["text"], task["where"], tuple(task["changes"]))
+    began = perf_counter()
+    run, figures, verdicts = emulator.run(scenario, task["seed"], find(task["module"]), task.get("progress"))
+    rows = results.lines(run, figures, verdicts, task["module"], results.version(root))
+    return {"rows": rows, "wall": perf_counter() - began, "events": run.events}
+
+
+def main() -> int:
+    task = json.load(sys.stdin)
+    try:
+        answer = play(task)
+    except Exception as e:  # the parent shows it: whatever went wrong, went wrong with this task
+        answer = {"error": f"{type(e).__name__}: {e}"}
+    sys.stdout.write(json.dumps(answer))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
