--- a/brackenladder/cli/lab.py
+++ b/brackenladder/cli/lab.py
@@ -23,7 +23,7 @@
     read_values,
 )
 from brackenladder.lab.modules import find
-from brackenladder.lab.scenario import Scenario, ScenarioError, load
+from brackenladder.lab.scenario import Scenario, ScenarioError, build, read_table
 
 CHANGE = click.option(
     "--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change the scenario: load.rps=500."
@@ -47,15 +47,18 @@
     sys.exit(2)
 
 
-def prepare(path: Path, changes: tuple[str, ...], seeds: str, module: str) -> tuple[str, Scenario, list[int]]:
-    """The scenario's text, the scenario and the seeds, all checked before anything is played."""
+def prepare(
+    path: Path, changes: tuple[str, ...], seeds: str, module: str
+) -> tuple[dict[str, Any], Scenario, list[int]]:
+    """The scenario's tables, the scenario and the seeds, all checked before anything is played."""
     try:
-        scenario = load(path, changes)
+        table = read_table(path)
+        scenario = build(table, str(path), changes)
         numbers = read_seeds(seeds)
         find(module)
     except (ScenarioError, ValueError) as e:
         stop(str(e))
-    return path.read_text(), scenario, numbers
+    return table, scenario, numbers
 
 
 def play(tasks: list[Task], workers: int, words: str) -> list[Run]:
@@ -117,8 +120,8 @@
     as_json: bool,
 ) -> None:
     """Play SCENARIO in virtual time and hold it against its claims."""
-    text, read, numbers = prepare(scenario, changes, seeds, module)
-    tasks = [Task(text, str(scenario), seed, changes, module) for seed in numbers]
+    table, read, numbers = prepare(scenario, changes, seeds, module)
+    tasks = [Task(table, str(scenario), seed, changes, module) for seed in numbers]
     made = play(tasks, workers, read.name)
     keep(out, made)
     if as_json:
@@ -160,13 +163,13 @@
     out: Path | None,
 ) -> None:
     """Play SCENARIO twice under equal seeds and tell which differences are more than noise."""
-    text, _, numbers = prepare(scenario, changes + a_changes, seeds, module_a)
+    table, _, numbers = prepare(scenario, changes + a_changes, seeds, module_a)
     prepare(scenario, changes + b_changes, seeds, module_b)
     try:
         with checkout(a_root) as a, checkout(b_root) as b:
             sides = [(changes + a_changes, module_a, a), (changes + b_changes, module_b, b)]
             tasks = [
-                Task(text, str(scenario), seed, laid, module, root)
+                Task(table, str(scenario), seed, laid, module, root)
                 for seed in numbers
                 for laid, module, root in sides
             ]
@@ -216,11 +219,11 @@
         values = read_values(values_text)
     except ValueError as e:
         stop(str(e))
-    text, _, numbers = prepare(scenario, (*changes, f"{key}={values[0]}"), seeds, module)
+    table, _, numbers = prepare(scenario, (*changes, f"{key}={values[0]}"), seeds, module)
     for value in values[1:]:
         prepare(scenario, (*changes, f"{key}={value}"), seeds, module)
     tasks = [
-        Task(text, str(scenario), seed, (*changes, f"{key}={value}"), module)
+        Task(table, str(scenario), seed, (*changes, f"{key}={value}"), module)
         for value in values
         for seed in numbers
     ]
--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -103,11 +103,15 @@
 
     def start(self) -> None:
         """Servers run and are warm; nodes start within their spread, clients come from the first moment."""
+        fixed = self.world.scenario.platform.starts_ms
         for i, tier in enumerate(self.tiers):
             spread = Stream(self.world.seed, "node starts", i)
             for node in tier.nodes:
                 if node.owner is None:
-                    self.kernel.after(spread.random() * self.world.start_spread, self.start_node, node)
+                    delay = spread.random() * self.world.start_spread
+                    if node.index < len(fixed):
+                        delay = fixed[node.index] * 1000
+                    self.kernel.after(delay, self.start_node, node)
                 elif node.owner.machine.up:
                     node.start(self.node_seed())
             for server in tier.servers:
--- a/brackenladder/lab/experiments.py
+++ b/brackenladder/lab/experiments.py
@@ -48,7 +48,7 @@
 class Task:
     """One run to make."""
 
-    text: str
+    table: dict[str, Any]  # of the scenario, as it was decoded
     where: str
     seed: int
     changes: tuple[str, ...] = ()
@@ -57,7 +57,7 @@
 
     def wire(self) -> dict[str, Any]:
         return {
-            "text": self.text,
+            "table": self.table,
             "where": self.where,
             "seed": self.seed,
             "changes": list(self.changes),
--- a/brackenladder/lab/fleet.py
+++ b/brackenladder/lab/fleet.py
@@ -129,7 +129,7 @@
         if first is None:
             lineage.first_server, lineage.first_run = self, attempt.sent_at
             return
-        remembered = now <= lineage.first_run + c.window + self.emu.slack
+        remembered = attempt.sent_at <= lineage.first_run + c.window  # what came later is the sender's doing
         if c.effect == Effect.KEYED and remembered and same_group(c.group, first, self):
             return  # discarded as a repeat
         lineage.runs += 1
--- a/brackenladder/lab/machine.py
+++ b/brackenladder/lab/machine.py
@@ -41,7 +41,7 @@
     error_rate: float = 0.0
     conn_cap: int = 1600
     full_tax: float = 0.0
-    choke_at: float = 0.0  # waiting for each core; 0 = it never chokes
+    choke_at: float = 0.0  # requests that wait for a core; 0 = it never chokes
     choke_over: int = 0
     choke_slower: float = 1.0
     choke_below: float = 0.3
@@ -74,7 +74,7 @@
     __slots__ = (
         "build", "running", "waiting", "slots_used", "active", "progress", "progress_at", "rate", "due",
         "seq", "factors", "stops", "started", "warm_at", "next_step", "cold_log", "cold_sum", "fallen",
-        "conns", "connections", "busy", "done_work", "choked", "crowded_since", "level",
+        "conns", "connections", "busy", "done_work", "choked", "crowded", "level",
         "choked_since", "chokes", "draining", "up", "errors", "warm",
     )  # fmt: skip
 
@@ -111,7 +111,8 @@
         self.draining = False
         self.conns = 0
         self.choked = False
-        self.crowded_since = self.choked_since = NEVER
+        self.crowded = 0  # how long it has been crowded, less how long it has not
+        self.choked_since = NEVER
         self.level = 1.0
         self.rate = 0.0
         self.due = NEVER
@@ -185,11 +186,9 @@
         """
         b = self.build
         if not self.choked:
-            if self.active + len(self.waiting) - b.cores < b.choke_at * b.cores:
-                self.crowded_since = NEVER
-            elif self.crowded_since == NEVER:
-                self.crowded_since = now
-            elif now - self.crowded_since >= b.choke_over:
+            crowded = self.active + len(self.waiting) - b.cores >= b.choke_at
+            self.crowded = self.crowded + span if crowded else max(0, self.crowded - span)
+            if self.crowded >= b.choke_over:
                 self.choked = True
                 self.chokes += 1
                 self.choked_since = now
@@ -199,7 +198,7 @@
             self.level = keep * self.level + (1 - keep) * min(1.0, self.active / b.cores)
             if self.level <= b.choke_below or now - self.choked_since >= b.choke_most:
                 self.choked = False
-                self.crowded_since = NEVER
+                self.crowded = 0
 
     def set_factor(self, now: int, name: str, factor: float | None) -> None:
         """A fault leaves this part of the speed; None ends it. Other faults in force stay."""
--- a/brackenladder/lab/scenario.py
+++ b/brackenladder/lab/scenario.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import tomllib
+from copy import deepcopy
 from difflib import get_close_matches
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -122,7 +123,8 @@
     retry_after: bool = True
     max_retry_after_ms: float = 2000.0
     max_open: Annotated[int, Meta(ge=1)] = 20000
-    start_spread_ms: Figure = 500.0  # nodes start within so long
+    start_spread_ms: Figure = 500.0  # nodes start within so long...
+    starts_ms: list[float] = field(default_factory=list)  # ...but for the first ones, which start then
 
 
 class Rules(Table, frozen=True):
@@ -171,7 +173,7 @@
 class Choke(Table, frozen=True):
     """A server with far more waiting than cores turns slow, and stays so until it has had rest."""
 
-    at: Figure = 5.0  # waiting, for each core
+    at: Figure = 5.0  # requests that wait for a core
     over_s: Figure = 2.0
     slower: Figure = 2.5
     below: Figure = 0.3  # at rest: busy for less than this part of its cores
@@ -309,10 +311,57 @@
 
 def parse(text: str, where: str = "scenario", changes: tuple[str, ...] = ()) -> Scenario:
     """A Scenario from TOML text with `KEY.PATH=VALUE` changes laid over it; a ScenarioError otherwise."""
+    return build(decode(text, where), where, changes)
+
+
+def load(path: Path, changes: tuple[str, ...] = ()) -> Scenario:
+    """Reads and checks a scenario file. A ScenarioError names the file and the key path."""
+    return build(read_table(path), str(path), changes)
+
+
+def decode(text: str, where: str) -> dict[str, Any]:
     try:
-        table = tomllib.loads(text)
+        return tomllib.loads(text)
     except tomllib.TOMLDecodeError as e:
         raise ScenarioError(f"{where}: not TOML: {e}") from None
+
+
+def read_table(path: Path, above: tuple[Path, ...] = ()) -> dict[str, Any]:
+    """A scenario file as plain tables. `extends` names a file beside it whose keys hold unless given here.
+
+    Tables are merged key by key, arrays are replaced whole.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as e:
+        reason = e.strerror if isinstance(e, OSError) else "not UTF-8 text"
+        raise ScenarioError(f"{path}: {reason}") from None
+    table = decode(text, str(path))
+    base = table.pop("extends", None)
+    if base is None:
+        return table
+    if not isinstance(base, str):
+        raise ScenarioError(f"{path}: extends: write the name of a file beside this one")
+    other = path.parent / base
+    if other.resolve() in above or other.resolve() == path.resolve():
+        raise ScenarioError(f"{path}: extends: {base} leads back to this file")
+    return merged(read_table(other, (*above, path.resolve())), table)
+
+
+def merged(under: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    """The one table laid over the other."""
+    out = dict(under)
+    for key, value in over.items():
+        if isinstance(value, dict) and isinstance(out.get(key), dict):
+            out[key] = merged(out[key], value)
+        else:
+            out[key] = value
+    return out
+
+
+def build(table: dict[str, Any], where: str, changes: tuple[str, ...] = ()) -> Scenario:
+    """A Scenario from plain tables with changes laid over them; a ScenarioError that names the key path."""
+    table = deepcopy(table)
     for change in changes:
         lay_over(table, change)
     try:
@@ -326,16 +375,6 @@
     return scenario
 
 
-def load(path: Path, changes: tuple[str, ...] = ()) -> Scenario:
-    """Reads and checks a scenario file. A ScenarioError names the file and the key path."""
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as e:
-        reason = e.strerror if isinstance(e, OSError) else "not UTF-8 text"
-        raise ScenarioError(f"{path}: {reason}") from None
-    return parse(text, str(path), changes)
-
-
 def lay_over(table: dict[str, Any], change: str) -> None:
     """Sets one key of a decoded file: `tier.0.servers=40`. The value is TOML; a bare word is text."""
     path, equals, value = change.partition("=")
--- a/brackenladder/lab/worker.py
+++ b/brackenladder/lab/worker.py
@@ -23,7 +23,7 @@
 
 
 def play(task: dict[str, Any]) -> dict[str, Any]:
-    """Plays a task: `text` and `where` of the scenario, `changes`, `seed`, `module`, `root`."""
+    """Plays a task: `table` and `where` of the scenario, `changes`, `seed`, `module`, `root`."""
     root = Path(task["root"]) if task.get("root") else None
     if root is not None:
         take_from(root)
@@ -31,9 +31,9 @@
 
     from brackenladder.lab import emulator, results
     from brackenladder.lab.modules import find
-    from brackenladder.lab.scenario import parse
+    from brackenladder.lab.scenario import build
 
-    scenario = parse(task["text"], task["where"], tuple(task["changes"]))
+    scenario = build(task["table"], task["where"], tuple(task["changes"]))
     began = perf_counter()
     run, figures, verdicts = emulator.run(scenario, task["seed"], find(task["module"]), task.get("progress"))
     rows = results.lines(run, figures, verdicts, task["module"], results.version(root))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,7 +15,7 @@
 from brackenladder.lab.experiments import Task, make, read_seeds, read_values
 from brackenladder.lab.machine import Build, Job, Machine
 from brackenladder.lab.modules import NAMED
-from brackenladder.lab.scenario import Scenario, ScenarioError, load, parse
+from brackenladder.lab.scenario import Scenario, ScenarioError, decode, load, parse
 from brackenladder.lab.stats import paired
 from brackenladder.lab.streams import Stream
 from brackenladder.lab.world import build_world
@@ -341,7 +341,7 @@
     )
     text = (package / "balance.py").read_text()
     (package / "balance.py").write_text(text + "\nBalancer.request = lambda *a, **k: None\n")
-    tasks = [Task(SMALL, "s", 1, ("seconds=3",), root=root) for root in (None, str(tmp_path))]
+    tasks = [Task(decode(SMALL, "s"), "s", 1, ("seconds=3",), root=root) for root in (None, str(tmp_path))]
     sound, broken = make(tasks, workers=2)
     assert sound.rules["lost"] == 0 and broken.rules["lost"] > 100
     assert sound.rows[0]["lab"] == broken.rows[0]["lab"]
