--- a/brackenladder/cli/lab.py
+++ b/brackenladder/cli/lab.py
@@ -234,3 +234,25 @@
         click.echo(json.dumps([{"value": v, "runs": [plain(r) for r in runs]} for v, runs in rows]))
     else:
         show.sweep(key, rows)
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="The file; FOLDER/report.html if not given.",
+)
+def report(folder: Path, out: Path | None) -> None:
+    """Draw the results in FOLDER as one HTML file."""
+    from brackenladder.lab.report import page
+
+    target = out or folder / "report.html"
+    try:
+        rows = results.read(folder / results.RESULTS)
+        target.write_text(page(rows))
+    except OSError as e:
+        stop(f"{e.filename}: {e.strerror}")
+    except ValueError as e:
+        stop(f"{folder / results.RESULTS}: {e}" if str(folder) not in str(e) else str(e))
+    click.echo(str(target))
