Refactor the lab: faults, directory and figures work on any stage

Need: live mode must be struck by the same script of faults, be told of servers with the same delays and be measured by the same figures as a run in virtual time.

Change: stage.py names what the script and the directory act on and what a run hands over (Tally); arrivals are a class of their own that draws from the seed alone.

--- a/brackenladder/lab/clients.py
+++ b/brackenladder/lab/clients.py
@@ -14,12 +14,13 @@
 from brackenladder.interface import Effect, Group
 from brackenladder.lab.nodes import Call, Lineage, Node
 from brackenladder.lab.streams import generator, works
-from brackenladder.lab.world import SECOND
+from brackenladder.lab.world import SECOND, World
 
 if TYPE_CHECKING:
     from brackenladder.lab.emulator import Emulator
 
 IN_TIME, LATE, REFUSED, FAILED, LEFT, UNANSWERED = range(6)
+Arrival = tuple[int, int, int, int, float, bool, float]  # when, class, tenant, zone, work, leaves, when
 OUTCOMES = ("in time", "late", "refused", "failed", "left", "unanswered")
 
 
@@ -79,95 +80,101 @@
         return nodes[self.emu.front_stream.below(len(nodes))] if nodes else None
 
 
-class Clients:
-    """All clients of the first tier."""
+class Arrivals:
+    """First tries, drawn second by second from the seed alone: the same ones whatever becomes of them."""
 
-    def __init__(self, emu: Emulator) -> None:
-        self.emu = emu
-        w = emu.world
-        s = w.scenario
-        self.front = Front(emu, len(s.zones))
-        self.retries = int(w.retries)
-        self.mode = s.clients.backoff
-        self.marks = s.clients.marks_retry
-        self.second = 0
-        self.surge: dict[str, float] = {}
-        self.class_edges = np.cumsum([c.share for c in w.classes])
+    def __init__(self, world: World) -> None:
+        self.world = world
+        s = world.scenario
+        self.class_edges = np.cumsum([c.share for c in world.classes])
         zones = np.array([z.share for z in s.zones], dtype=float)
         self.zone_edges = np.cumsum(zones / zones.sum())
+        self.surges = [f for f in s.faults if f.kind == "surge"]
         self.offered_work = 0.0
         tiers, calls = 0.0, 1.0
-        for t in w.tiers:
+        for t in world.tiers:
             calls *= t.calls
             tiers += t.work * calls
         self.work_factor = tiers  # server work for each unit of a wish's work
 
-    # ---- arrivals ------------------------------------------------------------------------------------
-
     def rates(self, at: float) -> np.ndarray:
         """First tries a second of each tenant at a second of the day."""
-        w = self.emu.world
-        s = w.scenario
-        whole = w.rate * factor(s.load.shape, at)
-        for size in self.surge.values():
-            whole *= size
+        s = self.world.scenario
+        whole = self.world.rate * factor(s.load.shape, at)
+        for f in self.surges:
+            if f.at <= at < f.at + f.seconds:
+                whole *= f.size
         if not s.tenants:
             return np.array([whole])
         shares = np.array([t.share for t in s.tenants])
-        shares = shares / shares.sum()
         factors = np.array([factor(t.shape, at) for t in s.tenants])
-        rates: np.ndarray = whole * shares * factors
+        rates: np.ndarray = whole * shares / shares.sum() * factors
         return rates
 
-    def draw_second(self) -> None:
-        """Draws the arrivals of the next second and sets them going."""
-        emu = self.emu
-        w = emu.world
-        second = self.second
-        self.second += 1
-        start = emu.epoch + second * SECOND
+    def second(self, second: int) -> list[Arrival]:
+        """The arrivals of one second of the day, in order of time."""
+        w = self.world
         span = min(SECOND, w.length - second * SECOND)
         if span <= 0:
-            return
+            return []
         source = generator(w.seed, "arrivals", second)
         rates = self.rates(second + 0.5)
         count = int(source.poisson(rates.sum() * span / SECOND))
-        if count:
-            times = np.sort(source.integers(0, span, count))
-            classes = np.searchsorted(self.class_edges, source.random(count) * self.class_edges[-1], "right")
-            classes = np.minimum(classes, len(w.classes) - 1)
-            zones = np.minimum(
-                np.searchsorted(self.zone_edges, source.random(count), "right"), len(self.zone_edges) - 1
-            )
-            edges = np.cumsum(rates / rates.sum())
-            tenants = np.minimum(np.searchsorted(edges, source.random(count), "right"), len(edges) - 1)
-            work = np.zeros(count)
-            for k, c in enumerate(w.classes):
-                work = np.where(classes == k, works(source, c.dist, c.work, c.cv, count), work)
-            leaves = source.random(count) < w.impatient
-            moments = source.random(count)
-            rows = list(
-                zip(
-                    (times + start).tolist(),
-                    classes.tolist(),
-                    tenants.tolist(),
-                    zones.tolist(),
-                    work.tolist(),
-                    leaves.tolist(),
-                    moments.tolist(),
-                    strict=True,
-                )
-            )
-            self.offered_work += float(work.sum()) * self.work_factor
-            emu.kernel.at(rows[0][0], self.arrive, rows, 0)
-        emu.kernel.at(start + SECOND, self.draw_second)
-
-    def arrive(self, rows: list[tuple[int, int, int, int, float, bool, float]], i: int) -> None:
+        if not count:
+            return []
+        times = np.sort(source.integers(0, span, count)) + second * SECOND
+        classes = pick(self.class_edges, source.random(count))
+        zones = pick(self.zone_edges, source.random(count))
+        tenants = pick(np.cumsum(rates), source.random(count))
+        work = np.zeros(count)
+        for k, c in enumerate(w.classes):
+            work = np.where(classes == k, works(source, c.dist, c.work, c.cv, count), work)
+        leaves = source.random(count) < w.impatient
+        moments = source.random(count)
+        self.offered_work += float(work.sum()) * self.work_factor
+        columns = (times, classes, tenants, zones, work, leaves, moments)
+        return list(zip(*(c.tolist() for c in columns), strict=True))
+
+
+def pick(edges: np.ndarray, points: np.ndarray) -> np.ndarray:
+    """Which part each point of [0, 1) falls into, parts being as large as the edges say."""
+    found: np.ndarray = np.minimum(np.searchsorted(edges, points * edges[-1], "right"), len(edges) - 1)
+    return found
+
+
+class Clients:
+    """All clients of the first tier."""
+
+    def __init__(self, emu: Emulator) -> None:
+        self.emu = emu
+        w = emu.world
+        s = w.scenario
+        self.front = Front(emu, len(s.zones))
+        self.retries = int(w.retries)
+        self.mode = s.clients.backoff
+        self.marks = s.clients.marks_retry
+        self.second = 0
+        self.arrivals = Arrivals(w)
+
+    # ---- arrivals ------------------------------------------------------------------------------------
+
+    def draw_second(self) -> None:
+        """Sets the arrivals of the next second going."""
+        kernel = self.emu.kernel
+        rows = self.arrivals.second(self.second)
+        self.second += 1
+        if rows:
+            kernel.at(self.emu.epoch + rows[0][0], self.arrive, rows, 0)
+        if self.second * SECOND < self.emu.world.length:
+            kernel.at(self.emu.epoch + self.second * SECOND, self.draw_second)
+
+    def arrive(self, rows: list[Arrival], i: int) -> None:
         """The next client comes; the one after it is set going."""
         emu = self.emu
-        now, klass, tenant, zone, work, leaves, moment = rows[i]
+        at, klass, tenant, zone, work, leaves, moment = rows[i]
+        now = emu.epoch + at
         if i + 1 < len(rows):
-            emu.kernel.at(rows[i + 1][0], self.arrive, rows, i + 1)
+            emu.kernel.at(emu.epoch + rows[i + 1][0], self.arrive, rows, i + 1)
         wish = Wish(klass, tenant, zone, work, now)
         if leaves:
             wish.leaves_at = now + int(moment * emu.classes[klass].deadline)
--- a/brackenladder/lab/directory.py
+++ b/brackenladder/lab/directory.py
@@ -7,21 +7,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from brackenladder.interface import ListKind, ServerEntry, State
 
 if TYPE_CHECKING:
-    from brackenladder.lab.emulator import Emulator
-    from brackenladder.lab.fleet import Server
-    from brackenladder.lab.nodes import Node
+    from brackenladder.lab.stage import Stage, StagedNode, StagedServer
 
 
 class Directory:
     """One tier's list: what stood at the start, and the rounds of changes since."""
 
-    def __init__(self, emu: Emulator, tier: int) -> None:
-        self.emu = emu
+    def __init__(self, stage: Stage, tier: int) -> None:
+        self.stage = stage
         self.tier = tier
         self.first: dict[int, ServerEntry] = {}
         self.rounds: list[list[ServerEntry]] = []  # the changes that lead to version 1, 2, ...
@@ -29,34 +28,34 @@
         self.armed = False
         self.down_until = 0
 
-    def open(self, servers: list[Server]) -> None:
+    def open(self, servers: Sequence[StagedServer]) -> None:
         """The list of the servers that run from the start."""
         self.first = {s.id: self.entry(s, State.READY, 0) for s in servers if s.machine.up}
 
-    def entry(self, server: Server, state: State, ready_at: int) -> ServerEntry:
+    def entry(self, server: StagedServer, state: State, ready_at: int) -> ServerEntry:
         return ServerEntry(
             server.id, state, cell=server.cell, zone=server.zone, kind=server.build.kind, ready_at=ready_at
         )
 
     # ---- what happens to servers ---------------------------------------------------------------------
 
-    def began(self, server: Server) -> None:
+    def began(self, server: StagedServer) -> None:
         """A process has started."""
-        self.note(server, State.READY, self.emu.world.add)
+        self.note(server, State.READY, self.stage.world.add)
 
-    def drains(self, server: Server) -> None:
+    def drains(self, server: StagedServer) -> None:
         """A process says that it wants nothing new: its own word, heard with the next round."""
         self.note(server, State.DRAINING, 0)
 
-    def ended(self, server: Server, notice: int) -> None:
+    def ended(self, server: StagedServer, notice: int) -> None:
         """A process has ended, or its machine is silent; noticed so much later."""
         self.note(server, State.GONE, notice)
 
-    def note(self, server: Server, state: State, delay: int) -> None:
+    def note(self, server: StagedServer, state: State, delay: int) -> None:
         entry = self.entry(server, state, server.machine.started)
-        self.emu.kernel.after(delay, self.noticed, server, entry, server.generation)
+        self.stage.clock.after(delay, self.noticed, server, entry, server.generation)
 
-    def noticed(self, server: Server, entry: ServerEntry, generation: int) -> None:
+    def noticed(self, server: StagedServer, entry: ServerEntry, generation: int) -> None:
         """It has been noticed; it counts unless the server has gone through another life since."""
         if entry.state == State.READY and (generation != server.generation or not server.reachable):
             return
@@ -65,22 +64,22 @@
         self.pending[server.id] = entry
         if not self.armed:
             self.armed = True
-            now = self.emu.kernel.now
-            period = self.emu.world.period
-            self.emu.kernel.at(max(now - now % period + period, self.down_until), self.publish)
+            now = self.stage.clock.now
+            period = self.stage.world.period
+            self.stage.clock.at(max(now - now % period + period, self.down_until), self.publish)
 
     def publish(self) -> None:
         """A round of changes goes out to all nodes."""
-        emu = self.emu
-        if emu.kernel.now < self.down_until:
-            emu.kernel.at(self.down_until, self.publish)
+        stage = self.stage
+        if stage.clock.now < self.down_until:
+            stage.clock.at(self.down_until, self.publish)
             return
         self.armed = False
         if not self.pending:
             return
         self.rounds.append(list(self.pending.values()))
         self.pending = {}
-        for node in emu.tiers[self.tier].nodes:
+        for node in stage.staged[self.tier].nodes:
             self.catch_up(node)
 
     # ---- what nodes hold -----------------------------------------------------------------------------
@@ -96,14 +95,14 @@
                     held[entry.server] = entry
         return list(held.values())
 
-    def catch_up(self, node: Node) -> None:
+    def catch_up(self, node: StagedNode) -> None:
         """What a node lacks reaches it soon."""
-        emu = self.emu
+        stage = self.stage
         if node.version < len(self.rounds):
-            delay = emu.discovery_stream.random() * emu.world.spread
-            emu.kernel.at(emu.on_tick(emu.kernel.now + int(delay)), self.deliver, node, node.generation)
+            delay = stage.discovery_stream.random() * stage.world.spread
+            stage.clock.at(stage.on_tick(stage.clock.now + int(delay)), self.deliver, node, node.generation)
 
-    def deliver(self, node: Node, generation: int) -> None:
+    def deliver(self, node: StagedNode, generation: int) -> None:
         if not node.alive or generation != node.generation or node.version == len(self.rounds):
             return
         latest: dict[int, ServerEntry] = {}
--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from brackenladder.balance import Balancer
@@ -13,11 +13,12 @@
 from brackenladder.lab.directory import Directory
 from brackenladder.lab.faults import Script
 from brackenladder.lab.fleet import Server
-from brackenladder.lab.kernel import EPOCH, Kernel
+from brackenladder.lab.kernel import Kernel
 from brackenladder.lab.measures import Figures, Measures
 from brackenladder.lab.nodes import Node
 from brackenladder.lab.rules import Ledger
 from brackenladder.lab.scenario import Scenario
+from brackenladder.lab.stage import EPOCH, Clock, Stage, StagedTier, Tally, tally_of
 from brackenladder.lab.streams import Stream
 from brackenladder.lab.world import SECOND, TierWorld, World, build_world
 
@@ -36,7 +37,7 @@
         self.directory: Directory
 
 
-class Emulator:
+class Emulator(Stage):
     """One run. `play` plays it to the end, `figures` and `judge` tell what came of it."""
 
     def __init__(self, world: World, module: Module = Balancer) -> None:
@@ -146,6 +147,14 @@
         elif node.owner.machine.up:
             node.start(self.node_seed())
 
+    @property
+    def clock(self) -> Clock:
+        return self.kernel
+
+    @property
+    def staged(self) -> Sequence[StagedTier]:
+        return self.tiers
+
     # ---- small things that all parts use -------------------------------------------------------------
 
     def next_id(self) -> int:
@@ -210,7 +219,22 @@
             gc.set_threshold(*threshold)
 
     def figures(self) -> Figures:
-        return Figures(self)
+        return Figures(self.tally())
+
+    def tally(self) -> Tally:
+        """What has been counted so far."""
+        return Tally(
+            world=self.world,
+            epoch=self.epoch,
+            measures=self.measures,
+            ledger=self.ledger,
+            tiers=[tally_of(t.world, len(t.nodes), t.servers) for t in self.tiers],
+            offered_work=self.clients.arrivals.offered_work,
+            spent_work=self.spent_work,
+            useful_work=self.useful_work,
+            events=self.events,
+            marks=self.script.marks,
+        )
 
 
 def run(
--- a/brackenladder/lab/kernel.py
+++ b/brackenladder/lab/kernel.py
@@ -6,7 +6,7 @@
 from heapq import heappop, heappush
 from typing import Any
 
-EPOCH = 1_000_000_000  # where the clock starts: 0 means "long ago" to the module
+from brackenladder.lab.stage import EPOCH
 
 
 class Kernel:
--- a/brackenladder/lab/measures.py
+++ b/brackenladder/lab/measures.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from brackenladder.lab.clients import Wish
     from brackenladder.lab.emulator import Emulator
+    from brackenladder.lab.stage import Tally
 
 HIGHEST = 60 * SECOND  # of the histograms
 DIGITS = 3
@@ -93,15 +94,15 @@
 class Figures:
     """A finished run's figures, by name. `docs/lab.md` lists the names."""
 
-    def __init__(self, emu: Emulator) -> None:
-        self.emu = emu
-        w = emu.world
+    def __init__(self, tally: Tally) -> None:
+        self.tally = tally
+        w = tally.world
         s = w.scenario
-        m = emu.measures
+        m = tally.measures
         # By time of arrival, so that rows do not hang on which of two wishes ended first.
         born = np.asarray(m.born, dtype=np.int64)
         order = np.argsort(born, kind="stable")
-        self.at = (born[order] - emu.epoch) / SECOND
+        self.at = (born[order] - tally.epoch) / SECOND
         self.took = np.asarray(m.took, dtype=np.int64)[order]
         self.klass = np.asarray(m.klass, dtype=np.int64)[order]
         self.tenant = np.asarray(m.tenant, dtype=np.int64)[order]
@@ -125,7 +126,7 @@
 
     def worst_window(self) -> float:
         """The worst stretch of the scenario's window, by seconds."""
-        s = self.emu.world.scenario
+        s = self.tally.world.scenario
         seconds = self.at.astype(np.int64)
         last = int(np.ceil(s.seconds))
         asked = np.bincount(seconds[self.counted], self.asked[self.counted], last)
@@ -138,12 +139,12 @@
         return float(min(parts, default=1.0))
 
     def worst_class(self) -> float:
-        rows = [self.counted & (self.klass == k) for k in range(len(self.emu.world.classes))]
+        rows = [self.counted & (self.klass == k) for k in range(len(self.tally.world.classes))]
         return min(self.in_time(r) for r in rows)
 
     def late_fails(self) -> float:
         """Worth that ended unserved after its aim had passed, over the worth asked for."""
-        aims = np.array([c.settings.aim for c in self.emu.world.classes])
+        aims = np.array([c.settings.aim for c in self.tally.world.classes])
         unserved = self.counted & (self.outcome >= REFUSED) & (self.outcome != LEFT)
         late = unserved & (self.took > aims[self.klass])
         asked = float(self.asked[self.counted].sum())
@@ -151,17 +152,17 @@
 
     def waste(self) -> float:
         """Server work for answers that no client got, over the work asked for."""
-        offered = self.emu.clients.offered_work
-        return max(0.0, self.emu.spent_work - self.emu.useful_work) / offered if offered else 0.0
+        offered = self.tally.offered_work
+        return max(0.0, self.tally.spent_work - self.tally.useful_work) / offered if offered else 0.0
 
     def choked(self) -> float:
         """The share of servers that were overdriven at some time."""
-        servers = [s for t in self.emu.tiers for s in t.servers]
-        return sum(s.machine.chokes > 0 for s in servers) / len(servers)
+        servers = [s for t in self.tally.tiers for s in t.servers]
+        return sum(s.chokes > 0 for s in servers) / len(servers)
 
     def service(self) -> float:
         """The goal's mix of the whole day, the worst window and the worst class, less what is taken off."""
-        g = self.emu.world.scenario.goal
+        g = self.tally.world.scenario.goal
         mix = (
             g.whole * self.in_time(self.counted)
             + g.worst_window * self.worst_window()
@@ -176,7 +177,7 @@
 
     def recovery(self) -> float:
         """Seconds from the end of the last fault until worth in time is back to stay; inf if never."""
-        s = self.emu.world.scenario
+        s = self.tally.world.scenario
         end = max((f.at + f.seconds for f in s.faults), default=0.0)
         seconds = self.at.astype(np.int64)
         run = 0
@@ -194,12 +195,9 @@
 
     def evenness(self) -> float:
         """How much busier than the mean the busiest server of the first tier was."""
-        emu = self.emu
-        span = max(1, emu.world.length)
-        used = [
-            s.machine.busy / (s.build.cores * span)
-            for s in emu.tiers[0].servers[: emu.tiers[0].world.initial]
-        ]
+        span = max(1, self.tally.world.length)
+        first = self.tally.tiers[0]
+        used = [s.busy / (s.cores * span) for s in first.servers[: first.initial]]
         mean = sum(used) / len(used)
         return max(used) / mean if mean else 1.0
 
@@ -210,7 +208,7 @@
         if at:
             start, _, end = span.partition(":")
             rows = (self.at >= float(start)) & (self.at < float(end))
-        s = self.emu.world.scenario
+        s = self.tally.world.scenario
         members = {
             "class": [x.name for x in s.classes],
             "tenant": [x.name for x in s.tenants],
@@ -218,7 +216,7 @@
         }
         group, dot, rest = base.partition(".")
         if group == "rule" and rest in RULES:
-            return float(self.emu.ledger.counts[rest])
+            return float(self.tally.ledger.counts[rest])
         if group in members and dot:
             label, _, base = rest.rpartition(".")
             place = members[group].index(label)
@@ -246,7 +244,7 @@
         """One row for each second: what was asked for, what came of it, and how long it took."""
         out = []
         seconds = self.at.astype(np.int64)
-        for second in range(int(np.ceil(self.emu.world.scenario.seconds))):
+        for second in range(int(np.ceil(self.tally.world.scenario.seconds))):
             rows = seconds == second
             took = self.took[rows & (self.outcome <= LATE)]
             quantiles = np.quantile(took, (0.5, 0.9, 0.99)) / 1000 if len(took) else (0, 0, 0)
@@ -266,7 +264,7 @@
     def histograms(self) -> dict[str, str]:
         """Latency of what was served, by class: HdrHistograms in microseconds, in their own encoding."""
         out = {}
-        for k, c in enumerate(self.emu.world.classes):
+        for k, c in enumerate(self.tally.world.classes):
             histogram = HdrHistogram(1, HIGHEST, DIGITS)
             took = self.took[self.counted & (self.klass == k) & (self.outcome <= LATE)]
             values, counts = np.unique(took, return_counts=True)
@@ -277,24 +275,24 @@
 
     def servers(self) -> list[dict[str, Any]]:
         """What each server did; large tiers by quantiles."""
-        emu = self.emu
+        world = self.tally.world
         out: list[dict[str, Any]] = []
-        for tier in emu.tiers:
+        for tier in self.tally.tiers:
             rows = [
                 {
                     "server": s.index,
-                    "kind": tier.world.kinds[s.build.kind],
-                    "zone": emu.world.scenario.zones[s.zone].name,
-                    "speed": round(s.build.speed, 4),
-                    "use": round(s.machine.busy / (s.build.cores * emu.world.length), 4),
+                    "kind": tier.kinds[s.kind],
+                    "zone": world.scenario.zones[s.zone].name,
+                    "speed": round(s.speed, 4),
+                    "use": round(s.busy / (s.cores * world.length), 4),
                     "requests": s.requests,
                     "rejected": s.rejected,
                     "failed": s.failed,
-                    "chokes": s.machine.chokes,
+                    "chokes": s.chokes,
                 }
                 for s in tier.servers
             ]
-            entry: dict[str, Any] = {"tier": tier.world.name, "count": len(rows)}
+            entry: dict[str, Any] = {"tier": tier.name, "count": len(rows)}
             for key in ("use", "requests", "rejected", "failed"):
                 quantiles = np.quantile([float(r[key]) for r in rows], (0, 0.1, 0.5, 0.9, 1))  # type: ignore[arg-type]
                 entry[key] = [round(float(q), 4) for q in quantiles]
@@ -329,8 +327,8 @@
     "choked": Figures.choked,
     "recovery_s": Figures.recovery,
     "evenness": Figures.evenness,
-    "fell": lambda f: float(f.emu.measures.fell),
-    "rules": lambda f: float(f.emu.ledger.total()),
+    "fell": lambda f: float(f.tally.measures.fell),
+    "rules": lambda f: float(f.tally.ledger.total()),
     "p50_ms": lambda f: f.percentile(0.5),
     "p90_ms": lambda f: f.percentile(0.9),
     "p99_ms": lambda f: f.percentile(0.99),
--- a/brackenladder/lab/results.py
+++ b/brackenladder/lab/results.py
@@ -11,8 +11,8 @@
 import brackenladder
 from brackenladder.lab.claims import Verdict
 from brackenladder.lab.clients import OUTCOMES
-from brackenladder.lab.emulator import Emulator
 from brackenladder.lab.measures import Figures
+from brackenladder.lab.stage import Tally
 
 FORMAT = 1
 RESULTS = "results.jsonl"
@@ -40,10 +40,10 @@
 
 
 def lines(
-    emulator: Emulator, figures: Figures, verdicts: list[Verdict], module: str, origin: dict[str, str]
+    tally: Tally, figures: Figures, verdicts: list[Verdict], module: str, origin: dict[str, str]
 ) -> list[dict[str, Any]]:
     """A run as rows: `run`, `fault`, `window`, `sample`, `tier`, `histogram`, `rule`, `claim`, `summary`."""
-    world = emulator.world
+    world = tally.world
     s = world.scenario
     text = msgspec.json.encode(s, order="sorted")
     who = {"scenario": s.name, "seed": world.seed}
@@ -59,17 +59,17 @@
             "seconds": s.seconds,
             "rate": round(world.rate, 3),
             "capacity": round(world.capacity, 3),
-            "servers": [len(t.servers) for t in emulator.tiers],
-            "nodes": [len(t.nodes) for t in emulator.tiers],
-            "events": emulator.events,
+            "servers": [len(t.servers) for t in tally.tiers],
+            "nodes": [t.nodes for t in tally.tiers],
+            "events": tally.events,
             "outcomes": list(OUTCOMES),
             "classes": [c.name for c in s.classes],
             "tiers": [t.name for t in s.tier],
         }
     ]
-    out += [{"type": "fault", **mark} for mark in emulator.script.marks]
+    out += [{"type": "fault", **mark} for mark in tally.marks]
     out += [{"type": "window", **row} for row in figures.windows()]
-    out += [{"type": "sample", **row} for row in emulator.measures.samples]
+    out += [{"type": "sample", **row} for row in tally.measures.samples]
     out += [{"type": "tier", **row} for row in figures.servers()]
     out += [{"type": "histogram", "class": k, "hdr": v} for k, v in figures.histograms().items()]
     kept = figures.counted
@@ -84,8 +84,8 @@
     out.append(
         {
             "type": "rules",
-            **emulator.ledger.counts,
-            "notes": [{"us": at, "rule": rule, "what": text} for at, rule, text in emulator.ledger.notes],
+            **tally.ledger.counts,
+            "notes": [{"us": at, "rule": rule, "what": text} for at, rule, text in tally.ledger.notes],
         }
     )
     out += [
--- /dev/null
+++ b/brackenladder/lab/stage.py
@@ -0,0 +1,184 @@
+"""What a run in virtual time and a run of real processes have in common.
+
+The script of faults and the directory act on a stage: a clock, servers and nodes. The emulator is one, live
+mode is another, so both are struck by the same faults and told of servers with the same delays.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+from brackenladder.interface import ListKind, ServerEntry
+from brackenladder.lab.machine import Build, Machine
+from brackenladder.lab.rules import Ledger
+from brackenladder.lab.streams import Stream
+from brackenladder.lab.world import TierWorld, World
+
+if TYPE_CHECKING:
+    from brackenladder.lab.directory import Directory
+    from brackenladder.lab.measures import Measures
+
+EPOCH = 1_000_000_000  # where every run's clock starts: 0 means "long ago" to the module
+
+
+class Clock(Protocol):
+    """Time in microseconds, and calls at a time."""
+
+    @property
+    def now(self) -> int: ...
+
+    def at(self, time: int, call: Callable[..., None], *args: Any) -> None:
+        """Calls `call(*args)` at `time`, or at once if that has passed."""
+
+    def after(self, delay: float, call: Callable[..., None], *args: Any) -> None:
+        """Calls `call(*args)` so many microseconds from now."""
+
+
+class StagedServer(Protocol):
+    """A server that faults can strike."""
+
+    id: int
+    tier: int
+    index: int
+    zone: int
+    cell: int
+    build: Build
+    machine: Machine
+    silent: bool
+    stopping: bool
+    generation: int
+
+    @property
+    def reachable(self) -> bool: ...
+
+    def die(self) -> None:
+        """The process ends at once."""
+
+    def begin(self) -> None:
+        """A new process starts, cold."""
+
+    def arm(self) -> None:
+        """The machine's next event may have changed."""
+
+
+class StagedNode(Protocol):
+    """A node that can be told of servers, and killed."""
+
+    index: int
+    zone: int
+    alive: bool
+    generation: int
+    version: int
+
+    def take(self, entries: Sequence[ServerEntry], kind: ListKind) -> None:
+        """News of the list reaches the node."""
+
+
+class StagedTier(Protocol):
+    """A tier of a stage."""
+
+    world: TierWorld
+    directory: Directory
+
+    @property
+    def servers(self) -> Sequence[StagedServer]: ...
+
+    @property
+    def nodes(self) -> Sequence[StagedNode]: ...
+
+
+class Stage:
+    """The parts that the script of faults and the directory rely on."""
+
+    world: World
+    epoch: int
+    report_delay: int
+    zone_silent: list[bool]
+    discovery_stream: Stream
+
+    @property
+    def clock(self) -> Clock:
+        raise NotImplementedError
+
+    @property
+    def staged(self) -> Sequence[StagedTier]:
+        """The tiers, first to last."""
+        raise NotImplementedError
+
+    def stop_node(self, node: Any, down: int) -> None:
+        """Kills a node of the first tier; it starts again after `down` microseconds, if that is not 0."""
+        raise NotImplementedError
+
+    def on_tick(self, time: int) -> int:
+        """When a node handles what comes at `time`."""
+        return time
+
+
+@dataclass(frozen=True)
+class ServerTally:
+    """What one server did."""
+
+    index: int
+    kind: int
+    zone: int
+    speed: float
+    cores: int
+    busy: float  # core-microseconds
+    requests: int
+    rejected: int
+    failed: int
+    chokes: int
+
+
+@dataclass(frozen=True)
+class TierTally:
+    """What a tier's servers did."""
+
+    name: str
+    kinds: tuple[str, ...]
+    initial: int
+    nodes: int
+    servers: list[ServerTally]
+
+
+@dataclass(frozen=True)
+class Tally:
+    """All that a run has counted, whatever it was played on."""
+
+    world: World
+    epoch: int
+    measures: Measures
+    ledger: Ledger
+    tiers: list[TierTally]
+    offered_work: float
+    spent_work: float
+    useful_work: float
+    events: int = 0
+    marks: list[dict[str, object]] = field(default_factory=list)
+
+
+def tally_of(tier: TierWorld, nodes: int, servers: Sequence[Any]) -> TierTally:
+    """A tier's tally from its servers."""
+    return TierTally(
+        tier.name,
+        tier.kinds,
+        tier.initial,
+        nodes,
+        [
+            ServerTally(
+                s.index,
+                s.build.kind,
+                s.zone,
+                s.build.speed,
+                s.build.cores,
+                s.machine.busy,
+                s.requests,
+                s.rejected,
+                s.failed,
+                s.machine.chokes,
+            )
+            for s in servers
+        ],
+    )
--- a/brackenladder/lab/worker.py
+++ b/brackenladder/lab/worker.py
@@ -36,7 +36,7 @@
     scenario = build(task["table"], task["where"], tuple(task["changes"]))
     began = perf_counter()
     run, figures, verdicts = emulator.run(scenario, task["seed"], find(task["module"]), task.get("progress"))
-    rows = results.lines(run, figures, verdicts, task["module"], results.version(root))
+    rows = results.lines(run.tally(), figures, verdicts, task["module"], results.version(root))
     return {"rows": rows, "wall": perf_counter() - began, "events": run.events}
 
 
