Live mode: the same scenarios with real node processes on loopback sockets

Need: virtual time cannot see what sockets and the event loop do.

Change: brackenladder/lab/live runs the modelled machines behind HTTP listeners, one address for each node, an agent of discovery (watch included) for each node, node processes, and clients in a process of their own that send at their own times. lab live, lab fleet, lab load. The script of faults and the directory are the emulator's.

--- a/brackenladder/cli/lab.py
+++ b/brackenladder/cli/lab.py
@@ -256,3 +256,91 @@
     except ValueError as e:
         stop(f"{folder / results.RESULTS}: {e}" if str(folder) not in str(e) else str(e))
     click.echo(str(target))
+
+
+@lab.command()
+@SCENARIO
+@click.option("--seed", type=int, default=1, show_default=True)
+@CHANGE
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="Folder for results.jsonl.")
+@click.option("--json", "as_json", is_flag=True, help="Print a summary for machines.")
+def live(scenario: Path, seed: int, changes: tuple[str, ...], out: Path | None, as_json: bool) -> None:
+    """Play SCENARIO with real node processes, stand-in servers and clients on loopback sockets."""
+    import uvloop
+
+    from brackenladder.lab.live.play import LiveError, run_live
+
+    table, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
+    watch = show.Watch(read, not as_json)
+    try:
+        with watch:
+            tally, figures, verdicts, load_rows = uvloop.run(
+                run_live(read, table, str(scenario), changes, seed, watch.told)
+            )
+    except (LiveError, ScenarioError) as e:
+        stop(str(e))
+    rows = results.lines(tally, figures, verdicts, "live node", results.version())
+    made = Run(Task(table, str(scenario), seed, changes, "live node"), rows, read.seconds, 0)
+    keep(out, [made])
+    if as_json:
+        click.echo(json.dumps({"scenario": read.name, "module": "live node", "runs": [plain(made)]}))
+    else:
+        show.runs([made], wall=False)
+        if load_rows["late_sends"] > 0.001 * load_rows["counts"]["tries"]:
+            show.out.print(
+                f"{load_rows['late_sends']} sends were over 20 ms late, the latest"
+                f" {load_rows['latest_send'] / 1000:.0f} ms: this machine is too busy to trust the figures"
+            )
+    sys.exit(1 if made.failed_claims else 0)
+
+
+@lab.command()
+@SCENARIO
+@click.option("--seed", type=int, default=1, show_default=True)
+@CHANGE
+@click.option("--nodes", is_flag=True, help="Start the node processes as well.")
+def fleet(scenario: Path, seed: int, changes: tuple[str, ...], nodes: bool) -> None:
+    """Run the stand-in servers of SCENARIO and their discovery until interrupted; strikes no fault.
+
+    Prints a line of JSON: each node's number, its configuration file and the address it listens on.
+    """
+    import uvloop
+
+    from brackenladder.lab.live.play import LiveError, stand
+
+    _, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
+    try:
+        uvloop.run(stand(read, str(scenario), seed, nodes, lambda line: click.echo(json.dumps(line))))
+    except (LiveError, ScenarioError) as e:
+        stop(str(e))
+
+
+@lab.command(name="load")
+@SCENARIO
+@click.option("--seed", type=int, default=1, show_default=True)
+@CHANGE
+@click.option("--target", "targets", multiple=True, required=True, metavar="HOST:PORT[@ZONE]")
+@click.option("--json", "as_json", is_flag=True, help="Print a summary for machines.")
+def load_command(
+    scenario: Path, seed: int, changes: tuple[str, ...], targets: tuple[str, ...], as_json: bool
+) -> None:
+    """Send the wishes of SCENARIO to nodes that run, at their own times (open loop)."""
+    import uvloop
+
+    from brackenladder.lab.live.__main__ import target
+    from brackenladder.lab.live.load import Load
+    from brackenladder.lab.live.play import alone
+    from brackenladder.lab.world import build_world
+
+    _, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
+    try:
+        clients = Load(build_world(read, seed), [target(t) for t in targets])
+    except ValueError as e:
+        stop(str(e))
+    uvloop.run(clients.play())
+    figures = alone(clients)
+    names = [n for n in show.HEADLINES if n != "service"]
+    if as_json:
+        click.echo(json.dumps({n: figures.value(n) for n in names} | {"rules": clients.ledger.counts}))
+    else:
+        show.figures(f"{read.name}, as its clients saw it", {n: figures.value(n) for n in names})
--- a/brackenladder/cli/show.py
+++ b/brackenladder/cli/show.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from rich.console import Console
+from rich.live import Live
 from rich.progress import (
     BarColumn,
     MofNCompleteColumn,
@@ -17,6 +18,8 @@
 from rich.table import Table
 
 from brackenladder.lab.experiments import Run
+from brackenladder.lab.scenario import Scenario
+from brackenladder.lab.stage import Stage
 from brackenladder.lab.stats import Difference
 
 out = Console(highlight=False)
@@ -136,3 +139,54 @@
         broken = sum(r.rules[n] for r in made for n in RULE_NAMES)
         table.add_row(value, *means, str(broken or "none"))
     out.print(table)
+
+
+def figures(title: str, values: dict[str, float]) -> None:
+    """Names and figures."""
+    table = Table(title=title, title_justify="left")
+    table.add_column("figure")
+    table.add_column("", justify="right")
+    for name, value in values.items():
+        table.add_row(name, number(value))
+    out.print(table)
+
+
+class Watch:
+    """A live table while a live run goes on; silent where standard error is no terminal."""
+
+    def __init__(self, scenario: Scenario, on: bool) -> None:
+        self.scenario = scenario
+        self.live = (
+            Live(console=err, refresh_per_second=4, transient=True) if on and err.is_terminal else None
+        )
+
+    def __enter__(self) -> Watch:
+        if self.live is not None:
+            self.live.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self.live is not None:
+            self.live.stop()
+
+    def told(self, stage: Stage, at: float) -> None:
+        """The state of the fleet at a second of the day."""
+        if self.live is None:
+            return
+        table = Table(title=f"{self.scenario.name}: second {at:.0f} of {self.scenario.seconds:g}")
+        for name in ("tier", "servers up", "choked", "nodes up", "in work", "busy, middle server"):
+            table.add_column(name, justify="right" if name != "tier" else "left")
+        for tier in stage.staged:
+            up = [s for s in tier.servers if s.machine.up]
+            active = sorted(min(1.0, s.machine.active / s.machine.build.cores) for s in up)
+            table.add_row(
+                tier.world.name,
+                f"{len(up)} of {len(tier.servers)}",
+                str(sum(s.machine.choked for s in up)),
+                f"{sum(n.alive for n in tier.nodes)} of {len(tier.nodes)}",
+                str(sum(s.machine.held() for s in up)),
+                f"{active[len(active) // 2]:.2f}" if active else "-",
+            )
+        struck = [f.kind for f in self.scenario.faults if f.at <= at < f.at + max(f.seconds, 1)]
+        table.caption = "faults now: " + (", ".join(struck) or "none")
+        self.live.update(table)
--- /dev/null
+++ b/brackenladder/lab/live/__main__.py
@@ -0,0 +1,40 @@
+"""The load's process: a folder with the scenario, a seed, the nodes. Its rows go to the folder at the end."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import uvloop
+
+from brackenladder.lab.live.load import Load, Target
+from brackenladder.lab.scenario import build
+from brackenladder.lab.world import build_world
+
+
+def target(text: str) -> Target:
+    """`host:port` or `host:port@zone`; a ValueError for anything else."""
+    address, _, zone = text.partition("@")
+    host, colon, port = address.rpartition(":")
+    if not (colon and host and port.isdigit() and (not zone or zone.isdigit())):
+        raise ValueError(f"target {text!r}: write it as host:port or host:port@zone")
+    if not (host.startswith("127.") or host in ("localhost", "[::1]", "::1")):
+        raise ValueError(f"target {text!r}: the lab sends to loopback addresses only")
+    return Target(host.strip("[]"), int(port), int(zone or 0))
+
+
+def main() -> int:
+    folder = Path(sys.argv[1])
+    told = json.loads((folder / "scenario.json").read_text())
+    scenario = build(told["table"], "scenario", tuple(told["changes"]))
+    load = Load(build_world(scenario, int(sys.argv[2])), [target(t) for t in sys.argv[3:]])
+    print("ready", flush=True)
+    sys.stdin.readline()
+    uvloop.run(load.play())
+    (folder / "rows.json").write_text(json.dumps(load.rows()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenladder/lab/measures.py
+++ b/brackenladder/lab/measures.py
@@ -19,8 +19,7 @@
 
 if TYPE_CHECKING:
     from brackenladder.lab.clients import Wish
-    from brackenladder.lab.emulator import Emulator
-    from brackenladder.lab.stage import Tally
+    from brackenladder.lab.stage import Stage, Tally
 
 HIGHEST = 60 * SECOND  # of the histograms
 DIGITS = 3
@@ -56,17 +55,17 @@
         self.tried.append(min(wish.tries, 255))
         self.attempts.append(min(wish.attempts, 255))
 
-    def sample(self, emu: Emulator) -> None:
+    def sample(self, stage: Stage) -> None:
         """A second is over."""
         tiers = []
-        for i, tier in enumerate(emu.tiers):
+        for i, tier in enumerate(stage.staged):
             if len(self.last_busy) <= i:
                 self.last_busy.append([0.0] * len(tier.servers))
             before = self.last_busy[i]
             used = []
             for j, server in enumerate(tier.servers):
                 m = server.machine
-                m.move(emu.kernel.now)
+                m.move(stage.clock.now)
                 m.pace()
                 server.arm()
                 used.append((m.busy - before[j]) / (m.build.cores * SECOND))
@@ -74,8 +73,8 @@
             up = [u for u, s in zip(used, tier.servers, strict=True) if s.machine.up]
             limit = flight = 0.0
             for node in tier.nodes:
-                if node.alive and hasattr(node.balancer, "stats"):
-                    stats = node.balancer.stats()
+                stats = node.told() if node.alive else None
+                if stats is not None:
                     limit += stats["concurrency_limit"]
                     flight += stats["in_flight"]
             row: dict[str, Any] = {
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -186,6 +186,11 @@
                 self.started_at[entry.server] = entry.ready_at
         self.guard("server_list", now, kind, entries)
 
+    def told(self) -> dict[str, float] | None:
+        """The module's own figures."""
+        stats = getattr(self.balancer, "stats", None)
+        return stats() if stats is not None else None
+
     # ---- requests ------------------------------------------------------------------------------------
 
     def accept(self, call: Call, repeat: bool) -> None:
--- a/brackenladder/lab/report.py
+++ b/brackenladder/lab/report.py
@@ -305,8 +305,10 @@
         ]
     parts += ["<h3>What came of the wishes</h3>", worth_plot(rows)]
     parts += ["<h3>Latency</h3>", latency_plots(rows), latency_table(rows)]
-    if of(rows, "sample"):
+    samples = of(rows, "sample")
+    if any(t["limit"] for s in samples for t in s["tiers"]):
         parts += ["<h3>Limits and calls in flight, as the nodes tell them</h3>", limits_plot(rows)]
+    if samples:
         parts += ["<h3>Load by server</h3>", load_plot(rows)]
     parts += [servers_plot(rows), tier_table(rows)]
     parts += ["<h3>Attempts</h3>", attempts_plot(rows)]
--- a/brackenladder/lab/stage.py
+++ b/brackenladder/lab/stage.py
@@ -75,6 +75,9 @@
     def take(self, entries: Sequence[ServerEntry], kind: ListKind) -> None:
         """News of the list reaches the node."""
 
+    def told(self) -> dict[str, float] | None:
+        """The module's own figures, for plots; None where they cannot be had."""
+
 
 class StagedTier(Protocol):
     """A tier of a stage."""
