--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,20 @@
-.PHONY: test
+VENV ?= .venv
+BIN = $(VENV)/bin
+REQUIREMENTS = requirements.txt requirements-lab.txt requirements-dev.txt
+
+.PHONY: test demo
 # All checks: style, types, tests.
-test:
-	ruff check .
-	ruff format --check .
-	mypy
-	pytest -q
+test: $(VENV)/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+	$(BIN)/pytest -q
+
+# Twenty seconds of real processes: six stand-in servers, one of which fails, one node, and a load.
+demo: $(VENV)/ready
+	$(BIN)/python -m brackenladder lab live scenarios/demo.toml
+
+$(VENV)/ready: $(REQUIREMENTS)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps $(REQUIREMENTS:%=-r %)
+	touch $@
--- a/brackenladder/cli/lab.py
+++ b/brackenladder/cli/lab.py
@@ -344,3 +344,27 @@
         click.echo(json.dumps({n: figures.value(n) for n in names} | {"rules": clients.ledger.counts}))
     else:
         show.figures(f"{read.name}, as its clients saw it", {n: figures.value(n) for n in names})
+
+
+@lab.command()
+@click.option("--rounds", type=click.IntRange(1, 100), default=5, show_default=True, help="Pairs of turns.")
+@click.option(
+    "--seconds", type=click.FloatRange(0.2, 60), default=3.0, show_default=True, help="Of each turn."
+)
+@click.option("--connections", type=click.IntRange(1, 500), default=32, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the figures for machines.")
+def overhead(rounds: int, seconds: float, connections: int, as_json: bool) -> None:
+    """Measure a node's requests a second on one core against a bare relay's, by turns."""
+    from brackenladder.lab.overhead import measure
+
+    with show.bar() as bar:
+        task = bar.add_task("overhead", total=rounds)
+        try:
+            found = measure(rounds, seconds, connections, lambda *_: bar.advance(task))
+        except OSError as e:
+            stop(f"overhead: {e}")
+    summary = found.summary()
+    if as_json:
+        click.echo(json.dumps(summary | {"ratios": found.ratios}))
+    else:
+        show.figures(f"{rounds} pairs of {seconds:g} s, {connections} connections, one core each", summary)
--- a/brackenladder/cli/show.py
+++ b/brackenladder/cli/show.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from rich.console import Console
+from rich.console import Console, Group
 from rich.live import Live
 from rich.progress import (
     BarColumn,
@@ -169,8 +169,8 @@
         if self.live is not None:
             self.live.stop()
 
-    def told(self, stage: Stage, at: float) -> None:
-        """The state of the fleet at a second of the day."""
+    def told(self, stage: Stage, at: float, counts: dict[str, int]) -> None:
+        """The state of the fleet, and what has become of the clients' wishes, at a second of the day."""
         if self.live is None:
             return
         table = Table(title=f"{self.scenario.name}: second {at:.0f} of {self.scenario.seconds:g}")
@@ -189,4 +189,8 @@
             )
         struck = [f.kind for f in self.scenario.faults if f.at <= at < f.at + max(f.seconds, 1)]
         table.caption = "faults now: " + (", ".join(struck) or "none")
-        self.live.update(table)
+        wishes = Table(title="wishes so far", title_justify="left")
+        for name in counts:
+            wishes.add_column(name, justify="right")
+        wishes.add_row(*(f"{value:,}" for value in counts.values()))
+        self.live.update(Group(table, wishes))
--- a/brackenladder/lab/live/__main__.py
+++ b/brackenladder/lab/live/__main__.py
@@ -31,7 +31,7 @@
     load = Load(build_world(scenario, int(sys.argv[2])), [target(t) for t in sys.argv[3:]])
     print("ready", flush=True)
     sys.stdin.readline()
-    uvloop.run(load.play())
+    uvloop.run(load.play(lambda counts: print(json.dumps(counts), flush=True)))
     (folder / "rows.json").write_text(json.dumps(load.rows()))
     return 0
 
--- a/brackenladder/lab/live/load.py
+++ b/brackenladder/lab/live/load.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
@@ -18,6 +19,7 @@
     IN_TIME,
     LATE,
     LEFT,
+    OUTCOMES,
     REFUSED,
     UNANSWERED,
     Arrival,
@@ -78,8 +80,8 @@
         """Microseconds since the day began."""
         return int((monotonic() - self.zero) * SECOND)
 
-    async def play(self) -> None:
-        """Plays the whole day and waits until every wish has ended."""
+    async def play(self, told: Callable[[dict[str, int]], None] | None = None) -> None:
+        """Plays the whole day and waits until every wish has ended; `told` hears the counts each second."""
         loop = asyncio.get_running_loop()
         self.zero = monotonic()
         start = loop.time()
@@ -91,6 +93,8 @@
                 await asyncio.sleep(wait)
             for row in rows:
                 loop.call_at(start + row[0] / SECOND, self.arrive, row)
+            if told is not None:
+                told(self.counts())
         await asyncio.sleep(max(0.0, start + self.world.length / SECOND - loop.time()))
         while self.out:
             await asyncio.wait(self.out)
@@ -246,6 +250,17 @@
 
     # ---- what is handed over -------------------------------------------------------------------------
 
+    def counts(self) -> dict[str, int]:
+        """How many wishes have ended in each way so far, and the latency of the newest that were served."""
+        m = self.measures
+        ended = dict.fromkeys(OUTCOMES, 0)
+        for outcome in m.outcome:
+            ended[OUTCOMES[outcome]] += 1
+        newest = sorted(t for t, o in zip(m.took[-500:], m.outcome[-500:], strict=True) if o <= LATE)
+        ended["p50_ms"] = newest[len(newest) // 2] // 1000 if newest else 0
+        ended["p99_ms"] = newest[len(newest) * 99 // 100] // 1000 if newest else 0
+        return ended
+
     def rows(self) -> dict[str, Any]:
         """All that was counted, for the process that adds up."""
         m = self.measures
--- a/brackenladder/lab/live/play.py
+++ b/brackenladder/lab/live/play.py
@@ -26,7 +26,7 @@
 
 READY_TIME = 15.0  # seconds for a node's process to say that it is ready
 PACKAGES = Path(__file__).parents[3]
-Told = Callable[[Fleet, float], None]
+Told = Callable[[Fleet, float, dict[str, int]], None]
 
 
 class LiveError(Exception):
@@ -152,6 +152,8 @@
             load.stdin.write(b"go\n")
             await load.stdin.drain()
             answer = asyncio.ensure_future(load.wait())
+            counts: dict[str, int] = {}
+            fleet.spawn(follow(load.stdout, counts))
             longest = max(c.settings.deadline for c in world.classes) / SECOND
             until = fleet.clock.now + world.length + int((2 * longest + 10) * SECOND)
             while not answer.done():
@@ -160,7 +162,7 @@
                 await asyncio.wait([answer], timeout=0.5)
                 watch(runner, fleet)
                 if told is not None:
-                    told(fleet, (fleet.clock.now - fleet.epoch) / SECOND)
+                    told(fleet, (fleet.clock.now - fleet.epoch) / SECOND, counts)
             if answer.result():
                 raise LiveError(f"the load ended with status {answer.result()}")
             rows = json.loads((folder / "rows.json").read_text())
@@ -178,6 +180,12 @@
         return tally, figures, judge(scenario.claims, figures), rows
 
 
+async def follow(stream: asyncio.StreamReader, counts: dict[str, int]) -> None:
+    """Takes the load's counts as it tells them."""
+    while line := await stream.readline():
+        counts.update(json.loads(line))
+
+
 async def stand(
     scenario: Scenario, where: str, seed: int, nodes: bool, say: Callable[[dict[str, Any]], None]
 ) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -355,3 +355,47 @@
     for bad in ("x", "1-", ""):
         with pytest.raises(ValueError):
             read_seeds(bad)
+
+
+# ---- reports, and what a node does without ------------------------------------------------------------
+
+
+def test_a_report_needs_nothing_else(tmp_path: Path) -> None:
+    from click.testing import CliRunner
+
+    from brackenladder.cli.main import cli
+
+    path = tmp_path / "s.toml"
+    path.write_text(SMALL.replace('name = "small"', 'name = "<small>"') + fault("crash", seconds=2, count=1))
+    run_it = ["lab", "run", str(path), "--out", str(tmp_path), "--set", "seconds=6", "--seeds", "1-2"]
+    assert CliRunner().invoke(cli, run_it).exit_code == 0
+    pages = []
+    for _ in range(2):
+        done = CliRunner().invoke(cli, ["lab", "report", str(tmp_path)])
+        assert done.exit_code == 0, done.output
+        pages.append((tmp_path / "report.html").read_text())
+    page = pages[0]
+    assert pages[0] == pages[1]
+    assert "&lt;small&gt;" in page and "<small>" not in page
+    assert page.count("<svg") >= 10 and page.count("Seed ") == 2
+    assert "<td>crash</td>" in page
+    for outside in ("<script", "<link", 'src="', "@import"):
+        assert outside not in page
+    (tmp_path / "results.jsonl").write_text('{"type": "run"}\nnot json\n')
+    done = CliRunner().invoke(cli, ["lab", "report", str(tmp_path)])
+    assert done.exit_code == 2 and "line 2" in done.output
+
+
+def test_a_node_imports_nothing_of_the_lab() -> None:
+    program = (
+        "import sys; sys.argv = ['brackenladder']; import brackenladder.__main__ as m; m.main();"
+        " print(*sorted(sys.modules))"
+    )
+    environment = {k: v for k, v in os.environ.items() if k != "LB_CONFIG"}
+    done = subprocess.run(
+        [sys.executable, "-c", program], cwd=ROOT, env=environment, capture_output=True, text=True
+    )
+    assert "LB_CONFIG is not set" in done.stderr
+    loaded = {name.partition(".")[0] for name in done.stdout.split()}
+    assert not loaded & {"click", "numpy", "msgspec", "rich", "matplotlib", "hdrh"}
+    assert not any(n.startswith(("brackenladder.lab", "brackenladder.cli")) for n in done.stdout.split())
