--- a/brackenladder/lab/live/load.py
+++ b/brackenladder/lab/live/load.py
@@ -107,11 +107,11 @@
         wish = Wish(klass, tenant, zone, work, at)
         if leaves:
             wish.leaves_at = at + max(1, int(moment * self.classes[klass].deadline))
-        task = asyncio.get_running_loop().create_task(self.serve(wish, len(self.out)))
+        task = asyncio.get_running_loop().create_task(self.serve(wish))
         self.out.add(task)
         task.add_done_callback(self.out.discard)
 
-    async def serve(self, wish: Wish, _: int) -> None:
+    async def serve(self, wish: Wish) -> None:
         """One wish, over all its tries, until it ends or its client leaves."""
         if not wish.leaves_at:
             await self.tries(wish)
--- a/brackenladder/lab/world.py
+++ b/brackenladder/lab/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brackenladder.interface import ClassSettings, Effect, Group, Settings, TenantSettings
 from brackenladder.lab.machine import Build
@@ -219,7 +219,7 @@
         for line in t.server:
             kind = names.index(line.kind)
             zone = zone_names.index(line.zone) if line.zone is not None else 0
-            builds.append(replaced(models[kind], line.speed, zone, line.cell))
+            builds.append(replace(models[kind], speed=line.speed, zone=zone, cell=line.cell))
         initial = len(builds)
         total = initial + t.reserve
     else:
@@ -241,7 +241,7 @@
             draw.value(machine.speed_cv, *place, "kind", kind, "cv")
         )
         zone = (i // max(1, len(shares))) % zones if zones > 1 else 0
-        builds.append(replaced(models[kind], speed, zone, int(i / cells)))
+        builds.append(replace(models[kind], speed=speed, zone=zone, cell=int(i / cells)))
     nodes: list[int] = []
     if index == 0:
         count = max(1, round(draw.value(t.nodes, *place, "nodes")))
@@ -278,12 +278,6 @@
     )
 
 
-def replaced(model: Build, speed: float, zone: int, cell: int) -> Build:
-    from dataclasses import replace
-
-    return replace(model, speed=speed, zone=zone, cell=cell)
-
-
 def build_of(s: Scenario, t: Tier, k: Machine, index: int, draw: Draw, place: tuple[str | int, ...]) -> Build:
     """What all machines of a kind have in common."""
     here = (*place, "kind", index)
