--- a/brackenladder/cli/show.py
+++ b/brackenladder/cli/show.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from rich.box import SIMPLE_HEAD
 from rich.console import Console, Group
 from rich.live import Live
 from rich.progress import (
@@ -54,6 +55,15 @@
     )
 
 
+def plain_table(title: str, first: str, *others: str) -> Table:
+    """A table of figures: a column of names, and columns of numbers that are not broken."""
+    table = Table(title=title, title_justify="left", box=SIMPLE_HEAD, pad_edge=False)
+    table.add_column(first, no_wrap=True)
+    for name in others:
+        table.add_column(name, justify="right", no_wrap=True)
+    return table
+
+
 def number(value: Any) -> str:
     """A figure as a person reads it."""
     if value is None:
@@ -68,11 +78,9 @@
 def runs(made: Iterable[Run], wall: bool = True) -> None:
     """One line for each run, then the claims that fail or that are known gaps."""
     made = list(made)
-    table = Table(title=f"{made[0].rows[0]['scenario']}: {made[0].rows[0]['title']}", title_justify="left")
-    table.add_column("seed")
     many = len(made) > MOST_COLUMNS
-    for name in ("mean", "least", "most") if many else [str(run.task.seed) for run in made]:
-        table.add_column(name, justify="right")
+    heads = ("mean", "least", "most") if many else tuple(str(run.task.seed) for run in made)
+    table = plain_table(f"{made[0].rows[0]['scenario']}: {made[0].rows[0]['title']}", "seed", *heads)
     for name in HEADLINES:
         values = [float(run.summary[name]) for run in made]
         if many:
@@ -117,35 +125,28 @@
 
 def comparison(rows: list[Difference], a: str, b: str) -> None:
     """Paired differences, with what they show."""
-    table = Table(
-        title=f"a: {a}   b: {b}   {rows[0].pairs} seeds, 95% bootstrap interval", title_justify="left"
-    )
-    for name in ("figure", "a", "b", "b - a", "interval", ""):
-        table.add_column(name, justify="left" if name in ("figure", "") else "right")
+    title = f"a: {a}   b: {b}   {rows[0].pairs} seeds, 95% bootstrap interval"
+    table = plain_table(title, "figure", "a", "b", "b - a", "interval", "")
     for d in rows:
-        table.add_row(
-            d.name, number(d.a), number(d.b), f"{d.mean:+.4f}", f"{d.low:+.4f} to {d.high:+.4f}", d.verdict
-        )
+        interval = f"{d.low:+.4g} to {d.high:+.4g}"
+        verdict = "not shown" if d.verdict == "no difference shown" else d.verdict
+        table.add_row(d.name, number(d.a), number(d.b), f"{d.mean:+.4g}", interval, verdict)
     out.print(table)
 
 
 def sweep(key: str, rows: list[tuple[str, list[Run]]]) -> None:
-    """A parameter's values against the mean figures."""
-    table = Table(title=f"{key}, means over {len(rows[0][1])} seeds", title_justify="left")
-    for name in (key, *HEADLINES, "rules broken"):
-        table.add_column(name, justify="right")
-    for value, made in rows:
-        means = [number(sum(r.summary[n] for r in made) / len(made)) for n in HEADLINES]
-        broken = sum(r.rules[n] for r in made for n in RULE_NAMES)
-        table.add_row(value, *means, str(broken or "none"))
+    """The mean figures, one column for each value of a parameter."""
+    table = plain_table(f"{key}, means over {len(rows[0][1])} seeds", key, *(value for value, _ in rows))
+    for name in HEADLINES:
+        table.add_row(name, *(number(sum(r.summary[name] for r in made) / len(made)) for _, made in rows))
+    broken = [sum(r.rules[n] for r in made for n in RULE_NAMES) for _, made in rows]
+    table.add_row("rules broken", *(str(n or "none") for n in broken))
     out.print(table)
 
 
 def figures(title: str, values: dict[str, float]) -> None:
     """Names and figures."""
-    table = Table(title=title, title_justify="left")
-    table.add_column("figure")
-    table.add_column("", justify="right")
+    table = plain_table(title, "figure", "")
     for name, value in values.items():
         table.add_row(name, number(value))
     out.print(table)
