--- a/brackenladder/order.py
+++ b/brackenladder/order.py
@@ -4,7 +4,7 @@
 servers come and go, and its shape follows from the keys alone: two copies that hold the same servers hold the
 same trie. Each inner node knows how many items are under it; a subtree with one item is that item.
 
-A change touches the nodes on one path, some twenty at 50,000 servers. Memory is about 250 bytes for each item.
+A change touches the nodes on one path, some twenty at 50,000 servers. Memory is about 250 bytes an item.
 Free of I/O, clock and randomness.
 """
 
