Subsets start evenly spaced by rank, and use all servers of a large fleet

Change: one shuffle for all copies; copy i of N starts at rank i n / N. Where a copy's part is over 24 servers its subset is as large as the part, up to 128. A fleet under eight servers is one subset, as before. A test of coverage; the test of the subset's bound now states the number of copies.

--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -21,8 +21,8 @@
 CHANGES = 30
 
 
-def in_use(servers: list[int], copy: int, copies: int, size: int, held: set[int]) -> set[int]:
-    """The shuffle in use: stretches that follow one another, another shuffle once round."""
+def stretches(servers: list[int], copy: int, copies: int, size: int, held: set[int]) -> set[int]:
+    """The way until version 0.1: stretches that follow one another, another shuffle once round."""
     n = len(servers)
     parts = max(1, n // SUBSET_LEAST)
     turn, part = divmod(copy, parts)
@@ -108,7 +108,7 @@
 
 
 def main() -> None:
-    ways = (in_use, ranks, sticky, ring, rendezvous)
+    ways = (stretches, ranks, sticky, ring, rendezvous)
     print("servers copies size  way          least   most   later least   most   moved  at most")
     for n, copies, size in ((20, 14, 6), (300, 60, 24), (1000, 120, 24), (3000, 120, 25)):
         for way in ways:
--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -49,6 +49,7 @@
 AIM_MOST = 0.75  # min_rtt + B stays within this share of it
 SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
 SUBSET_MOST = 24  # and of any other
+SUBSET_BOUND = 128  # more where copies are so few that servers would be left out, up to so many
 SUBSET_FLIGHT = 2  # in between: so many for each call in flight
 SMOOTH_FLIGHT = 0.05  # weight of the newest sample in the mean number of calls in flight
 RETRY_RATIO = 0.1  # further attempts allowed for each first attempt
@@ -1001,19 +1002,22 @@
         while others' fast ones stand idle.
         """
         n = len(servers)
-        parts = max(1, n // SUBSET_LEAST)
-        turn, part = divmod(self.settings.index, parts)
-        servers.sort(key=lambda srv: (mix(srv.id, turn), srv.id))
+        servers.sort(key=lambda srv: (mix(srv.id, 0), srv.id))
         kinds: dict[int, list[Server]] = {}
         for srv in servers:
             kinds.setdefault(srv.kind_id, []).append(srv)
         places = []
         for kind, alike in sorted(kinds.items()):
-            shift = mix(kind, turn) / 2**64
+            shift = mix(kind, 0) / 2**64
             places += [((i + shift) / len(alike), srv.id, srv) for i, srv in enumerate(alike)]
         order = [srv for _, _, srv in sorted(places, key=lambda place: place[:2])]
-        start, end = part * n // parts, (part + 1) * n // parts
-        return [order[i % n] for i in range(start, min(max(end, start + self.size), start + n))]
+        copies = self.settings.instances
+        start = self.settings.index % copies * n // copies
+        size, part = (n if n < 2 * SUBSET_LEAST else self.size), ceil(n / copies)
+        if part > SUBSET_MOST:
+            # Failure prevented: where copies are few, most of a large fleet is nobody's and stands idle.
+            size = min(SUBSET_BOUND, part)
+        return [order[i % n] for i in range(start, start + min(size, n))]
 
     def wanted_size(self) -> int:
         return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
@@ -1025,9 +1029,9 @@
     def refill(self, now: int) -> None:
         """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
 
-        Copies whose numbers follow one another take stretches that follow one another; once round, the
-        next ones go by another shuffle. So each server belongs to equally many copies, without a message,
-        a new server gets its part as soon as it is listed, and a change of the list moves few members.
+        The copies' stretches start evenly spaced. So each server belongs to as many copies as any other, to
+        within one, without a message; a new server gets its part as soon as it is listed, and a change of
+        the list moves at most one further member for each kind of machine.
         """
         listed = [srv for srv in self.servers.values() if srv.in_list]
         self.size = self.wanted_size()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -168,7 +168,7 @@
 
 
 def test_the_subset_is_bounded_and_refilled():
-    node, rec = balancer(60)
+    node, rec = balancer(60, instances=10)
     size = len(node.members)
     assert size < 60
     first = node.members[0].id
@@ -176,6 +176,20 @@
     assert len(node.members) == size and first not in {m.id for m in node.members}
 
 
+def test_all_servers_belong_to_someone_where_copies_are_few():
+    """Copies that start four servers apart leave most of a large fleet idle."""
+    for servers, copies, bound in ((900, 10, 91), (60, 12, 24), (2000, 10, 128)):
+        cover: dict[int, int] = {}
+        for index in range(copies):
+            node, _ = balancer(servers, instances=copies, index=index)
+            assert len(node.members) <= bound
+            for m in node.members:
+                cover[m.id] = cover.get(m.id, 0) + 1
+        if servers == 900:
+            assert len(cover) == servers and max(cover.values()) <= 2
+        assert max(cover.values()) - min(cover.values()) <= 2
+
+
 def test_a_member_that_fails_quickly_is_ejected_and_tried_again():
     """Quick errors hold few calls and would win every draw."""
     node, rec = balancer(6)
