A change of one server costs O(log n); whole lists may come in parts

Need: each changed line walked, sorted and laid out all servers: 282 ms at 50,000, and a rolling deploy is nothing but such changes.

Change: the listed servers stand in a Roster (brackenladder/roster.py) of Orders, one for each kind and zone; the members are the same as before, found by rank. A full Server is held for members, up to 64 former ones and those with a call out. Order keeps its nodes in arrays, which the garbage collector does not walk through. server_list takes whole lists in parts (more=True); what the whole leaves out is not used from the last part on and swept out 100 at a time.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Sequence, Sized
 from math import ceil, sqrt
 from random import Random
 
@@ -28,6 +28,8 @@
     Settings,
     State,
 )
+from brackenladder.order import Order, mix
+from brackenladder.roster import Listed, Roster
 
 # The source's figures, kept as they are.
 WINDOW = 100_000  # least length of a sampling window
@@ -50,6 +52,8 @@
 SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
 SUBSET_MOST = 24  # and of any other
 SUBSET_BOUND = 128  # more where copies are so few that servers would be left out, up to so many
+SUBSET_FORMER = 64  # what was learned of so many former members is kept
+REPEAT_CHOICE = 24  # servers looked at for a keyed repeat where the subset has none of its group
 SUBSET_FLIGHT = 2  # in between: so many for each call in flight
 SMOOTH_FLIGHT = 0.05  # weight of the newest sample in the mean number of calls in flight
 RETRY_RATIO = 0.1  # further attempts allowed for each first attempt
@@ -84,18 +88,10 @@
 SHED_AT = 0.6  # clear excess is refused, more and more, while mean latency over target is above this
 SHED_GAIN = 0.06  # by so much for each answer
 
-TIMER_LIST, TIMER_HELD = 1, 2  # in a token's top byte
+TIMER_LIST, TIMER_HELD, TIMER_SWEEP = 1, 2, 3  # in a token's top byte
 TOKEN_BITS = 56
 
 
-def mix(number: int, turn: int) -> int:
-    """A shuffle of the servers' numbers that is the same in every copy, another one for each turn."""
-    x = (number + turn * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    x = (x ^ (x >> 27)) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
-    return x ^ (x >> 31)
-
-
 def percentile(samples: list[float], share: float) -> float:
     """The nearest-rank percentile of a non-empty list, which is sorted in place."""
     samples.sort()
@@ -108,6 +104,57 @@
     return [int(c.aim * share) for c in settings.classes]
 
 
+def groups_of(settings: Settings) -> frozenset[Group]:
+    """The groups of servers in which keyed requests are repeated."""
+    return frozenset(c.group for c in settings.classes if c.effect == Effect.KEYED)
+
+
+def cut(kinds: Sequence[Sized], shifts: Sequence[float], n: int, place: int) -> list[int]:
+    """How many of each kind are among the first `place` of all kinds merged, `n` together.
+
+    Item i of the m of a kind has its place at (i + shift) / m. The count below a point differs from its part
+    of all by less than one for each kind, so few items have to be looked at, whatever their number.
+    """
+    low, high = (place - len(kinds)) / n, (place + len(kinds)) / n
+    counts: list[int] = []
+    near: list[tuple[float, int]] = []
+    for number, (kind, shift) in enumerate(zip(kinds, shifts, strict=True)):
+        m = len(kind)
+        first = min(m, max(0, int(low * m - shift)))
+        counts.append(first)
+        near += [((i + shift) / m, number) for i in range(first, min(m, int(high * m) + 2))]
+    near.sort()
+    for _, number in near[: place - sum(counts)]:
+        counts[number] += 1
+    return counts
+
+
+def stretch(
+    roster: Roster, kinds: dict[int, Order[Listed]], index: int, copies: int, size: int
+) -> list[Listed]:
+    """Copy `index`'s part of a zone: a stretch of an order in which the machines of each kind lie evenly.
+
+    Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded while
+    others' fast ones stand idle.
+    """
+    orders = [order for _, order in sorted(kinds.items())]
+    shifts = [mix(kind, 0) / 2**64 for kind in sorted(kinds)]
+    n = sum(len(order) for order in orders)
+    size = min(size, n)
+    start = index % copies * n // copies
+    before = cut(orders, shifts, n, start)
+    while True:
+        end = start + size
+        until = cut(orders, shifts, n, end if end <= n else end - n)
+        found: list[Listed] = []
+        for order, first, last in zip(orders, before, until, strict=True):
+            found += order.window(first, last - first + (len(order) if end > n else 0))
+        found = roster.valid(found)
+        if len(found) >= min(size, SUBSET_LEAST) or size == n:
+            return found
+        size = min(2 * size, n)  # most of what stands here was left out and has not yet been swept
+
+
 class GradientController:
     """The adaptive limit on this copy's calls in flight, over its whole subset.
 
@@ -387,22 +434,21 @@
         "tokens_at",
     )
 
-    def __init__(self, entry: ServerEntry, kind: Average) -> None:
-        self.id = entry.server
+    def __init__(self, entry: Listed, kind: Average) -> None:
+        self.id = entry.id
         self.kind_id = entry.kind
         self.kind = kind  # round-trips of servers of this kind, relative to the class's mean
-        self.in_list = False
+        self.in_list = True
         self.member = False
         self.in_flight = 0
         self.ejected = False
         self.aside = False  # its calls do not count against the limit
         self.trial_out = False
-        self.ready_at = -1
         self.quiet_since = 0
-        self.cell = self.zone = 0
+        self.cell, self.zone = entry.cell, entry.zone
         self.renew(entry)
 
-    def renew(self, entry: ServerEntry) -> None:
+    def renew(self, entry: Listed) -> None:
         """A new process: nothing learned of the old one holds."""
         self.ready_at = entry.ready_at
         self.deviation = Average(1.0, PRIOR, SMOOTH)  # this server's round-trips, relative to its kind's
@@ -497,8 +543,9 @@
         self.settings = s = settings
         self.actions = actions
         self.rng = Random(seed)
-        self.servers: dict[int, Server] = {}
+        self.servers: dict[int, Server] = {}  # members, lately members, and those with a call out
         self.members: list[Server] = []
+        self.drawn: list[Listed] = []  # the members' lines
         self.size = SUBSET_LEAST  # wanted when the members were last taken
         self.flight = 0.0  # calls in flight, smoothed
         self.near: list[Server] = []  # members in this zone that may be drawn
@@ -517,6 +564,7 @@
         self.far_ratio = 0.5  # ...and of the others
         self.best_ratio = 0.0
         self.zoned = s.cross_zone_price >= ZONE_PRICE
+        self.roster = Roster(self.zoned, groups_of(s))
         self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
         self.spill_least = self.spill
         self.spill_at = 0
@@ -562,10 +610,14 @@
         if self.zoned != (settings.cross_zone_price >= ZONE_PRICE):
             self.zoned = not self.zoned
             self.spill = self.spill_least = 0.0 if self.zoned else 1.0
+        if self.roster.zoned != self.zoned or not groups_of(settings) <= self.roster.groups:
+            self.roster = self.roster.laid_out(self.zoned, groups_of(settings) | self.roster.groups)
         self.rank_classes()
         self.refill(now)
 
-    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
+    ) -> None:
         if kind == ListKind.FAILED:
             # Only asked-for lists fail. Jittered back-off, well inside the longest silence allowed.
             self.list_failures += 1
@@ -575,34 +627,43 @@
             return
         if kind != ListKind.CACHED:
             self.list_failures = 0
+        roster = self.roster
+        if kind != ListKind.CHANGES and not roster.taking:
+            roster.begin()
         latest = {e.server: e for e in entries}  # an entry twice: the last holds
-        if kind != ListKind.CHANGES:
-            for server in self.servers.values():
-                if server.in_list and server.id not in latest:
-                    self.drop(server)
         for entry in latest.values():
             known = self.servers.get(entry.server)
             if entry.state != State.READY:
+                roster.remove(entry.server)
                 if known is not None:
                     self.drop(known)
                 continue
-            if known is None:
-                average = self.kinds.setdefault(entry.kind, Average(1.0, PRIOR, SMOOTH_ALL))
-                known = self.servers[entry.server] = Server(entry, average)
-            elif known.ready_at != entry.ready_at:
-                if known.ejected:
-                    self.readmit(known)
-                known.renew(entry)
-            known.in_list = True
-            known.cell, known.zone = entry.cell, entry.zone
-            if entry.ready_at > 0 and now < entry.ready_at + self.settings.cold_time:
-                # Failure prevented: a restarted server looks idle and draws a flood that pushes it over.
-                if known.cold_until == 0:
-                    known.tokens_at = now
-                known.cold_until = entry.ready_at + self.settings.cold_time
-        self.forget_gone()
+            listed = roster.put(entry)
+            if known is not None:
+                self.note_start(now, known, listed)
+        if kind != ListKind.CHANGES and not more:
+            sweep = roster.end()
+            for known in self.servers.values():
+                if roster.get(known.id) is None:
+                    self.drop(known)
+            if sweep and roster.sweep():
+                self.actions.set_timer(self.settings.tick, TIMER_SWEEP << TOKEN_BITS)
         self.refill(now)
 
+    def note_start(self, now: int, srv: Server, entry: Listed) -> None:
+        """Takes note of what the list says of a server of which something is known."""
+        if srv.ready_at != entry.ready_at:
+            if srv.ejected:
+                self.readmit(srv)
+            srv.renew(entry)
+        srv.in_list = True
+        srv.cell, srv.zone = entry.cell, entry.zone
+        if entry.ready_at > 0 and now < entry.ready_at + self.settings.cold_time:
+            # Failure prevented: a restarted server looks idle and draws a flood that pushes it over.
+            if srv.cold_until == 0:
+                srv.tokens_at = now
+            srv.cold_until = entry.ready_at + self.settings.cold_time
+
     def request(
         self,
         now: int,
@@ -723,6 +784,11 @@
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
         if kind == TIMER_LIST:
             self.actions.watch(True)
+        elif kind == TIMER_SWEEP:
+            if self.roster.sweep():
+                self.actions.set_timer(self.settings.tick, TIMER_SWEEP << TOKEN_BITS)
+            else:
+                self.refill(now)
         elif kind == TIMER_HELD:
             r = self.requests.get(value)
             if r is not None and r.held:
@@ -995,36 +1061,35 @@
             self.readmit(srv)
         srv.member = False
 
-    def stretch(self, servers: list[Server]) -> list[Server]:
-        """This copy's part of a shuffle in which the machines of each kind lie evenly spread.
-
-        Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded
-        while others' fast ones stand idle.
-        """
-        n = len(servers)
-        servers.sort(key=lambda srv: (mix(srv.id, 0), srv.id))
-        kinds: dict[int, list[Server]] = {}
-        for srv in servers:
-            kinds.setdefault(srv.kind_id, []).append(srv)
-        places = []
-        for kind, alike in sorted(kinds.items()):
-            shift = mix(kind, 0) / 2**64
-            places += [((i + shift) / len(alike), srv.id, srv) for i, srv in enumerate(alike)]
-        order = [srv for _, _, srv in sorted(places, key=lambda place: place[:2])]
-        copies = self.settings.instances
-        start = self.settings.index % copies * n // copies
-        size, part = (n if n < 2 * SUBSET_LEAST else self.size), ceil(n / copies)
+    def subset_size(self, kinds: dict[int, Order[Listed]]) -> int:
+        """How many of these servers this copy uses."""
+        n = sum(map(len, kinds.values()))
+        part = ceil(n / self.settings.instances)
         if part > SUBSET_MOST:
             # Failure prevented: where copies are few, most of a large fleet is nobody's and stands idle.
-            size = min(SUBSET_BOUND, part)
-        return [order[i % n] for i in range(start, start + min(size, n))]
+            return min(SUBSET_BOUND, part)
+        return n if n < 2 * SUBSET_LEAST else self.size
 
     def wanted_size(self) -> int:
         return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
 
+    def known(self, now: int, entry: Listed) -> Server:
+        """What this copy knows of a listed server; from now on it learns."""
+        srv = self.servers.get(entry.id)
+        if srv is None:
+            average = self.kinds.setdefault(entry.kind, Average(1.0, PRIOR, SMOOTH_ALL))
+            srv = self.servers[entry.id] = Server(entry, average)
+            self.note_start(now, srv, entry)
+        return srv
+
     def forget_gone(self) -> None:
-        for key in [k for k, srv in self.servers.items() if not srv.in_list and srv.in_flight == 0]:
-            del self.servers[key]
+        """Drops what is known of servers that are gone, and of all but the latest former members."""
+        idle = [srv for srv in self.servers.values() if not srv.member and srv.in_flight == 0]
+        spare = len(idle) - SUBSET_FORMER
+        for srv in idle:
+            if spare > 0 or not srv.in_list:
+                del self.servers[srv.id]
+            spare -= 1
 
     def refill(self, now: int) -> None:
         """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
@@ -1033,17 +1098,22 @@
         within one, without a message; a new server gets its part as soon as it is listed, and a change of
         the list moves at most one further member for each kind of machine.
         """
-        listed = [srv for srv in self.servers.values() if srv.in_list]
-        self.size = self.wanted_size()
+        s, self.size = self.settings, self.wanted_size()
+        # Failure prevented: a subset over all zones has one member or none where calls should stay.
+        drawn = [
+            entry
+            for _, kinds in sorted(self.roster.orders.items())
+            for entry in stretch(self.roster, kinds, s.index, s.instances, self.subset_size(kinds))
+        ]
+        copies = s.instances * len(drawn) / max(1, len(self.roster))
+        if drawn == self.drawn and all(srv.member for srv in self.members):
+            # Nothing has changed for this copy, as in most changes of a large fleet.
+            self.controller.resize(len(self.members), copies)
+            return
         for srv in self.members:
             srv.member = False
-        self.members = []
-        if self.zoned:
-            # Failure prevented: a subset over all zones has one member or none where calls should stay.
-            for zone in sorted({srv.zone for srv in listed}):
-                self.members += self.stretch([srv for srv in listed if srv.zone == zone])
-        else:
-            self.members = self.stretch(listed)
+        self.drawn = drawn
+        self.members = [self.known(now, entry) for entry in drawn]
         for srv in self.members:
             srv.member = True
         for srv in [e for e in self.ejected if not e.member]:
@@ -1052,7 +1122,7 @@
             # Failure prevented: the list shrinks, and one server that works well takes all calls until it
             # is crowded, beside another that answers most of them.
             self.readmit(self.ejected[0])
-        copies = self.settings.instances * len(self.members) / max(1, len(listed))
+        self.forget_gone()
         self.controller.resize(len(self.members), copies)
         self.sort_members()
 
@@ -1148,6 +1218,9 @@
                 and m.cell == first.cell
             )
         ]
+        if not pool:
+            near = self.roster.alike(group, first.zone, first.cell, self.rng.random(), REPEAT_CHOICE)
+            pool = [self.known(now, entry) for entry in near if entry.id != first.id]
         return self.draw_two(now, pool)
 
     def is_silent(self, now: int, srv: Server) -> bool:
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -214,10 +214,14 @@
         worth of 0, while a request of it is open, and what is new gets a place that no open request has.
         """
 
-    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
+    ) -> None:
         """News of the servers, in order of version; a failed ask carries no entries.
 
-        From here on nothing new goes to a server that is not ready, or that a full list leaves out.
+        From here on nothing new goes to a server that is not ready, or that a full list leaves out. A large
+        full list may come in parts, in as many events with `more` true until the last: what a part names
+        counts at once, what the whole leaves out goes with the last part. Changes may come in between.
         """
 
     def request(
--- a/brackenladder/lab/modules.py
+++ b/brackenladder/lab/modules.py
@@ -38,7 +38,9 @@
     def start(self, now: int) -> None:
         """Nothing to begin with."""
 
-    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
+    ) -> None:
         if kind == ListKind.FAILED:
             return
         if kind != ListKind.CHANGES:
@@ -138,9 +140,11 @@
 class IgnoresDrains(Balancer):
     """Saboteur: a server once listed as ready stays so, whatever the list says later."""
 
-    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
+    ) -> None:
         kept = [e for e in entries if e.state == State.READY]
-        super().server_list(now, ListKind.CHANGES if kind == ListKind.FULL else kind, kept)
+        super().server_list(now, ListKind.CHANGES if kind == ListKind.FULL else kind, kept, more)
 
 
 class DropsRequests(Balancer):
@@ -159,8 +163,10 @@
 
     fresh: int | None = None
 
-    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
-        super().server_list(now, kind, entries)
+    def server_list(
+        self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
+    ) -> None:
+        super().server_list(now, kind, entries, more)
         for entry in entries:
             if entry.state == State.READY and entry.ready_at:
                 self.fresh = entry.server
--- a/brackenladder/order.py
+++ b/brackenladder/order.py
@@ -4,101 +4,155 @@
 servers come and go, and its shape follows from the keys alone: two copies that hold the same servers hold the
 same trie. Each inner node knows how many items are under it; a subtree with one item is that item.
 
-A change touches the nodes on one path, some twenty at 50,000 servers. Memory is about 250 bytes an item.
-Free of I/O, clock and randomness.
+A change touches the nodes on one path, some twenty at 50,000 servers. The nodes lie in arrays of numbers,
+about 50 bytes an item, and not in objects: the garbage collector would walk through hundreds of thousands of
+them, for a fifth of a second, in the middle of an event. Free of I/O, clock and randomness.
 """
 
 from __future__ import annotations
 
-from typing import Any, Generic, TypeVar
+from array import array
+from typing import Generic, TypeVar
 
 Item = TypeVar("Item")
 BITS = 64
+NOTHING = -(1 << 31)  # in place of a node where there is no item
+
+
+def mix(number: int, turn: int) -> int:
+    """A shuffle of the servers' numbers that is the same in every copy, another one for each turn."""
+    x = (number + turn * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+    return x ^ (x >> 31)
 
 
 class Order(Generic[Item]):
-    """Items by key, smallest first. Keys are whole numbers below 2**64, each at most once."""
+    """Items by key, smallest first. Keys are whole numbers below 2**64, each at most once.
 
-    __slots__ = ("root",)
+    A node is told by a number: an inner one by its place in the arrays, the leaf at place p by ~p.
+    """
+
+    __slots__ = ("root", "sides", "counts", "keys", "items", "free_nodes", "free_leaves")
 
     def __init__(self) -> None:
-        # An inner node is [items under it, those with a 0 at this bit, those with a 1], a leaf (key, item).
-        self.root: Any = None
+        self.root = NOTHING
+        self.sides = (
+            array("i"),
+            array("i"),
+        )  # of each inner node, what is under a 0 and under a 1 at its bit
+        self.counts = array("i")  # and how many items are under it
+        self.keys = array("Q")
+        self.items: list[Item | None] = []
+        self.free_nodes: list[int] = []  # places to be used again
+        self.free_leaves: list[int] = []
 
     def __len__(self) -> int:
-        return size(self.root)
+        return self.size(self.root)
 
     def __contains__(self, key: int) -> bool:
-        node, bit = self.root, BITS - 1
-        while type(node) is list:
-            node, bit = node[1 + (key >> bit & 1)], bit - 1
-        return node is not None and node[0] == key
+        return self.leaf(key) is not None
+
+    def leaf(self, key: int) -> int | None:
+        """The place of the leaf with this key."""
+        sides, node, bit = self.sides, self.root, BITS - 1
+        while node >= 0:
+            node, bit = sides[key >> bit & 1][node], bit - 1
+        return ~node if node != NOTHING and self.keys[~node] == key else None
+
+    def size(self, node: int) -> int:
+        """Items under a node."""
+        return self.counts[node] if node >= 0 else int(node != NOTHING)
 
     def add(self, key: int, item: Item) -> None:
         """Puts an item in; a KeyError if its key is taken, and then nothing has changed."""
         if key in self:
             raise KeyError(key)
-        leaf = (key, item)
-        holder: list[Any] = [0, self.root, None]
-        above, side, bit = holder, 1, BITS - 1
-        node = self.root
-        while type(node) is list:
-            node[0] += 1
-            above, side = node, 1 + (key >> bit & 1)
-            node, bit = node[side], bit - 1
-        if node is None:
-            above[side] = leaf
-        else:
-            while True:  # two leaves now: inner nodes down to the bit at which they part
-                mine, other = 1 + (key >> bit & 1), 1 + (node[0] >> bit & 1)
-                inner: list[Any] = [2, None, None]
-                above[side] = inner
-                if mine != other:
-                    inner[mine], inner[other] = leaf, node
-                    break
-                above, side, bit = inner, mine, bit - 1
-        self.root = holder[1]
+        sides, counts = self.sides, self.counts
+        above, side, node, bit = NOTHING, 0, self.root, BITS - 1
+        while node >= 0:
+            counts[node] += 1
+            above, side = node, key >> bit & 1
+            node, bit = sides[side][node], bit - 1
+        leaf = ~self.new_leaf(key, item)
+        if node == NOTHING:
+            self.hang(above, side, leaf)
+            return
+        other = self.keys[~node]
+        while True:  # two leaves now: inner nodes down to the bit at which they part
+            inner = self.new_node()
+            self.hang(above, side, inner)
+            above, side = inner, key >> bit & 1
+            if side != other >> bit & 1:
+                sides[side][inner], sides[1 - side][inner] = leaf, node
+                return
+            bit -= 1
 
     def remove(self, key: int) -> Item:
         """Takes the item with this key out and returns it; a KeyError if there is none."""
-        if key not in self:
+        place = self.leaf(key)
+        if place is None:
             raise KeyError(key)
-        holder: list[Any] = [0, self.root, None]
-        above, side, bit = holder, 1, BITS - 1
-        node = self.root
-        found: Item
-        while type(node) is list:
-            node[0] -= 1
-            if node[0] == 1:
-                # What stays is one leaf: it takes the place of the whole subtree.
-                found, above[side] = self.part(node, key)
-                break
-            above, side = node, 1 + (key >> bit & 1)
-            node, bit = node[side], bit - 1
+        sides, counts = self.sides, self.counts
+        above, side, node, bit = NOTHING, 0, self.root, BITS - 1
+        while node >= 0 and counts[node] > 2:
+            counts[node] -= 1
+            above, side = node, key >> bit & 1
+            node, bit = sides[side][node], bit - 1
+        # Of two leaves one stays, and takes the place of the inner nodes above it.
+        stays = NOTHING
+        while node >= 0:
+            self.free_nodes.append(node)
+            turn = key >> bit & 1
+            if sides[1 - turn][node] != NOTHING:
+                stays = sides[1 - turn][node]
+            node, bit = sides[turn][node], bit - 1
+        self.hang(above, side, stays)
+        item = self.items[place]
+        self.items[place] = None
+        self.free_leaves.append(place)
+        assert item is not None
+        return item
+
+    def hang(self, above: int, side: int, node: int) -> None:
+        """Puts a node under another, or at the top."""
+        if above == NOTHING:
+            self.root = node
         else:
-            found, above[side] = node[1], None
-        self.root = holder[1]
-        return found
-
-    def part(self, node: list[Any], key: int) -> tuple[Item, Any]:
-        """Of a subtree with two leaves: the item of this key, and the other leaf."""
-        leaves: list[Any] = []
-        gather(node, 0, 2, leaves)
-        first, second = leaves
-        return (first[1], second) if first[0] == key else (second[1], first)
+            self.sides[side][above] = node
+
+    def new_leaf(self, key: int, item: Item) -> int:
+        if self.free_leaves:
+            place = self.free_leaves.pop()
+            self.keys[place], self.items[place] = key, item
+            return place
+        self.keys.append(key)
+        self.items.append(item)
+        return len(self.items) - 1
+
+    def new_node(self) -> int:
+        """An inner node over two items, with nothing under it yet."""
+        if self.free_nodes:
+            node = self.free_nodes.pop()
+            self.sides[0][node] = self.sides[1][node] = NOTHING
+            self.counts[node] = 2
+            return node
+        for column, value in ((self.sides[0], NOTHING), (self.sides[1], NOTHING), (self.counts, 2)):
+            column.append(value)
+        return len(self.counts) - 1
 
     def rank(self, key: int) -> int:
         """How many items have a smaller key."""
-        below = 0
+        below, (zero, one) = 0, self.sides
         node, bit = self.root, BITS - 1
-        while type(node) is list:
+        while node >= 0:
             if key >> bit & 1:
-                below += size(node[1])
-                node = node[2]
+                below += self.size(zero[node])
+                node = one[node]
             else:
-                node = node[1]
+                node = zero[node]
             bit -= 1
-        return below + (node is not None and node[0] < key)
+        return below + (node != NOTHING and self.keys[~node] < key)
 
     def window(self, start: int, count: int) -> list[Item]:
         """`count` items from rank `start` on, going on at the first after the last; each at most once."""
@@ -106,31 +160,32 @@
         if total == 0:
             return []
         start, count = start % total, min(count, total)
-        leaves: list[Any] = []
-        gather(self.root, start, count, leaves)
-        if len(leaves) < count:
-            gather(self.root, 0, count, leaves)
-        return [leaf[1] for leaf in leaves]
-
-
-def size(node: Any) -> int:
-    """Items under a node."""
-    if node is None:
-        return 0
-    count: int = node[0] if type(node) is list else 1
-    return count
-
-
-def gather(node: Any, skip: int, most: int, out: list[Any]) -> None:
-    """Adds leaves to `out`, in order and after the first `skip`, until it holds `most`."""
-    if node is None or len(out) >= most:
-        return
-    if type(node) is not list:
-        if skip == 0:
-            out.append(node)
-        return
-    left = size(node[1])
-    if skip < left:
-        gather(node[1], skip, most, out)
-        skip = left
-    gather(node[2], skip - left, most, out)
+        found: list[Item] = []
+        self.gather(start, count, found)
+        if len(found) < count:
+            self.gather(0, count, found)
+        return found
+
+    def gather(self, skip: int, most: int, out: list[Item]) -> None:
+        """Adds items to `out`, in order and after the first `skip`, until it holds `most`."""
+        zero, one = self.sides
+        items, counts = self.items, self.counts
+        node, later = self.root, []
+        while node >= 0:  # down to the first that is wanted
+            left = zero[node]
+            size = counts[left] if left >= 0 else int(left != NOTHING)
+            if skip < size:
+                later.append(one[node])
+                node = left
+            else:
+                skip -= size
+                node = one[node]
+        while len(out) < most:
+            while node >= 0:
+                later.append(one[node])
+                node = zero[node]
+            if node != NOTHING:
+                out.append(items[~node])  # type: ignore[arg-type]  # a leaf in use has an item
+            if not later:
+                return
+            node = later.pop()
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -8,8 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenladder.balance import mix
-from brackenladder.order import Order, size
+from brackenladder.order import Order, mix
 
 # Few different high bits, so that keys share long prefixes as well.
 KEYS = st.one_of(st.integers(0, 63), st.integers(0, 2**64 - 1), st.integers(0, 63).map(lambda k: k << 58))
@@ -50,19 +49,28 @@
         roundabout.add(key, key)
     for key in others - keys:
         roundabout.remove(key)
-    assert straight.root == roundabout.root
+    assert shape(straight, straight.root) == shape(roundabout, roundabout.root)
+    # Places are used again: no more of them than were ever needed at one time.
+    assert len(roundabout.items) <= len(keys | others)
+    assert len(roundabout.counts) - len(roundabout.free_nodes) == len(straight.counts)
 
 
-def depth(node) -> int:
-    return 1 + max(depth(node[1]), depth(node[2])) if type(node) is list else 0
+def shape(order: Order, node: int):
+    if node >= 0:
+        return order.counts[node], shape(order, order.sides[0][node]), shape(order, order.sides[1][node])
+    return order.items[~node] if order.size(node) else None
+
+
+def depth(order: Order, node: int) -> int:
+    return 1 + max(depth(order, side[node]) for side in order.sides) if node >= 0 else 0
 
 
 def test_fifty_thousand_servers_lie_on_short_paths() -> None:
     order: Order[int] = Order()
     for server in range(50_000):  # the least random numbers there are
         order.add(mix(server, 0), server)
-    assert size(order.root) == 50_000
-    assert depth(order.root) <= 48
+    assert len(order) == 50_000
+    assert depth(order, order.root) <= 48
     # Windows that start evenly spaced by rank cover all servers to within one.
     copies, width = 1000, 120
     cover = Counter(s for c in range(copies) for s in order.window(c * len(order) // copies, width))
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,220 @@
+"""The subset of a copy: against a plain sort, its evenness and stability, and lists that come in parts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support import BASE, SEC, Recorder, balancer
+
+from brackenladder.balance import SUBSET_BOUND, SUBSET_FORMER, SUBSET_MOST, Balancer, stretch
+from brackenladder.interface import Effect, Group, ListKind, Outcome, ServerEntry, State
+from brackenladder.order import mix
+from brackenladder.roster import EVERYWHERE, SWEEP, Roster
+
+LINES = st.lists(
+    st.tuples(st.integers(1, 40), st.integers(0, 3), st.integers(0, 2), st.booleans()), max_size=60
+)
+
+
+def entries_of(lines) -> list[ServerEntry]:
+    return [
+        ServerEntry(server, State.READY if ready else State.DRAINING, cell=kind, zone=zone, kind=kind)
+        for server, kind, zone, ready in lines
+    ]
+
+
+def sorted_stretch(servers: dict[int, ServerEntry], index: int, copies: int, size: int) -> list[int]:
+    """The same by a sort of all servers: what the design says, with nothing clever."""
+    n = len(servers)
+    kinds: dict[int, list[int]] = {}
+    for server in sorted(servers, key=lambda s: mix(s, 0)):
+        kinds.setdefault(servers[server].kind, []).append(server)
+    places = [
+        ((i + mix(kind, 0) / 2**64) / len(alike), server)
+        for kind, alike in kinds.items()
+        for i, server in enumerate(alike)
+    ]
+    order = [server for _, server in sorted(places)]
+    start = index % copies * n // copies
+    return [order[i % n] for i in range(start, start + min(size, n))]
+
+
+def take(roster: Roster, held: dict[int, ServerEntry], entries: list[ServerEntry]) -> None:
+    for entry in entries:
+        if entry.state == State.READY:
+            held[entry.server] = entry
+            roster.put(entry)
+        else:
+            held.pop(entry.server, None)
+            roster.remove(entry.server)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(LINES, st.lists(LINES, max_size=3), LINES, st.integers(1, 9), st.integers(1, 30))
+def test_a_stretch_is_that_of_a_sorted_list(first, whole, later, copies, size):
+    """Changes, then whole lists in parts, then changes while what was left out is still being swept."""
+    roster, held = Roster(False, frozenset({Group.CELL})), {}
+    take(roster, held, entries_of(first))
+    if whole:
+        named: dict[int, ServerEntry] = {}
+        roster.begin()
+        for part in whole:
+            take(roster, named, entries_of(part))
+        held = named
+        if roster.end():
+            while roster.sweep():
+                pass
+    take(roster, held, entries_of(later))
+    assert len(roster) == len(held) == len(roster.servers) and roster.stale == 0
+    for server in range(1, 41):
+        assert (roster.get(server) is not None) == (server in held)
+    if held:
+        for index in range(copies):
+            found = sorted(s.id for s in stretch(roster, roster.orders[EVERYWHERE], index, copies, size))
+            assert found == sorted(sorted_stretch(held, index, copies, size))
+        cell = next(iter(held.values())).cell
+        alike = {s.id for s in roster.alike(Group.CELL, 0, cell, 0.5, 100)}
+        assert alike == {e.server for e in held.values() if e.cell == cell}
+    for server in list(held):
+        roster.remove(server)
+    assert not roster.orders and not roster.index and len(roster) == 0  # nothing stays of what has gone
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.integers(30, 400), st.integers(2, 40), st.integers(1, 4), st.integers(0, 2**32))
+def test_subsets_are_even_and_stable(n, copies, kinds, seed):
+    """Coverage to within one for all servers; a change moves one member of a kind beside the changed one."""
+    rng = Random(seed)
+    roster = Roster(False, frozenset())
+    for server in rng.sample(range(1 << 40), n):
+        roster.put(ServerEntry(server, kind=server % kinds))
+    size = min(n, 24)
+
+    def subsets() -> list[set[int]]:
+        return [
+            {s.id for s in stretch(roster, roster.orders[EVERYWHERE], c, copies, size)} for c in range(copies)
+        ]
+
+    before = subsets()
+    for change in range(6):
+        server = rng.choice(list(roster.servers)) if change % 2 else rng.randrange(1 << 41)
+        if change % 2:
+            roster.remove(server)
+        else:
+            roster.put(ServerEntry(server, kind=server % kinds))
+        after = subsets()
+        cover = Counter(s for members in after for s in members)
+        counts = [cover.get(s, 0) for s in roster.servers]
+        assert max(counts) - min(counts) <= 1
+        assert all(
+            len(a - b) <= 1 + kinds and len(a) == min(size, len(roster))
+            for a, b in zip(after, before, strict=True)
+        )
+        before = after
+
+
+def test_rolling_deploys_reach_every_server_and_a_copy_s_state_stays_bounded():
+    """Thousands of servers, each taken out and put back: what a copy knows is of members and a few more."""
+    node, rec = balancer([ServerEntry(i) for i in range(1, 3001)], instances=100, index=40)
+    now, taken = SEC, 0
+    for first in range(1, 3001, 50):
+        for state in (State.DRAINING, State.READY):
+            now += 1000
+            started = now if state == State.READY else 0
+            batch = [ServerEntry(i, state, ready_at=started) for i in range(first, first + 50)]
+            node.server_list(now, ListKind.CHANGES, batch)
+            gone = {e.server for e in batch if e.state != State.READY}
+            assert not gone & {m.id for m in node.members}
+            taken += 1
+            node.request(now, taken, 0, 0, 2 * SEC, False)
+            for _, request, server, _ in rec.take("send"):
+                assert server not in gone
+                node.outcome(now + 500, request, 0, server, Outcome.OK, 500, True, ())
+    assert len(node.roster) == 3000 and len(node.members) == 30
+    assert len(node.servers) <= SUBSET_BOUND + SUBSET_FORMER
+
+
+def test_a_whole_list_in_parts_replaces_every_server():
+    """The hardest list: no name stays. Old ones serve until the last part and never after it."""
+    old, new = range(1, 4001), range(10_001, 14_001)
+    node, rec = balancer([ServerEntry(i) for i in old], instances=200, index=7)
+    parts = [[ServerEntry(i) for i in new[k : k + 500]] for k in range(0, 4000, 500)]
+    request = 0
+
+    def sent_to(now: int) -> int:
+        nonlocal request
+        request += 1
+        node.request(now, request, 0, 0, 2 * SEC, False)
+        ((_, _, server, _),) = rec.take("send")
+        node.outcome(now + 400, request, 0, server, Outcome.OK, 20_000, True, ())
+        return server
+
+    for i, part in enumerate(parts):
+        more = i + 1 < len(parts)
+        node.server_list(SEC + i * 1000, ListKind.FULL, part, more)
+        timers = rec.take("set_timer")
+        assert len(node.members) >= 4
+        for turn in range(20):
+            server = sent_to(SEC + i * 1000 + turn)
+            assert more or server in new
+    steps = 0
+    while timers:  # the sweep goes on between other events
+        ((_, _, token),) = timers
+        steps += 1
+        node.timer(2 * SEC + steps * 1000, token)
+        timers = rec.take("set_timer")
+        assert all(sent_to(2 * SEC + steps * 1000 + turn) in new for turn in range(5))
+    assert steps >= 4000 // SWEEP and len(node.roster) == len(node.roster.servers) == 4000
+    assert len(node.members) == SUBSET_MOST or len(node.members) < 8
+
+
+def test_a_whole_list_in_parts_may_be_followed_by_another_before_its_sweep():
+    node, rec = balancer([ServerEntry(i) for i in range(1, 2001)], instances=50)
+    node.server_list(SEC, ListKind.FULL, [ServerEntry(i) for i in range(1501, 2001)])
+    (timer,) = rec.take("set_timer")
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(5), ServerEntry(1600, State.GONE)])
+    node.server_list(SEC, ListKind.FULL, [ServerEntry(i) for i in range(1501, 1701)], True)
+    node.server_list(SEC, ListKind.FULL, [ServerEntry(i) for i in range(1701, 1801)])
+    timers = [timer, *rec.take("set_timer")]
+    for _ in range(50):
+        for _, _, token in timers:
+            node.timer(2 * SEC, token)
+        timers = rec.take("set_timer")
+    assert set(node.roster.servers) == set(range(1501, 1801))
+    assert {m.id for m in node.members} <= set(range(1501, 1801))
+
+
+def test_a_change_of_what_counts_lays_the_servers_out_anew():
+    """Zones begin to count with new settings, and a class with repeats within a cell."""
+    keyed = BASE.classes[1].__class__(
+        Effect.KEYED, aim=SEC, deadline=3 * SEC, worth=1, group=Group.ZONE, window=2 * SEC
+    )
+    node, rec = balancer([ServerEntry(i, zone=i % 3) for i in range(1, 61)], instances=10, classes=(keyed,))
+    changed = BASE.__class__(**{**BASE.__dict__, "cross_zone_price": 0.05, "instances": 10})
+    node.new_settings(SEC, changed)
+    assert len(node.roster) == 60 and {m.zone for m in node.members} == {0, 1, 2}
+    assert node.roster.groups == {Group.ZONE, Group.CELL}
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(i, State.GONE) for i in range(1, 61)])
+    assert not node.roster.orders and not node.roster.index and not node.members
+
+
+def test_the_same_events_lead_to_the_same_members():
+    def play() -> list[list[int]]:
+        rec = Recorder()
+        node = Balancer(BASE, 3, rec)  # type: ignore[arg-type]
+        node.start(0)
+        rng, told = Random(5), []
+        for step in range(200):
+            entries = [
+                ServerEntry(rng.randrange(300), State(rng.randrange(3)), kind=rng.randrange(3))
+                for _ in range(9)
+            ]
+            kind = ListKind.FULL if step % 40 == 39 else ListKind.CHANGES
+            node.server_list(step, kind, entries)
+            told.append([m.id for m in node.members])
+        return told
+
+    assert play() == play()
