Zones: a judge of own, near and far, spill with a limit, and a way back

Need: installations with several zones want tiers of preference, a stated limit on spill, refusal of what nobody bears by worth, a panic rule and a gentle return. Until now calls left a zone as far as its own servers were slower, without any limit.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -10,27 +10,47 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from brackenladder.net.config import Config, ConfigError, load
 from brackenladder.net.node import Node
 
+if TYPE_CHECKING:
+    from brackenladder.operation import Operation
 
-async def serve(config: Config) -> None:
+
+def wishes(environ: Mapping[str, str]) -> Operation | None:
+    """The operators' file, if LB_OPERATOR names one. A ConfigError if it cannot be used."""
+    path = environ.get("LB_OPERATOR")
+    if not path:
+        return None
+    # Here, because a node without such a file does not need the packages that read it.
+    from brackenladder.operation import OperationError, load
+
+    try:
+        return load(path)
+    except OperationError as e:
+        raise ConfigError(f"LB_OPERATOR: {e}") from None
+
+
+async def serve(config: Config, operation: Operation | None) -> None:
     """Runs the node until SIGTERM, and to the last answer it owes. SIGHUP reads the configuration anew."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)  # a second one changes nothing
-    node = Node(config, loop)
+    node = Node(config, loop, operation)
 
     def failed(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         node.log_lines.line(f"{context.get('message')}: {context.get('exception')!r}")
 
     def reload() -> None:
         try:
-            node.reload(load(os.environ, node.config))
+            operation = wishes(os.environ)
+            node.reload(load(os.environ, node.config), operation)
         except ConfigError as e:
             node.keep(str(e))
 
@@ -47,12 +67,12 @@
 def run_node() -> int:
     """Starts a node; 2 if it was told what it cannot start with."""
     try:
-        config = load(os.environ)
+        config, operation = load(os.environ), wishes(os.environ)
     except ConfigError as e:
         print(f"brackenladder: {e}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, operation))
     except OSError as e:
         print(f"brackenladder: cannot listen: {e.strerror}", file=sys.stderr)
         return 1
@@ -63,6 +83,9 @@
     """The node or, with any other command, the command line, whose packages the node does without."""
     if sys.argv[1:] in ([], ["node"]):
         return run_node()
+    if len(sys.argv) == 3 and sys.argv[1] == "--operator":
+        os.environ["LB_OPERATOR"] = sys.argv[2]
+        return run_node()
     try:
         from brackenladder.cli.main import cli
     except ModuleNotFoundError as e:
--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -27,6 +27,9 @@
     ServerEntry,
     Settings,
     State,
+    Verdict,
+    ZoneJudge,
+    ZoneState,
 )
 from brackenladder.order import Order, mix
 from brackenladder.roster import Listed, Roster
@@ -539,8 +542,17 @@
 class Balancer:
     """One copy: the decisions of one node, from its own traffic alone."""
 
-    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+    def __init__(
+        self, settings: Settings, seed: int, actions: Actions, judge: ZoneJudge | None = None
+    ) -> None:
         self.settings = s = settings
+        self.judge = judge  # where operators gave rules for zones
+        self.verdict = Verdict(())
+        self.judged_at = 0
+        self.fair = 0.0  # calls a second that a warm server of this zone bears from this copy
+        self.asked: list[int] = [0] * len(s.classes)  # since then, by class
+        self.sent: dict[int, int] = {}  # and attempts, by zone
+        self.pools: dict[int, list[Server]] = {}  # members that may be drawn, by zone
         self.actions = actions
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}  # members, lately members, and those with a call out
@@ -563,7 +575,7 @@
         self.near_ratio = 0.5  # mean latency over what the class can bear, for servers of this zone...
         self.far_ratio = 0.5  # ...and of the others
         self.best_ratio = 0.0
-        self.zoned = s.cross_zone_price >= ZONE_PRICE
+        self.zoned = judge is not None or s.cross_zone_price >= ZONE_PRICE
         self.roster = Roster(self.zoned, groups_of(s))
         self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
         self.spill_least = self.spill
@@ -607,14 +619,20 @@
                 self.tenants[i].at = now
             self.tenants[i].rate = t.quota / settings.instances
         del self.tenants[len(settings.tenants) :]
-        if self.zoned != (settings.cross_zone_price >= ZONE_PRICE):
+        self.asked += [0] * (len(settings.classes) - len(self.asked))
+        if self.zoned != (self.judge is not None or settings.cross_zone_price >= ZONE_PRICE):
             self.zoned = not self.zoned
             self.spill = self.spill_least = 0.0 if self.zoned else 1.0
-        if self.roster.zoned != self.zoned or not groups_of(settings) <= self.roster.groups:
-            self.roster = self.roster.laid_out(self.zoned, groups_of(settings) | self.roster.groups)
+        groups = groups_of(settings) | self.roster.groups
+        if self.roster.zoned != self.zoned or groups != self.roster.groups:
+            self.roster = self.roster.laid_out(self.zoned, groups)
         self.rank_classes()
         self.refill(now)
 
+    def new_zones(self, now: int, judge: ZoneJudge | None) -> None:
+        self.judge, self.verdict = judge, Verdict(())
+        self.new_settings(now, self.settings)
+
     def server_list(
         self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
     ) -> None:
@@ -683,6 +701,9 @@
         if c.late_worth <= 0 and c.aim - 2 * s.tick < useful:
             # Late work is waste: an answer after the aim is worth nothing here, so nothing waits for it.
             useful = max(s.tick, c.aim - 2 * s.tick)
+        self.asked[klass] += 1
+        if self.judge is not None and now - self.judged_at >= WINDOW:
+            self.ask_judge(now, self.judge)
         r = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
         if not whole:
             r.coming = max(1, useful)
@@ -698,7 +719,14 @@
             # what is worth more, a tenant beyond its share twice that.
             over, clear = self.over_share(now, tenant)
             spare = self.rank[klass] + 2 * over
-            if clear and self.rng.random() < self.shed or not ctl.admits(now, spare):
+            beyond = self.verdict.refuse  # what no zone can bear
+            if (
+                klass < len(beyond)
+                and self.rng.random() < beyond[klass]
+                or clear
+                and self.rng.random() < self.shed
+                or not ctl.admits(now, spare)
+            ):
                 self.blocked += 1
                 self.finish(r, refuse=True)
                 return
@@ -816,6 +844,7 @@
             "spill": self.spill,
             "shed": self.shed,
             "lost": c.lost,
+            **(self.judge.figures() if self.judge is not None else {}),
         }
 
     # ---- a request's life -----------------------------------------------------------------------------
@@ -844,6 +873,7 @@
         if srv.in_flight == 0:
             srv.quiet_since = now
         srv.in_flight += 1
+        self.sent[srv.zone] = self.sent.get(srv.zone, 0) + 1
         if not srv.aside:
             self.controller.note(now, 1)
         if srv.cold_until <= now:
@@ -998,7 +1028,7 @@
 
     def eject(self, now: int, srv: Server, silent: bool) -> None:
         # Failure prevented: a drained server's last calls fail, it is ejected and later gets a trial call.
-        if not srv.member:
+        if not srv.member or self.verdict.panic:
             return
         if not srv.ejected:
             if len(self.ejected) + 1 > EJECT_SHARE * len(self.members):
@@ -1039,7 +1069,7 @@
         self.warm_sent = 0
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
-        if self.zoned and self.near:
+        if self.zoned and self.near and not self.verdict.shares:
             # Failure prevented: one zone's servers drown while another's stand idle. Unvisited, the other
             # zones are taken to do as well as this one did at its best.
             if self.near_ratio < self.best_ratio or self.best_ratio == 0:
@@ -1136,8 +1166,11 @@
                 # Failure prevented: calls stuck on a silent member fill the limit for all the others.
                 self.controller.in_flight += -m.in_flight if aside else m.in_flight
                 m.aside = aside
-        self.near = [m for m in self.able if m.zone == self.settings.zone]
-        if self.zoned and self.able:
+        self.pools = {}
+        for m in self.able:
+            self.pools.setdefault(m.zone, []).append(m)
+        self.near = self.pools.get(self.settings.zone, [])
+        if self.zoned and self.able and not self.verdict.shares:
             # Failure prevented: a zone with few servers, or few that are well, takes all calls of the one
             # node beside it. At least what exceeds the zone's part of all leaves it, were all nodes alike.
             part = len(self.near) * self.settings.instances / len(self.able)
@@ -1157,12 +1190,52 @@
                     trial.trial_out = True
                     trial.trial_at = now + EJECT_TIME
                     return trial
+        if self.verdict.shares:
+            return self.draw_by_zone(now, self.verdict)
         if self.zoned and self.near and self.rng.random() >= self.spill:
             srv = self.draw_two(now, self.near)
             if srv is not None:
                 return srv
         return self.draw_two(now, self.able)
 
+    def ask_judge(self, now: int, judge: ZoneJudge) -> None:
+        """Has the zones judged anew, from what this copy has seen since the last time."""
+        s, ctl = self.settings, self.controller
+        self.judged_at = now
+        unwell: dict[int, list[bool]] = {}
+        for m in self.members:
+            unwell.setdefault(m.zone, []).append(m.ejected or m.fail_rate > EJECT_RATE)
+        state = ZoneState(
+            ready=self.roster.ready,
+            warm=self.roster.warm(now, s.cold_time, s.cold_share),
+            unwell={zone: sum(bad) / len(bad) for zone, bad in unwell.items()},
+            asked=self.asked,
+            sent=self.sent,
+            cost=self.mean_rtt,
+            worth=[c.worth for c in s.classes],
+            copies=s.instances,
+            well=ctl.sample_rtt <= 1 and ctl.lost < LOST_MOST,
+        )
+        self.verdict = judge.judge(now, state)
+        # Shared by all copies of the zone: each has its part of the servers.
+        self.fair = self.verdict.rate * self.roster.ready.get(s.zone, 0) / len(unwell.get(s.zone, "1"))
+        self.asked, self.sent = [0] * len(self.asked), {}
+        if self.verdict.panic:
+            for srv in list(self.ejected):
+                self.readmit(srv)
+
+    def draw_by_zone(self, now: int, verdict: Verdict) -> Server | None:
+        """One zone by the verdict's parts; where it has nobody for the call, the others in order."""
+        zones, shares = zip(*verdict.shares, strict=True)
+        (first,) = self.rng.choices(zones, shares)
+        # Failure prevented: what a limit keeps out of a zone comes there as a second choice.
+        others = [zone for zone in zones if zone != first and not verdict.refuse]
+        for zone in (first, *others):
+            srv = self.draw_two(now, self.pools.get(zone, []))
+            if srv is not None:
+                return srv
+        return None
+
     def draw_two(self, now: int, pool: list[Server]) -> Server | None:
         n = len(pool)
         if n == 0:
@@ -1243,7 +1316,8 @@
             return True
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        srv.tokens = min(1.0, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
+        rate = max(self.warm_rate, self.fair if srv.zone == s.zone else 0.0)
+        srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 import click
@@ -20,19 +21,39 @@
 
 
 @cli.command()
-def node() -> None:
+@click.option(
+    "--operator", type=click.Path(dir_okay=False), help="The operators' file, in place of LB_OPERATOR."
+)
+def node(operator: str | None) -> None:
     """Run one node, configured by LB_CONFIG and the other LB_ variables."""
+    if operator is not None:
+        os.environ["LB_OPERATOR"] = operator
     from brackenladder.__main__ import run_node
 
     sys.exit(run_node())
 
 
 @cli.command()
-@click.argument("config", type=click.Path(dir_okay=False))
-def check(config: str) -> None:
-    """Read a node's configuration file and say what is wrong with it."""
+@click.argument("config", type=click.Path(dir_okay=False), required=False)
+@click.option(
+    "--operator", type=click.Path(dir_okay=False), help="The operators' file, as LB_OPERATOR names it."
+)
+def check(config: str | None, operator: str | None) -> None:
+    """Read a node's configuration file, or the operators' file, and say what is wrong with it."""
+    from brackenladder import operation
     from brackenladder.net.config import ConfigError, load
 
+    if operator is not None:
+        try:
+            tables = [name for name in ("zones",) if getattr(operation.load(operator), name) is not None]
+        except operation.OperationError as e:
+            click.echo(str(e), err=True)
+            sys.exit(2)
+        click.echo(f"{operator}: good. It switches on: {', '.join(tables) or 'nothing'}.")
+    if config is None:
+        if operator is None:
+            raise click.UsageError("name a configuration file, or --operator FILE")
+        return
     try:
         found = load({"LB_CONFIG": config})
     except ConfigError as e:
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Protocol
@@ -159,6 +159,43 @@
     ready_at: int = 0  # when it last started; 0 = long ago
 
 
+@dataclass(frozen=True)
+class ZoneState:
+    """What one copy sees of the zones. Counts are of the time since the last judgement."""
+
+    ready: Mapping[int, int]  # servers in the list, by zone
+    warm: Mapping[int, float]  # how many warm servers they are as good as
+    unwell: Mapping[int, float]  # part of this copy's members there that fail or are avoided
+    asked: Sequence[int]  # requests that came, by class
+    sent: Mapping[int, int]  # attempts, by zone
+    cost: Sequence[float]  # of a call, by class, in any unit
+    worth: Sequence[float]
+    copies: int
+    well: bool  # latency is within target and few calls are lost
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Which zones take this copy's calls until the next verdict, and what is refused at once."""
+
+    shares: tuple[tuple[int, float], ...]  # zones in order of preference, each with its part of the calls
+    refuse: tuple[float, ...] = ()  # the part of each class that nobody can bear; empty: nothing
+    panic: bool = False  # so few servers look well that none is avoided
+    rate: float = (
+        0.0  # calls a second that a warm server of the own zone bears from a copy that has all of it
+    )
+
+
+class ZoneJudge(Protocol):
+    """Decides between zones; see `brackenladder.zones`."""
+
+    def judge(self, now: int, state: ZoneState) -> Verdict:
+        """What holds from now on."""
+
+    def figures(self) -> dict[str, float]:
+        """For operators."""
+
+
 class Actions(Protocol):
     """What a Balancer asks of its host. Calls take effect at the `now` of the event being handled."""
 
@@ -214,6 +251,9 @@
         worth of 0, while a request of it is open, and what is new gets a place that no open request has.
         """
 
+    def new_zones(self, now: int, judge: ZoneJudge | None) -> None:
+        """Other rules for zones, or none: from the next request on they hold. What was learned stays."""
+
     def server_list(
         self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
     ) -> None:
--- a/brackenladder/lab/claims.py
+++ b/brackenladder/lab/claims.py
@@ -41,6 +41,7 @@
     members = [f"class.{c.name}" for c in s.classes]
     members += [f"tenant.{t.name}" for t in s.tenants]
     members += [f"zone.{z.name}" for z in s.zones]
+    out += [f"zone.{z.name}.crossed" for z in s.zones]
     return out + [f"{member}.{base}" for member in members for base in BY_ROWS]
 
 
@@ -56,7 +57,7 @@
         return
     from brackenladder.lab.measures import BY_ROWS
 
-    if base.rpartition(".")[2] not in BY_ROWS or base.startswith("rule."):
+    if base.rpartition(".")[2] not in (*BY_ROWS, "crossed") or base.startswith("rule."):
         raise ValueError(f"{base!r} is of the whole day and takes no @A:B")
     start, colon, end = span.partition(":")
     try:
--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -57,6 +57,7 @@
         self.max_open = s.platform.max_open
         self.second_copies = s.platform.second_copies
         self.report_delay = 0
+        self.crossed: dict[tuple[int, int], int] = {}  # attempts from other zones, by second and zone
         self.zone_silent = [False] * len(s.zones)
         self.ids = 0
         self.spent_work = self.useful_work = 0.0
@@ -234,6 +235,7 @@
             useful_work=self.useful_work,
             events=self.events,
             marks=self.script.marks,
+            crossed=self.crossed,
         )
 
 
--- a/brackenladder/lab/faults.py
+++ b/brackenladder/lab/faults.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from brackenladder.lab.directory import Directory
 from brackenladder.lab.scenario import Fault
 from brackenladder.lab.stage import Stage, StagedServer
@@ -222,11 +224,16 @@
         stage = self.stage
         zone = self.zone_of(f)
         assert zone is not None  # Fault demands one
-        stage.zone_silent[zone] = True
+        if f.rounds > 1:
+            again = msgspec.structs.replace(f, rounds=f.rounds - 1)
+            length = int(f.seconds * SECOND)
+            stage.clock.after(2 * length, self.lose_again, again, name, stream, end + 2 * length)
         hit = 0
-        for node in stage.staged[0].nodes:
-            if node.zone == zone and node.alive:
-                stage.stop_node(node, end - stage.clock.now)
+        if f.nodes:
+            stage.zone_silent[zone] = True
+            for node in stage.staged[0].nodes:
+                if node.zone == zone and node.alive:
+                    stage.stop_node(node, end - stage.clock.now)
         for tier in stage.staged:
             lost = [s for s in tier.servers if s.zone == zone and s.machine.up]
             hit += len(lost)
@@ -240,7 +247,12 @@
         stage.clock.at(end, self.zone_back, zone)
         return hit
 
+    def lose_again(self, f: Fault, name: str, stream: Stream, end: int) -> None:
+        self.zone_loss(f, name, stream, end)
+
     def power_on(self, server: StagedServer) -> None:
+        if not server.silent:
+            return
         server.silent = False
         server.begin()
 
--- a/brackenladder/lab/measures.py
+++ b/brackenladder/lab/measures.py
@@ -200,6 +200,15 @@
         mean = sum(used) / len(used)
         return max(used) / mean if mean else 1.0
 
+    def crossed(self, zone: int, first: float, last: float) -> float:
+        """Attempts from nodes of other zones, as a part of what a zone's servers can do when all are well."""
+        world = self.tally.world
+        tier = world.tiers[0]
+        work = sum(c.share * c.work for c in world.classes) * tier.work
+        bears = sum(b.cores * b.speed for b in tier.builds[: tier.initial] if b.zone == zone) * SECOND / work
+        came = sum(n for (at, z), n in self.tally.crossed.items() if z == zone and first <= at < last)
+        return came / max(last - first, 1e-9) / bears if bears else 0.0
+
     def value(self, name: str) -> float:
         """A figure by its name; a ValueError for one that is not known. `@A:B` keeps seconds A to B."""
         base, at, span = name.partition("@")
@@ -214,6 +223,9 @@
             "zone": [x.name for x in s.zones],
         }
         group, dot, rest = base.partition(".")
+        if group == "zone" and base.endswith(".crossed"):
+            first, last = (float(x) for x in span.split(":")) if at else (s.warm_s, s.seconds)
+            return self.crossed([z.name for z in s.zones].index(rest.removesuffix(".crossed")), first, last)
         if group == "rule" and rest in RULES:
             return float(self.tally.ledger.counts[rest])
         if group in members and dot:
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from brackenladder.interface import NEVER_RAN, Effect, Group, ListKind, Outcome, State
+from brackenladder.zones import Judge
 
 if TYPE_CHECKING:
     from brackenladder.lab.emulator import Emulator
@@ -136,6 +137,10 @@
         self.balancer = emu.module(settings, seed, self)
         now = emu.kernel.now
         self.guard("start", now)
+        zones = emu.world.scenario.operator.zones
+        if zones is not None and hasattr(self.balancer, "new_zones"):
+            names = [z.name for z in emu.world.scenario.zones]
+            self.guard("new_zones", now, Judge(zones.rules(names[self.zone], names.index), self.zone))
         directory = emu.tiers[self.tier].directory
         self.take(directory.as_of(self.version), ListKind.CACHED)
         directory.catch_up(self)
@@ -296,6 +301,9 @@
         """Puts an attempt on a connection: one that is idle, or a new one."""
         emu, server = self.emu, attempt.server
         now = emu.kernel.now
+        if self.tier == 0 and server.zone != self.zone:
+            place = ((now - emu.epoch) // 1_000_000, server.zone)
+            emu.crossed[place] = emu.crossed.get(place, 0) + 1
         delay = emu.delay(self.zone, server.zone)
         pool = self.pools.get(server)
         if pool is None:
--- a/brackenladder/lab/scenario.py
+++ b/brackenladder/lab/scenario.py
@@ -15,6 +15,8 @@
 import msgspec
 from msgspec import Meta, field
 
+from brackenladder.operation import NOTHING, Operation
+
 Figure = float | tuple[float, float]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
@@ -263,6 +265,8 @@
     every_s: Positive = 2.0  # pauses: one every so long; neighbour: on, then off, for so long each
     batch: Annotated[float, Meta(gt=0, le=1)] = 0.25  # restarts: so large a part at a time
     down_s: Annotated[float, Meta(ge=0)] = 1.0  # restarts: so long until the process is back
+    nodes: bool = True  # zone_loss: its nodes are lost as well, and their clients go to others
+    rounds: Annotated[int, Meta(ge=1)] = 1  # zone_loss: so many times, with as long between them
 
     def __post_init__(self) -> None:
         if sum(x is not None for x in (self.part, self.count, self.pick)) > 1:
@@ -305,6 +309,7 @@
     platform: Platform = field(default_factory=Platform)
     rules: Rules = field(default_factory=Rules)
     goal: Goal = field(default_factory=Goal)
+    operator: Operation = NOTHING  # as in the operators' file
     faults: list[Fault] = field(name="fault", default_factory=list)
     claims: list[Claim] = field(name="claim", default_factory=list)
 
--- a/brackenladder/lab/stage.py
+++ b/brackenladder/lab/stage.py
@@ -159,6 +159,7 @@
     spent_work: float
     useful_work: float
     events: int = 0
+    crossed: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts from other zones
     marks: list[dict[str, object]] = field(default_factory=list)
 
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -14,10 +14,10 @@
 from hashlib import blake2b
 from math import inf
 from time import monotonic_ns, time_ns
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.balance import Balancer
-from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, Settings, State
+from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, Settings, State, ZoneJudge
 from brackenladder.net.bodies import Source
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import LEAST_CONNECTIONS, Config
@@ -31,6 +31,9 @@
 from brackenladder.net.reload import ClassTable
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
+if TYPE_CHECKING:
+    from brackenladder.operation import Operation
+
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
 KILL_MARGIN = 300_000
@@ -91,7 +94,9 @@
 class Node:
     """Implements `Actions` for its Balancer, and hands it all events."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, operation: Operation | None = None
+    ) -> None:
         self.config = config
         self.loop = loop
         self.log_lines = Log(config.name, LINES_A_SECOND)
@@ -124,7 +129,8 @@
             loop, config.discovery, version, config.settings.instances, self.told, strays
         )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
-        self.balancer = Balancer(config.settings, config.seed, self)
+        self.operation = operation
+        self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
         self.listed: set[int] | None = None  # the servers in the list, once there is one
         self.gathered: set[int] = set()  # the same, also while the first one is still to be completed
         self.named: set[int] | None = None  # by a whole list of which more is to come, and...
@@ -208,7 +214,20 @@
 
     # ---- the course of a node -------------------------------------------------------------------------
 
-    def reload(self, config: Config) -> None:
+    def judge(self, operation: Operation | None) -> ZoneJudge | None:
+        """Who decides between zones, where operators have given rules for them."""
+        if operation is None or operation.zones is None:
+            return None
+        from brackenladder.zones import Judge  # here: a node without such rules does not need it
+
+        names = {number: name for name, number in self.zones.items()}
+        here = self.settings.zone
+        rules = operation.zones.rules(
+            names.get(here, ""), lambda name: self.zones.setdefault(name, len(self.zones))
+        )
+        return Judge(rules, here)
+
+    def reload(self, config: Config, operation: Operation | None = None) -> None:
         """Takes on a new configuration: connections, requests and all that was learned stay.
 
         What only a start can take on is named in the log. Requests that are open keep the settings they
@@ -223,6 +242,9 @@
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.pool.renew(config.connect_timeout, config.idle_time)
         self.renew(settings)
+        if operation != self.operation:
+            self.operation = operation
+            self.post(self.balancer.new_zones, self.judge(operation))
         left = [
             f.name
             for f in fields(config)
--- a/brackenladder/roster.py
+++ b/brackenladder/roster.py
@@ -40,6 +40,8 @@
         self.zoned = zoned
         self.groups = groups
         self.servers: dict[int, Listed] = {}
+        self.ready: dict[int, int] = {}  # servers by zone
+        self.young: dict[int, Listed] = {}  # those that have a time of start, until they are told to be warm
         self.orders: dict[int, dict[int, Order[Listed]]] = {}  # by zone and kind
         self.index: dict[tuple[Group, int], Order[Listed]] = {}
         self.mark = 0  # of the whole list that was begun last
@@ -71,11 +73,14 @@
             for order in self.places(known):
                 order.add(key, known)
             self.marked += 1
+            self.ready[known.zone] = self.ready.get(known.zone, 0) + 1
         elif known.mark != self.mark:
             self.stale -= known.mark < self.floor
             self.marked += 1
         known.mark = self.mark
         known.ready_at = entry.ready_at
+        if entry.ready_at > 0:
+            self.young[entry.server] = known
         return known
 
     def remove(self, server: int) -> None:
@@ -84,6 +89,10 @@
         if known is not None:
             self.marked -= known.mark == self.mark
             self.stale -= known.mark < self.floor
+            self.ready[known.zone] -= 1
+            if not self.ready[known.zone]:
+                del self.ready[known.zone]
+            self.young.pop(server, None)
             key = mix(server, 0)
             for order in self.places(known):
                 order.remove(key)
@@ -144,6 +153,7 @@
             self.servers,
             self.left,
         )
+        other.ready, other.young = self.ready, self.young
         for server, known in self.servers.items():
             for order in other.places(known):
                 order.add(mix(server, 0), known)
@@ -151,6 +161,20 @@
 
     # ---- choices --------------------------------------------------------------------------------------
 
+    def warm(self, now: int, cold_time: int, cold_share: float) -> dict[int, float]:
+        """How many warm servers each zone's are as good as. What is warm by now is not looked at again."""
+        warm: dict[int, float] = {zone: float(count) for zone, count in self.ready.items()}
+        done = []
+        for server, known in self.young.items():
+            left = known.ready_at + cold_time - now
+            if left <= 0:
+                done.append(server)
+            else:
+                warm[known.zone] -= (1 - cold_share) * min(1.0, left / cold_time)
+        for server in done:
+            del self.young[server]
+        return warm
+
     def valid(self, found: list[Listed]) -> list[Listed]:
         """Those that no whole list has left out."""
         return [known for known in found if known.mark >= self.floor] if self.stale else found
