Live runs take the operators' table and count what crosses zones

Need: the zones' claims have to hold on sockets as well, not only in virtual time.

Change: a scenario's [operator.zones] is written as the operators' file of the live nodes and named by LB_OPERATOR; live servers count attempts from nodes of other zones.

--- a/brackenladder/lab/live/fleet.py
+++ b/brackenladder/lab/live/fleet.py
@@ -163,6 +163,9 @@
             return
         now = fleet.clock.now
         self.requests += 1
+        if self.tier == 0 and self.zone != node.zone:
+            place = ((now - fleet.epoch) // SECOND, self.zone)
+            fleet.crossed[place] = fleet.crossed.get(place, 0) + 1
         told = node.stopped_at.get(self.id)
         grace = fleet.drain_grace + SOCKET_SLACK
         if told is not None and now > told + grace:
@@ -574,6 +577,7 @@
         self.ledger = Ledger(EPOCH)
         self.measures = Measures()
         self.report_delay = 0
+        self.crossed: dict[tuple[int, int], int] = {}  # attempts from other zones, by second and zone
         self.drain_grace = int(world.scenario.rules.drain_grace_ms * 1000)
         self.zone_silent = [False] * len(world.scenario.zones)
         seed = world.seed
@@ -705,6 +709,7 @@
             spent_work=self.spent_work,
             useful_work=useful,
             marks=self.script.marks,
+            crossed=self.crossed,
         )
 
 
--- a/brackenladder/lab/live/play.py
+++ b/brackenladder/lab/live/play.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from brackenladder.lab.claims import Verdict, judge
 from brackenladder.lab.live.fleet import Fleet, LiveNode, too_large
 from brackenladder.lab.live.load import Load, take_rows
@@ -57,6 +59,9 @@
             "TMPDIR": str(scratch),
             "PYTHONPATH": os.pathsep.join(paths),
         }
+        operator = self.operator_file(node)
+        if operator is not None:
+            environment["LB_OPERATOR"] = str(operator)
         with log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "brackenladder", env=environment, stdout=log, stderr=log
@@ -74,6 +79,22 @@
                 await asyncio.sleep(0.02)
         node.fleet.tiers[node.tier].directory.catch_up(node)
 
+    def operator_file(self, node: LiveNode) -> Path | None:
+        """Writes the scenario's part for operators as their file; None if it has none."""
+        zones = node.fleet.world.scenario.operator.zones
+        if zones is None:
+            return None
+        path = self.folder / "operator.toml"
+        lines = ["[zones]"]
+        for key, value in msgspec.to_builtins(zones).items():
+            if isinstance(value, dict):
+                pairs = ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in value.items())
+                lines.append(f"{key} = {{ {pairs} }}")
+            else:
+                lines.append(f"{key} = {json.dumps(value)}")
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
     def configure(self, node: LiveNode) -> Path:
         """Writes a node's configuration, with a port that is free now; the same one at every start."""
         if node.listen[1] == 0:
