--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -130,6 +130,7 @@
         )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.operation = operation
+        self.started = False
         self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
         self.listed: set[int] | None = None  # the servers in the list, once there is one
         self.gathered: set[int] = set()  # the same, also while the first one is still to be completed
@@ -145,6 +146,7 @@
         if self.config.control is not None:
             self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
             await self.control.start(self.config.control)
+        self.started = True
         self.post(self.balancer.start)
         if self.config.accept_fd is not None:
             self.handover.enter()
@@ -225,6 +227,10 @@
         rules = operation.zones.rules(
             names.get(here, ""), lambda name: self.zones.setdefault(name, len(self.zones))
         )
+        judge = self.balancer.judge if self.started else None
+        if isinstance(judge, Judge) and judge.here == here:
+            judge.renew(rules)
+            return judge
         return Judge(rules, here)
 
     def reload(self, config: Config, operation: Operation | None = None) -> None:
--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -82,6 +82,11 @@
         self.spilled = 0.0  # part of the load that goes to other zones
         self.excess = 0.0  # and that is refused
 
+    def renew(self, rules: ZoneRules) -> None:
+        """Other rules from now on; what was learned of zones, load and servers stays."""
+        self.rules = rules
+        self.bear = rules.server_rate or HEADROOM * self.borne
+
     def judge(self, now: int, state: ZoneState) -> Verdict:
         """What holds until the next judgement. `state` counts from the last one."""
         span = 0 if self.at is None else now - self.at
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -9,7 +11,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback import Bench, Client, Discovery, Server, call, play
+from loopback import settings as settings_table
 from support import SEC, balancer, end
+from test_node import connected, free_port, node_table, spawn
+from test_operation import ask
 
 from brackenladder.interface import ListKind, Outcome, ServerEntry, State, Verdict, ZoneState
 from brackenladder.operation import NOTHING, OperationError, build, load
@@ -311,6 +317,55 @@
     assert found.rules("a", numbers.__getitem__) == ZoneRules(near=frozenset({1}))
 
 
+def test_a_running_node_takes_the_file_whole_or_not_at_all(tmp_path):
+    """SIGHUP: a good file switches zones on, a broken one changes nothing, an empty one switches them off."""
+
+    async def scene():
+        await (server := Server()).start()
+        await (discovery := Discovery()).start()
+        port, control = free_port(), free_port()
+        table = node_table(discovery.port, settings_table(), f"127.0.0.1:{port}", server.entry("s0"))
+        file = tmp_path / "operator.toml"
+        file.write_text("[zones]\nspill_limit_percent = 10\n")
+        node = await spawn(tmp_path, table, {"LB_CONTROL": f"127.0.0.1:{control}", "LB_OPERATOR": str(file)})
+        await connected(client := Client(port))
+        assert (await client.ask(call()))[0] == 200
+        file.write_text("[zones]\nspill_limit_percent = 'all'\n")
+        node.send_signal(signal.SIGHUP)
+        line = await node.stderr.readline()
+        assert b"zones.spill_limit_percent: expected" in line and b"the old configuration stays" in line
+        file.write_text("")
+        node.send_signal(signal.SIGHUP)
+        assert b"reload: " in await node.stderr.readline()
+        assert (await client.ask(call()))[0] == 200
+        figures = (await ask(control, "/admin/stats"))[2]
+        assert (figures["sighup_applied"], figures["sighup_rejected"]) == (1, 1)
+        client.writer.close()
+        node.terminate()
+        assert await asyncio.wait_for(node.wait(), 20) == 0
+
+    play(scene)
+
+
+def test_what_was_learned_stays_when_the_rules_change():
+    async def scene():
+        bench = await Bench(Server()).start()
+        node, zones = bench.node, build({"zones": {}}, "x")
+        assert node.balancer.judge is None and not node.balancer.zoned
+        node.reload(node.config, zones)
+        judge = node.balancer.judge
+        assert isinstance(judge, Judge) and node.balancer.zoned
+        judge.borne = 12.0
+        node.reload(node.config, build({"zones": {"spill_limit_percent": 5}}, "x"))
+        assert node.balancer.judge is judge and judge.rules.spill_limit == 0.05 and judge.bear == 15.0
+        assert (await bench.once(call()))[0] == 200
+        node.reload(node.config, None)
+        assert node.balancer.judge is None and not node.balancer.zoned
+        assert (await bench.once(call()))[0] == 200
+
+    play(scene)
+
+
 def test_a_node_without_the_file_imports_nothing_of_it():
     code = (
         "import sys, brackenladder.__main__;"
