Emulator and live fleet share their counters and streams in the stage

Need: both set up the same streams, counters and clocks line by line, and a new counter had to be written twice.

Change: Stage.__init__ holds what both have; crosses() counts attempts between zones in one place.

--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -14,11 +14,10 @@
 from brackenladder.lab.faults import Script
 from brackenladder.lab.fleet import Server
 from brackenladder.lab.kernel import Kernel
-from brackenladder.lab.measures import Figures, Measures
+from brackenladder.lab.measures import Figures
 from brackenladder.lab.nodes import Node
-from brackenladder.lab.rules import Ledger
 from brackenladder.lab.scenario import Scenario
-from brackenladder.lab.stage import EPOCH, Clock, Stage, StagedTier, Tally, tally_of
+from brackenladder.lab.stage import Clock, Stage, StagedTier, Tally, tally_of
 from brackenladder.lab.streams import Stream
 from brackenladder.lab.world import SECOND, TierWorld, World, build_world
 
@@ -41,38 +40,24 @@
     """One run. `play` plays it to the end, `figures` and `judge` tell what came of it."""
 
     def __init__(self, world: World, module: Module = Balancer) -> None:
-        self.world = world
+        super().__init__(world)
         self.module = module
         s = world.scenario
         self.kernel = Kernel()
-        self.epoch = EPOCH
-        self.ledger = Ledger(EPOCH)
-        self.measures = Measures()
         self.classes = [c.settings for c in world.classes]
         self.deepest = len(world.tiers) - 1
         self.passes_deadline = s.passes_deadline
         self.slack = int(s.rules.answer_slack_ms * 1000)
-        self.drain_grace = int(s.rules.drain_grace_ms * 1000)
         self.max_attempts = s.platform.max_attempts
         self.max_open = s.platform.max_open
         self.second_copies = s.platform.second_copies
-        self.report_delay = 0
-        self.crossed: dict[tuple[int, int], int] = {}  # attempts from other zones, by second and zone
-        self.zone_silent = [False] * len(s.zones)
         self.ids = 0
-        self.spent_work = self.useful_work = 0.0
+        self.useful_work = 0.0
         self.events = 0
         seed = world.seed
         self.net = Stream(seed, "network")
-        self.noise = Stream(seed, "attempt work")
-        self.calls_stream = Stream(seed, "calls")
-        self.error_stream = Stream(seed, "errors")
-        self.report_noise = Stream(seed, "report noise")
         self.front_stream = Stream(seed, "front")
         self.client_stream = Stream(seed, "clients")
-        self.discovery_stream = Stream(seed, "discovery")
-        self.seeds = Stream(seed, "node seeds")
-        self.pause_stream = Stream(seed, "pauses")
         self.jitter = world.jitter
         self.tick = world.tick
         self.tiers: list[Tier] = []
--- a/brackenladder/lab/live/fleet.py
+++ b/brackenladder/lab/live/fleet.py
@@ -22,7 +22,6 @@
 from brackenladder.lab.live.wire import Answer, Broken, Incoming, Pool, Unreached
 from brackenladder.lab.machine import NEVER, Build, Job, Machine
 from brackenladder.lab.measures import Measures
-from brackenladder.lab.rules import Ledger
 from brackenladder.lab.stage import EPOCH, Clock, Stage, StagedTier, Tally, tally_of
 from brackenladder.lab.streams import Stream
 from brackenladder.lab.world import SECOND, TierWorld, World
@@ -163,9 +162,8 @@
             return
         now = fleet.clock.now
         self.requests += 1
-        if self.tier == 0 and self.zone != node.zone:
-            place = ((now - fleet.epoch) // SECOND, self.zone)
-            fleet.crossed[place] = fleet.crossed.get(place, 0) + 1
+        if self.tier == 0:
+            fleet.crosses(node.zone, self.zone)
         told = node.stopped_at.get(self.id)
         grace = fleet.drain_grace + SOCKET_SLACK
         if told is not None and now > told + grace:
@@ -180,10 +178,10 @@
         if noise > 0:
             work *= fleet.noise.spread(noise)
         if self.tier < len(fleet.tiers) - 1:
-            attempt.left = fleet.calls.count(fleet.world.tiers[self.tier + 1].calls)
+            attempt.left = fleet.calls_stream.count(fleet.world.tiers[self.tier + 1].calls)
             if attempt.left:
                 work /= 2
-        if (m.errors or m.build.error_rate) and fleet.errors.random() < m.fails_fast():
+        if (m.errors or m.build.error_rate) and fleet.error_stream.random() < m.fails_fast():
             self.failed += 1
             self.begin_effect(attempt)
             attempt.spent += FAST_WORK
@@ -570,27 +568,11 @@
     """All servers of a scenario, live. Node processes are started by a runner that `play` sets."""
 
     def __init__(self, world: World, folder: Path) -> None:
-        self.world = world
+        super().__init__(world)
         self.folder = folder
-        self.epoch = EPOCH
         self.wall = LoopClock()
-        self.ledger = Ledger(EPOCH)
-        self.measures = Measures()
-        self.report_delay = 0
-        self.crossed: dict[tuple[int, int], int] = {}  # attempts from other zones, by second and zone
-        self.drain_grace = int(world.scenario.rules.drain_grace_ms * 1000)
-        self.zone_silent = [False] * len(world.scenario.zones)
-        seed = world.seed
-        self.discovery_stream = Stream(seed, "discovery")
-        self.noise = Stream(seed, "attempt work")
-        self.calls = Stream(seed, "calls")
-        self.errors = Stream(seed, "errors")
-        self.report_noise = Stream(seed, "report noise")
-        self.seeds = Stream(seed, "node seeds")
-        self.pause_stream = Stream(seed, "pauses")
         self.class_names = [c.name for c in world.classes]
         self.effects: list[set[str]] = [set() for _ in world.tiers]
-        self.spent_work = 0.0
         self.made = 1 << 40  # ids of calls between tiers
         self.tasks: set[asyncio.Task[None]] = set()
         self.tiers: list[LiveTier] = []
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -301,9 +301,8 @@
         """Puts an attempt on a connection: one that is idle, or a new one."""
         emu, server = self.emu, attempt.server
         now = emu.kernel.now
-        if self.tier == 0 and server.zone != self.zone:
-            place = ((now - emu.epoch) // 1_000_000, server.zone)
-            emu.crossed[place] = emu.crossed.get(place, 0) + 1
+        if self.tier == 0:
+            emu.crosses(self.zone, server.zone)
         delay = emu.delay(self.zone, server.zone)
         pool = self.pools.get(server)
         if pool is None:
--- a/brackenladder/lab/stage.py
+++ b/brackenladder/lab/stage.py
@@ -12,13 +12,13 @@
 
 from brackenladder.interface import ListKind, ServerEntry
 from brackenladder.lab.machine import Build, Machine
+from brackenladder.lab.measures import Measures
 from brackenladder.lab.rules import Ledger
 from brackenladder.lab.streams import Stream
-from brackenladder.lab.world import TierWorld, World
+from brackenladder.lab.world import SECOND, TierWorld, World
 
 if TYPE_CHECKING:
     from brackenladder.lab.directory import Directory
-    from brackenladder.lab.measures import Measures
 
 EPOCH = 1_000_000_000  # where every run's clock starts: 0 means "long ago" to the module
 
@@ -95,11 +95,30 @@
 class Stage:
     """The parts that the script of faults and the directory rely on."""
 
-    world: World
-    epoch: int
-    report_delay: int
-    zone_silent: list[bool]
-    discovery_stream: Stream
+    def __init__(self, world: World) -> None:
+        s = world.scenario
+        self.world = world
+        self.epoch = EPOCH
+        self.ledger = Ledger(EPOCH)
+        self.measures = Measures()
+        self.drain_grace = int(s.rules.drain_grace_ms * 1000)
+        self.report_delay = 0
+        self.zone_silent = [False] * len(s.zones)
+        self.crossed: dict[tuple[int, int], int] = {}  # attempts from other zones, by second and zone
+        self.spent_work = 0.0
+        self.noise = Stream(world.seed, "attempt work")
+        self.calls_stream = Stream(world.seed, "calls")
+        self.error_stream = Stream(world.seed, "errors")
+        self.report_noise = Stream(world.seed, "report noise")
+        self.discovery_stream = Stream(world.seed, "discovery")
+        self.seeds = Stream(world.seed, "node seeds")
+        self.pause_stream = Stream(world.seed, "pauses")
+
+    def crosses(self, zone: int, other: int) -> None:
+        """An attempt is made from one zone to another; one within a zone does not count."""
+        if zone != other:
+            place = ((self.clock.now - self.epoch) // SECOND, other)
+            self.crossed[place] = self.crossed.get(place, 0) + 1
 
     @property
     def clock(self) -> Clock:
