A judge of zones learns only while its zone is steady, and judges after ten seconds

Change: rates are learned only while the zone's size has not moved by a tenth for 10 s; with that, 10 s of such work are enough.

--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -18,7 +18,7 @@
 
 SMOOTH_TIME = 2_000_000  # a copy's load is averaged over so long
 BORNE_TIME = 5_000_000  # and what its zone takes from it over so long
-LEARN_TIME = 20_000_000  # so long a judge only looks on, until it has seen its zone at work
+LEARN_TIME = 10_000_000  # so long a judge only looks on, until it has seen its zone at work
 USUAL_TIME = 30_000_000  # and over so long to be called usual
 BEAR_UP, BEAR_DOWN = 0.05, 0.1  # a second: how fast what a server bears is tried higher, or lowered
 RISEN = 1.15  # more than so many times the usual load is a rise
@@ -46,11 +46,13 @@
 class Zone:
     """What is known of one zone."""
 
-    __slots__ = ("usual", "bears", "gone", "losses", "lost_at", "back_at")
+    __slots__ = ("usual", "bears", "gone", "losses", "lost_at", "back_at", "level", "moved_at")
 
     def __init__(self) -> None:
         self.usual = 0.0  # warm servers in the usual state
         self.bears = 0.0  # warm servers that count now
+        self.level = 0  # servers in the list when their number last moved by more than a tenth...
+        self.moved_at: int | None = None  # ...and when that was
         self.gone = False
         self.losses = 0
         self.lost_at = 0
@@ -100,7 +102,7 @@
             return Verdict((), (), self.panic)
         self.note_load(span, state)
         copies = max(1.0, state.copies / len(self.zones))  # of each zone, were they spread evenly
-        self.learn(span, state, copies)
+        self.learn(now, span, state, copies)
         if self.bear <= 0 or self.age < LEARN_TIME and not self.rules.server_rate:
             # Failure prevented: a node that has just started takes the little it has seen for all there is.
             return Verdict((), (), self.panic)
@@ -124,6 +126,9 @@
     def size(self, now: int, span: int, zone: Zone, number: int, state: ZoneState) -> None:
         """Counts the warm servers of a zone, and what of them may be used."""
         rules, ready, there = self.rules, state.ready.get(number, 0), state.warm.get(number, 0.0)
+        if abs(ready - zone.level) > 0.1 * zone.level:
+            zone.moved_at = now if zone.usual else None  # the first list is no move
+            zone.level = ready
         if not self.panic:
             there *= 1.0 - state.unwell.get(number, 0.0)
         if zone.gone and ready >= LOST * zone.usual:
@@ -161,15 +166,17 @@
         """Whether the list shows that a zone has lost servers."""
         return any(lacks(zone) for zone in self.zones.values())
 
-    def learn(self, span: int, state: ZoneState, copies: float) -> None:
+    def learn(self, now: int, span: int, state: ZoneState, copies: float) -> None:
         """Follows what one warm server bears: the most that was borne well, and how a higher guess fares."""
         here = self.zones[self.here]
         part = min(1.0, span / BORNE_TIME)
         self.sent += part * (state.sent.get(self.here, 0) * 1e6 / span - self.sent)
         if self.rules.server_rate > 0:
             return
-        # Only while all that is listed there works and is warm: what few take in a fault tells nothing.
-        if state.well and here.bears >= max(1.0, SHORT * state.ready.get(self.here, 0)):
+        # Failure prevented: what was sent to ten servers a moment ago is taken for what the three that are
+        # left can bear. Only while all that is listed works, is warm, and has been there for a while.
+        steady = here.moved_at is None or now - here.moved_at > 2 * BORNE_TIME
+        if state.well and steady and here.bears >= max(1.0, SHORT * state.ready.get(self.here, 0)):
             self.age += span
             self.borne = max(self.borne, self.sent * copies / here.bears)
             self.bear = max(self.bear, HEADROOM * self.borne)
