Below the first tier zones refuse nothing and spill no more than the limit

Need: below the first tier the module refuses nothing by zones, and a verdict's parts were then stretched over what should have been refused: more went to the other zones than the limit.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -1215,9 +1215,9 @@
             worth=[c.worth for c in s.classes],
             copies=s.instances,
             well=ctl.sample_rtt <= 1 and ctl.lost < LOST_MOST,
+            refuses=s.tier == 0,
         )
         self.verdict = judge.judge(now, state)
-        # Shared by all copies of the zone: each has its part of the servers.
         self.fair = self.verdict.rate * self.roster.ready.get(s.zone, 0) / len(unwell.get(s.zone, "1"))
         self.asked, self.sent = [0] * len(self.asked), {}
         if self.verdict.panic:
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -172,6 +172,7 @@
     worth: Sequence[float]
     copies: int
     well: bool  # latency is within target and few calls are lost
+    refuses: bool = True  # what nobody can bear may be refused; below the first tier it waits at home
 
 
 @dataclass(frozen=True)
--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -210,8 +210,9 @@
                 shares[z] = room[z] / max(sum(room.values()), 1e-9) * taken / load
             rest -= taken
         self.spilled = sum(share for z, share in shares.items() if z != self.here)
-        if not short and state.well:
+        if not state.refuses or not short and state.well:
             # Failure prevented: a crowd that this zone bears is refused because nobody has seen it bear one.
+            # Below the first tier nothing is refused, since work has been sunk into it; it waits here.
             shares[self.here] += rest / load
         elif rest / load > LEAST_REFUSED:
             self.excess = rest / load
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -35,7 +35,7 @@
         self.ready = {A: 10, B: 10, C: 10}
         self.warm: dict[int, float] = {}
         self.unwell: dict[int, float] = {}
-        self.well = True
+        self.well = self.refuses = True
         self.now = 0
 
     def step(self) -> Verdict:
@@ -53,6 +53,7 @@
                 worth=(1.0, 10.0),
                 copies=6,
                 well=self.well,
+                refuses=self.refuses,
             ),
         )
 
@@ -79,11 +80,15 @@
     site.run(40)
     site.ready[B] = 0
     verdict = site.run(4)
-    assert B not in verdict.shares or shares(verdict)[B] == 0
+    assert shares(verdict)[B] == 0
     assert site.judge.spilled * site.judge.load * 2 == pytest.approx(0.2 * 25 * 20, rel=0.05)
     assert site.judge.excess == pytest.approx(0.5, rel=0.06)
     worthless, worthy = verdict.refuse
     assert worthless == pytest.approx(1.0, abs=0.06) and worthy < 0.06
+    # Below the first tier nothing is refused, and no more goes to the others either.
+    site.refuses = False
+    verdict = site.run(1)
+    assert not any(verdict.refuse) and shares(verdict)[B] == pytest.approx(0.5, rel=0.06)
 
 
 def test_the_limit_never_takes_more_than_the_other_zones_have_free():
