What a zone has borne is forgotten while it is late at that load

Change: while a steady zone is late at four fifths or more of what was borne, that falls by 5 percent a second, and the estimate with it.

--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -26,6 +26,8 @@
 LOST = 0.5  # and with less than this it has gone
 FORGET_SIZE = 600_000_000  # the usual size of a zone fades over so long while it is smaller
 MOST_FLAPS = 4  # the way back doubles with each loss, up to so many times
+BORNE_DOWN = 0.05  # and what it has borne is forgotten while its zone is late at that
+CROWDED = 0.8  # at so much of what was borne a zone that is late is late by its load
 HEADROOM = 1.25  # so many times what was ever borne well is tried
 LEAST_REFUSED = 0.03  # so little beyond what all bear is left to the limit of calls
 
@@ -176,12 +178,19 @@
         # Failure prevented: what was sent to ten servers a moment ago is taken for what the three that are
         # left can bear. Only while all that is listed works, is warm, and has been there for a while.
         steady = here.moved_at is None or now - here.moved_at > 2 * BORNE_TIME
-        if state.well and steady and here.bears >= max(1.0, SHORT * state.ready.get(self.here, 0)):
-            self.age += span
-            self.borne = max(self.borne, self.sent * copies / here.bears)
-            self.bear = max(self.bear, HEADROOM * self.borne)
-        if (self.excess > 0 or self.spilled > 0) and any(state.sent.values()):
-            step = (BEAR_UP if state.well else -BEAR_DOWN) * min(1.0, span / 1e6)
+        part, crowded = min(1.0, span / 1e6), False
+        if steady and here.bears >= max(1.0, SHORT * state.ready.get(self.here, 0)):
+            rate = self.sent * copies / here.bears
+            if state.well:
+                self.age += span
+                self.borne = max(self.borne, rate)
+                self.bear = max(self.bear, HEADROOM * self.borne)
+            elif rate > CROWDED * self.borne:
+                # Failure prevented: queues grow slowly, and what was too much looked well for some seconds.
+                crowded = True
+                self.borne *= 1 - BORNE_DOWN * part
+        if crowded or (self.excess > 0 or self.spilled > 0) and any(state.sent.values()):
+            step = (BEAR_UP if state.well else -BEAR_DOWN) * part
             self.bear = min(HEADROOM * self.borne, max(self.borne, self.bear * (1 + step)))
 
     # ---- who takes what -------------------------------------------------------------------------------
