--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -83,6 +83,7 @@
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
 ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
+WELL = 0.8  # latency over target up to which a zone is said to bear what it has: queues grow slowly
 CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
 
 TENANT_TIME = 8_000_000  # a tenant's traffic is counted over so long
@@ -1200,8 +1201,7 @@
 
     def ask_judge(self, now: int, judge: ZoneJudge) -> None:
         """Has the zones judged anew, from what this copy has seen since the last time."""
-        s, ctl = self.settings, self.controller
-        self.judged_at = now
+        s, ctl, self.judged_at = self.settings, self.controller, now
         unwell: dict[int, list[bool]] = {}
         for m in self.members:
             unwell.setdefault(m.zone, []).append(m.ejected or m.fail_rate > EJECT_RATE)
@@ -1214,7 +1214,7 @@
             cost=self.mean_rtt,
             worth=[c.worth for c in s.classes],
             copies=s.instances,
-            well=ctl.sample_rtt <= 1 and ctl.lost < LOST_MOST,
+            well=ctl.sample_rtt <= WELL and ctl.lost < LOST_MOST,
             refuses=s.tier == 0,
         )
         self.verdict = judge.judge(now, state)
