What is learned of servers by keyed repeats outside the subset stays bounded

Need: found on reading the change once more: each keyed repeat whose group is not in the subset got to know up to 24 servers, and without a change of the list none was forgotten.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -1116,11 +1116,9 @@
     def forget_gone(self) -> None:
         """Drops what is known of servers that are gone, and of all but the latest former members."""
         idle = [srv for srv in self.servers.values() if not srv.member and srv.in_flight == 0]
-        spare = len(idle) - SUBSET_FORMER
-        for srv in idle:
-            if spare > 0 or not srv.in_list:
+        for i, srv in enumerate(idle):
+            if i < len(idle) - SUBSET_FORMER or not srv.in_list:
                 del self.servers[srv.id]
-            spare -= 1
 
     def refill(self, now: int) -> None:
         """Takes the members anew: this copy's stretch of an order of the servers that all copies share.
@@ -1292,6 +1290,7 @@
             )
         ]
         if not pool:
+            self.forget_gone()  # each such repeat gets to know some more
             near = self.roster.alike(group, first.zone, first.cell, self.rng.random(), REPEAT_CHOICE)
             pool = [self.known(now, entry) for entry in near if entry.id != first.id]
         return self.draw_two(now, pool)
