Zones that are short themselves take no spill

Need: with half of every zone lost, each would hand the others 30 percent while they handed it theirs: the same load, every call crossing.

Change: in a zone that the list shows short, what it has free is worked out from the usual load, also where rates are learned.

--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -213,7 +213,9 @@
         part = self.need(rest * copies, each)
         shares = {self.here: own / load}
         for tier in self.tiers():
-            room = {z: self.room(z, each if known else 0.0) * part / copies for z in tier}
+            room = {
+                z: self.room(z, each if known or lacks(self.zones[z]) else 0.0) * part / copies for z in tier
+            }
             taken = min(rest, sum(room.values()))
             for z in tier:
                 shares[z] = room[z] / max(sum(room.values()), 1e-9) * taken / load
@@ -242,9 +244,9 @@
     def room(self, number: int, each: float) -> float:
         """Calls a second that a zone takes from all others: up to the limit, and no more than it has free.
 
-        What is free is known where operators state what a server bears, and where all zones have more to do
-        than ever. Otherwise what was borne so far says nothing of it (`each` is 0): the limit holds alone,
-        and falls with the estimate while calls are late.
+        What is free is known where operators state what a server bears, where all zones have more to do than
+        ever, and in a zone that is short. Otherwise what was borne so far says nothing of it (`each` is 0):
+        the limit holds alone, and falls with the estimate while calls are late.
         """
         zone = self.zones[number]
         bears = zone.bears * self.bear
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -108,6 +108,17 @@
     assert site.judge.spilled * site.judge.load * 2 == pytest.approx(0.2 * 25 * 10 / 2, rel=0.05)
 
 
+@pytest.mark.parametrize("rate", [25.0, 0.0])
+def test_with_half_of_every_zone_lost_none_sends_to_the_others(rate):
+    """Failure prevented: each hands the others what they hand it, and all pay for the crossing."""
+    site = Site(ZoneRules(spill_limit=0.3, server_rate=rate), here=B)
+    site.run(40)
+    site.ready = dict.fromkeys((A, B, C), 5)
+    site.well = False
+    site.run(10)
+    assert site.judge.spilled == 0 and site.judge.excess > 0.3
+
+
 def test_near_zones_are_filled_before_far_ones():
     site = Site(ZoneRules(near=frozenset({C}), spill_limit=0.5, server_rate=40.0), here=B, load=40.0)
     site.run(40)
