Stalled half-written requests make way before clients that are served

Two causes had been named (no door until the front notices, a low limit at the start); neither was the main one.

Cause, found by counting connections four times a second: of 54 places for clients, 30 to 40 were held by requests that had begun and then brought nothing for up to 2.5 s, since these made way last. Clients that are served lost theirs within 0.2 s of each answer. When the node got SIGTERM while the other front node was down, no client had a connection, and from 0.5 s on it received nothing at all for 2.5 s. Requests that are really written slowly paused for 0.8 s at the most; the others never brought a second piece.

Change: room is made by who never asked, then by a request that has brought nothing for 1 s, then by who asked once, then by who is idle. Connections stay open after SIGTERM for as long as the platform leaves the node (3 s counted of the longest deadline and 0.7 s), up to 3.2 s instead of 2 s; beside a process that has taken the listener over it stays at 2 s. The time by which all is answered used the deadline alone before: 0.7 s too early.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -12,6 +12,7 @@
 from collections import deque
 from contextlib import suppress
 from heapq import nsmallest
+from math import inf
 from typing import Protocol, cast
 
 import httptools
@@ -45,7 +46,10 @@
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
-HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further requests
+HANDOVER = 3.2  # seconds after SIGTERM in which connections stay open to further requests, at most...
+HANDOVER_SHARED = 2.0  # ...and where another process has taken the listener over
+HANDOVER_MARGIN = 0.2  # a request that comes in the last so many seconds has hardly a chance
+STALLED = 1.0  # seconds after which a request that has begun and brings nothing more makes way
 ROOM = 4  # connections at most that make way in one go...
 ROOM_SHARE = 32  # ...one for so many that are open
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
@@ -139,7 +143,7 @@
         self.headed_at = 0.0
         self.bytes = 0  # of the request that has begun
         self.received = 0  # bytes of its body
-        self.asked = False  # a request has come whole
+        self.asked = 0  # requests that have come whole
         self.since = owner.loop.time()  # the accept, or the first byte of the request that has begun
         self.waiting: deque[Message] = deque()
         self.open: Message | None = None
@@ -261,7 +265,7 @@
 
     def hand_on(self, message: Message) -> None:
         """Gives the handler a request whose body flows."""
-        self.asked = True
+        self.asked += 1
         self.open = message
         if self.refusing:
             self.owner.handler.beyond(self)
@@ -290,7 +294,7 @@
         message, self.partial = self.partial, None
         if message is None or self.deaf:
             return
-        self.asked = True
+        self.asked += 1
         message.whole = True
         message.keep = message.keep and self.parser.should_keep_alive()
         if message.upload is not None:
@@ -557,6 +561,18 @@
             return False
         return not self.unread()
 
+    def worth_keeping(self, now: float) -> tuple[int, float]:
+        """What makes way first is least: who never asked, who has stalled, who asked once, who is idle.
+
+        Last comes a request that is still being written; of each sort, who has been still for longest.
+        Failure prevented: half-written requests of a crowd fill the table for seconds each, and idle
+        connections make way for them as fast as clients open them. Who could still reach a node that ends,
+        and takes no new connection, then has none left: in a rolling restart nobody reaches any node.
+        """
+        if self.partial is not None:
+            return (1 if self.active < now - STALLED else 4), self.active
+        return (0, 2, 3)[min(self.asked, 2)], self.active
+
     def unread(self) -> bool:
         """Whether bytes wait in the socket: closing now would reset a client that has just sent."""
         if self.transport is None or self.transport.is_closing():
@@ -691,23 +707,21 @@
             self.callers.discard(caller)
 
     def make_room(self) -> None:
-        """Closes a few connections for others: who never asked, else who is idle, else who stalls.
+        """Closes a few connections for others, by `worth_keeping`. Nobody is asked to wait for them.
 
-        Of each sort those that have been still for longest. Nobody is asked to wait for them: requests come
-        on new connections, and thousands of half-written ones may stand before them. Failure prevented:
-        hundreds that connect and say nothing, or half of something, push out clients that are served; or
-        looking for one among hundreds for each that comes costs the time that answers need.
+        Failure prevented: hundreds that connect and say nothing, or half of something, push out clients that
+        are served; or looking for one among hundreds for each that comes costs the time that answers need.
         """
-        still = self.loop.time() - FRESH
+        now = self.loop.time()
         spare = [
             c
             for c in self.callers
             if not (c.open or c.waiting or c.deaf)
             and c.transport is not None
-            and (c.partial is None or c.active < still)
+            and (c.partial is None or c.active < now - FRESH)
         ]
         closed, most = 0, max(1, min(ROOM, len(self.callers) // ROOM_SHARE))
-        for caller in nsmallest(2 * ROOM, spare, key=lambda c: (c.partial is not None, c.asked, c.active)):
+        for caller in nsmallest(2 * ROOM, spare, key=lambda c: c.worth_keeping(now)):
             if closed < most and not caller.unread():
                 self.callers.discard(caller)
                 caller.transport.abort()
@@ -730,14 +744,17 @@
                 caller.transport.abort()
         self.loop.call_later(SWEEP, self.sweep)
 
-    async def drain(self) -> None:
+    async def drain(self, ends: float = inf) -> None:
         """Ends the service: all that was taken is answered, then no connection outlives its answer.
 
+        `ends` is the loop's time by which all must be answered.
+
         Failure prevented: in a rolling restart the clients of a node that closes at once, while the one
         before it is not back yet, find nobody. They use the connections that they have for a while.
         """
         self.draining = True
         start = self.loop.time()
+        shared = self.shared
         if self.shared and self.listener is not None:  # the process that takes over has the socket as well
             self.stop_listening()
             self.closing = True
@@ -745,12 +762,12 @@
             now = self.loop.time()
             if self.listener is not None and now >= start + TAKING:
                 self.stop_listening()
-            over = now >= start + HANDOVER
+            over = now >= min(ends - HANDOVER_MARGIN, start + (HANDOVER_SHARED if shared else HANDOVER))
             self.closing = self.closing or over
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
                 # A request that has not come whole long after the last connection was taken is not ours.
-                stuck = caller.open is None and now > start + max(TAKING, HANDOVER) + LINGER
+                stuck = caller.open is None and now > min(ends, start + max(TAKING, HANDOVER)) + LINGER
                 if over and caller.transport is not None and (settled and caller.idle() or stuck):
                     caller.transport.abort()
             await asyncio.sleep(LOOK)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -35,7 +35,8 @@
     from brackenladder.operation import Operation
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
-KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
+KILL_COUNTED = 3_000_000  # after SIGTERM a node has the longest deadline for its end, or so long...
+KILL_AFTER = 700_000  # ...and so long more
 KILL_MARGIN = 300_000
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
@@ -281,8 +282,9 @@
         Failure prevented: what is taken in the meantime is still open when the process is killed.
         """
         longest = max(c.deadline for c in self.config.settings.classes)
-        self.ends = self.now() + min(longest, KILL_AFTER) - KILL_MARGIN
-        await self.callers.drain()
+        time = min(longest, KILL_COUNTED) + KILL_AFTER - KILL_MARGIN
+        self.ends = self.now() + time
+        await self.callers.drain(self.loop.time() + time / 1e6)
         self.discovery.stop()
         if self.control is not None:
             self.control.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1508,6 +1508,39 @@
     play(scene)
 
 
+def test_clients_that_are_served_reach_an_ending_node_through_a_crowd_of_half_written_requests(monkeypatch):
+    """Failure prevented: the crowd holds all places, and once the listener is closed nobody has a door."""
+
+    async def scene():
+        bench = await Bench(Server(), config={"limits": {"sockets": 72}}).start()
+        callers = bench.node.callers
+        regular = [await bench.client() for _ in range(3)]
+        for client in regular * 2:
+            assert (await client.ask(call()))[0] == 200
+        crowd: list[Client] = []
+        for i in range(3 * callers.most):
+            crowd.append(half := await bench.client())
+            half.send(b"GET /view HTTP/1.1\r\n")
+            await until(lambda: any(c.active > 0 and c.partial and not c.asked for c in callers.callers))
+            if i % 2:  # some ask once and stay
+                crowd.append(once := await bench.client())
+                assert (await once.ask(call()))[0] in (200, 503)
+            for caller in callers.callers:
+                caller.active -= 0.3  # as if they came so far apart
+        monkeypatch.setattr("brackenladder.net.callers.TAKING", 0.0)
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 600.0)
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: callers.listener is None)
+        for client in regular:
+            assert (await client.ask(call()))[0] == 200
+        for client in crowd:
+            client.writer.close()
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
 def test_a_request_that_never_comes_whole_is_given_up():
     """Failure prevented: clients that send half a request hold descriptors for good."""
 
