A fault tool between two loopback sockets, repeatable by bytes and connections

Need: failures of boxes and networks (freezes, half-closes, a garbled byte in a header, a cut in the middle of an answer) could not be caused on purpose, and not twice in the same way.

Change: package `brackenladder.fault` and the command `brackenladder fault`. Scripts in TOML are checked whole (unknown keys, keys that a kind has no use for, ranges); the plan is a pure state machine for each direction of a connection; the relay does its steps on sockets; a control socket takes commands. Faults begin at byte offsets of numbered connections and draw from streams of their own, never from the clock.

Noticed: msgspec 0.23 crashes the process on a union of a bounded number with a tuple of bounded numbers; the forms use lists there.

--- /dev/null
+++ b/brackenladder/cli/fault.py
@@ -0,0 +1,91 @@
+"""`brackenladder fault`: a relay between two loopback sockets that does to the bytes what a script says."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import NoReturn, TextIO
+
+import click
+
+from brackenladder.fault.control import Control
+from brackenladder.fault.relay import Address, AddressError, Relay, loopback
+from brackenladder.fault.script import Script, ScriptError, load
+
+
+def stop(text: str) -> NoReturn:
+    """Ends with status 2 and one line that says what to mend."""
+    click.echo(f"brackenladder: {text}", err=True)
+    sys.exit(2)
+
+
+@click.command()
+@click.option("--listen", required=True, metavar="ADDRESS", help="Where clients connect: 127.0.0.1:9000.")
+@click.option("--to", "target", required=True, metavar="ADDRESS", help="Where they are passed on to.")
+@click.option("--script", type=click.Path(path_type=Path), help="What is done to the bytes; nothing without.")
+@click.option("--seed", type=click.IntRange(0), help="In place of the script's own.")
+@click.option("--control", metavar="PATH|ADDRESS", help="A Unix or loopback socket for commands.")
+@click.option("--log", type=click.File("a", lazy=False), default="-", help="A JSON line for each fault.")
+@click.option(
+    "--times", is_flag=True, help="Lines carry the seconds since the start; they then differ by run."
+)
+@click.option("--check", is_flag=True, help="Only read the script and say what is wrong with it.")
+def fault(
+    listen: str,
+    target: str,
+    script: Path | None,
+    seed: int | None,
+    control: str | None,
+    log: TextIO,
+    times: bool,
+    check: bool,
+) -> None:
+    """Delay, pace, cut, freeze, split and garble what passes between two loopback sockets.
+
+    The same script gives the same faults at the same bytes of the same connections in each run.
+    """
+    try:
+        found = load(script) if script is not None else Script()
+        here, there = loopback(listen), loopback(target)
+        where = None
+        if control is not None:
+            where = Path(control) if "/" in control or ":" not in control else loopback(control)
+    except (ScriptError, AddressError) as e:
+        stop(str(e))
+    if seed is not None:
+        found = Script(seed=seed, rules=found.rules)
+    if check:
+        click.echo(f"{script or 'no script'}: good, {len(found.rules)} rules, seed {found.seed}.")
+        return
+
+    def write(line: str) -> None:
+        log.write(line + "\n")
+        log.flush()  # whoever reads along sees each fault as it happens
+
+    try:
+        asyncio.run(serve(Relay(found, there, write, times), here, where))
+    except OSError as e:
+        stop(f"cannot listen: {e.strerror or e}")
+
+
+async def serve(relay: Relay, listen: Address, where: Path | Address | None) -> None:
+    """Runs until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    control = Control(relay)
+    host, port = await relay.start(listen)
+    try:
+        if where is not None:
+            await control.start(where)
+        click.echo(f"fault: listening on {host}:{port}, to {relay.target[0]}:{relay.target[1]}", err=True)
+        await ended.wait()
+    finally:
+        control.close()
+        await relay.stop()
+        if isinstance(where, Path):
+            where.unlink(missing_ok=True)
+    click.echo(f"fault: {relay.number} connections, {relay.struck} faults", err=True)
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from brackenladder import __version__
+from brackenladder.cli.fault import fault
 from brackenladder.cli.lab import lab
 
 
@@ -66,4 +67,5 @@
     )
 
 
+cli.add_command(fault)
 cli.add_command(lab)
--- /dev/null
+++ b/brackenladder/fault/script.py
@@ -0,0 +1,169 @@
+"""Scripts of the fault tool: TOML, checked whole before anything runs. `docs/fault-tool.md` shows each key.
+
+A script says which connections it strikes, in which direction and from which byte on. Connections are
+numbered from 1 in the order in which they are taken, bytes from 0 in each direction: both are the same in
+each run of the same clients, whatever the clock does.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Annotated, Any, Literal, get_args
+
+import msgspec
+from msgspec import Meta
+
+Kind = Literal["refuse", "delay", "pace", "split", "garble", "freeze", "cut", "reset", "half_close"]
+Direction = Literal["to_server", "to_client"]
+DIRECTIONS: tuple[Direction, ...] = get_args(Direction)
+LARGEST_RULES = 1000
+FOREVER = 0.0  # of a freeze: until the connection ends or a command lets go
+
+Offset = Annotated[int, Meta(ge=0, le=1 << 40)]
+Number = Annotated[int, Meta(ge=1)]
+# Lists of two: msgspec 0.23 corrupts memory on a union of a bounded number with a tuple of bounded numbers.
+Range = Annotated[list[Offset], Meta(min_length=2, max_length=2)]
+Pieces = Annotated[list[Number], Meta(min_length=2, max_length=2)]
+# What each kind needs and may have, beyond what all rules have.
+OWN_KEYS: dict[str, tuple[frozenset[str], frozenset[str]]] = {
+    "refuse": (frozenset(), frozenset()),
+    "delay": (frozenset({"ms"}), frozenset()),
+    "pace": (frozenset({"bytes_per_s"}), frozenset({"length"})),
+    "split": (frozenset({"pieces"}), frozenset({"length", "ms"})),
+    "garble": (frozenset(), frozenset({"length", "header", "message", "mask"})),
+    "freeze": (frozenset(), frozenset({"ms", "both"})),
+    "cut": (frozenset(), frozenset()),
+    "reset": (frozenset(), frozenset()),
+    "half_close": (frozenset(), frozenset()),
+}
+OWN = frozenset().union(*(need | may for need, may in OWN_KEYS.values()))
+
+
+class ScriptError(Exception):
+    """A script that cannot be used; the text names the file, the key and what to do, in one line."""
+
+
+class Form(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A table of a script."""
+
+
+class Which(Form, frozen=True):
+    """Which connections a rule strikes: `first`, `first + every`, ... up to `last`, or a share of these."""
+
+    first: Number = 1
+    last: Number | None = None
+    every: Number = 1
+    share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+    def names(self, connection: int, draw: float) -> bool:
+        """Whether connection number `connection` is one; `draw` is its random number for this rule."""
+        if connection < self.first or self.last is not None and connection > self.last:
+            return False
+        return (connection - self.first) % self.every == 0 and draw < self.share
+
+
+class Rule(Form, frozen=True):
+    """One fault. Times in milliseconds, offsets and lengths in bytes of one direction of one connection."""
+
+    kind: Kind
+    direction: Direction = "to_client"
+    at: Offset | Range = 0  # the byte from which it strikes; of a pair, one is drawn
+    every_bytes: Annotated[int, Meta(ge=1)] | None = None  # strikes again after so many bytes...
+    times: Number = 1  # ...so many times in all
+    connections: Which = Which()
+    name: str = ""
+    ms: Annotated[float, Meta(ge=0, le=3_600_000)] | None = None
+    bytes_per_s: Annotated[float, Meta(gt=0)] | None = None
+    length: Annotated[int, Meta(ge=1)] | None = None
+    pieces: Number | Pieces | None = None
+    header: Annotated[str, Meta(min_length=1, max_length=200)] | None = None
+    message: Number = 1  # whose header: the n-th place where it occurs
+    mask: Annotated[int, Meta(ge=1, le=255)] | None = None  # what is flipped; drawn where none is given
+    both: bool = False
+
+
+class Script(Form, frozen=True):
+    """All rules, and the seed from which everything random is drawn."""
+
+    seed: Annotated[int, Meta(ge=0, le=(1 << 63) - 1)] = 1
+    rules: Annotated[tuple[Rule, ...], Meta(max_length=LARGEST_RULES)] = msgspec.field(
+        default=(), name="rule"
+    )
+
+
+def load(path: Path) -> Script:
+    """Reads a script. A ScriptError says what is wrong with it."""
+    try:
+        table = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as e:
+        raise ScriptError(f"{path}: {e.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        raise ScriptError(f"{path}: not TOML: {e}") from None
+    return build(table, str(path))
+
+
+def build(table: dict[str, Any], where: str) -> Script:
+    """A Script from decoded TOML; a ScriptError otherwise."""
+    known_keys(table, ("seed", "rule"), where, "")
+    rules = table.get("rule", [])
+    for i, rule in enumerate(rules if isinstance(rules, list) else ()):
+        if isinstance(rule, dict):
+            check_rule(rule, f"rule[{i}]", where)
+    try:
+        script = msgspec.convert(table, Script)
+    except msgspec.ValidationError as e:
+        what, _, path = str(e).partition(" - at ")
+        raise ScriptError(f"{where}: {path.strip('`').removeprefix('$.') or 'script'}: {what}") from None
+    for i, found in enumerate(script.rules):
+        check_values(found, f"rule[{i}]", where)
+    return script
+
+
+def known_keys(table: dict[str, Any], known: tuple[str, ...], where: str, path: str) -> None:
+    for key in table:
+        if key not in known:
+            near = get_close_matches(key, known, 1)
+            hint = f"did you mean {near[0]}?" if near else f"known are {', '.join(known)}"
+            raise ScriptError(f"{where}: {path}{key}: unknown key; {hint}")
+
+
+def check_rule(rule: dict[str, Any], path: str, where: str) -> None:
+    """Keys that the kind does not use are refused: a rule that does less than it says misleads."""
+    known_keys(rule, Rule.__struct_fields__, where, path + ".")
+    if isinstance(rule.get("connections"), dict):
+        known_keys(rule["connections"], Which.__struct_fields__, where, path + ".connections.")
+    kind = rule.get("kind")
+    if kind not in OWN_KEYS:
+        kinds = ", ".join(OWN_KEYS)
+        near = get_close_matches(str(kind), OWN_KEYS, 1)
+        raise ScriptError(
+            f"{where}: {path}.kind: {kind!r}; " + (f"did you mean {near[0]}?" if near else kinds)
+        )
+    need, may = OWN_KEYS[kind]
+    for key in sorted(need - rule.keys()):
+        raise ScriptError(f"{where}: {path}.{key}: missing; a rule of kind {kind} needs it")
+    for key in sorted((rule.keys() & OWN) - need - may):
+        raise ScriptError(f"{where}: {path}.{key}: a rule of kind {kind} has no use for it")
+
+
+def check_values(rule: Rule, path: str, where: str) -> None:
+    """What the form of a key cannot say."""
+    if isinstance(rule.at, list) and rule.at[0] > rule.at[1]:
+        raise ScriptError(
+            f"{where}: {path}.at: from {rule.at[0]} to {rule.at[1]}: the first must not be larger"
+        )
+    if isinstance(rule.pieces, list) and rule.pieces[0] > rule.pieces[1]:
+        raise ScriptError(f"{where}: {path}.pieces: the first must not be larger than the second")
+    if rule.times > 1 and rule.every_bytes is None:
+        raise ScriptError(f"{where}: {path}.times: every_bytes says after how many bytes; it is missing")
+    if rule.every_bytes is not None and rule.kind in ("refuse", "cut", "reset", "half_close"):
+        raise ScriptError(f"{where}: {path}.every_bytes: a {rule.kind} happens once to a connection")
+    if rule.kind == "refuse" and rule.at != 0:
+        raise ScriptError(f"{where}: {path}.at: a refusal comes before the first byte")
+    if rule.message > 1 and rule.header is None:
+        raise ScriptError(f"{where}: {path}.message: counts places of a header; name the header")
+    which = rule.connections
+    if which.last is not None and which.last < which.first:
+        raise ScriptError(f"{where}: {path}.connections.last: is below first")
