Move means, a percentile and the merging of orders out of the module

Nothing that moved decides anything: a nearest-rank percentile, a running mean, and the arithmetic that merges orders of servers.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence, Sized
+from collections.abc import Sequence
 from math import ceil, sqrt
 from random import Random
 
@@ -31,8 +31,9 @@
     ZoneJudge,
     ZoneState,
 )
-from brackenladder.order import Order, mix
+from brackenladder.order import Order, cut, mix
 from brackenladder.roster import Listed, Roster
+from brackenladder.statistics import Average, percentile
 
 # The source's figures, kept as they are.
 WINDOW = 100_000  # least length of a sampling window
@@ -96,12 +97,6 @@
 TOKEN_BITS = 56
 
 
-def percentile(samples: list[float], share: float) -> float:
-    """The nearest-rank percentile of a non-empty list, which is sorted in place."""
-    samples.sort()
-    return samples[ceil(len(samples) * share) - 1]
-
-
 def allowances(settings: Settings) -> list[int]:
     """The part of each class's aim that a round-trip of this tier may use up."""
     share = AIM_SHARE * (settings.tiers - settings.tier) / settings.tiers
@@ -113,26 +108,6 @@
     return frozenset(c.group for c in settings.classes if c.effect == Effect.KEYED)
 
 
-def cut(kinds: Sequence[Sized], shifts: Sequence[float], n: int, place: int) -> list[int]:
-    """How many of each kind are among the first `place` of all kinds merged, `n` together.
-
-    Item i of the m of a kind has its place at (i + shift) / m. The count below a point differs from its part
-    of all by less than one for each kind, so few items have to be looked at, whatever their number.
-    """
-    low, high = (place - len(kinds)) / n, (place + len(kinds)) / n
-    counts: list[int] = []
-    near: list[tuple[float, int]] = []
-    for number, (kind, shift) in enumerate(zip(kinds, shifts, strict=True)):
-        m = len(kind)
-        first = min(m, max(0, int(low * m - shift)))
-        counts.append(first)
-        near += [((i + shift) / m, number) for i in range(first, min(m, int(high * m) + 2))]
-    near.sort()
-    for _, number in near[: place - sum(counts)]:
-        counts[number] += 1
-    return counts
-
-
 def stretch(
     roster: Roster, kinds: dict[int, Order[Listed]], index: int, copies: int, size: int
 ) -> list[Listed]:
@@ -394,21 +369,6 @@
         return max(self.floor, self.usual * kept)
 
 
-class Average:
-    """A running mean: plain while samples are few, exponential later. `prior` samples of `value` start it."""
-
-    __slots__ = ("value", "weight", "least")
-
-    def __init__(self, value: float, prior: float, least: float) -> None:
-        self.value = value
-        self.weight = prior
-        self.least = least
-
-    def add(self, sample: float) -> None:
-        self.weight += 1
-        self.value += max(self.least, 1 / self.weight) * (sample - self.value)
-
-
 class Server:
     """What this copy knows of one server."""
 
--- a/brackenladder/order.py
+++ b/brackenladder/order.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from array import array
+from collections.abc import Sequence, Sized
 from typing import Generic, TypeVar
 
 Item = TypeVar("Item")
@@ -189,3 +190,23 @@
             if not later:
                 return
             node = later.pop()
+
+
+def cut(kinds: Sequence[Sized], shifts: Sequence[float], n: int, place: int) -> list[int]:
+    """How many of each kind are among the first `place` of all kinds merged, `n` together.
+
+    Item i of the m of a kind has its place at (i + shift) / m. The count below a point differs from its part
+    of all by less than one for each kind, so few items have to be looked at, whatever their number.
+    """
+    low, high = (place - len(kinds)) / n, (place + len(kinds)) / n
+    counts: list[int] = []
+    near: list[tuple[float, int]] = []
+    for number, (kind, shift) in enumerate(zip(kinds, shifts, strict=True)):
+        m = len(kind)
+        first = min(m, max(0, int(low * m - shift)))
+        counts.append(first)
+        near += [((i + shift) / m, number) for i in range(first, min(m, int(high * m) + 2))]
+    near.sort()
+    for _, number in near[: place - sum(counts)]:
+        counts[number] += 1
+    return counts
