The limit gives the usual calls up while latency is late; a copy starts with its part

Cause: copies double their limit at the start while latency is within the target, queues are deep by then, and servers that hold much become slow. The usual number of calls, below which the limit never fell, is learned in that time: the copies held the servers at the load that made them slow.

Change: while windows are above target the usual is given up over 4 s (by the part of a full window that they hold), to half of its last good value; lost calls still give up all of it over 12 s. A copy takes at least its part of all servers (n / copies) from the start: alone before ten it began with four and refused the rest.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -79,7 +79,9 @@
 FADE = 5_000_000  # what is known of a member's speed is forgotten after so long without an outcome
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
-USUAL_FADE = 12_000_000  # over so long it is given up while calls are lost
+USUAL_FADE = 12_000_000  # over so long it is given up while calls are lost...
+LATE_FADE = 4_000_000  # ...and over so long while latency is above target
+USUAL_REST = 0.5  # but for so much of it where calls are only late
 USUAL_MOST = 2.0  # the limit stays within so many times that number
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
@@ -154,6 +156,7 @@
         "level_at",
         "flight_sum",
         "usual",
+        "best",
         "lost",
         "samples",
         "sample_rtt",
@@ -195,7 +198,8 @@
         self.latency_sum = 0
         self.ramping = True  # since the start the limit bound, and no window was above target
         self.lost = 0.0  # share of calls that ended without an answer, smoothed
-        self.usual = 0.0  # calls in flight while latency was good, smoothed
+        self.usual = 0.0  # calls in flight while latency was good, smoothed...
+        self.best = 0.0  # ...and when it last was
         self.samples: list[float] = []
         self.window_start = now
         self.sample_rtt = 0.0  # relative to min_rtt + B
@@ -323,7 +327,7 @@
         limit = self.limit + min(1.0, count / FULL_WINDOW) * (limit - self.limit)
         self.follow_usual(age, count)
         self.share()
-        self.limit = max(min(limit, self.most(), self.ceiling), self.least(age))
+        self.limit = max(min(limit, self.most(), self.ceiling), self.least(age, count))
         # Failure prevented: "usual" is met in any overload, and a pass each few seconds closes a busy copy.
         self.at_min = self.at_min + 1 if self.limit <= self.floor else 0
         if self.at_min >= WINDOWS_AT_MIN or now >= self.next_pass:
@@ -355,17 +359,24 @@
         """
         return max(self.pass_limit, USUAL_MOST * self.usual + MIN_LIMIT)
 
-    def least(self, age: int) -> float:
+    def least(self, age: int, count: int) -> float:
         """How far the limit may fall: to what this copy carried while latency was good.
 
         Failure prevented: when everything is slow at once no lower limit makes it faster, and the gradient
         would close the fleet.
         """
         kept = (1 - self.lost) ** 2 if self.lost > LOST_MOST else 1.0
-        if self.sample_rtt > 1 and self.lost > LOST_MOST:
+        if self.sample_rtt > 1:
             # Failure prevented: servers that slow down when crowded stay crowded, and slow, at what they
-            # carried before. Where calls are not only late but lost, less in flight gives them rest.
-            self.usual -= min(1.0, age / USUAL_FADE) * self.usual
+            # carried before, or at what a start that went too far took for usual. Less in flight gives
+            # them rest. Where calls are only late, and not lost, half of it is left; a window of few calls
+            # tells of late ones by its part only.
+            late = min(1.0, age / LATE_FADE * min(1.0, count / WINDOW_SAMPLES))
+            lost = min(1.0, age / USUAL_FADE) if self.lost > LOST_MOST else 0.0
+            low = min(self.usual, USUAL_REST * self.best) if lost == 0 else 0.0
+            self.usual = max(low, self.usual * (1 - max(late, lost)))
+        else:
+            self.best = self.usual
         return max(self.floor, self.usual * kept)
 
 
@@ -1059,7 +1070,9 @@
         if part > SUBSET_MOST:
             # Failure prevented: where copies are few, most of a large fleet is nobody's and stands idle.
             return min(SUBSET_BOUND, part)
-        return n if n < 2 * SUBSET_LEAST else self.size
+        # Failure prevented: a copy that starts alone crowds four of ten servers, and refuses what the six
+        # others would bear until it has seen how much there is. Its part of all is nobody else's either.
+        return n if n < 2 * SUBSET_LEAST else max(self.size, part)
 
     def wanted_size(self) -> int:
         return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
