A judge of storms lets in what is worth most; few cold members take what many took

Change: brackenladder/storms.py, no I/O, hosted like the judge of zones and off without [storms] in the operators' file. It notices a storm within a second, lets in about what is served, of most worth first and first tries before repeats, has other repeats pay from a budget of what is served, refuses what has no time left, and spreads the advice over the backlog. In the module, a second cause was found: the guard of cold servers gave each of the few members after an outage what one of many had got; they now share what the many took (at most fall_multiple times).

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -27,6 +27,7 @@
     ServerEntry,
     Settings,
     State,
+    StormJudge,
     Verdict,
     ZoneJudge,
     ZoneState,
@@ -519,6 +520,7 @@
     ) -> None:
         self.settings = s = settings
         self.judge = judge  # where operators gave rules for zones
+        self.storms: StormJudge | None = None  # the same for storms
         self.verdict = Verdict(())
         self.judged_at = 0
         self.fair = 0.0  # calls a second that a warm server of this zone bears from this copy
@@ -557,6 +559,7 @@
         self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
         self.rank = [0] * len(allowance)
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
+        self.warm_size = 0.0  # of so many members
         self.warm_sent = 0
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
@@ -599,12 +602,17 @@
         if self.roster.zoned != self.zoned or groups != self.roster.groups:
             self.roster = self.roster.laid_out(self.zoned, groups)
         self.rank_classes()
+        if self.storms is not None and len(old.classes) != len(settings.classes):
+            self.storms.renew([c.worth for c in settings.classes])
         self.refill(now)
 
     def new_zones(self, now: int, judge: ZoneJudge | None) -> None:
         self.judge, self.verdict = judge, Verdict(())
         self.new_settings(now, self.settings)
 
+    def new_storms(self, now: int, storms: StormJudge | None) -> None:
+        self.storms = storms
+
     def server_list(
         self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
     ) -> None:
@@ -697,6 +705,8 @@
                 and self.rng.random() < beyond[klass]
                 or clear
                 and self.rng.random() < self.shed
+                or self.storms is not None
+                and not self.storms.admits(now, klass, repeat, time_left, self.mean_rtt[klass])
                 or not ctl.admits(now, spare)
             ):
                 self.blocked += 1
@@ -732,6 +742,8 @@
         if r is not None and r.out is not None and attempt == r.attempts - 1:
             r.out = None
             if final or outcome == Outcome.OK:
+                if self.storms is not None:
+                    self.storms.ended(now, r.klass, outcome == Outcome.OK)
                 del self.requests[request]
             elif r.begun:
                 self.finish(r, refuse=False)
@@ -817,6 +829,7 @@
             "shed": self.shed,
             "lost": c.lost,
             **(self.judge.figures() if self.judge is not None else {}),
+            **(self.storms.figures() if self.storms is not None else {}),
         }
 
     # ---- a request's life -----------------------------------------------------------------------------
@@ -882,9 +895,10 @@
         if not refuse:
             self.actions.fail(r.id)
             return
-        after = 0
-        if s.retry_after:
-            after = min(s.max_retry_after, int(s.classes[r.klass].aim / 8))
+        most = s.max_retry_after if s.retry_after else 0
+        after = min(most, int(s.classes[r.klass].aim / 8))
+        if self.storms is not None and s.tier == 0:
+            after = self.storms.turned_away(r.klass, most, after)
         self.actions.refuse(r.id, after)
 
     def hold(self, now: int, r: Request) -> None:
@@ -1038,6 +1052,7 @@
         if warm:
             rate = self.warm_sent * 1e6 / span / warm
             self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
+            self.warm_size += min(1.0, span / 2e6) * (warm - self.warm_size)
         self.warm_sent = 0
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
@@ -1288,7 +1303,10 @@
             return True
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        rate = max(self.warm_rate, self.fair if srv.zone == s.zone else 0.0)
+        # Failure prevented: after an outage members are few, since little is in flight; were each given what
+        # one of many got, little would stay in flight until the last of them is warm.
+        fewer = min(s.fall_multiple or 1.0, max(1.0, self.warm_size / max(1, len(self.members))))
+        rate = max(self.warm_rate * fewer, self.fair if srv.zone == s.zone else 0.0)
         srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -46,7 +46,9 @@
 
     if operator is not None:
         try:
-            tables = [name for name in ("zones",) if getattr(operation.load(operator), name) is not None]
+            tables = [
+                name for name in ("zones", "storms") if getattr(operation.load(operator), name) is not None
+            ]
         except operation.OperationError as e:
             click.echo(str(e), err=True)
             sys.exit(2)
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -197,6 +197,25 @@
         """For operators."""
 
 
+class StormJudge(Protocol):
+    """Decides who is let in while clients return at once; see `brackenladder.storms`."""
+
+    def renew(self, worth: Sequence[float]) -> None:
+        """Other classes hold."""
+
+    def admits(self, now: int, klass: int, repeat: bool, time_left: int, needed: float) -> bool:
+        """Whether a request may go on to the limit."""
+
+    def ended(self, now: int, klass: int, served: bool) -> None:
+        """A request that was let in has been served, or has failed."""
+
+    def turned_away(self, klass: int, most: int, base: int) -> int:
+        """A request is refused: when its client should come back."""
+
+    def figures(self) -> dict[str, float]:
+        """For operators."""
+
+
 class Actions(Protocol):
     """What a Balancer asks of its host. Calls take effect at the `now` of the event being handled."""
 
@@ -255,6 +274,9 @@
     def new_zones(self, now: int, judge: ZoneJudge | None) -> None:
         """Other rules for zones, or none: from the next request on they hold. What was learned stays."""
 
+    def new_storms(self, now: int, storms: StormJudge | None) -> None:
+        """Another judge of storms, or none, for the requests that come from now on."""
+
     def server_list(
         self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
     ) -> None:
--- a/brackenladder/lab/live/play.py
+++ b/brackenladder/lab/live/play.py
@@ -81,17 +81,21 @@
 
     def operator_file(self, node: LiveNode) -> Path | None:
         """Writes the scenario's part for operators as their file; None if it has none."""
-        zones = node.fleet.world.scenario.operator.zones
-        if zones is None:
+        operator = node.fleet.world.scenario.operator
+        lines: list[str] = []
+        for name, table in (("zones", operator.zones), ("storms", operator.storms)):
+            if table is None:
+                continue
+            lines.append(f"[{name}]")
+            for key, value in msgspec.to_builtins(table).items():
+                if isinstance(value, dict):
+                    pairs = ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in value.items())
+                    lines.append(f"{key} = {{ {pairs} }}")
+                else:
+                    lines.append(f"{key} = {json.dumps(value)}")
+        if not lines:
             return None
         path = self.folder / "operator.toml"
-        lines = ["[zones]"]
-        for key, value in msgspec.to_builtins(zones).items():
-            if isinstance(value, dict):
-                pairs = ", ".join(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in value.items())
-                lines.append(f"{key} = {{ {pairs} }}")
-            else:
-                lines.append(f"{key} = {json.dumps(value)}")
         path.write_text("\n".join(lines) + "\n")
         return path
 
--- a/brackenladder/lab/modules.py
+++ b/brackenladder/lab/modules.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from brackenladder.balance import Balancer
+from brackenladder.balance import TIMER_HELD, TOKEN_BITS, Balancer, Request
 from brackenladder.interface import (
     NEVER_RAN,
     Actions,
@@ -120,6 +120,45 @@
         super().outcome(now, request, attempt, server, *rest)
 
 
+class DelayLifo(Balancer):
+    """For comparison in storms: what meets the limit waits for up to TARGET, and the newest is served first.
+
+    Controlled delay in its adaptive form: while a queue stands, nobody waits for longer than TARGET, and who
+    came last, whose client is most likely still there, goes first.
+    """
+
+    TARGET = 100_000
+
+    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+        super().__init__(settings, seed, actions)
+        self.waited: set[int] = set()
+        self.at = 0
+
+    def request(self, now: int, *rest: Any) -> None:
+        self.at = now
+        super().request(now, *rest)
+
+    def finish(self, r: Request, refuse: bool) -> None:
+        new = refuse and not r.attempts and r.id not in self.waited and self.settings.tier == 0
+        if not new or len(self.waiting) >= 2 * self.controller.limit:
+            self.waited.discard(r.id)
+            super().finish(r, refuse)
+            return
+        self.waited.add(r.id)
+        r.held = True
+        self.waiting.append(r)
+        time = min(self.TARGET, max(1, (r.useful_until - self.at) // 2))
+        self.actions.set_timer(time, TIMER_HELD << TOKEN_BITS | r.id)
+
+    def serve_waiting(self, now: int) -> None:
+        waiting = self.waiting
+        while waiting and (not waiting[-1].held or self.controller.admits(now, 0)):
+            r = waiting.pop()
+            if r.held and r.id in self.requests:
+                r.held = False
+                self.attempt(now, r)
+
+
 class SendsTwice(Balancer):
     """Saboteur: a request of an unsafe class that has timed out or broken off is sent once more."""
 
@@ -195,6 +234,7 @@
     "brackenladder": Balancer,
     "random": RandomChoice,
     "least-busy": LeastBusy,
+    "delay-lifo": DelayLifo,
     "sends-twice": SendsTwice,
     "ignores-drains": IgnoresDrains,
     "drops-requests": DropsRequests,
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from brackenladder.interface import NEVER_RAN, Effect, Group, ListKind, Outcome, State
+from brackenladder.storms import Storms
 from brackenladder.zones import Judge
 
 if TYPE_CHECKING:
@@ -141,6 +142,10 @@
         if zones is not None and hasattr(self.balancer, "new_zones"):
             names = [z.name for z in emu.world.scenario.zones]
             self.guard("new_zones", now, Judge(zones.rules(names[self.zone], names.index), self.zone))
+        storms = emu.world.scenario.operator.storms
+        if storms is not None and self.tier == 0 and hasattr(self.balancer, "new_storms"):
+            worth = [c.worth for c in settings.classes]
+            self.guard("new_storms", now, Storms(storms.rules(), worth, seed, now))
         directory = emu.tiers[self.tier].directory
         self.take(directory.as_of(self.version), ListKind.CACHED)
         directory.catch_up(self)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -17,7 +17,16 @@
 from typing import TYPE_CHECKING, Any
 
 from brackenladder.balance import Balancer
-from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, Settings, State, ZoneJudge
+from brackenladder.interface import (
+    Effect,
+    ListKind,
+    Outcome,
+    ServerEntry,
+    Settings,
+    State,
+    StormJudge,
+    ZoneJudge,
+)
 from brackenladder.net.bodies import Source
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import LEAST_CONNECTIONS, Config
@@ -133,6 +142,7 @@
         self.operation = operation
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
+        self.balancer.storms = self.storm_judge(operation)
         self.listed: set[int] | None = None  # the servers in the list, once there is one
         self.gathered: set[int] = set()  # the same, also while the first one is still to be completed
         self.named: set[int] | None = None  # by a whole list of which more is to come, and...
@@ -234,6 +244,15 @@
             return judge
         return Judge(rules, here)
 
+    def storm_judge(self, operation: Operation | None) -> StormJudge | None:
+        """Who is let in during a storm, where operators have given rules; the first tier alone refuses."""
+        if operation is None or operation.storms is None or self.settings.tier > 0:
+            return None
+        from brackenladder.storms import Storms  # here: a node without such rules does not need it
+
+        worth = [c.worth for c in self.settings.classes]
+        return Storms(operation.storms.rules(), worth, self.config.seed, self.now())
+
     def reload(self, config: Config, operation: Operation | None = None) -> None:
         """Takes on a new configuration: connections, requests and all that was learned stay.
 
@@ -252,6 +271,7 @@
         if operation != self.operation:
             self.operation = operation
             self.post(self.balancer.new_zones, self.judge(operation))
+            self.post(self.balancer.new_storms, self.storm_judge(operation))
         left = [
             f.name
             for f in fields(config)
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Meta
 
+from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
 
 Percent = Annotated[float, Meta(ge=0, le=100)]
@@ -52,10 +53,21 @@
         )
 
 
+class Storms(Table, frozen=True):
+    """`[storms]`: who is let in while clients return at once. Its presence switches it on."""
+
+    repeat_share_percent: Percent = 20.0
+    by_worth: bool = True
+
+    def rules(self) -> StormRules:
+        return StormRules(repeat_share=self.repeat_share_percent / 100, by_worth=self.by_worth)
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
     zones: Zones | None = None
+    storms: Storms | None = None
 
 
 NOTHING = Operation()
@@ -78,6 +90,8 @@
     unknown(table, Operation, where, "")
     if isinstance(table.get("zones"), dict):
         unknown(table["zones"], Zones, where, "zones.")
+    if isinstance(table.get("storms"), dict):
+        unknown(table["storms"], Storms, where, "storms.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
