Where all members are cold each takes up to half of what would push it over

Need: after an outage of all servers recovery took 21 s, though half load fits the warming servers after about six. Cause: a cold server was given its warmth's part of its usual load, so that all of the load came back only with the last of the cold. That is right beside warm ones, which take the rest; here nobody does.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -559,7 +559,7 @@
         self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
         self.rank = [0] * len(allowance)
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
-        self.warm_size = 0.0  # of so many members
+        self.warm_size, self.all_cold = 0.0, False  # of so many members; hardly any is warm now
         self.warm_sent = 0
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
@@ -790,7 +790,7 @@
             self.actions.cancel(request, r.attempts - 1)
 
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
-        """Not used: half-open trials are real calls."""
+        """Not used: trials are calls."""
 
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
@@ -1049,6 +1049,7 @@
         warm = 0
         for m in self.members:
             warm += m.cold_until <= now and not m.ejected
+        self.all_cold = 4 * warm < len(self.members)
         if warm:
             rate = self.warm_sent * 1e6 / span / warm
             self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
@@ -1296,16 +1297,16 @@
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
 
-        Failure prevented: all nodes together push a cold server over. A bucket of one call that starts
-        empty keeps this copy's part within any window.
+        Failure prevented: all nodes together push it over. The bucket of one call starts empty.
         """
         if srv.cold_until <= now:
             return True
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        # Failure prevented: after an outage members are few, since little is in flight; were each given what
-        # one of many got, little would stay in flight until the last of them is warm.
+        # Failure prevented: after an outage few members each get what one of many got, and all wait for the
+        # last to be warm. Where all are cold, each takes up to half of what would push it over.
         fewer = min(s.fall_multiple or 1.0, max(1.0, self.warm_size / max(1, len(self.members))))
+        fewer *= max(1.0, s.fall_multiple / 2) if self.all_cold else 1.0
         rate = max(self.warm_rate * fewer, self.fair if srv.zone == s.zone else 0.0)
         srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -46,12 +46,11 @@
 
     if operator is not None:
         try:
-            tables = [
-                name for name in ("zones", "storms") if getattr(operation.load(operator), name) is not None
-            ]
+            read = operation.load(operator)
         except operation.OperationError as e:
             click.echo(str(e), err=True)
             sys.exit(2)
+        tables = [name for name in ("zones", "storms") if getattr(read, name) is not None]
         click.echo(f"{operator}: good. It switches on: {', '.join(tables) or 'nothing'}.")
     if config is None:
         if operator is None:
