--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -5,9 +5,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback import OK, Bench, Server, call, play
 from support import SEC, balancer
 
 from brackenladder.interface import ListKind, Outcome, ServerEntry, State
+from brackenladder.operation import build
 from brackenladder.storms import LEAST_RATE, RETURN_TIME, StormRules, Storms
 
 WORTH = (1.0, 3.0, 10.0)
@@ -212,3 +214,42 @@
     second(100)
     # All are cold, at 0.53 to 0.58 of what they can: they take up to half of what would push them over.
     assert 60 <= second(100) <= 1.5 * 58
+
+
+def test_a_node_takes_a_judge_of_storms_from_the_file_and_keeps_what_it_learned():
+    async def scene():
+        bench = await Bench(Server()).start()
+        node = bench.node
+        assert node.balancer.storms is None
+        node.reload(node.config, build({"storms": {}}, "x"))
+        judge = node.balancer.storms
+        assert isinstance(judge, Storms) and judge.rules.repeat_share == 0.2
+        assert (await bench.once(call()))[0] == 200
+        assert judge.served.all == 1 and node.balancer.stats()["storm"] == 0
+        node.reload(node.config, build({"storms": {"repeat_share_percent": 5}}, "x"))
+        assert node.balancer.storms is judge and judge.rules.repeat_share == 0.05
+        # A refusal carries the judge's advice, within what the platform allows.
+        judge.on, judge.rate, judge.parts = True, 1.0, [0.0] * len(judge.worth)
+        status, headers, _ = await bench.once(call())
+        assert status == 503 and 0 < float(headers["retry-after"]) <= 2
+        node.reload(node.config, None)
+        assert node.balancer.storms is None and (await bench.once(call()))[0] == 200
+
+    play(scene)
+
+
+def test_an_unsafe_request_runs_once_whatever_the_storm():
+    """Counted at the server, which runs each request and says nothing."""
+
+    async def scene():
+        async def silent(request, writer):
+            return None if request.target.startswith("/invite") else OK
+
+        bench = await Bench(server := Server(silent)).start()
+        bench.node.reload(bench.node.config, build({"storms": {}}, "x"))
+        for _ in range(10):
+            assert (await bench.once(call("invite", 60)))[0] in (502, 503, 504)
+        names = [r.headers["x-call-id"] for r in server.requests]
+        assert names and len(names) == len(set(names))
+
+    play(scene)
