A judge of storms keeps what it has learned when its figures change at SIGHUP

Need: any change of the operators' file made a fresh judge, which has no usual rates for 20 s and notices unmarked storms late. Change: the judge stays and takes the new figures; it goes only with its table.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -250,8 +250,13 @@
             return None
         from brackenladder.storms import Storms  # here: a node without such rules does not need it
 
+        rules = operation.storms.rules()
+        judge = self.balancer.storms
+        if isinstance(judge, Storms):  # what it has learned stays
+            judge.rules = rules
+            return judge
         worth = [c.worth for c in self.settings.classes]
-        return Storms(operation.storms.rules(), worth, self.config.seed, self.now())
+        return Storms(rules, worth, self.config.seed, self.now())
 
     def reload(self, config: Config, operation: Operation | None = None) -> None:
         """Takes on a new configuration: connections, requests and all that was learned stay.
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -385,7 +385,7 @@
 def test_a_node_without_the_file_imports_nothing_of_it():
     code = (
         "import sys, brackenladder.__main__;"
-        "print([m for m in sys.modules if 'msgspec' in m or m.endswith(('operation', 'zones'))])"
+        "print([m for m in sys.modules if 'msgspec' in m or m.endswith(('operation', 'zones', 'storms'))])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
