The limit moves with what the listed servers are good for

The seven copies before them hold limits of 24 calls each, learned with ten warm servers, while 4 carry them: 130 calls stand on four servers, round-trips go from 90 to 320 ms, calls time out, and clients ask 2.6 times. The limit comes down only by windows, over 6 s, and the fleet serves 80 requests a second where it bore 230. To blame: GradientController.most, which let every copy hold three calls a member however many copies do the same; resize, which kept what was learned though the members went; each_window, where the rate of a warm member was unlearned while all were crowded, so that cold members were given ever less (6.9 to 2.7 a second). Ruled out: the second tier (its level stays at 0.9, nothing is refused), passes (none in that time), ejection (one member), CPU (0.2 of a core at most).

Change: limit and usual calls move with what all listed servers are good for, cold ones by their share; the pass's limit is no floor of the limit after the first pass; a warm member's rate is not unlearned while calls are late, and cold members may then take half of what would push them over. The record of an open request moves into a module of its own.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -33,6 +33,7 @@
     ZoneState,
 )
 from brackenladder.order import Order, cut, mix
+from brackenladder.request import Request
 from brackenladder.roster import Listed, Roster
 from brackenladder.statistics import Average, percentile
 
@@ -179,6 +180,7 @@
         "window_start",
         "ramping",
         "latency_sum",
+        "capacity",
     )
 
     def __init__(self, allowance: Sequence[int], ceiling: int, rng: Random, now: int) -> None:
@@ -186,7 +188,7 @@
         self.min_rtt = [0.0] * len(allowance)
         self.target = [float(a) for a in allowance]
         self.floor = float(MIN_LIMIT)
-        self.members = 1
+        self.members = 1.0
         self.copies = 1.0
         self.shared = 1.0
         self.pass_limit = float(MIN_LIMIT)
@@ -208,6 +210,7 @@
         self.at_min = 0
         self.rng = rng
         self.passes = 0
+        self.capacity = 0.0  # of the fleet, in warm servers
         self.start_pass(now)
 
     def renew(self, allowance: Sequence[int], kept: Sequence[bool], ceiling: int) -> None:
@@ -223,13 +226,24 @@
         self.allowance = allowance
         self.ceiling = ceiling
 
-    def resize(self, members: int, copies: float) -> None:
+    def resize(self, members: float, copies: float) -> None:
         """Takes note of the subset's size and of the number of copies that share each member."""
         self.members = members
         self.copies = copies
         self.share()
         self.limit = max(self.limit, 2 * self.pass_limit if self.passes == 0 else self.floor)
 
+    def rescale(self, capacity: float) -> None:
+        """Takes note of what all listed servers are good for, in warm ones; what was learned moves with it.
+
+        Failure prevented: of many servers most are replaced at once, and each copy goes on with the limit
+        that all of them bore. The few warm ones are crowded, and slow, long before a window tells of it.
+        """
+        capacity = max(1.0, capacity)  # an empty list may be a lie: the limit comes back with the servers
+        part = capacity / self.capacity if self.capacity else 1.0
+        self.capacity = capacity
+        self.limit, self.usual, self.best = self.limit * part, self.usual * part, self.best * part
+
     def share(self) -> None:
         """How many copies share what this one may do: fewer, the more calls it carries itself.
 
@@ -356,9 +370,11 @@
         """How far the limit may grow.
 
         Failure prevented: a limit that calls never reach is not measured by their latency; it grows without
-        end in quiet times, and a burst then meets no limit. It stays near twice the usual calls.
+        end in quiet times, and a burst then meets no limit. It stays near twice the usual calls. The pass's
+        limit holds before anything is learned only: many copies that may each fill their members to three
+        calls crowd them tenfold, where one does no harm.
         """
-        return max(self.pass_limit, USUAL_MOST * self.usual + MIN_LIMIT)
+        return max(self.floor if self.passes else self.pass_limit, USUAL_MOST * self.usual + MIN_LIMIT)
 
     def least(self, age: int, count: int) -> float:
         """How far the limit may fall: to what this copy carried while latency was good.
@@ -475,43 +491,6 @@
         self.at = now
 
 
-class Request:
-    """An open request. At most one attempt is out at a time."""
-
-    __slots__ = (
-        "id",
-        "settings",
-        "klass",
-        "effect",
-        "useful_until",
-        "attempts",
-        "out",
-        "ran_on",
-        "ran_at",
-        "begun",
-        "held",
-        "sent_at",
-        "coming",
-        "once",
-    )
-
-    def __init__(self, request: int, settings: Settings, klass: int, effect: Effect, until: int) -> None:
-        self.id = request
-        self.settings = settings  # those it came under
-        self.klass = klass
-        self.effect = effect
-        self.useful_until = until
-        self.attempts = 0
-        self.out: Server | None = None
-        self.ran_on: Server | None = None  # the first server that may have run it
-        self.ran_at = 0
-        self.begun = False
-        self.held = False
-        self.sent_at = 0
-        self.coming = 0  # more of it is to come: the time that it then has
-        self.once = False  # it cannot be sent again
-
-
 class Balancer:
     """One copy: the decisions of one node, from its own traffic alone."""
 
@@ -519,6 +498,7 @@
         self, settings: Settings, seed: int, actions: Actions, judge: ZoneJudge | None = None
     ) -> None:
         self.settings = s = settings
+        self.weigh_at = 0
         self.judge = judge  # where operators gave rules for zones
         self.storms: StormJudge | None = None  # the same for storms
         self.verdict = Verdict(())
@@ -538,8 +518,8 @@
         self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
         self.next_trial = 0
-        self.requests: dict[int, Request] = {}
-        self.waiting: deque[Request] = deque()
+        self.requests: dict[int, Request[Server]] = {}
+        self.waiting: deque[Request[Server]] = deque()
         allowance = allowances(s)
         self.controller = GradientController(allowance, s.max_open, self.rng, 0)
         self.mean_rtt = [a / 2 for a in allowance]  # until measured
@@ -684,7 +664,7 @@
         self.asked[klass] += 1
         if self.judge is not None and now - self.judged_at >= WINDOW:
             self.ask_judge(now, self.judge)
-        r = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
+        r: Request[Server] = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
         if not whole:
             r.coming = max(1, useful)
         self.requests[request] = r
@@ -834,7 +814,7 @@
 
     # ---- a request's life -----------------------------------------------------------------------------
 
-    def attempt(self, now: int, r: Request) -> None:
+    def attempt(self, now: int, r: Request[Server]) -> None:
         """Sends the request to the server drawn for it, or answers it when there is none."""
         srv = self.draw(now, r)
         if srv is None:
@@ -864,7 +844,7 @@
         if srv.cold_until <= now:
             self.warm_sent += 1
 
-    def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
+    def after_failure(self, now: int, r: Request[Server], srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
         s = r.settings
         c = s.classes[r.klass]
@@ -888,7 +868,7 @@
             return
         self.finish(r, refuse=not ran or r.effect == Effect.SAFE)
 
-    def finish(self, r: Request, refuse: bool) -> None:
+    def finish(self, r: Request[Server], refuse: bool) -> None:
         """The one final answer. `refuse` only where a retry is known to do no harm."""
         del self.requests[r.id]
         s = r.settings
@@ -901,7 +881,7 @@
             after = self.storms.turned_away(r.klass, most, after)
         self.actions.refuse(r.id, after)
 
-    def hold(self, now: int, r: Request) -> None:
+    def hold(self, now: int, r: Request[Server]) -> None:
         """Below the first tier a refusal wastes the work already sunk above: the call waits for a free slot.
 
         Acts only where callers are servers, at the limit, for up to half the time left, for as many calls
@@ -950,7 +930,9 @@
 
     # ---- server health --------------------------------------------------------------------------------
 
-    def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
+    def settle(
+        self, now: int, srv: Server, r: Request[Server] | None, outcome: Outcome, latency: int
+    ) -> None:
         """Books an attempt's end: in-flight, samples, the server's averages, ejection."""
         srv.in_flight -= 1
         ctl = self.controller
@@ -1052,9 +1034,14 @@
         self.all_cold = 4 * warm < len(self.members)
         if warm:
             rate = self.warm_sent * 1e6 / span / warm
-            self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
+            # Failure prevented: crowded servers answer less, cold ones are given their part of that less,
+            # and what they could do is not asked of them.
+            if rate > self.warm_rate or self.controller.sample_rtt <= 1:
+                self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
             self.warm_size += min(1.0, span / 2e6) * (warm - self.warm_size)
         self.warm_sent = 0
+        if self.roster.young:
+            self.weigh(now)
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
         if self.zoned and self.near and not self.verdict.shares:
@@ -1123,10 +1110,9 @@
             for _, kinds in sorted(self.roster.orders.items())
             for entry in stretch(self.roster, kinds, s.index, s.instances, self.subset_size(kinds))
         ]
-        copies = s.instances * len(drawn) / max(1, len(self.roster))
         if drawn == self.drawn and all(srv.member for srv in self.members):
             # Nothing has changed for this copy, as in most changes of a large fleet.
-            self.controller.resize(len(self.members), copies)
+            self.weigh(now)
             return
         for srv in self.members:
             srv.member = False
@@ -1141,9 +1127,21 @@
             # is crowded, beside another that answers most of them.
             self.readmit(self.ejected[0])
         self.forget_gone()
-        self.controller.resize(len(self.members), copies)
+        self.weigh(now)
         self.sort_members()
 
+    def weigh(self, now: int) -> None:
+        """Tells the limit how many servers all copies have, a cold one by what it is good for as yet.
+
+        Looks at all cold ones, so it waits the longer the more there are.
+        """
+        s, n = self.settings, max(1, len(self.roster))
+        if now >= self.weigh_at:
+            self.weigh_at = now + WINDOW + WINDOW * len(self.roster.young) // 1000
+            self.controller.rescale(sum(self.roster.warm(now, s.cold_time, s.cold_share).values()))
+        warm = len(self.members) * min(1.0, self.controller.capacity / n)
+        self.controller.resize(warm, s.instances * len(self.members) / n)
+
     def sort_members(self) -> None:
         self.able = []
         for m in self.members:
@@ -1165,7 +1163,7 @@
             self.spill_least = max(0.0, 1 - part)
             self.spill = max(self.spill, self.spill_least)
 
-    def draw(self, now: int, r: Request) -> Server | None:
+    def draw(self, now: int, r: Request[Server]) -> Server | None:
         """Two random members; the one with less in flight takes the call."""
         effect = r.effect
         if r.ran_on is not None and effect == Effect.KEYED:
@@ -1259,7 +1257,7 @@
             if srv is not other:
                 return srv
 
-    def draw_in_group(self, now: int, r: Request) -> Server | None:
+    def draw_in_group(self, now: int, r: Request[Server]) -> Server | None:
         """A keyed request that may have run goes only to the servers that would discard its repeat."""
         first = r.ran_on
         group = r.settings.classes[r.klass].group
@@ -1304,9 +1302,9 @@
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
         # Failure prevented: after an outage few members each get what one of many got, and all wait for the
-        # last to be warm. Where all are cold, each takes up to half of what would push it over.
+        # last to be warm. Where all are cold, or calls late, each takes half of what would push it over.
         fewer = min(s.fall_multiple or 1.0, max(1.0, self.warm_size / max(1, len(self.members))))
-        fewer *= max(1.0, s.fall_multiple / 2) if self.all_cold else 1.0
+        fewer *= max(1.0, s.fall_multiple / 2) if self.all_cold or self.controller.sample_rtt > 1 else 1.0
         rate = max(self.warm_rate * fewer, self.fair if srv.zone == s.zone else 0.0)
         srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
--- /dev/null
+++ b/brackenladder/request.py
@@ -0,0 +1,46 @@
+"""What is known of an open request: a record that the module keeps, and nothing that decides."""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from brackenladder.interface import Effect, Settings
+
+S = TypeVar("S")  # what stands for a server
+
+
+class Request(Generic[S]):
+    """An open request. At most one attempt is out at a time."""
+
+    __slots__ = (
+        "id",
+        "settings",
+        "klass",
+        "effect",
+        "useful_until",
+        "attempts",
+        "out",
+        "ran_on",
+        "ran_at",
+        "begun",
+        "held",
+        "sent_at",
+        "coming",
+        "once",
+    )
+
+    def __init__(self, request: int, settings: Settings, klass: int, effect: Effect, until: int) -> None:
+        self.id = request
+        self.settings = settings  # those it came under
+        self.klass = klass
+        self.effect = effect
+        self.useful_until = until
+        self.attempts = 0
+        self.out: S | None = None
+        self.ran_on: S | None = None  # the first server that may have run it
+        self.ran_at = 0
+        self.begun = False
+        self.held = False
+        self.sent_at = 0
+        self.coming = 0  # more of it is to come: the time that it then has
+        self.once = False  # it cannot be sent again
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -280,3 +280,21 @@
     c = after_pass(limit=20.0, in_flight=5, usual=15.0)
     c.sample(1000 + WINDOW, 0, 10_000_000)
     assert c.limit == 20.0 and len(c.samples) == 1
+
+
+def test_what_was_learned_moves_with_what_the_servers_are_good_for():
+    c = after_pass(limit=20.0, usual=8.0)
+    c.rescale(10.0)
+    assert (c.limit, c.usual, c.best) == (20.0, 8.0, 8.0)  # the first figure says nothing of a change
+    c.rescale(5.0)
+    assert (c.limit, c.usual, c.best) == (10.0, 4.0, 4.0)
+    c.rescale(0.0)  # an empty list
+    c.rescale(10.0)
+    assert (c.limit, c.usual, c.best) == pytest.approx((20.0, 8.0, 8.0))
+
+
+def test_after_the_first_pass_many_copies_do_not_each_fill_their_members():
+    c = after_pass(usual=3.0)
+    c.resize(10, 7.0)
+    assert c.pass_limit > 2 * 3 + MIN_LIMIT  # seven copies would hold as many calls each
+    assert c.most() == 2 * 3 + MIN_LIMIT
