Of many copies each sends one call to a server that says to be crowded

The new servers, a third as late as the mean, take 18 a second each, held down by what the warm ones got. Answers say how much a server holds for all copies; outcome() read none of it, and may_send() asked only for warmth.

Change: where four or more copies share a server, one that says to hold more than twice what servers usually hold (more than that where calls are late or capacity is short; three at the least) gets one call of each copy at a time. What is usual is learned from the reports while latency is at most half of the target, so large servers are not held to small figures. While calls are late cold members take up to three quarters of what would push them over. What is counted of a tenant moves into a module of its own.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -36,6 +36,7 @@
 from brackenladder.request import Request
 from brackenladder.roster import Listed, Roster
 from brackenladder.statistics import Average, percentile
+from brackenladder.tenant import Tenant
 
 # The source's figures, kept as they are.
 WINDOW = 100_000  # least length of a sampling window
@@ -78,6 +79,13 @@
 PICK_TRIES = 10  # so many members may be passed over for being slow
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
+COLD_PART = (
+    0.75  # where calls are late, and some warm, cold ones take up to this part of what pushes them over
+)
+MANY_COPIES = 4  # where so many share a server, what it says to hold counts...
+SHORT = 0.8  # ...more strictly where the listed are good for less than this part of their number...
+AT_REST = 0.5  # ...against what servers usually say while latency over target is within this...
+SMOOTH_HELD = 0.002  # ...smoothed by this weight of the newest report
 FADE = 5_000_000  # what is known of a member's speed is forgotten after so long without an outcome
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
@@ -91,7 +99,6 @@
 WELL = 0.8  # latency over target up to which a zone is said to bear what it has: queues grow slowly
 CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
 
-TENANT_TIME = 8_000_000  # a tenant's traffic is counted over so long
 EXCESS = 1.25  # it is clearly beyond its share at so many times its part...
 EXCESS_NOISE = 1.5  # ...and so many standard deviations of a count
 SHED_AT = 0.6  # clear excess is refused, more and more, while mean latency over target is above this
@@ -187,29 +194,20 @@
         self.allowance = allowance
         self.min_rtt = [0.0] * len(allowance)
         self.target = [float(a) for a in allowance]
-        self.floor = float(MIN_LIMIT)
-        self.members = 1.0
-        self.copies = 1.0
-        self.shared = 1.0
-        self.pass_limit = float(MIN_LIMIT)
+        self.floor = self.pass_limit = self.limit = float(MIN_LIMIT)
+        self.members = self.copies = self.shared = 1.0
         self.ceiling = ceiling
-        self.limit = float(MIN_LIMIT)
-        self.in_flight = 0
-        self.level = 0.0  # what the limit is set against
-        self.level_at = now
-        self.flight_sum = 0
-        self.latency_sum = 0
+        self.in_flight = self.flight_sum = self.latency_sum = 0
+        self.level, self.level_at = 0.0, now  # what the limit is set against
         self.ramping = True  # since the start the limit bound, and no window was above target
         self.lost = 0.0  # share of calls that ended without an answer, smoothed
         self.usual = 0.0  # calls in flight while latency was good, smoothed...
         self.best = 0.0  # ...and when it last was
         self.samples: list[float] = []
         self.window_start = now
-        self.sample_rtt = 0.0  # relative to min_rtt + B
-        self.gradient = 1.0
+        self.sample_rtt, self.gradient = 0.0, 1.0  # relative to min_rtt + B
         self.at_min = 0
-        self.rng = rng
-        self.passes = 0
+        self.rng, self.passes = rng, 0
         self.capacity = 0.0  # of the fleet, in warm servers
         self.start_pass(now)
 
@@ -424,6 +422,7 @@
         "cold_until",
         "tokens",
         "tokens_at",
+        "held",
     )
 
     def __init__(self, entry: Listed, kind: Average) -> None:
@@ -433,9 +432,8 @@
         self.in_list = True
         self.member = False
         self.in_flight = 0
-        self.ejected = False
+        self.ejected = self.trial_out = False
         self.aside = False  # its calls do not count against the limit
-        self.trial_out = False
         self.quiet_since = 0
         self.cell, self.zone = entry.cell, entry.zone
         self.renew(entry)
@@ -445,14 +443,12 @@
         self.ready_at = entry.ready_at
         self.deviation = Average(1.0, PRIOR, SMOOTH)  # this server's round-trips, relative to its kind's
         self.fail_rate = 0.0
-        self.fails_in_row = 0
-        self.calls = 0
+        self.fails_in_row = self.calls = 0
         self.silent = False
-        self.trial_at = 0
-        self.ejections = 0
-        self.cold_until = 0
+        self.trial_at = self.ejections = 0
+        self.cold_until = self.tokens_at = 0
         self.tokens = 0.0
-        self.tokens_at = 0
+        self.held = 0.0  # requests that it last said to hold, of all copies
 
     def slowness(self, now: int, mean_rtt: float) -> float:
         """The round-trip expected of it, relative to the mean: by its kind, its own past and its failures.
@@ -473,24 +469,6 @@
         return (self.in_flight + 1) * self.slowness(now, mean_rtt)
 
 
-class Tenant:
-    """What this copy knows of one tenant: its part of the quota, and what came lately."""
-
-    __slots__ = ("rate", "at", "seen", "due")
-
-    def __init__(self, rate: float) -> None:
-        self.rate = rate  # requests a second
-        self.at = 0
-        self.seen = 0.0  # requests of the last TENANT_TIME, fading
-        self.due = 1.0  # the quota's part for the same time, and one to start with
-
-    def fade(self, now: int) -> None:
-        keep = max(0.0, 1 - (now - self.at) / TENANT_TIME)
-        self.seen *= keep
-        self.due = self.due * keep + self.rate * (now - self.at) / 1e6
-        self.at = now
-
-
 class Balancer:
     """One copy: the decisions of one node, from its own traffic alone."""
 
@@ -499,6 +477,8 @@
     ) -> None:
         self.settings = s = settings
         self.weigh_at = 0
+        self.held = float(MIN_LIMIT)  # requests that a server usually says to hold
+        self.held_column = s.report_fields.index("inflight") if "inflight" in s.report_fields else -1
         self.judge = judge  # where operators gave rules for zones
         self.storms: StormJudge | None = None  # the same for storms
         self.verdict = Verdict(())
@@ -514,8 +494,8 @@
         self.drawn: list[Listed] = []  # the members' lines
         self.size = SUBSET_LEAST  # wanted when the members were last taken
         self.flight = 0.0  # calls in flight, smoothed
-        self.near: list[Server] = []  # members in this zone that may be drawn
-        self.able: list[Server] = []  # all members that may be drawn
+        self.near: list[Server] = []  # members in this zone that may be drawn...
+        self.able: list[Server] = []  # ...and all of them
         self.ejected: list[Server] = []
         self.next_trial = 0
         self.requests: dict[int, Request[Server]] = {}
@@ -526,9 +506,8 @@
         self.rtt = [Average(m, PRIOR, SMOOTH_ALL) for m in self.mean_rtt]
         self.kinds: dict[int, Average] = {}
         self.fail_rate = 0.0
-        self.near_ratio = 0.5  # mean latency over what the class can bear, for servers of this zone...
-        self.far_ratio = 0.5  # ...and of the others
-        self.best_ratio = 0.0
+        # Mean latency over what the class can bear, for servers of this zone and of the others.
+        self.near_ratio, self.far_ratio, self.best_ratio = 0.5, 0.5, 0.0
         self.zoned = judge is not None or s.cross_zone_price >= ZONE_PRICE
         self.roster = Roster(self.zoned, groups_of(s))
         self.spill = 0.0 if self.zoned else 1.0  # share of calls that may leave the zone
@@ -541,8 +520,7 @@
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_size, self.all_cold = 0.0, False  # of so many members; hardly any is warm now
         self.warm_sent = 0
-        self.list_failures = 0
-        self.blocked = 0  # rq_blocked
+        self.list_failures = self.blocked = 0
         self.apart: set[int] = set()  # requests that are out and count nowhere: coming still, or flowing back
         self.rank_classes()
 
@@ -710,6 +688,10 @@
     ) -> None:
         srv = self.servers.get(server)
         r = self.requests.get(request)
+        if srv is not None and len(report) > self.held_column >= 0:
+            srv.held = report[self.held_column]
+            if self.controller.sample_rtt <= AT_REST:
+                self.held += SMOOTH_HELD * (srv.held - self.held)
         if request in self.apart:
             self.apart.discard(request)
             if srv is not None:
@@ -1292,19 +1274,35 @@
             self.eject(now, srv, silent=True)
         return srv.ejected
 
+    def crowded(self, srv: Server) -> bool:
+        """Whether all copies together hold more there than servers usually hold, twice that in good times.
+
+        Failure prevented: many copies, each with few calls in flight, crowd a server that none of them sees
+        crowded; it turns slow, and stays so while it is never idle. One call of each tells how it fares.
+        """
+        ctl = self.controller
+        if not srv.in_flight or ctl.copies < MANY_COPIES:
+            return False
+        pressed = ctl.sample_rtt > 1 or ctl.capacity < SHORT * len(self.roster)
+        return srv.held > max(MIN_LIMIT, self.held) * (1 if pressed else USUAL_MOST)
+
     def may_send(self, now: int, srv: Server) -> bool:
-        """Slow start: a cold server takes its present share of what a warm member gets from this copy.
+        """Whether one more call may go there: not to a crowded server, and to a cold one by slow start.
 
-        Failure prevented: all nodes together push it over. The bucket of one call starts empty.
+        A cold server takes its present share of what a warm member gets from this copy. Failure prevented:
+        all nodes together push it over. The bucket of one call starts empty.
         """
+        if self.crowded(srv):
+            return False
         if srv.cold_until <= now:
             return True
         s = self.settings
         warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
         # Failure prevented: after an outage few members each get what one of many got, and all wait for the
-        # last to be warm. Where all are cold, or calls late, each takes half of what would push it over.
+        # last to be warm. All cold, each takes half of what pushes it over; where calls are late, more.
         fewer = min(s.fall_multiple or 1.0, max(1.0, self.warm_size / max(1, len(self.members))))
-        fewer *= max(1.0, s.fall_multiple / 2) if self.all_cold or self.controller.sample_rtt > 1 else 1.0
+        if self.all_cold or self.controller.sample_rtt > 1:
+            fewer *= max(1.0, s.fall_multiple * (0.5 if self.all_cold else COLD_PART))
         rate = max(self.warm_rate * fewer, self.fair if srv.zone == s.zone else 0.0)
         srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -8,7 +8,7 @@
 from support import BASE, KEYED, SAFE, SEC, UNSAFE, ask, balancer, end
 
 from brackenladder import balance
-from brackenladder.balance import Balancer
+from brackenladder.balance import COLD_PART, Balancer
 from brackenladder.interface import (
     NEVER_RAN,
     ClassSettings,
@@ -724,6 +724,52 @@
     assert node.warm_rate > 30.0
     cold = node.servers[2]
     cold.tokens, cold.tokens_at = 0.0, 12 * SEC
-    rate = node.warm_rate * BASE.fall_multiple / 2 * (0.4 + 0.6 * 2 / 4)
+    rate = node.warm_rate * BASE.fall_multiple * COLD_PART * (0.4 + 0.6 * 2 / 4)
     assert not node.may_send(12 * SEC + int(0.99e6 / rate), cold)
     assert node.may_send(12 * SEC + int(1.01e6 / rate), cold)
+
+
+def told(node: Balancer, rec, now: int, request: int, held: float, latency: int = 10_000) -> int:
+    """A call that is served by a server that says how much it holds; which it was."""
+    server = ask(node, rec, now, request)[2]
+    node.outcome(now + latency, request, 0, server, Outcome.OK, latency, True, (held,))
+    rec.take()
+    return server
+
+
+@pytest.mark.parametrize(("instances", "most"), [(40, 1), (1, 3)])
+def test_many_copies_each_send_one_call_to_a_server_that_says_to_be_crowded(instances: int, most: int):
+    node, rec = balancer(4, instances=instances, report_fields=("inflight",))
+    node.controller.end_pass(0)
+    node.controller.limit = 100.0
+    for i in range(8):
+        told(node, rec, 20_000 * i, i, 2)
+    for srv in node.servers.values():
+        srv.held = 2.0 if srv.id == 4 else 9.0
+    for i in range(100, 120):
+        ask(node, rec, SEC, i)
+    crowded = [srv.in_flight for srv in node.servers.values() if srv.held == 9]
+    assert max(crowded) <= most if instances > 1 else max(crowded) >= most
+    node.servers[4].held = 9.0
+    for held, pressed, crowded in ((5.0, False, False), (5.0, True, True), (2.0, True, False)):
+        node.servers[1].held, node.controller.sample_rtt = held, 2.0 if pressed else 0.5
+        assert node.crowded(node.servers[1]) is (crowded and instances > 1)
+    node.servers[1].held = 9.0
+    if instances > 1:  # no server may take more: that is said at once
+        assert ask(node, rec, SEC, 200)[0] == "refuse"
+
+
+def test_what_servers_usually_hold_is_learned_while_calls_are_quick():
+    node, rec = balancer(4, instances=40, report_fields=("queue", "inflight"))
+    assert node.held_column == 1
+    node.held_column = 0
+    for i in range(3000):  # large servers hold forty each, and answer well
+        node.controller.sample_rtt = 0.3
+        told(node, rec, 20_000 * i, i, 40)
+    assert node.held > 35
+    before = node.held
+    node.controller.sample_rtt = 0.9
+    node.controller.samples.clear()
+    node.controller.window_start = 10**12
+    told(node, rec, 10**9, 5000, 400)
+    assert node.held == before
