--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -158,6 +158,8 @@
         self.fetching: Call | None = None
         self.reading: set[asyncio.Task[None]] = set()  # of long lists
         self.turn = asyncio.Lock()
+        self.dropped = 0  # answers in a row that could not be used...
+        self.reason = ""  # ...and why the last could not
 
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
@@ -230,7 +232,7 @@
         try:
             listing = read_listing(json.loads(body))
         except (ValueError, RecursionError) as e:
-            self.log.line(f"discovery: answer dropped: {e}")
+            self.drop(str(e))
             return None
         lines = self.newer(listing.kind, listing.version)
         if lines is None:
@@ -240,14 +242,28 @@
     def newer(self, kind: ListKind, version: int) -> bool | None:
         """Whether the list holds news; None if it cannot be used. Its version is in hand from now on."""
         if kind == ListKind.CHANGES and self.version is None:
-            self.log.line("discovery: answer dropped: changes of a list that is not known")
+            self.drop("changes of a list that is not known")
             return None
         if kind == ListKind.CHANGES and self.version is not None and version < self.version:
             # Failure prevented: an old answer that was overtaken brings drained servers back.
             return False
         self.version = version
+        if self.dropped > 1:
+            self.log.line(f"discovery: readable again after {self.dropped} dropped answers")
+        self.dropped, self.reason = 0, ""
         return True
 
+    def drop(self, why: str) -> None:
+        """Counts an answer that cannot be used, and says why once.
+
+        Failure prevented: a discovery that goes on sending what cannot be read fills the log, at each retry
+        of every node of a large fleet.
+        """
+        self.dropped += 1
+        if why != self.reason:
+            self.reason = why
+            self.log.line(f"discovery: answer dropped: {why}")
+
     async def read_long(
         self, body: bytearray, then: Callable[[bool], None], address: tuple[str, int], in_hand: int | None
     ) -> None:
@@ -264,7 +280,7 @@
                     await asyncio.sleep(monotonic() - began)
                     began = monotonic()
             except (ValueError, RecursionError) as e:
-                self.log.line(f"discovery: answer dropped: {e}")
+                self.drop(str(e))
                 then(False)
                 return
             if address != self.address:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -400,3 +400,13 @@
     loaded = {name.partition(".")[0] for name in done.stdout.split()}
     assert not loaded & {"click", "numpy", "msgspec", "rich", "matplotlib", "hdrh"}
     assert not any(n.startswith(("brackenladder.lab", "brackenladder.cli")) for n in done.stdout.split())
+
+
+def test_many_nodes_serve_on_while_six_in_ten_servers_are_replaced() -> None:
+    """Failure prevented: each of many nodes keeps its old limit, and together they jam what is left."""
+    changes = ("seconds=15", "tier.0.servers=30", "tier.0.reserve=18", "tier.0.nodes=20")
+    emulator, figures, _ = run(
+        load(ROOT / "scenarios" / "fleet-replaced.toml", changes), 1, NAMED["brackenladder"]
+    )
+    assert not any(emulator.ledger.counts.values()), emulator.ledger.notes
+    assert figures.value("in_time") > 0.8
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -10,7 +11,9 @@
 from loopback import Bench, Server, call, play, until
 
 from brackenladder.interface import ListKind
+from brackenladder.net.discovery import Discovery
 from brackenladder.net.listing import LongListing, members_of
+from brackenladder.net.log import Log
 
 MANY = 2500
 
@@ -143,3 +146,20 @@
     assert steps == 2 and [len(part.lines) for part in parts] == [50, 50, 20]
     assert [line.id for part in parts for line in part.lines] == [f"n{i}" for i in range(120)]
     assert {(part.kind, part.version) for part in parts} == {(ListKind.FULL, 3)}
+
+
+def test_what_cannot_be_read_is_said_once_and_counted(capsys):
+    async def scene():
+        told = []
+        watch = Discovery(
+            asyncio.get_running_loop(), ("127.0.0.1", 9), 41, 40, lambda *a: told.append(a), Log("n0", 100)
+        )
+        for _ in range(30):  # as many retries
+            assert watch.short(bytearray(b"<html>")) is None
+        assert watch.dropped == 30 and watch.version == 41 and not told
+        assert watch.short(bytearray(b'{"version": 42, "full": true, "servers": []}')) is not None
+        assert watch.dropped == 0
+
+    asyncio.run(scene())
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2 and "answer dropped" in lines[0] and "after 30 dropped" in lines[1]
