A second change of the list within a window moves the limit as well

Cause, found on reading the change again: weigh() looks at the list once a window, and each_window() asked it again only while servers were cold. Two changes within 100 ms, all servers warm: the second was not seen until the list changed again. Change: each window asks; weigh() itself keeps the pace. The test fails before it (9 servers for 4).

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -1022,8 +1022,7 @@
                 self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
             self.warm_size += min(1.0, span / 2e6) * (warm - self.warm_size)
         self.warm_sent = 0
-        if self.roster.young:
-            self.weigh(now)
+        self.weigh(now)  # the list may have changed again since, and cold servers are warmer
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
         if self.zoned and self.near and not self.verdict.shares:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -773,3 +773,12 @@
     node.controller.window_start = 10**12
     told(node, rec, 10**9, 5000, 400)
     assert node.held == before
+
+
+def test_a_second_change_of_the_list_within_a_window_moves_the_limit_too():
+    node, _ = balancer(10)
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, state=State.GONE)])
+    assert node.controller.capacity == 9.0
+    node.server_list(SEC + 10_000, ListKind.CHANGES, [ServerEntry(i, state=State.GONE) for i in range(2, 7)])
+    node.each_window(SEC + 200_000)
+    assert node.controller.capacity == 4.0
