What is known of a server is a record that names each figure once

Server listed its 25 figures twice, in __slots__ and in the constructor. It is a dataclass with slots now; nothing is decided otherwise.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -14,6 +14,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 from math import ceil, sqrt
 from random import Random
 
@@ -395,60 +396,46 @@
         return max(self.floor, self.usual * kept)
 
 
+@dataclass(slots=True, eq=False)
 class Server:
     """What this copy knows of one server."""
 
-    __slots__ = (
-        "id",
-        "cell",
-        "zone",
-        "ready_at",
-        "in_list",
-        "member",
-        "in_flight",
-        "kind_id",
-        "kind",
-        "deviation",
-        "fail_rate",
-        "fails_in_row",
-        "calls",
-        "quiet_since",
-        "ejected",
-        "aside",
-        "silent",
-        "trial_at",
-        "trial_out",
-        "ejections",
-        "cold_until",
-        "tokens",
-        "tokens_at",
-        "held",
-    )
-
-    def __init__(self, entry: Listed, kind: Average) -> None:
-        self.id = entry.id
-        self.kind_id = entry.kind
-        self.kind = kind  # round-trips of servers of this kind, relative to the class's mean
-        self.in_list = True
-        self.member = False
-        self.in_flight = 0
-        self.ejected = self.trial_out = False
-        self.aside = False  # its calls do not count against the limit
-        self.quiet_since = 0
-        self.cell, self.zone = entry.cell, entry.zone
-        self.renew(entry)
-
-    def renew(self, entry: Listed) -> None:
+    id: int
+    kind_id: int
+    kind: Average  # round-trips of servers of this kind, relative to the class's mean
+    cell: int
+    zone: int
+    ready_at: int
+    deviation: Average = field(init=False)  # this server's round-trips, relative to its kind's
+    in_list: bool = True
+    member: bool = False
+    in_flight: int = 0
+    ejected: bool = False
+    trial_out: bool = False
+    aside: bool = False  # its calls do not count against the limit
+    quiet_since: int = 0
+    fail_rate: float = field(init=False)
+    fails_in_row: int = field(init=False)
+    calls: int = field(init=False)
+    silent: bool = field(init=False)
+    trial_at: int = field(init=False)
+    ejections: int = field(init=False)
+    cold_until: int = field(init=False)
+    tokens: float = field(init=False)
+    tokens_at: int = field(init=False)
+    held: float = field(init=False)  # requests that it holds, of all copies, as far as is known
+
+    def __post_init__(self) -> None:
+        self.renew(self.ready_at)
+
+    def renew(self, ready_at: int) -> None:
         """A new process: nothing learned of the old one holds."""
-        self.ready_at = entry.ready_at
-        self.deviation = Average(1.0, PRIOR, SMOOTH)  # this server's round-trips, relative to its kind's
-        self.fail_rate = 0.0
-        self.fails_in_row = self.calls = 0
+        self.ready_at = ready_at
+        self.deviation = Average(1.0, PRIOR, SMOOTH)
+        self.fail_rate = self.tokens = self.held = 0.0
+        self.fails_in_row = self.calls = self.ejections = 0
         self.silent = False
-        self.trial_at = self.ejections = 0
-        self.cold_until = self.tokens_at = 0
-        self.tokens = 0.0
-        self.held = 0.0  # requests that it last said to hold, of all copies
+        self.trial_at = self.cold_until = self.tokens_at = 0
 
     def slowness(self, now: int, mean_rtt: float) -> float:
         """The round-trip expected of it, relative to the mean: by its kind, its own past and its failures.
@@ -611,7 +598,7 @@
         if srv.ready_at != entry.ready_at:
             if srv.ejected:
                 self.readmit(srv)
-            srv.renew(entry)
+            srv.renew(entry.ready_at)
         srv.in_list = True
         srv.cell, srv.zone = entry.cell, entry.zone
         if entry.ready_at > 0 and now < entry.ready_at + self.settings.cold_time:
@@ -1066,7 +1053,8 @@
         srv = self.servers.get(entry.id)
         if srv is None:
             average = self.kinds.setdefault(entry.kind, Average(1.0, PRIOR, SMOOTH_ALL))
-            srv = self.servers[entry.id] = Server(entry, average)
+            srv = Server(entry.id, entry.kind, average, entry.cell, entry.zone, entry.ready_at)
+            self.servers[entry.id] = srv
             self.note_start(now, srv, entry)
         return srv
 
