What a copy sent to a server since its last report counts as held there

A trace of each front node every half second shows one node with several times the mean traffic (n9 at 14.4 s: 132 calls in flight, latency at 0.6 of target) that holds 37 and 40 calls at two servers and one or none at 19 others:

n9 14.4 lim 165.1 fl 132 rtt 0.6 mem 24 ... (held/own calls/slowness) 2/37/1.4 43/40/1.8 27/11/1.1

The first of them says to hold 2.

Checked and ruled out: the lower tier (latency 0.17 to 0.25 s all the time), the limit (half used), slow start (cold ones answer in 0.5 to 0.9 s), restarts (refusals go on 15 s after the last of them).

Cause: crowded() in balance.py went by the last report alone. Reports are as old as the last answer, and a server that is flooded answers late, so it looked idle while all other members counted as crowded: each call of the busy copy went to it. outcome() kept the report as it came; book() counted nothing.

Change: a call that is sent counts as held until the server says more, and a report counts for no less than what this copy has out there.

The new test fails without the change. An older test named its servers by what they hold and names them by id now.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -675,10 +675,6 @@
     ) -> None:
         srv = self.servers.get(server)
         r = self.requests.get(request)
-        if srv is not None and len(report) > self.held_column >= 0:
-            srv.held = report[self.held_column]
-            if self.controller.sample_rtt <= AT_REST:
-                self.held += SMOOTH_HELD * (srv.held - self.held)
         if request in self.apart:
             self.apart.discard(request)
             if srv is not None:
@@ -688,6 +684,12 @@
                     srv.fails_in_row += 1
         elif srv is not None and srv.in_flight > 0:
             self.settle(now, srv, r, outcome, latency)
+        if srv is not None and len(report) > self.held_column >= 0:
+            # Failure prevented: a report is older than what this copy sent since, and a busy copy sends all
+            # it has to the one server that was said to be idle.
+            srv.held = max(report[self.held_column], float(srv.in_flight))
+            if self.controller.sample_rtt <= AT_REST:
+                self.held += SMOOTH_HELD * (report[self.held_column] - self.held)
         if r is not None and r.out is not None and attempt == r.attempts - 1:
             r.out = None
             if final or outcome == Outcome.OK:
@@ -807,6 +809,7 @@
         if srv.in_flight == 0:
             srv.quiet_since = now
         srv.in_flight += 1
+        srv.held += 1  # until it says more
         self.sent[srv.zone] = self.sent.get(srv.zone, 0) + 1
         if not srv.aside:
             self.controller.note(now, 1)
@@ -904,6 +907,7 @@
     ) -> None:
         """Books an attempt's end: in-flight, samples, the server's averages, ejection."""
         srv.in_flight -= 1
+        srv.held = max(0.0, srv.held - 1)
         ctl = self.controller
         if not srv.aside:
             ctl.note(now, -1)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -748,7 +748,7 @@
         srv.held = 2.0 if srv.id == 4 else 9.0
     for i in range(100, 120):
         ask(node, rec, SEC, i)
-    crowded = [srv.in_flight for srv in node.servers.values() if srv.held == 9]
+    crowded = [srv.in_flight for srv in node.servers.values() if srv.id != 4]
     assert max(crowded) <= most if instances > 1 else max(crowded) >= most
     node.servers[4].held = 9.0
     for held, pressed, crowded in ((5.0, False, False), (5.0, True, True), (2.0, True, False)):
@@ -759,6 +759,26 @@
         assert ask(node, rec, SEC, 200)[0] == "refuse"
 
 
+def test_what_a_copy_sent_since_a_report_counts_as_held_there():
+    """A busy copy sent forty calls to the one server whose last report told of two."""
+    node, rec = balancer(4, instances=40, report_fields=("inflight",))
+    node.controller.end_pass(0)
+    node.controller.limit = 100.0
+    for i in range(12):
+        told(node, rec, 20_000 * i, i, 2)
+    for srv in node.servers.values():
+        srv.held = 2.0 if srv.id == 4 else 9.0
+    sent = [ask(node, rec, SEC, i) for i in range(100, 120)]
+    idle = node.servers[4]
+    assert [action for action, *_ in sent].count("send") < 20
+    assert idle.in_flight == 5 and idle.held == 7.0  # over twice what servers usually hold
+    request = next(r for _, r, server, _ in (a for a in sent if a[0] == "send") if server == 4)
+    node.outcome(SEC + 1000, request, 0, 4, Outcome.OK, 1000, True, (1.0,))
+    assert idle.held == 4.0  # the report is older than the four calls that are out
+    node.outcome(SEC + 1000, 999, 0, 4, Outcome.OK, 1000, True, ())
+    assert idle.held == 3.0
+
+
 def test_what_servers_usually_hold_is_learned_while_calls_are_quick():
     node, rec = balancer(4, instances=40, report_fields=("queue", "inflight"))
     assert node.held_column == 1
