Warm servers may hold twice the usual while others are cold and calls are quick

Checked and ruled out: latency (0.42 to 0.51 of target), lost calls (0.00), the limit, the lower tier.

Cause: crowded() in balance.py took a server that holds more than usual for crowded as soon as the listed ones were good for less than 0.8 of their number (SHORT), late or not. SHORT stood in for reports that were out of date; what was sent since counts now.

Change: more than usual counts as crowded while calls are late, twice as much otherwise; SHORT goes.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -84,7 +84,6 @@
     0.75  # where calls are late, and some warm, cold ones take up to this part of what pushes them over
 )
 MANY_COPIES = 4  # where so many share a server, what it says to hold counts...
-SHORT = 0.8  # ...more strictly where the listed are good for less than this part of their number...
 AT_REST = 0.5  # ...against what servers usually say while latency over target is within this...
 SMOOTH_HELD = 0.002  # ...smoothed by this weight of the newest report
 FADE = 5_000_000  # what is known of a member's speed is forgotten after so long without an outcome
@@ -1274,8 +1273,8 @@
         ctl = self.controller
         if not srv.in_flight or ctl.copies < MANY_COPIES:
             return False
-        pressed = ctl.sample_rtt > 1 or ctl.capacity < SHORT * len(self.roster)
-        return srv.held > max(MIN_LIMIT, self.held) * (1 if pressed else USUAL_MOST)
+        # Failure prevented: warm servers that well bear what cold ones cannot yet are all taken for crowded.
+        return srv.held > max(MIN_LIMIT, self.held) * (1 if ctl.sample_rtt > 1 else USUAL_MOST)
 
     def may_send(self, now: int, srv: Server) -> bool:
         """Whether one more call may go there: not to a crowded server, and to a cold one by slow start.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -779,6 +779,18 @@
     assert idle.held == 3.0
 
 
+def test_warm_servers_bear_more_than_usual_while_others_are_cold_and_calls_are_quick():
+    """With half of the servers cold the warm ones hold more than usual; that is not yet a crowd."""
+    entries = [ServerEntry(i + 1, ready_at=i % 2) for i in range(8)]
+    node, _ = balancer(entries, instances=40, report_fields=("inflight",))
+    assert node.controller.capacity < 0.8 * len(node.roster)
+    warm = next(srv for srv in node.members if srv.cold_until == 0)
+    warm.in_flight, warm.held, node.controller.sample_rtt = 1, 5.0, 0.5
+    assert not node.crowded(warm)
+    node.controller.sample_rtt = 1.5
+    assert node.crowded(warm)
+
+
 def test_what_servers_usually_hold_is_learned_while_calls_are_quick():
     node, rec = balancer(4, instances=40, report_fields=("queue", "inflight"))
     assert node.held_column == 1
