A copy with several times its part of the traffic spreads it over more members

It held 60 to 140 calls at 24 members.

Checked and ruled out: its limit (143 for 70 in flight), latency (0.67 of target), the lower tier.

Cause: wanted_size() in balance.py ends at SUBSET_MOST, 24. Members that are crowded take one call of a copy, so that whoever has more calls in flight than members refuses what other servers would bear.

Change: beyond 24 members, 1.3 for each call in flight (more than the quarter by which a wish may differ before members are taken anew), up to SUBSET_BOUND. Copies with less than 19 calls in flight keep what they had.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -58,8 +58,9 @@
 AIM_SHARE = 0.5  # the buffer reaches up to this share of a class's aim
 AIM_MOST = 0.75  # min_rtt + B stays within this share of it
 SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
-SUBSET_MOST = 24  # and of any other
-SUBSET_BOUND = 128  # more where copies are so few that servers would be left out, up to so many
+SUBSET_MOST = 24  # and of any other...
+SUBSET_FULL = 1.3  # ...but for so many for each call in flight: crowded members take one of a copy each
+SUBSET_BOUND = 128  # more where it has, or where copies are so few that servers would be left out
 SUBSET_FORMER = 64  # what was learned of so many former members is kept
 REPEAT_CHOICE = 24  # servers looked at for a keyed repeat where the subset has none of its group
 SUBSET_FLIGHT = 2  # in between: so many for each call in flight
@@ -1049,7 +1050,10 @@
         return n if n < 2 * SUBSET_LEAST else max(self.size, part)
 
     def wanted_size(self) -> int:
-        return min(SUBSET_MOST, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+        # Failure prevented: a copy with several times its part of the traffic, to which crowded members allow
+        # one call each, refuses all beyond the number of its members.
+        most = min(SUBSET_BOUND, max(SUBSET_MOST, int(SUBSET_FULL * self.flight)))
+        return min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
 
     def known(self, now: int, entry: Listed) -> Server:
         """What this copy knows of a listed server; from now on it learns."""
