A new member is taken to hold what the others do, and no reports mean no crowd

The trace of the copies that just took in members shows them at 18.4 s (held/own calls/slowness):

n5 5/5/3.1 3/3/8.3 3/3/6.0 3/3/3.3 n6 4/4/6.2 n4 7/7/1.7 4/4/4.2 4/4/4.9 n3 7/7/5.8

all of it its own calls, to servers that had told it nothing yet, while their other members held 8 to 27.

Cause: known() in balance.py began with nothing held, which is right for a new process only. Ten copies each sent up to twice the usual to the same servers.

Change: a server that is not cold begins with what the members hold on average, and at least with what is usual. Found by an older test on the way: without 'inflight' in the settings nothing corrects what is held, so that no server is crowded then, as before the counting of own calls.

The new test fails without it; make test: 567 passed.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -1063,6 +1063,10 @@
             srv = Server(entry.id, entry.kind, average, entry.cell, entry.zone, entry.ready_at)
             self.servers[entry.id] = srv
             self.note_start(now, srv, entry)
+            if srv.cold_until == 0:
+                # Failure prevented: a copy that takes in members of which it knows nothing floods them all.
+                mean = sum(m.held for m in self.members) / max(1, len(self.members))
+                srv.held = max(self.held, mean)
         return srv
 
     def forget_gone(self) -> None:
@@ -1275,7 +1279,7 @@
         crowded; it turns slow, and stays so while it is never idle. One call of each tells how it fares.
         """
         ctl = self.controller
-        if not srv.in_flight or ctl.copies < MANY_COPIES:
+        if not srv.in_flight or ctl.copies < MANY_COPIES or self.held_column < 0:
             return False
         # Failure prevented: warm servers that well bear what cold ones cannot yet are all taken for crowded.
         return srv.held > max(MIN_LIMIT, self.held) * (1 if ctl.sample_rtt > 1 else USUAL_MOST)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -803,6 +803,21 @@
     assert 100 < len(node.members) <= balance.SUBSET_BOUND and node.controller.in_flight > 100
 
 
+def test_a_new_member_is_taken_to_hold_what_the_others_do_unless_it_is_cold():
+    """A copy that took in twenty members at once sent each of them seven calls, with all others crowded."""
+    node, rec = balancer(8, instances=40, report_fields=("inflight",))
+    for i in range(8):
+        told(node, rec, 20_000 * i, i, 9)
+    for srv in node.members:
+        srv.held = 9.0
+    node.flight = 40.0
+    joined = [ServerEntry(i, ready_at=(SEC - 1) * (i > 20)) for i in range(9, 33)]
+    node.server_list(SEC, ListKind.CHANGES, joined)
+    new = [srv for srv in node.members if srv.id > 8]
+    assert len(new) >= 20
+    assert all(srv.held == (0.0 if srv.id > 20 else 9.0) for srv in new)
+
+
 def test_what_servers_usually_hold_is_learned_while_calls_are_quick():
     node, rec = balancer(4, instances=40, report_fields=("queue", "inflight"))
     assert node.held_column == 1
