Connections that are refused do not lower the limit that other servers bear

The trace of all front nodes, mean: limit 36 to 16, usual calls 17 to 10, and between 6 and 10 s 258 failed connections, 60 resets:

s req blk CONN RST | lim fl usual rtt cap lost 6 570 43 109 60 | 35.5 21.3 17.2 0.81 1.00 0.08 8 1156 817 149 0 | 21.3 17.2 14.1 1.79 1.03 0.26 10 1232 957 7 0 | 16.0 12.0 9.6 1.35 1.01 0.18

Checked and ruled out: crowded members (no call without a server), the lower tier, the list (it tells of the loss only at 9.3 s, after the fall). Answers of the others took 0.6 to 0.9 s as before.

Cause: settle() in balance.py counted a failed connection as a lost call; above FAILING, 0.15, each then enters the window as a sample of twice the target, for work sunk below. A refused connection sinks none, and tells nothing of the servers that are left. Only calls that were turned away were excepted.

Change: whatever never ran is excepted. A failed connection counts for its own server as before.

The new test fails without the change.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -938,7 +938,9 @@
         bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
         srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
-        if not srv.ejected and outcome != Outcome.REJECTED:
+        # Failure prevented: a zone is gone, connections to it are refused, and the limit that the others
+        # still bear is halved for a load that reached nobody.
+        if not srv.ejected and outcome not in NEVER_RAN:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
             if bad and r is not None and ctl.lost > FAILING:
                 # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -359,7 +359,9 @@
     assert [c.effect for c in (SAFE, KEYED, UNSAFE)] == list(Effect)
 
 
-def calls(node, rec, steps: int, failing: float, now: int = 0, gap: int = 10_000) -> tuple[int, float]:
+def calls(
+    node, rec, steps: int, failing: float, now: int = 0, gap: int = 10_000, bad: Outcome = Outcome.RESET
+) -> tuple[int, float]:
     """Plays calls of 100 ms, up to ten in flight, of which such a share fails by chance.
 
     Gives the time at the end and the least limit on the way.
@@ -374,7 +376,7 @@
             out.append(action)
         if len(out) > 10 or action[0] != "send" and out:
             _, request, server, _ = out.pop(0)
-            outcome = Outcome.RESET if chance.random() < failing else Outcome.OK
+            outcome = bad if chance.random() < failing else Outcome.OK
             end(node, rec, now, request, 0, server, outcome, 100_000)
         least = min(least, node.controller.limit)
     return now, least
@@ -402,6 +404,15 @@
     assert node.controller.floor < usual and node.controller.limit < 0.6 * usual
 
 
+def test_connections_that_are_refused_do_not_lower_the_limit_of_the_others():
+    """A zone is gone: a third of the calls reach nobody; the other two thirds are as quick as before."""
+    node, rec = balancer(6, instances=6)
+    now, _ = calls(node, rec, 1500, 0.0)
+    limit = node.controller.limit
+    _, least = calls(node, rec, 1500, 0.33, now, bad=Outcome.CONNECT_FAILED)
+    assert least > 0.9 * limit and node.controller.lost == 0
+
+
 def test_a_member_that_has_just_turned_slow_loses_draws_before_its_calls_return():
     """Its averages still look good: what tells is that its calls have been out for longer than the mean."""
     node, rec = balancer(2)
