Only a copy that carries more than others widens; crowding counts sooner

Trace of all front nodes, each line two seconds:

s OK blk nosrv | lim fl usual rtt held by a member, mean and most 6 1236 64 0 | 34.9 19.5 16.3 0.59 4.7 16 10 1146 1205 0 | 38.9 30.4 18.2 0.75 7.8 21 12 955 947 146 | 50.2 40.7 24.3 0.95 9.3 23 16 665 3604 623 | 39.7 37.8 28.9 2.04 7.6 25

The servers that are left answer less the more they hold, and stay so for 20 s. At 8 to 12 s latency is still under target, so that twice the usual is let in, and all copies carry twice what they did, so that all take twice the members: each server then has one call of twelve copies instead of six, whatever it says to hold.

Change: more than 24 members go to a copy by how much more it carries than copies do on average, by what members hold (100 ms old at most); without reports nobody widens. The bound on what a server may hold goes from twice the usual at rest to the usual at target in proportion, between the two marks that were there.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -15,7 +15,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from math import ceil, sqrt
+from math import ceil, inf, sqrt
 from random import Random
 
 from brackenladder.interface import (
@@ -58,8 +58,7 @@
 AIM_SHARE = 0.5  # the buffer reaches up to this share of a class's aim
 AIM_MOST = 0.75  # min_rtt + B stays within this share of it
 SUBSET_LEAST = 4  # members of a copy that has hardly any call in flight
-SUBSET_MOST = 24  # and of any other...
-SUBSET_FULL = 1.3  # ...but for so many for each call in flight: crowded members take one of a copy each
+SUBSET_MOST = 24  # and of any other, but of one with several times what copies carry on average
 SUBSET_BOUND = 128  # more where it has, or where copies are so few that servers would be left out
 SUBSET_FORMER = 64  # what was learned of so many former members is kept
 REPEAT_CHOICE = 24  # servers looked at for a keyed repeat where the subset has none of its group
@@ -81,9 +80,7 @@
 PICK_TRIES = 10  # so many members may be passed over for being slow
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
-COLD_PART = (
-    0.75  # where calls are late, and some warm, cold ones take up to this part of what pushes them over
-)
+COLD_PART = 0.75  # where calls are late, and some warm, cold ones take up to this of what pushes them over
 MANY_COPIES = 4  # where so many share a server, what it says to hold counts...
 AT_REST = 0.5  # ...against what servers usually say while latency over target is within this...
 SMOOTH_HELD = 0.002  # ...smoothed by this weight of the newest report
@@ -464,7 +461,8 @@
     ) -> None:
         self.settings = s = settings
         self.weigh_at = 0
-        self.held = float(MIN_LIMIT)  # requests that a server usually says to hold
+        self.held = float(MIN_LIMIT)  # requests that a server usually says to hold...
+        self.mean_held = 0.0  # ...and that members hold now, on average; 0 if not known
         self.held_column = s.report_fields.index("inflight") if "inflight" in s.report_fields else -1
         self.judge = judge  # where operators gave rules for zones
         self.storms: StormJudge | None = None  # the same for storms
@@ -938,8 +936,7 @@
         bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
         srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
-        # Failure prevented: a zone is gone, connections to it are refused, and the limit that the others
-        # still bear is halved for a load that reached nobody.
+        # Failure prevented: refused connections to a zone that is gone halve the limit that others bear.
         if not srv.ejected and outcome not in NEVER_RAN:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
             if bad and r is not None and ctl.lost > FAILING:
@@ -1014,6 +1011,8 @@
             if rate > self.warm_rate or self.controller.sample_rtt <= 1:
                 self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
             self.warm_size += min(1.0, span / 2e6) * (warm - self.warm_size)
+        if self.held_column >= 0:
+            self.mean_held = sum(m.held for m in self.members) / max(1, len(self.members))
         self.warm_sent = 0
         self.weigh(now)  # the list may have changed again since, and cold servers are warmer
         self.rank_classes()
@@ -1052,9 +1051,10 @@
         return n if n < 2 * SUBSET_LEAST else max(self.size, part)
 
     def wanted_size(self) -> int:
-        # Failure prevented: a copy with several times its part of the traffic, to which crowded members allow
-        # one call each, refuses all beyond the number of its members.
-        most = min(SUBSET_BOUND, max(SUBSET_MOST, int(SUBSET_FULL * self.flight)))
+        # Failure prevented: a copy with several times its part of the traffic has one call at each crowded
+        # member, and refuses the rest. Were all to widen in a shortage, servers would have more such calls.
+        others = self.mean_held * len(self.roster) / self.settings.instances or inf  # copies carry on average
+        most = min(SUBSET_BOUND, int(SUBSET_MOST * max(1.0, self.flight / others)))
         return min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
 
     def known(self, now: int, entry: Listed) -> Server:
@@ -1067,8 +1067,7 @@
             self.note_start(now, srv, entry)
             if srv.cold_until == 0:
                 # Failure prevented: a copy that takes in members of which it knows nothing floods them all.
-                mean = sum(m.held for m in self.members) / max(1, len(self.members))
-                srv.held = max(self.held, mean)
+                srv.held = max(self.held, self.mean_held)
         return srv
 
     def forget_gone(self) -> None:
@@ -1284,7 +1283,8 @@
         if not srv.in_flight or ctl.copies < MANY_COPIES or self.held_column < 0:
             return False
         # Failure prevented: warm servers that well bear what cold ones cannot yet are all taken for crowded.
-        return srv.held > max(MIN_LIMIT, self.held) * (1 if ctl.sample_rtt > 1 else USUAL_MOST)
+        late = min(1.0, max(0.0, (ctl.sample_rtt - AT_REST) / (1 - AT_REST)))
+        return srv.held > max(MIN_LIMIT, self.held) * (USUAL_MOST - late * (USUAL_MOST - 1))
 
     def may_send(self, now: int, srv: Server) -> bool:
         """Whether one more call may go there: not to a crowded server, and to a cold one by slow start.
