The lab deals traffic out unevenly, loses answers and resets connections

The lab dealt traffic out evenly and knew no spoilt answers.

Tests: a busy node gets its share, spoilt answers have run and no unsafe request runs again.

--- a/brackenladder/lab/clients.py
+++ b/brackenladder/lab/clients.py
@@ -13,7 +13,7 @@
 
 from brackenladder.interface import Effect, Group
 from brackenladder.lab.nodes import Call, Lineage, Node
-from brackenladder.lab.streams import generator, works
+from brackenladder.lab.streams import Stream, generator, works
 from brackenladder.lab.world import SECOND, World
 
 if TYPE_CHECKING:
@@ -55,6 +55,15 @@
         self.attempts = 0
 
 
+def busy_nodes(world: World) -> frozenset[int]:
+    """The places of the nodes that get more of the traffic than others, whatever else is in the script."""
+    front = world.scenario.front
+    nodes = len(world.tiers[0].nodes)
+    if not front.busy_part or front.busy_times == 1:
+        return frozenset()
+    return frozenset(Stream(world.seed, "busy").sample(nodes, max(1, round(front.busy_part * nodes))))
+
+
 class Front:
     """Spreads tries over the nodes of a client's zone; goes on sending to a dead one until it notices."""
 
@@ -62,6 +71,9 @@
         self.emu = emu
         self.known: list[list[Node]] = [[] for _ in range(zones)]
         self.all: list[Node] = []
+        front = emu.world.scenario.front
+        self.times = front.busy_times
+        self.busy = busy_nodes(emu.world)
 
     def admit(self, node: Node) -> None:
         """A node has said that it is ready."""
@@ -77,7 +89,13 @@
 
     def pick(self, zone: int) -> Node | None:
         nodes = self.known[zone] or self.all
-        return nodes[self.emu.front_stream.below(len(nodes))] if nodes else None
+        if not nodes:
+            return None
+        stream = self.emu.front_stream
+        node = nodes[stream.below(len(nodes))]
+        while self.busy and node.index not in self.busy and stream.random() * self.times >= 1:
+            node = nodes[stream.below(len(nodes))]
+        return node
 
 
 class Arrivals:
--- a/brackenladder/lab/faults.py
+++ b/brackenladder/lab/faults.py
@@ -81,6 +81,15 @@
             self.stage.clock.at(end, server.machine.set_errors, name, None)
         return len(hit)
 
+    def lost_answers(self, f: Fault, name: str, stream: Stream, end: int) -> int:
+        hit = self.servers(f, stream)
+        for server in hit:
+            server.machine.set_spoils(name, f.kind, f.size)
+            self.stage.clock.at(end, server.machine.set_spoils, name, f.kind, None)
+        return len(hit)
+
+    resets = lost_answers
+
     def slow(self, f: Fault, name: str, stream: Stream, end: int) -> int:
         hit = self.servers(f, stream)
         for server in hit:
--- a/brackenladder/lab/fleet.py
+++ b/brackenladder/lab/fleet.py
@@ -15,6 +15,8 @@
 FAST = 1_000  # microseconds that a quick error takes at the server
 FAST_WORK = 200.0  # and its work
 
+SAY_NOTHING = (Outcome.CONNECT_FAILED, Outcome.RESET)  # outcomes without an answer to carry a report
+
 
 class Server:
     """One server of the fleet."""
@@ -204,9 +206,15 @@
         emu = self.emu
         if attempt.over or self.silent:
             return
+        if attempt.ran and self.machine.spoils:
+            how = self.machine.spoilt(emu.error_stream.random())
+            if how == "lost_answers":
+                return  # it has run, and nobody hears of it
+            if how == "resets":
+                outcome = Outcome.RESET
         node = attempt.call.node
         report: tuple[float, ...] = ()
-        if emu.tiers[self.tier].world.report is not None and outcome != Outcome.CONNECT_FAILED:
+        if emu.tiers[self.tier].world.report is not None and outcome not in SAY_NOTHING:
             report = self.report()
         when = emu.on_tick(emu.kernel.now + int(emu.delay(self.zone, node.zone)))
         emu.kernel.at(when, node.outcome, attempt, outcome, report)
--- a/brackenladder/lab/live/fleet.py
+++ b/brackenladder/lab/live/fleet.py
@@ -314,6 +314,12 @@
         connection = attempt.connection
         if connection in self.connections:
             self.connections[connection] = None
+        if attempt.began and self.machine.spoils:
+            how = self.machine.spoilt(self.fleet.error_stream.random())
+            if how == "resets" and connection.transport is not None:
+                connection.transport.abort()
+            if how:
+                return
         report = self.report()
         body = b"%b %d" % (attempt.wish.encode(), int(attempt.spent))
         connection.answer(status, body, *lines, *((b"X-Load-Report: " + report,) if report else ()))
--- a/brackenladder/lab/live/load.py
+++ b/brackenladder/lab/live/load.py
@@ -25,6 +25,7 @@
     Arrival,
     Arrivals,
     Wish,
+    busy_nodes,
 )
 from brackenladder.lab.live.fleet import SOCKET_SLACK, request_bytes
 from brackenladder.lab.live.wire import Answer, Broken, Pool, Unreached
@@ -62,6 +63,7 @@
     def __init__(self, world: World, targets: list[Target]) -> None:
         self.world = world
         self.doors = [Door(t) for t in targets]
+        self.busy = {self.doors[i] for i in busy_nodes(world) if i < len(self.doors)}
         self.measures = Measures()
         self.ledger = Ledger(0)
         self.arrivals = Arrivals(world)
@@ -218,7 +220,12 @@
     def pick(self, zone: int) -> Door | None:
         near = [d for d in self.doors if d.open and d.zone == zone]
         doors = near or [d for d in self.doors if d.open]
-        return doors[self.front.below(len(doors))] if doors else None
+        if not doors:
+            return None
+        door, times = doors[self.front.below(len(doors))], self.world.scenario.front.busy_times
+        while self.busy and door not in self.busy and self.front.random() * times >= 1:
+            door = doors[self.front.below(len(doors))]
+        return door
 
     def failing(self, door: Door) -> None:
         """A try has not got through: a dead node is noticed some time later, and asked until it is back."""
--- a/brackenladder/lab/machine.py
+++ b/brackenladder/lab/machine.py
@@ -75,13 +75,14 @@
         "build", "running", "waiting", "slots_used", "active", "progress", "progress_at", "rate", "due",
         "seq", "factors", "stops", "started", "warm_at", "next_step", "cold_log", "cold_sum", "fallen",
         "conns", "connections", "busy", "done_work", "choked", "crowded", "level",
-        "choked_since", "chokes", "draining", "up", "errors", "warm",
+        "choked_since", "chokes", "draining", "up", "errors", "spoils", "warm",
     )  # fmt: skip
 
     def __init__(self, build: Build, now: int, cold: bool = False) -> None:
         self.build = build
         self.factors: dict[str, float] = {}
         self.errors: dict[str, float] = {}
+        self.spoils: dict[str, tuple[str, float]] = {}
         self.stops = 0
         self.busy = 0.0  # core-microseconds in use so far
         self.done_work = 0.0
@@ -223,6 +224,21 @@
             well *= 1 - share
         return 1 - well
 
+    def set_spoils(self, name: str, kind: str, share: float | None) -> None:
+        """A fault spoils this share of the answers to what has run; None ends it."""
+        if share is None:
+            self.spoils.pop(name, None)
+        else:
+            self.spoils[name] = kind, share
+
+    def spoilt(self, point: float) -> str:
+        """The fault that an answer falls to, by a number drawn from [0, 1); empty if it goes out whole."""
+        for kind, share in self.spoils.values():
+            if point < share:
+                return kind
+            point -= share
+        return ""
+
     def stop(self, now: int) -> None:
         """Stands still until as many `go` as `stop` have come."""
         self.move(now)
--- a/brackenladder/lab/scenario.py
+++ b/brackenladder/lab/scenario.py
@@ -91,6 +91,10 @@
     """What spreads clients over the nodes of their zone."""
 
     notice_s: Figure = 2.0  # a dead node is sent to for so long
+    busy_part: Share = (
+        0.0  # such a part of the nodes, one at least, gets more of the traffic than the others...
+    )
+    busy_times: Annotated[float, Meta(ge=1)] = 1.0  # ...so many times as much
 
 
 class Clients(Table, frozen=True):
@@ -232,6 +236,8 @@
 
 FaultKind = Literal[
     "fast_errors",
+    "lost_answers",
+    "resets",
     "pauses",
     "freeze",
     "neighbour",
@@ -271,7 +277,7 @@
     def __post_init__(self) -> None:
         if sum(x is not None for x in (self.part, self.count, self.pick)) > 1:
             raise ValueError("give one of `part`, `count` and `pick`")
-        if self.kind in ("fast_errors", "neighbour") and self.size > 1:
+        if self.kind in ("fast_errors", "lost_answers", "resets", "neighbour") and self.size > 1:
             raise ValueError(f"`size` of {self.kind} is a share: at most 1")
         if self.kind == "slow" and self.size < 1:
             raise ValueError("`size` of slow is a factor: at least 1")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -151,6 +151,26 @@
         assert len(emulator.measures.born) > 1500
 
 
+@pytest.mark.parametrize("kind", ["lost_answers", "resets"])
+def test_answers_that_are_spoilt_have_run_and_no_unsafe_request_runs_again(kind: str) -> None:
+    found, emulator = counts("brackenladder", CHAIN + fault(kind, at=2, seconds=8, size=0.2))
+    assert not any(found.values()), emulator.ledger.notes
+    (mark,) = emulator.script.marks
+    assert mark["hit"] == 6
+    _, untouched = counts("brackenladder", CHAIN)
+    assert emulator.figures().value("in_time") < untouched.figures().value("in_time") - 0.05
+    assert not any(server.machine.spoils for server in emulator.tiers[0].servers)  # it ends with the fault
+
+
+def test_a_busy_node_gets_so_many_times_the_traffic_of_each_other() -> None:
+    change = ["tier.0.nodes=10", "front.busy_part=0.1", "front.busy_times=4", "seconds=2"]
+    _, emulator = counts("brackenladder", "", 1, *change)
+    front = emulator.clients.front
+    (busy,) = front.busy
+    share = sum(front.pick(0).index == busy for _ in range(20_000)) / 20_000
+    assert abs(share - 4 / 13) < 0.02
+
+
 @pytest.mark.parametrize(
     ("module", "rule", "script"),
     [
