Membership: SWIM with Lifeguard as a pure decider, on the lab's emulated network

Today nodes know of each other only by guess. Change: brackenladder/membership (wire: bounded, versioned MessagePack datagrams; swim: probes, indirect probes, suspicion shrinking with confirmations, refutation by incarnation, buddy system, local health, a member that finds itself stalled judges nobody, syncs that heal partitions); lab/membership.py, a seeded emulated network with loss, jitter, duplication, one-way cuts, partitions, pauses, kills and restarts. The node does not host it yet: run sends nothing.

--- /dev/null
+++ b/brackenladder/membership/swim.py
@@ -0,0 +1,626 @@
+"""SWIM membership with Lifeguard, as a pure state machine: datagrams and times in, datagrams and timers out.
+
+The protocol is SWIM (Das, Gupta, Motivala, 2002): each probe period a member pings the next member of a
+shuffled round; without an answer in the probe time-out it asks `indirect` others to ping for it; without any
+answer by the end of the period the member is suspected; a suspicion not refuted in time becomes a death.
+A member refutes by a higher incarnation. What changes rides on the pings, each item sent a bounded number
+of times. Lifeguard (Dadgar, Phillips, Currey, 2018) adds three parts, all here:
+
+* local health: a member that misses answers it should have had, or has to refute, stretches its own
+  periods and time-outs, so that a slow member does not accuse others;
+* suspicion time-outs that start long and shrink as independent members confirm the suspicion;
+* the buddy system: a ping to a suspected member tells it so, and it refutes at once.
+
+A cut in one direction only leaves both alive, since indirect probes pass; the member that reaches another
+only through third members reports it with `reach == "indirect"`.
+
+Free of I/O, clock and unseeded randomness: the host hands in monotonic times in microseconds (a clock that
+goes back is taken as standing still), datagrams with their source, and calls `tick` at `next_deadline()`.
+Every call returns the datagrams to send. Changes of members' states are kept for the host by `drain`.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from brackenladder.membership.wire import (
+    LARGEST,
+    VERSION,
+    Ack,
+    Envelope,
+    Gossip,
+    Nack,
+    Ping,
+    PingReq,
+    State,
+    Sync,
+    WireError,
+    decode,
+    fit,
+)
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class SwimSettings:
+    """Periods in microseconds; the defaults are those of docs/membership.md, with their measured figures."""
+
+    cluster: str = "brackenladder"
+    probe_interval: int = 500_000  # one probe a member per period
+    probe_timeout: int = 200_000  # a direct answer within so long, else indirect probes
+    indirect: int = 3  # members asked to ping for us; also the confirmations that shorten a suspicion most
+    bear_pause: int = 3_500_000  # a suspicion lasts at least so long: a member frozen for less survives
+    suspicion_min: int = 2  # and at least so many periods times log10(members)
+    suspicion_max: int = 4  # it starts at so many times that, and shrinks with confirmations
+    retransmit: int = 4  # each change rides on so many times log10(members + 1) datagrams
+    most_health: int = 8  # periods and time-outs stretch up to so many times over
+    sync_interval: int = 30_000_000  # a full exchange with one member, one dead one and, if alone, the seeds
+    dead_keep: int = 300_000_000  # the dead are remembered so long, so that a healed partition comes together
+    most_members: int = 10_000  # beyond this, news of unknown members is dropped
+
+    def __post_init__(self) -> None:
+        if not 0 < self.probe_timeout < self.probe_interval:
+            raise ValueError("membership: probe_timeout must be positive and below probe_interval")
+        if self.indirect < 0 or self.retransmit < 1 or self.most_health < 0:
+            raise ValueError("membership: indirect, retransmit and most_health must not be negative")
+        if not 0 < self.suspicion_min <= self.suspicion_max:
+            raise ValueError("membership: need 0 < suspicion_min <= suspicion_max")
+
+
+@dataclass
+class Member:
+    """What is known of one member."""
+
+    name: str
+    host: str
+    port: int
+    incarnation: int
+    state: State
+    since: int  # when the state was last changed, microseconds
+    zone: str = ""
+    region: str = ""
+    reach: str = "direct"  # "indirect" when the last probe was answered only through others
+
+    def gossip(self, source: str) -> Gossip:
+        return Gossip(
+            self.name, self.host, self.port, self.incarnation, self.state, source, self.zone, self.region
+        )
+
+
+@dataclass(frozen=True)
+class Change:
+    """One change of a member's state: when, what, who said it and why. One structured log line each."""
+
+    time: int
+    name: str
+    old: str
+    new: str
+    incarnation: int
+    source: str
+    why: str
+
+
+@dataclass(frozen=True)
+class Send:
+    """One datagram to send."""
+
+    address: Address
+    data: bytes
+
+
+@dataclass
+class _Suspicion:
+    start: int
+    confirmers: set[str]
+    deadline: int = 0
+
+
+@dataclass
+class _Probe:
+    target: str
+    seq: int
+    start: int
+    indirect_at: int
+    end: int
+    acked: bool = False
+    asked: int = 0  # relays asked
+    nacks: int = 0
+
+
+@dataclass
+class _Relay:
+    origin: Address
+    origin_seq: int
+    target: str
+    deadline: int
+
+
+@dataclass
+class _Queued:
+    gossip: Gossip
+    left: int
+
+
+@dataclass
+class Counters:
+    """What came in that was dropped, and what went out."""
+
+    malformed: int = 0
+    foreign: int = 0
+    stale: int = 0
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    refuted: int = 0
+    strays: dict[str, int] = field(default_factory=dict)
+
+
+class Swim:
+    """One member's view of the membership. See the module's text; times are microseconds."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        settings: SwimSettings,
+        seed: int,
+        zone: str = "",
+        region: str = "",
+        incarnation: int = 0,
+    ) -> None:
+        self.name, self.address, self.settings = name, address, settings
+        self.me = Member(name, address[0], address[1], incarnation, State.ALIVE, 0, zone, region)
+        self.members: dict[str, Member] = {}
+        self.random = random.Random(seed)
+        self.health = 0  # Lifeguard's local health multiplier: 0 is well
+        self.now = 0
+        self.seq = 0
+        self.round: list[str] = []
+        self.probe: _Probe | None = None
+        self.next_probe = 0
+        self.next_sync = settings.sync_interval
+        self.seeds: list[Address] = []
+        self.suspicions: dict[str, _Suspicion] = {}
+        self.relays: dict[int, _Relay] = {}
+        self.queue: dict[str, _Queued] = {}
+        self.changes: list[Change] = []
+        self.counters = Counters()
+        self.left = False
+        self.expected = 0  # the deadline known at the end of the last call
+
+    # What the host calls.
+
+    def join(self, now: int, seeds: Sequence[Address]) -> list[Send]:
+        """Starts, and asks each seed (not this member's own address) for all it knows."""
+        self._at(now)
+        self.seeds = [s for s in seeds if tuple(s) != tuple(self.address)]
+        self.next_probe = now + self.random.randrange(self.settings.probe_interval)
+        # A second exchange soon after the first: members that joined at the same time learn of each other.
+        self.next_sync = now + 5 * self.settings.probe_interval
+        return [send for seed in self.seeds for send in self._sync(seed, reply=False)]
+
+    def leave(self, now: int) -> list[Send]:
+        """Says farewell: the news that this member left rides on pings to a few others. Then nothing more."""
+        self._at(now)
+        self.me.incarnation += 1
+        self.me.state = State.LEFT
+        self._enqueue(self.me.gossip(self.name))
+        out = [
+            self._datagram(self._address(m), Ping(self._next_seq(), m.name))
+            for m in self._pick(2 * self.settings.indirect + 1)
+        ]
+        self.left = True
+        return out
+
+    def next_deadline(self) -> int:
+        """When `tick` should next be called, microseconds."""
+        self.expected = self._deadline()
+        return self.expected
+
+    def _deadline(self) -> int:
+        times = [self.next_probe, self.next_sync]
+        if self.probe is not None:
+            times.append(self.probe.end if self.probe.acked or self.probe.asked else self.probe.indirect_at)
+        times.extend(s.deadline for s in self.suspicions.values())
+        times.extend(r.deadline for r in self.relays.values())
+        return min(times)
+
+    def tick(self, now: int) -> list[Send]:
+        """Does what is due by `now`: probes, indirect probes, ended suspicions, relays giving up, syncs."""
+        self._at(now)
+        if self.left:
+            return []
+        out: list[Send] = []
+        probe = self.probe
+        if probe is not None and not probe.acked and not probe.asked and now >= probe.indirect_at:
+            out.extend(self._ask_others(probe))
+        if probe is not None and now >= probe.end:
+            self._end_probe(probe)
+        if now >= self.next_probe:
+            out.extend(self._start_probe())
+        for origin_seq, relay in list(self.relays.items()):
+            if now >= relay.deadline:
+                del self.relays[origin_seq]
+                out.append(self._datagram(relay.origin, Nack(relay.origin_seq, relay.target)))
+        for name, suspicion in list(self.suspicions.items()):
+            if now >= suspicion.deadline:
+                member = self.members[name]
+                self._set(member, State.DEAD, member.incarnation, self.name, "suspicion not refuted in time")
+                self._enqueue(member.gossip(self.name))
+        if now >= self.next_sync:
+            out.extend(self._periodic_sync())
+        self._forget()
+        return out
+
+    def receive(self, now: int, data: bytes, source: Address) -> list[Send]:
+        """Takes one datagram. What is malformed, too large, foreign or stale is counted and dropped."""
+        self._at(now)
+        if self.left:
+            return []
+        try:
+            envelope = decode(data, self.settings.cluster)
+        except WireError as error:
+            kind = "foreign" if "foreign" in str(error) or "version" in str(error) else "malformed"
+            setattr(self.counters, kind, getattr(self.counters, kind) + 1)
+            return []
+        self.counters.received += 1
+        if envelope.sender == self.name:
+            self.counters.stale += (
+                1  # our own echo, or another process under our name: see docs/membership.md
+            )
+            return []
+        self._heard_from(envelope, source)
+        for item in envelope.gossip:
+            self._apply(item)
+        return self._handle(envelope, source)
+
+    def _stalled(self) -> None:
+        """This member did not run for more than a period (a pause, a slow loop, a clock that jumped): what it
+        waited for may sit unread, so it judges nobody by it: Lifeguard's local health, one step on."""
+        self._health(+1)
+        if self.probe is not None:
+            self.probe = None  # neither an answer nor its absence can be trusted
+        grace = self.now + self.settings.probe_interval
+        for suspicion in self.suspicions.values():
+            suspicion.deadline = max(suspicion.deadline, grace)  # refutations may be on their way
+        for relay in self.relays.values():
+            relay.deadline = max(relay.deadline, grace)
+
+    def drain(self) -> list[Change]:
+        """The changes since the last call, oldest first."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    def view(self) -> list[Member]:
+        """All known members but this one, by name."""
+        return [self.members[name] for name in sorted(self.members)]
+
+    def alive(self) -> list[Member]:
+        """The members taken to be alive or merely suspected, this one included."""
+        return [self.me, *(m for m in self.view() if m.state <= State.SUSPECT)]
+
+    # Probes.
+
+    def _start_probe(self) -> list[Send]:
+        scale = 1 + self.health
+        self.next_probe = self.now + self.settings.probe_interval * scale
+        target = self._next_target()
+        if target is None:
+            self.probe = None
+            return []
+        seq = self._next_seq()
+        self.probe = _Probe(
+            target.name, seq, self.now, self.now + self.settings.probe_timeout * scale, self.next_probe
+        )
+        suspected = target.incarnation if target.state == State.SUSPECT else -1
+        return [self._datagram(self._address(target), Ping(seq, target.name, suspected))]
+
+    def _next_target(self) -> Member | None:
+        while True:
+            if not self.round:
+                self.round = [n for n, m in self.members.items() if m.state <= State.SUSPECT]
+                self.random.shuffle(self.round)
+                if not self.round:
+                    return None
+            member = self.members.get(self.round.pop())
+            if member is not None and member.state <= State.SUSPECT:
+                return member
+
+    def _ask_others(self, probe: _Probe) -> list[Send]:
+        target = self.members.get(probe.target)
+        if target is None:
+            return []
+        relays = self._pick(self.settings.indirect, exclude=probe.target)
+        probe.asked = len(relays)
+        if not relays:
+            probe.asked = -1  # nobody to ask: wait for the end of the period
+            return []
+        message = PingReq(probe.seq, target.name, target.host, target.port)
+        return [self._datagram(self._address(m), message) for m in relays]
+
+    def _end_probe(self, probe: _Probe) -> None:
+        self.probe = None
+        target = self.members.get(probe.target)
+        if probe.acked:
+            self._health(-1)
+            return
+        self._health(+1)
+        if probe.asked > 0 and probe.nacks < probe.asked:
+            self._health(+1)  # relays that did not even say no: the fault may be ours (Lifeguard)
+        if target is not None and target.state <= State.SUSPECT:
+            # A member suspected already gets this member's own confirmation.
+            self._suspect(target, target.incarnation, self.name, "no answer to a ping, direct or indirect")
+
+    def _health(self, step: int) -> None:
+        self.health = max(0, min(self.settings.most_health, self.health + step))
+
+    # Messages.
+
+    def _handle(self, envelope: Envelope, source: Address) -> list[Send]:
+        message = envelope.message
+        if isinstance(message, Ping):
+            if message.target != self.name:
+                self.counters.stale += 1  # meant for another member at this address
+                return []
+            if message.suspected >= self.me.incarnation:
+                self._refute(self.me.incarnation, envelope.sender, "a ping said this member is suspected")
+            return [self._datagram(source, Ack(message.seq, self.name))]
+        if isinstance(message, PingReq):
+            seq = self._next_seq()
+            self.relays[seq] = _Relay(
+                source, message.seq, message.target, self.now + self.settings.probe_timeout
+            )
+            return [self._datagram((message.host, message.port), Ping(seq, message.target))]
+        if isinstance(message, Ack):
+            relay = self.relays.pop(message.seq, None)
+            if relay is not None:
+                if relay.target != message.target:
+                    self.counters.stale += 1
+                    return []
+                return [self._datagram(relay.origin, Ack(relay.origin_seq, relay.target, relayed=True))]
+            probe = self.probe
+            if probe is not None and probe.seq == message.seq and probe.target == message.target:
+                probe.acked = True
+                target = self.members.get(message.target)
+                if target is not None:
+                    reach = "indirect" if message.relayed else "direct"
+                    if reach != target.reach:
+                        why = "answered only through others" if message.relayed else "answered directly again"
+                        self.changes.append(
+                            Change(
+                                self.now, target.name, target.reach, reach, target.incarnation, self.name, why
+                            )
+                        )
+                        target.reach = reach
+            else:
+                self.counters.stale += 1
+            return []
+        if isinstance(message, Nack):
+            if self.probe is not None and self.probe.seq == message.seq:
+                self.probe.nacks += 1
+            return []
+        if not message.reply:
+            return self._sync(source, reply=True)
+        return []
+
+    def _heard_from(self, envelope: Envelope, source: Address) -> None:
+        """A datagram from a member we do not know yet makes it known, alive, at its own address."""
+        known = self.members.get(envelope.sender)
+        if known is not None:
+            if envelope.incarnation > known.incarnation and known.state != State.LEFT:
+                # Each datagram bears its sender's incarnation: a refutation that gossip lost still arrives.
+                self._apply(
+                    replace(
+                        known.gossip(envelope.sender), incarnation=envelope.incarnation, state=State.ALIVE
+                    )
+                )
+            return
+        if len(self.members) >= self.settings.most_members:
+            return
+        member = Member(envelope.sender, source[0], source[1], envelope.incarnation, State.ALIVE, self.now)
+        self.members[member.name] = member
+        self._insert(member.name)
+        self.changes.append(
+            Change(
+                self.now, member.name, "unknown", "alive", member.incarnation, member.name, "heard from it"
+            )
+        )
+        self._enqueue(member.gossip(self.name))
+
+    def _apply(self, item: Gossip) -> None:
+        if item.name == self.name:
+            contradicts = item.state != State.ALIVE or item.incarnation > self.me.incarnation
+            if contradicts and item.incarnation >= self.me.incarnation:
+                self._refute(item.incarnation, item.source, f"{item.source} said {item.state.name.lower()}")
+            return
+        member = self.members.get(item.name)
+        if member is None:
+            if item.state > State.SUSPECT or len(self.members) >= self.settings.most_members:
+                return  # news of the death of somebody unknown tells nothing
+            member = Member(
+                item.name,
+                item.host,
+                item.port,
+                item.incarnation,
+                State.ALIVE,
+                self.now,
+                item.zone,
+                item.region,
+            )
+            self.members[item.name] = member
+            self._insert(item.name)
+            self.changes.append(
+                Change(self.now, item.name, "unknown", "alive", item.incarnation, item.source, "gossip")
+            )
+            self._enqueue(item)
+            if item.state == State.SUSPECT:
+                self._suspect(member, item.incarnation, item.source, "gossip")
+            return
+        if item.zone and not member.zone and item.incarnation == member.incarnation:
+            member.zone, member.region = item.zone, item.region
+        if item.state == State.ALIVE:
+            if item.incarnation > member.incarnation:
+                member.host, member.port, member.zone, member.region = (
+                    item.host,
+                    item.port,
+                    item.zone,
+                    item.region,
+                )
+                self._set(member, State.ALIVE, item.incarnation, item.source, "higher incarnation")
+                self._enqueue(item)
+            else:
+                self.counters.stale += 1
+        elif item.state == State.SUSPECT:
+            if member.state > State.SUSPECT or item.incarnation < member.incarnation:
+                self.counters.stale += 1
+            else:
+                self._suspect(member, item.incarnation, item.source, "gossip")
+        elif item.incarnation >= member.incarnation and member.state <= State.SUSPECT:
+            why = "left" if item.state == State.LEFT else "declared dead"
+            self._set(member, item.state, item.incarnation, item.source, why)
+            self._enqueue(item)
+        else:
+            self.counters.stale += 1
+
+    def _suspect(self, member: Member, incarnation: int, source: str, why: str) -> None:
+        suspicion = self.suspicions.get(member.name)
+        if member.state == State.SUSPECT and incarnation == member.incarnation and suspicion is not None:
+            if source not in suspicion.confirmers:
+                suspicion.confirmers.add(source)  # an independent confirmation shortens the time-out
+                suspicion.deadline = suspicion.start + self._suspicion_time(len(suspicion.confirmers) - 1)
+                self._enqueue(member.gossip(source))
+            return
+        self._set(member, State.SUSPECT, incarnation, source, why)
+        suspicion = _Suspicion(self.now, {source})
+        suspicion.deadline = self.now + self._suspicion_time(0)
+        self.suspicions[member.name] = suspicion
+        self._enqueue(member.gossip(source))
+
+    def _suspicion_time(self, confirmations: int) -> int:
+        """Lifeguard: from max down to min as confirmations reach `indirect`, on a log scale."""
+        size = max(10, len(self.members) + 1)
+        low = int(self.settings.suspicion_min * math.log10(size) * self.settings.probe_interval)
+        low = max(low, self.settings.bear_pause)
+        high = self.settings.suspicion_max * low
+        # In a small world fewer members can confirm: all that can is enough.
+        others = sum(1 for m in self.members.values() if m.state <= State.SUSPECT) - 1
+        expected = max(1, min(self.settings.indirect, others))
+        part = math.log(min(confirmations, expected) + 1) / math.log(expected + 1)
+        return max(low, int(high - (high - low) * part))
+
+    def _refute(self, incarnation: int, source: str, why: str) -> None:
+        self.me.incarnation = max(self.me.incarnation, incarnation) + 1
+        self.counters.refuted += 1
+        self._health(+1)  # being suspected means others do not hear us well: slow down (Lifeguard)
+        self.changes.append(
+            Change(self.now, self.name, "suspected", "alive", self.me.incarnation, source, f"refuted: {why}")
+        )
+        self._enqueue(self.me.gossip(self.name))
+
+    def _set(self, member: Member, state: State, incarnation: int, source: str, why: str) -> None:
+        old = member.state
+        member.incarnation = incarnation
+        if state == old:
+            return
+        member.state, member.since = state, self.now
+        if state != State.SUSPECT:
+            self.suspicions.pop(member.name, None)
+        if state == State.ALIVE:
+            self._insert(member.name)
+        self.changes.append(
+            Change(self.now, member.name, old.name.lower(), state.name.lower(), incarnation, source, why)
+        )
+
+    # Syncs: joins, and the way a healed partition comes together.
+
+    def _periodic_sync(self) -> list[Send]:
+        self.next_sync = self.now + self.settings.sync_interval
+        out: list[Send] = []
+        live = [m for m in self.members.values() if m.state <= State.SUSPECT]
+        dead = [m for m in self.members.values() if m.state == State.DEAD]
+        for group in (live, dead):
+            if group:
+                out.extend(self._sync(self._address(self.random.choice(group)), reply=False))
+        if not live:
+            for seed in self.seeds:
+                out.extend(self._sync(seed, reply=False))
+        return out
+
+    def _sync(self, address: Address, reply: bool) -> list[Send]:
+        """All that is known, in as many datagrams as it takes."""
+        items = [self.me.gossip(self.name), *(m.gossip(self.name) for m in self.view())]
+        out: list[Send] = []
+        while True:
+            head = self._envelope(Sync(reply), [])
+            data, count = fit(head, items)
+            out.append(self._count(Send(address, data)))
+            items = items[max(1, count) :]
+            if not items:
+                return out
+
+    # Gossip and datagrams.
+
+    def _enqueue(self, item: Gossip) -> None:
+        self.queue[item.name] = _Queued(
+            item, self.settings.retransmit * math.ceil(math.log10(len(self.members) + 2))
+        )
+
+    def _datagram(self, address: Address, message: Ping | PingReq | Ack | Nack) -> Send:
+        queued = sorted(self.queue.values(), key=lambda q: -q.left)
+        data, count = fit(self._envelope(message, []), [q.gossip for q in queued])
+        for q in queued[:count]:
+            q.left -= 1
+            if q.left <= 0:
+                del self.queue[q.gossip.name]
+        return self._count(Send(address, data))
+
+    def _envelope(self, message: Ping | PingReq | Ack | Nack | Sync, gossip: list[Gossip]) -> Envelope:
+        return Envelope(VERSION, self.settings.cluster, self.name, self.me.incarnation, message, gossip)
+
+    def _count(self, send: Send) -> Send:
+        assert len(send.data) <= LARGEST
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(send.data)
+        return send
+
+    # Small helpers.
+
+    def _at(self, now: int) -> None:
+        self.now = max(self.now, now)
+        if self.expected and self.now - self.expected > self.settings.probe_interval:
+            self._stalled()
+        self.expected = 0
+
+    def _next_seq(self) -> int:
+        self.seq += 1
+        return self.seq
+
+    def _address(self, member: Member) -> Address:
+        return (member.host, member.port)
+
+    def _pick(self, count: int, exclude: str = "") -> list[Member]:
+        live = [m for n, m in self.members.items() if m.state == State.ALIVE and n != exclude]
+        return self.random.sample(live, min(count, len(live)))
+
+    def _insert(self, name: str) -> None:
+        if name not in self.round:
+            self.round.insert(self.random.randrange(len(self.round) + 1), name)
+
+    def _forget(self) -> None:
+        keep = self.settings.dead_keep
+        for name in [
+            n for n, m in self.members.items() if m.state > State.SUSPECT and self.now - m.since > keep
+        ]:
+            del self.members[name]
+            self.queue.pop(name, None)
+
+
+def members_of(changes: Iterable[Change]) -> list[str]:
+    """The names that the changes touch, each once, in order."""
+    return list(dict.fromkeys(c.name for c in changes))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,131 @@
+"""Membership (SWIM with Lifeguard) on the lab's emulated network: deaths, pauses, cuts, loss, restarts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.lab.membership import GONE, SECOND, Net, World
+from brackenladder.membership.swim import Swim, SwimSettings
+from brackenladder.membership.wire import State
+
+BASE = SwimSettings()
+
+
+def settled(size: int, seed: int = 3, net: Net | None = None, swim: SwimSettings = BASE) -> World:
+    world = World(size, swim, seed, net)
+    for second in range(1, 31):
+        world.run(second * SECOND)
+        if world.agreed(set()):
+            return world
+    raise AssertionError("members should know each other within thirty seconds")
+
+
+def dead_everywhere(world: World, name: str) -> bool:
+    return all(world.state(n.name, name) in GONE for n in world.live())
+
+
+def test_a_killed_member_is_dead_to_all_within_ten_seconds() -> None:
+    world = settled(6)
+    world.kill("m4", world.now)
+    world.run(world.now + 10 * SECOND)
+    assert dead_everywhere(world, "m4")
+    assert world.agreed({"m4"})
+
+
+def test_a_member_paused_for_three_seconds_survives() -> None:
+    for seed in range(4):
+        world = settled(6, seed)
+        world.pause("m2", 11 * SECOND, 3 * SECOND)
+        world.run(40 * SECOND)
+        world.collect()
+        assert not [c for _, c in world.changes if c.new == "dead"], f"seed {seed}"
+        assert world.agreed(set())
+
+
+def test_without_bearing_pauses_the_same_pause_kills() -> None:
+    # The floor on suspicion is what saves the paused member: with it gone, the pause is taken for a death.
+    short = replace(BASE, bear_pause=0)
+    killed = 0
+    for seed in range(4):
+        world = settled(6, seed, swim=short)
+        world.pause("m2", 11 * SECOND, 3 * SECOND)
+        world.run(40 * SECOND)
+        world.collect()
+        killed += any(c.new == "dead" and c.name == "m2" for _, c in world.changes)
+    assert killed >= 2
+
+
+def test_a_one_way_cut_is_reported_as_such_and_kills_nobody() -> None:
+    net = Net()
+    world = settled(5, net=net)
+    net.cut.add(("m1", "m3"))  # m1's datagrams to m3 are lost; m3 to m1 pass
+    world.run(40 * SECOND)
+    world.collect()
+    assert not [c for _, c in world.changes if c.new == "dead"]
+    assert world.nodes["m1"].swim.members["m3"].reach == "indirect"
+    assert world.nodes["m3"].swim.members["m1"].reach == "indirect"
+    assert world.nodes["m2"].swim.members["m3"].reach == "direct"
+
+
+def test_five_percent_loss_kills_nobody() -> None:
+    world = settled(8, net=Net(loss=0.05))
+    world.run(120 * SECOND)
+    world.collect()
+    assert not [c for _, c in world.changes if c.new == "dead"]
+
+
+def test_a_restarted_member_comes_back_with_a_higher_incarnation() -> None:
+    world = settled(5)
+    world.kill("m2", 10 * SECOND)
+    world.run(20 * SECOND)
+    assert dead_everywhere(world, "m2")
+    world.restart("m2", 21 * SECOND)
+    world.run(40 * SECOND)
+    assert world.agreed(set())
+    assert all(n.swim.members["m2"].incarnation > 0 for n in world.live() if n.name != "m2")
+
+
+def test_a_member_that_restarts_within_the_suspicion_is_not_left_dead() -> None:
+    world = settled(5)
+    world.kill("m3", 10 * SECOND)
+    world.restart("m3", 11 * SECOND)
+    world.run(45 * SECOND)
+    assert world.agreed(set())
+
+
+def test_a_partition_of_one_heals_and_all_agree() -> None:
+    world = settled(6)
+    world.groups = [{"m5"}, {"m0", "m1", "m2", "m3", "m4"}]
+    world.run(30 * SECOND)
+    assert world.state("m0", "m5") in GONE
+    world.groups = None
+    world.run(world.now + BASE.sync_interval + 10 * SECOND)
+    assert world.agreed(set())
+
+
+def test_duplicated_and_reordered_datagrams_change_nothing() -> None:
+    world = settled(6, net=Net(duplicate=0.2, jitter=300_000))
+    world.run(60 * SECOND)
+    world.collect()
+    assert not [c for _, c in world.changes if c.new == "dead"]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=1_600))
+def test_any_datagram_is_taken_without_harm(data: bytes) -> None:
+    swim = Swim("a", ("127.0.0.1", 1), BASE, seed=1)
+    swim.join(0, [("127.0.0.1", 2)])
+    assert swim.receive(1, data, ("127.0.0.1", 9)) == []
+    counters = swim.counters
+    assert counters.malformed + counters.foreign + counters.received == 1
+
+
+def test_a_clock_that_goes_back_is_taken_as_standing_still() -> None:
+    swim = Swim("a", ("127.0.0.1", 1), BASE, seed=1)
+    swim.join(5 * SECOND, [])
+    swim.tick(4 * SECOND)
+    assert swim.now == 5 * SECOND
+    assert swim.alive()[0].state == State.ALIVE
