--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -21,10 +21,11 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from msgspec.structs import replace
 
@@ -45,6 +46,7 @@
 )
 
 Address = tuple[str, int]
+SMALLEST_ITEM = 16  # bytes: no gossip item encodes in fewer
 
 
 @dataclass(frozen=True)
@@ -158,7 +160,6 @@
     sent_bytes: int = 0
     received: int = 0
     refuted: int = 0
-    strays: dict[str, int] = field(default_factory=dict)
 
 
 class Swim:
@@ -423,15 +424,9 @@
             return
         if len(self.members) >= self.settings.most_members:
             return
-        member = Member(envelope.sender, source[0], source[1], envelope.incarnation, State.ALIVE, self.now)
-        self.members[member.name] = member
-        self._insert(member.name)
-        self.changes.append(
-            Change(
-                self.now, member.name, "unknown", "alive", member.incarnation, member.name, "heard from it"
-            )
+        self._add(
+            Gossip(envelope.sender, source[0], source[1], envelope.incarnation, State.ALIVE, envelope.sender)
         )
-        self._enqueue(member.gossip(self.name))
 
     def _apply(self, item: Gossip) -> None:
         if item.name == self.name:
@@ -443,22 +438,7 @@
         if member is None:
             if item.state > State.SUSPECT or len(self.members) >= self.settings.most_members:
                 return  # news of the death of somebody unknown tells nothing
-            member = Member(
-                item.name,
-                item.host,
-                item.port,
-                item.incarnation,
-                State.ALIVE,
-                self.now,
-                item.zone,
-                item.region,
-            )
-            self.members[item.name] = member
-            self._insert(item.name)
-            self.changes.append(
-                Change(self.now, item.name, "unknown", "alive", item.incarnation, item.source, "gossip")
-            )
-            self._enqueue(item)
+            member = self._add(item)
             if item.state == State.SUSPECT:
                 self._suspect(member, item.incarnation, item.source, "gossip")
             return
@@ -488,6 +468,20 @@
         else:
             self.counters.stale += 1
 
+    def _add(self, item: Gossip) -> Member:
+        """A member not known before, taken as alive; the news is passed on."""
+        member = Member(
+            item.name, item.host, item.port, item.incarnation, State.ALIVE, self.now, item.zone, item.region
+        )
+        self.members[item.name] = member
+        self._insert(item.name)
+        why = "heard from it" if item.source == item.name else "gossip"
+        self.changes.append(
+            Change(self.now, item.name, "unknown", "alive", item.incarnation, item.source, why)
+        )
+        self._enqueue(member.gossip(self.name))
+        return member
+
     def _suspect(self, member: Member, incarnation: int, source: str, why: str) -> None:
         suspicion = self.suspicions.get(member.name)
         if member.state == State.SUSPECT and incarnation == member.incarnation and suspicion is not None:
@@ -572,7 +566,8 @@
         )
 
     def _datagram(self, address: Address, message: Ping | PingReq | Ack | Nack) -> Send:
-        queued = sorted(self.queue.values(), key=lambda q: -q.left)
+        # No more items are weighed than could fit: a join of hundreds must not encode them all each time.
+        queued = heapq.nlargest(LARGEST // SMALLEST_ITEM, self.queue.values(), key=lambda q: q.left)
         data, count = fit(self._envelope(message, []), [q.gossip for q in queued])
         for q in queued[:count]:
             q.left -= 1
@@ -619,8 +614,3 @@
         ]:
             del self.members[name]
             self.queue.pop(name, None)
-
-
-def members_of(changes: Iterable[Change]) -> list[str]:
-    """The names that the changes touch, each once, in order."""
-    return list(dict.fromkeys(c.name for c in changes))
--- a/brackenladder/net/membership.py
+++ b/brackenladder/net/membership.py
@@ -69,7 +69,10 @@
 
 
 def address(text: str) -> tuple[str, int]:
+    """HOST:PORT as given on the command line; `argparse` reports a bad one by its option."""
     host, _, port = text.rpartition(":")
+    if not port.isdigit() or not 0 <= int(port) < 65_536:
+        raise argparse.ArgumentTypeError(f"{text!r} is not HOST:PORT with a port from 0 to 65535")
     return host or "127.0.0.1", int(port)
 
 
@@ -92,11 +95,15 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description="One member of the membership, on UDP, alone.")
     parser.add_argument("--name", required=True)
-    parser.add_argument("--listen", default="127.0.0.1:0", help="HOST:PORT; port 0 lets the system choose")
-    parser.add_argument("--join", action="append", default=[], help="HOST:PORT of a seed; may be repeated")
+    parser.add_argument(
+        "--listen", type=address, default=("127.0.0.1", 0), help="HOST:PORT; port 0 lets the system choose"
+    )
+    parser.add_argument(
+        "--join", type=address, action="append", default=[], help="HOST:PORT of a seed; repeated"
+    )
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    asyncio.run(serve(args.name, address(args.listen), [address(j) for j in args.join], args.seed))
+    asyncio.run(serve(args.name, args.listen, args.join, args.seed))
 
 
 if __name__ == "__main__":
