--- a/brackenladder/net/membership.py
+++ b/brackenladder/net/membership.py
@@ -64,8 +64,13 @@
         self.carry(self.swim.tick(now()))
 
     def line(self, record: dict[str, Any]) -> None:
-        self.out.write(json.dumps(record, sort_keys=True) + "\n")
-        self.out.flush()
+        if self.out is None:
+            return
+        try:
+            self.out.write(json.dumps(record, sort_keys=True) + "\n")
+            self.out.flush()
+        except OSError:
+            self.out = None  # nobody reads any more (a closed pipe): the member goes on without its log
 
 
 def address(text: str) -> tuple[str, int]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -129,3 +129,36 @@
     swim.tick(4 * SECOND)
     assert swim.now == 5 * SECOND
     assert swim.alive()[0].state == State.ALIVE
+
+
+FAULT = st.tuples(st.sampled_from(["pause", "restart", "cut", "loss"]), st.integers(0, 3), st.integers(0, 3))
+
+
+@settings(derandomize=True, max_examples=20, deadline=None)
+@given(st.integers(3, 4), st.lists(FAULT, max_size=6))
+def test_small_worlds_agree_after_any_faults_heal(size: int, faults: list[tuple[str, int, int]]) -> None:
+    # Small worlds under drawn faults within 20 s: once the faults end, every live member is alive to all.
+    net = Net(duplicate=0.05, jitter=2_000)
+    world = settled(size, net=net)
+    start = world.now
+    for index, (kind, a, b) in enumerate(faults):
+        at, one, other = start + index * 3 * SECOND, f"m{a % size}", f"m{b % size}"
+        if kind == "pause":
+            world.pause(one, at, (b + 1) * SECOND)
+        elif kind == "restart":
+            world.kill(one, at)
+            world.restart(one, at + SECOND)
+        elif kind == "cut" and one != other:
+            world.at(at, lambda o=one, t=other: net.cut.add((o, t)))
+        elif kind == "loss":
+            world.at(at, lambda: setattr(net, "loss", 0.3))
+    healed = start + 20 * SECOND
+    world.at(healed, lambda: (net.cut.clear(), setattr(net, "loss", 0.0)))
+    world.run(healed + BASE.sync_interval + 15 * SECOND)
+    assert world.agreed(set())
+    world.collect()
+    for node in world.live():
+        for change in [
+            c for o, c in world.changes if o == node.name and c.old == "dead" and c.new == "alive"
+        ]:
+            assert change.incarnation > 0  # a dead member comes back only with a higher incarnation
