Membership: who declares a death has tried to the end; partitions heal by one exchange

Need: at 30 % loss live members were declared dead, the first detection took up to 5.3 s with a floor of 3.5 s, syncs grew with N, and a healed partition waited for each member to be pinged on its own. Cause: any holder of a suspicion, also by hearsay, declared the death at its own time-out without asking again; nacks of relays, which are independent failed probes, did not count as confirmations; a member heard but not reached was suspected like a silent one; the floor counted from the end of the probe, not from the ping that went unanswered. Change: own suspicions are pinged again each period, hearsay waits longer; nacks confirm; reach 'inbound' instead of a death; the floor (3.3 s) from the unanswered ping; periods of 0.35 s; what a sync says of the dead is asked first; a member held dead that speaks is answered with an exchange; syncs more seldom with size; incarnations and relay addresses bounded; draws, counts and forgetting no longer cost all members a call.

--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -11,8 +11,14 @@
 * suspicion time-outs that start long and shrink as independent members confirm the suspicion;
 * the buddy system: a ping to a suspected member tells it so, and it refutes at once.
 
+Two parts are this project's own, so that a pause or loss seldom becomes a death. A relay that asked in vain
+says so (its nack), and counts as a confirmation: it has tried by itself. And who declares a death has tried
+to the end: a member whose own probe failed pings the suspect again each period, while one that has the
+suspicion by hearsay alone waits as much longer as news needs to go round.
+
 A cut in one direction only leaves both alive, since indirect probes pass; the member that reaches another
-only through third members reports it with `reach == "indirect"`.
+only through third members reports it with `reach == "indirect"`. A member that is not reached in any way
+but whose own datagrams arrive is alive, with `reach == "inbound"`: it is this member that is not heard.
 
 Free of I/O, clock and unseeded randomness: the host hands in monotonic times in microseconds (a clock that
 goes back is taken as standing still), datagrams with their source, and calls `tick` at `next_deadline()`.
@@ -25,7 +31,7 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from msgspec.structs import replace
 
@@ -47,6 +53,8 @@
 
 Address = tuple[str, int]
 SMALLEST_ITEM = 16  # bytes: no gossip item encodes in fewer
+MEND_PERIODS = 5  # probe periods between two exchanges with members held dead that speak
+FORGET_EVERY = 10_000_000  # microseconds between two looks for the dead to be forgotten
 
 
 @dataclass(frozen=True)
@@ -54,15 +62,16 @@
     """Periods in microseconds; the defaults are those of docs/membership.md, with their measured figures."""
 
     cluster: str = "brackenladder"
-    probe_interval: int = 500_000  # one probe a member per period
-    probe_timeout: int = 200_000  # a direct answer within so long, else indirect probes
+    probe_interval: int = 350_000  # one probe a member per period
+    probe_timeout: int = 150_000  # a direct answer within so long, else indirect probes
     indirect: int = 3  # members asked to ping for us; also the confirmations that shorten a suspicion most
-    bear_pause: int = 3_500_000  # a suspicion lasts at least so long: a member frozen for less survives
+    bear_pause: int = 3_300_000  # from an unanswered ping to a death at least: frozen for less survives
     suspicion_min: int = 2  # and at least so many periods times log10(members)
     suspicion_max: int = 4  # it starts at so many times that, and shrinks with confirmations
     retransmit: int = 4  # each change rides on so many times log10(members + 1) datagrams
     most_health: int = 8  # periods and time-outs stretch up to so many times over
-    sync_interval: int = 30_000_000  # a full exchange with one member, one dead one and, if alone, the seeds
+    sync_interval: int = 30_000_000  # a full exchange with one member, so often in a small world
+    sync_members: int = 64  # in a larger one as much more seldom: the bytes of a member do not grow
     dead_keep: int = 300_000_000  # the dead are remembered so long, so that a healed partition comes together
     most_members: int = 10_000  # beyond this, news of unknown members is dropped
 
@@ -87,7 +96,8 @@
     since: int  # when the state was last changed, microseconds
     zone: str = ""
     region: str = ""
-    reach: str = "direct"  # "indirect" when the last probe was answered only through others
+    reach: str = "direct"  # or "indirect": answered only through others; "inbound": heard, not reached
+    heard: int = 0  # when a datagram of its own last came, microseconds
 
     def gossip(self, source: str) -> Gossip:
         return Gossip(
@@ -120,7 +130,10 @@
 class _Suspicion:
     start: int
     confirmers: set[str]
+    own: bool  # this member's own probe failed; otherwise it is known by hearsay
     deadline: int = 0
+    next_ping: int = 0  # an own suspicion is tried again each period
+    seq: int = 0  # of that ping
 
 
 @dataclass
@@ -132,7 +145,7 @@
     end: int
     acked: bool = False
     asked: int = 0  # relays asked
-    nacks: int = 0
+    nacks: set[str] = field(default_factory=set)  # relays that asked in vain
 
 
 @dataclass
@@ -160,6 +173,7 @@
     sent_bytes: int = 0
     received: int = 0
     refuted: int = 0
+    conflicts: int = 0  # news of a process under this member's name at another address
 
 
 class Swim:
@@ -182,10 +196,15 @@
         self.health = 0  # Lifeguard's local health multiplier: 0 is well
         self.now = 0
         self.seq = 0
+        self.names: list[str] = []  # of all known members, to draw from
+        self.live = 0  # known members that are alive or suspected
         self.round: list[str] = []
+        self.in_round: set[str] = set()
         self.probe: _Probe | None = None
         self.next_probe = 0
         self.next_sync = settings.sync_interval
+        self.next_forget = 0
+        self.next_mend = 0
         self.seeds: list[Address] = []
         self.suspicions: dict[str, _Suspicion] = {}
         self.relays: dict[int, _Relay] = {}
@@ -228,7 +247,7 @@
         times = [self.next_probe, self.next_sync]
         if self.probe is not None:
             times.append(self.probe.end if self.probe.acked or self.probe.asked else self.probe.indirect_at)
-        times.extend(s.deadline for s in self.suspicions.values())
+        times.extend(min(s.deadline, s.next_ping) if s.own else s.deadline for s in self.suspicions.values())
         times.extend(r.deadline for r in self.relays.values())
         return min(times)
 
@@ -251,12 +270,17 @@
                 out.append(self._datagram(relay.origin, Nack(relay.origin_seq, relay.target)))
         for name, suspicion in list(self.suspicions.items()):
             if now >= suspicion.deadline:
+                self._end_suspicion(self.members[name], suspicion)
+            elif suspicion.own and now >= suspicion.next_ping:
+                suspicion.next_ping, suspicion.seq = now + self.settings.probe_interval, self._next_seq()
                 member = self.members[name]
-                self._set(member, State.DEAD, member.incarnation, self.name, "suspicion not refuted in time")
-                self._enqueue(member.gossip(self.name))
+                ping = Ping(suspicion.seq, name, member.incarnation)
+                out.append(self._datagram(self._address(member), ping))
         if now >= self.next_sync:
             out.extend(self._periodic_sync())
-        self._forget()
+        if now >= self.next_forget:
+            self.next_forget = now + FORGET_EVERY
+            self._forget()
         return out
 
     def receive(self, now: int, data: bytes, source: Address) -> list[Send]:
@@ -277,9 +301,15 @@
             )
             return []
         self._heard_from(envelope, source)
+        merging = isinstance(envelope.message, Sync)
         for item in envelope.gossip:
+            if merging and item.state == State.DEAD:
+                # Whom the other side of a healed partition holds dead may be alive here: it is asked first.
+                item = replace(item, state=State.SUSPECT)
+                if item.name not in self.members:
+                    continue
             self._apply(item)
-        return self._handle(envelope, source)
+        return [*self._handle(envelope, source), *self._mend(envelope.sender, source)]
 
     def _stalled(self) -> None:
         """This member did not run for more than a period (a pause, a slow loop, a clock that jumped): what it
@@ -327,9 +357,12 @@
             if not self.round:
                 self.round = [n for n, m in self.members.items() if m.state <= State.SUSPECT]
                 self.random.shuffle(self.round)
+                self.in_round = set(self.round)
                 if not self.round:
                     return None
-            member = self.members.get(self.round.pop())
+            name = self.round.pop()
+            self.in_round.discard(name)
+            member = self.members.get(name)
             if member is not None and member.state <= State.SUSPECT:
                 return member
 
@@ -352,11 +385,32 @@
             self._health(-1)
             return
         self._health(+1)
-        if probe.asked > 0 and probe.nacks < probe.asked:
+        if probe.asked > 0 and len(probe.nacks) < probe.asked:
             self._health(+1)  # relays that did not even say no: the fault may be ours (Lifeguard)
-        if target is not None and target.state <= State.SUSPECT:
-            # A member suspected already gets this member's own confirmation.
-            self._suspect(target, target.incarnation, self.name, "no answer to a ping, direct or indirect")
+        if target is None or target.state > State.SUSPECT:
+            return
+        if target.heard > probe.start:
+            self._reached(target, "inbound", "it is heard, but does not answer")
+            return
+        # A member suspected already gets this member's own confirmation.
+        self._suspect(target, target.incarnation, self.name, "no answer to a ping, direct or indirect", probe)
+
+    def _reached(self, member: Member, reach: str, why: str) -> None:
+        if reach != member.reach:
+            self.changes.append(
+                Change(self.now, member.name, member.reach, reach, member.incarnation, self.name, why)
+            )
+            member.reach = reach
+
+    def _end_suspicion(self, member: Member, suspicion: _Suspicion) -> None:
+        if member.heard > suspicion.start:
+            # It lives and cannot hear that it is suspected: not dead, but out of this member's reach.
+            suspicion.start = self.now
+            suspicion.deadline = self.now + self._suspicion_time(len(suspicion.confirmers) - 1)
+            self._reached(member, "inbound", "it is heard, but does not answer")
+            return
+        self._set(member, State.DEAD, member.incarnation, self.name, "suspicion not refuted in time")
+        self._enqueue(member.gossip(self.name))
 
     def _health(self, step: int) -> None:
         self.health = max(0, min(self.settings.most_health, self.health + step))
@@ -389,31 +443,35 @@
             if probe is not None and probe.seq == message.seq and probe.target == message.target:
                 probe.acked = True
                 target = self.members.get(message.target)
-                if target is not None:
-                    reach = "indirect" if message.relayed else "direct"
-                    if reach != target.reach:
-                        why = "answered only through others" if message.relayed else "answered directly again"
-                        self.changes.append(
-                            Change(
-                                self.now, target.name, target.reach, reach, target.incarnation, self.name, why
-                            )
-                        )
-                        target.reach = reach
-            else:
+                if target is not None and message.relayed:
+                    self._reached(target, "indirect", "answered only through others")
+                elif target is not None:
+                    self._reached(target, "direct", "answered directly again")
+            elif all(s.seq != message.seq for s in self.suspicions.values()):
                 self.counters.stale += 1
             return []
         if isinstance(message, Nack):
             if self.probe is not None and self.probe.seq == message.seq:
-                self.probe.nacks += 1
+                self.probe.nacks.add(envelope.sender)
             return []
         if not message.reply:
             return self._sync(source, reply=True)
         return []
 
+    def _mend(self, name: str, source: Address) -> list[Send]:
+        """Somebody held dead speaks, as after a partition: all that is known is exchanged, now and then.
+        Each side then tells its own whom the other holds dead, and these refute: one exchange heals both."""
+        member = self.members.get(name)  # unknown where no more are held
+        if member is None or member.state != State.DEAD or self.now < self.next_mend:
+            return []
+        self.next_mend = self.now + MEND_PERIODS * self.settings.probe_interval
+        return self._sync(source, reply=False)
+
     def _heard_from(self, envelope: Envelope, source: Address) -> None:
         """A datagram from a member we do not know yet makes it known, alive, at its own address."""
         known = self.members.get(envelope.sender)
         if known is not None:
+            known.heard = self.now
             if envelope.incarnation > known.incarnation and known.state != State.LEFT:
                 # Each datagram bears its sender's incarnation: a refutation that gossip lost still arrives.
                 self._apply(
@@ -433,6 +491,10 @@
             contradicts = item.state != State.ALIVE or item.incarnation > self.me.incarnation
             if contradicts and item.incarnation >= self.me.incarnation:
                 self._refute(item.incarnation, item.source, f"{item.source} said {item.state.name.lower()}")
+            elif item.incarnation == self.me.incarnation and (item.host, item.port) != self.address:
+                # What is left of this node's last process, or a second node under its name.
+                self.counters.conflicts += 1
+                self._refute(item.incarnation, item.source, f"known at {item.host}:{item.port}")
             return
         member = self.members.get(item.name)
         if member is None:
@@ -474,6 +536,8 @@
             item.name, item.host, item.port, item.incarnation, State.ALIVE, self.now, item.zone, item.region
         )
         self.members[item.name] = member
+        self.names.append(item.name)
+        self.live += 1
         self._insert(item.name)
         why = "heard from it" if item.source == item.name else "gossip"
         self.changes.append(
@@ -482,19 +546,28 @@
         self._enqueue(member.gossip(self.name))
         return member
 
-    def _suspect(self, member: Member, incarnation: int, source: str, why: str) -> None:
+    def _suspect(
+        self, member: Member, incarnation: int, source: str, why: str, probe: _Probe | None = None
+    ) -> None:
         suspicion = self.suspicions.get(member.name)
-        if member.state == State.SUSPECT and incarnation == member.incarnation and suspicion is not None:
-            if source not in suspicion.confirmers:
-                suspicion.confirmers.add(source)  # an independent confirmation shortens the time-out
-                suspicion.deadline = suspicion.start + self._suspicion_time(len(suspicion.confirmers) - 1)
-                self._enqueue(member.gossip(source))
-            return
-        self._set(member, State.SUSPECT, incarnation, source, why)
-        suspicion = _Suspicion(self.now, {source})
-        suspicion.deadline = self.now + self._suspicion_time(0)
-        self.suspicions[member.name] = suspicion
-        self._enqueue(member.gossip(source))
+        if member.state != State.SUSPECT or incarnation != member.incarnation or suspicion is None:
+            self._set(member, State.SUSPECT, incarnation, source, why)
+            suspicion = self.suspicions[member.name] = _Suspicion(self.now, set(), own=False)
+        before = len(suspicion.confirmers)
+        suspicion.confirmers.add(source)
+        if probe is not None:
+            suspicion.confirmers |= probe.nacks  # each has tried by itself, in vain
+            if not suspicion.own:
+                suspicion.own = True
+                suspicion.start = min(suspicion.start, probe.start)
+                suspicion.next_ping = self.now
+        if len(suspicion.confirmers) > before or probe is not None:
+            time = self._suspicion_time(len(suspicion.confirmers) - 1)
+            if not suspicion.own:  # those that have tried themselves speak first
+                time += self.settings.probe_interval * math.ceil(math.log2(self.live + 2))
+            suspicion.deadline = suspicion.start + time
+        if len(suspicion.confirmers) > before:
+            self._enqueue(member.gossip(source))
 
     def _suspicion_time(self, confirmations: int) -> int:
         """Lifeguard: from max down to min as confirmations reach `indirect`, on a log scale."""
@@ -503,8 +576,7 @@
         low = max(low, self.settings.bear_pause)
         high = self.settings.suspicion_max * low
         # In a small world fewer members can confirm: all that can is enough.
-        others = sum(1 for m in self.members.values() if m.state <= State.SUSPECT) - 1
-        expected = max(1, min(self.settings.indirect, others))
+        expected = max(1, min(self.settings.indirect, self.live - 1))
         part = math.log(min(confirmations, expected) + 1) / math.log(expected + 1)
         return max(low, int(high - (high - low) * part))
 
@@ -523,6 +595,7 @@
         if state == old:
             return
         member.state, member.since = state, self.now
+        self.live += (state <= State.SUSPECT) - (old <= State.SUSPECT)
         if state != State.SUSPECT:
             self.suspicions.pop(member.name, None)
         if state == State.ALIVE:
@@ -534,13 +607,19 @@
     # Syncs: joins, and the way a healed partition comes together.
 
     def _periodic_sync(self) -> list[Send]:
-        self.next_sync = self.now + self.settings.sync_interval
+        self.next_sync = self.now + self.settings.sync_interval * max(
+            1, self.live // self.settings.sync_members
+        )
         out: list[Send] = []
-        live = [m for m in self.members.values() if m.state <= State.SUSPECT]
+        live = self._pick(1)
         dead = [m for m in self.members.values() if m.state == State.DEAD]
-        for group in (live, dead):
-            if group:
-                out.extend(self._sync(self._address(self.random.choice(group)), reply=False))
+        if live:
+            out.extend(self._sync(self._address(live[0]), reply=False))
+        if dead:
+            # Told that it is held dead, one that lives answers with a higher incarnation: a partition heals.
+            member = self.random.choice(dead)
+            ping = Ping(self._next_seq(), member.name, member.incarnation)
+            out.append(self._datagram(self._address(member), ping))
         if not live:
             for seed in self.seeds:
                 out.extend(self._sync(seed, reply=False))
@@ -600,17 +679,27 @@
         return (member.host, member.port)
 
     def _pick(self, count: int, exclude: str = "") -> list[Member]:
+        """Some members held alive, drawn; a few draws do unless most are not, then all are looked at."""
+        found: dict[str, Member] = {}
+        for _ in range(4 * count if self.names else 0):
+            member = self.members[self.random.choice(self.names)]
+            if member.state == State.ALIVE and member.name != exclude:
+                found[member.name] = member
+                if len(found) == count:
+                    return list(found.values())
         live = [m for n, m in self.members.items() if m.state == State.ALIVE and n != exclude]
         return self.random.sample(live, min(count, len(live)))
 
     def _insert(self, name: str) -> None:
-        if name not in self.round:
+        if name not in self.in_round:
+            self.in_round.add(name)
             self.round.insert(self.random.randrange(len(self.round) + 1), name)
 
     def _forget(self) -> None:
         keep = self.settings.dead_keep
-        for name in [
-            n for n, m in self.members.items() if m.state > State.SUSPECT and self.now - m.since > keep
-        ]:
+        gone = [n for n, m in self.members.items() if m.state > State.SUSPECT and self.now - m.since > keep]
+        for name in gone:
             del self.members[name]
             self.queue.pop(name, None)
+        if gone:
+            self.names = list(self.members)
--- a/brackenladder/membership/wire.py
+++ b/brackenladder/membership/wire.py
@@ -13,7 +13,8 @@
 
 VERSION = 1
 LARGEST = 1_400  # bytes in one datagram: below the usual path MTU, so no datagram is split
-NAME_LIMIT = 64  # characters in a member's name, zone or region
+NAME_LIMIT = 64  # characters in a member's name, host, zone or region
+LAST = 1 << 53  # the highest incarnation that is taken: one more must still encode
 
 
 class State(enum.IntEnum):
@@ -131,8 +132,12 @@
     if any(not name or len(name) > NAME_LIMIT for name in names):
         raise WireError("a member's name is empty or too long")
     for item in envelope.gossip:
-        if not 0 < item.port < 65_536 or item.incarnation < 0 or len(item.zone) > NAME_LIMIT:
+        longest = max(len(item.host), len(item.source), len(item.zone), len(item.region))
+        if not 0 < item.port < 65_536 or not 0 <= item.incarnation <= LAST or longest > NAME_LIMIT:
             raise WireError(f"gossip about {item.name!r} out of range")
-    if envelope.incarnation < 0:
-        raise WireError("negative incarnation")
+    if not 0 <= envelope.incarnation <= LAST:
+        raise WireError("incarnation out of range")
+    message = envelope.message
+    if isinstance(message, PingReq) and (not 0 < message.port < 65_536 or len(message.host) > NAME_LIMIT):
+        raise WireError("a ping for another member names no address")
     return envelope
