--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -31,7 +31,7 @@
     from brackenladder.operation import OperationError, load
 
     try:
-        return load(path)
+        return load(path, environ)
     except OperationError as e:
         raise ConfigError(f"LB_OPERATOR: {e}") from None
 
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -53,7 +53,7 @@
 
 Address = tuple[str, int]
 SMALLEST_ITEM = 16  # bytes: no gossip item encodes in fewer
-MEND_PERIODS = 5  # probe periods between two exchanges with members held dead that speak
+MEND_PERIODS = 5  # probe periods between two exchanges at a join, alone, or with one held dead that speaks
 FORGET_EVERY = 10_000_000  # microseconds between two looks for the dead to be forgotten
 
 
@@ -222,7 +222,7 @@
         self.seeds = [s for s in seeds if tuple(s) != tuple(self.address)]
         self.next_probe = now + self.random.randrange(self.settings.probe_interval)
         # A second exchange soon after the first: members that joined at the same time learn of each other.
-        self.next_sync = now + 5 * self.settings.probe_interval
+        self.next_sync = now + MEND_PERIODS * self.settings.probe_interval
         return [send for seed in self.seeds for send in self._sync(seed, reply=False)]
 
     def leave(self, now: int) -> list[Send]:
@@ -620,7 +620,8 @@
             member = self.random.choice(dead)
             ping = Ping(self._next_seq(), member.name, member.incarnation)
             out.append(self._datagram(self._address(member), ping))
-        if not live:
+        if not live:  # alone: the seeds are asked until one answers
+            self.next_sync = self.now + MEND_PERIODS * self.settings.probe_interval
             for seed in self.seeds:
                 out.extend(self._sync(seed, reply=False))
         return out
--- a/brackenladder/net/control.py
+++ b/brackenladder/net/control.py
@@ -101,6 +101,12 @@
         """Binds and listens. An OSError if the address cannot be had."""
         self.server = await self.loop.create_server(lambda: Call(self), *address, backlog=BACKLOG)
 
+    def serve(self, path: str, answer: Serve | None) -> None:
+        """Answers a path from now on, or no longer."""
+        self.calls.pop(path, None)
+        if answer is not None:
+            self.calls[path] = answer
+
     @property
     def port(self) -> int:
         assert self.server is not None
--- a/brackenladder/net/log.py
+++ b/brackenladder/net/log.py
@@ -40,5 +40,9 @@
 
     def write(self, text: str) -> None:
         with suppress(OSError):  # nobody reads the log any more: no reason to stop serving
-            sys.stderr.write(f"{self.name}: {text}\n")
+            sys.stderr.write(self.frame(text) + "\n")
             sys.stderr.flush()
+
+    def frame(self, text: str) -> str:
+        """The line as it is written."""
+        return f"{self.name}: {text}"
--- /dev/null
+++ b/brackenladder/net/members.py
@@ -0,0 +1,202 @@
+"""Hosts the membership decider on a UDP socket, and tells operators what it knows.
+
+Imported only where the operators' file has `[membership]` and the platform lets nodes talk to each other. The
+decider (`brackenladder.membership.swim`) decides; here are the socket, one timer at its next deadline, the
+monotonic clock (durations only: a clock set by hand moves nothing) and the change lines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic_ns
+from typing import Any, cast
+
+import structlog
+
+from brackenladder.membership.swim import Member, Send, Swim, SwimSettings
+from brackenladder.membership.wire import State
+from brackenladder.net.log import Log
+
+CHANGES_A_SECOND = 1000  # change lines: a node that starts among 300 others writes 300
+BIND_AGAIN = 0.2  # seconds between two tries to have the socket
+
+Address = tuple[str, int]
+
+
+def now() -> int:
+    """Monotonic microseconds."""
+    return monotonic_ns() // 1_000
+
+
+class Lines(Log):
+    """JSON lines on standard error, bounded a second like all of the node's log; what is left out is told."""
+
+    def frame(self, text: str) -> str:
+        return text if text.startswith("{") else f'{{"event": "left out", "node": "{self.name}"}}'
+
+    info = warning = Log.line  # what structlog calls with a finished line
+
+
+def structured(name: str) -> Any:
+    """A logger of JSON lines that all name the node."""
+    return structlog.wrap_logger(
+        Lines(name, CHANGES_A_SECOND),
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(sort_keys=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(0),
+        node=name,
+    )
+
+
+class Members(asyncio.DatagramProtocol):
+    """One node's part in the membership. `node` is what it says of itself."""
+
+    def __init__(
+        self,
+        node: Member,
+        settings: SwimSettings,
+        listen: Address,
+        seeds: tuple[Address, ...],
+        seed: int,
+        known: dict[str, Any],
+    ) -> None:
+        self.node = node  # its address is that which others reach, or the bound one where the port is 0
+        self.settings = settings
+        self.listen = listen
+        self.seeds = seeds
+        self.seed = seed
+        self.known = known  # goes into the line that tells of the start
+        self.log = structured(node.name)
+        self.swim: Swim | None = None  # once there is a socket
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.binding: asyncio.Task[None] | None = None
+        self.due_at = 0
+        self.unsent = 0  # datagrams that no socket would take
+
+    # ---- the course of it ----------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Joins as soon as the address can be had: during an upgrade the process before this one has it until
+        its SIGTERM. A port that another program holds is told once and tried again, while the node serves."""
+        self.binding = asyncio.get_running_loop().create_task(self.bind())
+
+    async def bind(self) -> None:
+        told = False
+        while True:
+            try:
+                await asyncio.get_running_loop().create_datagram_endpoint(
+                    lambda: self, local_addr=self.listen
+                )
+                break
+            except OSError as e:
+                if not told:
+                    self.log.warning("membership waits", listen="{}:{}".format(*self.listen), why=str(e))
+                told = True
+            await asyncio.sleep(BIND_AGAIN)
+        assert self.transport is not None
+        bound: Address = self.transport.get_extra_info("sockname")[:2]
+        here = (self.node.host, self.node.port) if self.node.port else (self.node.host, bound[1])
+        self.log.info("membership begins", listen="{}:{}".format(*bound), **self.known)
+        swim = Swim(self.node.name, here, self.settings, self.seed, self.node.zone, self.node.region)
+        self.swim = swim
+        self.carry(swim.join(now(), self.seeds))
+
+    def stop(self, farewell: bool) -> None:
+        """Ends this process's part. Without `farewell` not one more datagram goes out: another process of
+        this node goes on under its name, or the platform has forbidden the talk."""
+        if self.binding is not None:
+            self.binding.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
+        swim, self.swim = self.swim, None
+        if swim is not None and farewell:
+            self.post(swim.leave(now()))
+        if self.transport is not None:
+            self.transport.close()
+        self.log.info("membership ends", farewell=farewell)
+
+    # ---- the socket ----------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        if self.swim is not None:
+            self.carry(self.swim.receive(now(), data, (str(addr[0]), int(addr[1]))))
+
+    def error_received(self, exc: Exception) -> None:
+        self.unsent += 1  # a port that refuses, as a killed process's does: the probes tell
+
+    def post(self, sends: list[Send]) -> None:
+        if self.transport is None:
+            return
+        for send in sends:
+            try:
+                self.transport.sendto(send.data, send.address)
+            except (OSError, ValueError, OverflowError, TypeError):  # an address that gossip made up
+                self.unsent += 1
+
+    def carry(self, sends: list[Send]) -> None:
+        """Does what the decider answered, and waits for what comes next."""
+        if self.swim is None:
+            return
+        self.post(sends)
+        for change in self.swim.drain():
+            self.log.info("member", **{k: v for k, v in change.__dict__.items() if k != "time"})
+        due = self.swim.next_deadline()
+        if self.timer is None or due < self.due_at:  # a later one is found when the earlier wakes
+            if self.timer is not None:
+                self.timer.cancel()
+            self.due_at = due
+            delay = max(0, due - now()) / 1e6
+            self.timer = asyncio.get_running_loop().call_later(delay, self.due)
+
+    def due(self) -> None:
+        self.timer = None
+        if self.swim is not None:
+            self.carry(self.swim.tick(now()) if now() >= self.swim.next_deadline() else [])
+
+    # ---- operators -----------------------------------------------------------------------------------
+
+    def view(self) -> list[Member]:
+        """This node and all known members, by name."""
+        return [] if self.swim is None else [self.swim.me, *self.swim.view()]
+
+    def table(self) -> tuple[bool, dict[str, Any]]:
+        """Who is known, in what state, since when, and how old that knowledge is; ages in seconds."""
+        at = now()
+        rows = [
+            {
+                "name": m.name,
+                "address": f"{m.host}:{m.port}",
+                "zone": m.zone,
+                "region": m.region,
+                "state": m.state.name.lower(),
+                "incarnation": m.incarnation,
+                "reach": m.reach,
+                "since_s": round((at - m.since) / 1e6, 3) if m.since else None,
+                "age_s": 0.0 if i == 0 else round((at - max(m.heard, m.since)) / 1e6, 3),
+            }
+            for i, m in enumerate(self.view())
+        ]
+        return self.swim is not None, {"members": rows, **self.figures()}
+
+    def figures(self) -> dict[str, Any]:
+        """Counts for the node's figures."""
+        counts = dict.fromkeys((s.name.lower() for s in State), 0)
+        for member in self.view():
+            counts[member.state.name.lower()] += 1
+        if self.swim is None:
+            return {"joined": False, "states": counts, "unsent": self.unsent}
+        swim = self.swim
+        return {
+            "joined": True,
+            "states": counts,
+            "health": swim.health,
+            "incarnation": swim.me.incarnation,
+            "unsent": self.unsent,
+            **swim.counters.__dict__,
+        }
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -41,7 +41,8 @@
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 if TYPE_CHECKING:
-    from brackenladder.operation import Operation
+    from brackenladder.net.members import Members
+    from brackenladder.operation import Membership, Operation
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 KILL_COUNTED = 3_000_000  # after SIGTERM a node has the longest deadline for its end, or so long...
@@ -140,6 +141,8 @@
         )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.operation = operation
+        self.members: Members | None = None
+        self.member_wish: Membership | None = None
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
         self.balancer.storms = self.storm_judge(operation)
@@ -157,6 +160,7 @@
         if self.config.control is not None:
             self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
             await self.control.start(self.config.control)
+        self.tend_members()
         self.started = True
         self.post(self.balancer.start)
         if self.config.accept_fd is not None:
@@ -177,7 +181,10 @@
 
     def figures(self) -> tuple[bool, dict[str, Any]]:
         """The figures."""
-        return True, self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
+        found = self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
+        if self.members is not None:
+            found["membership"] = self.members.figures()
+        return True, found
 
     def ready(self) -> bool:
         """Whether the front may send clients here."""
@@ -225,6 +232,37 @@
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
+    # ---- the nodes that know of each other -----------------------------------------------------------
+
+    def tend_members(self) -> None:
+        """Begins or ends this node's part in the membership: the operators' wish, if the platform allows."""
+        wish = self.operation.membership if self.operation is not None else None
+        allowed = self.config.settings.peers
+        if wish is not None and not allowed:
+            self.log_lines.line("membership: off, since the platform's policy_limits.peers is false")
+            wish = None
+        if wish == self.member_wish:
+            return
+        if self.members is not None:
+            self.members.stop(farewell=allowed)
+            self.members = None
+        self.member_wish = wish
+        if wish is not None:
+            # Here: a node without a membership needs neither it nor the packages that it logs with.
+            from brackenladder.membership.swim import Member
+            from brackenladder.membership.wire import State as MemberState
+            from brackenladder.net.members import Members
+
+            listen, told, seeds = wish.addresses()
+            zone = next((name for name, n in self.zones.items() if n == self.settings.zone), "")
+            here = Member(self.config.name, *told, 0, MemberState.ALIVE, 0, zone, wish.region(zone))
+            asked = self.config.control
+            control = {"control": f"{asked[0]}:{self.control.port}"} if asked and self.control else {}
+            self.members = Members(here, wish.settings(), listen, seeds, self.config.seed, control)
+            self.members.start()
+        if self.control is not None:
+            self.control.serve("/admin/membership", self.members.table if self.members else None)
+
     # ---- the course of a node -------------------------------------------------------------------------
 
     def judge(self, operation: Operation | None) -> ZoneJudge | None:
@@ -273,8 +311,9 @@
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.pool.renew(config.connect_timeout, config.idle_time)
         self.renew(settings)
-        if operation != self.operation:
-            self.operation = operation
+        same, self.operation = operation == self.operation, operation
+        self.tend_members()
+        if not same:
             self.post(self.balancer.new_zones, self.judge(operation))
             self.post(self.balancer.new_storms, self.storm_judge(operation))
         left = [
@@ -306,6 +345,10 @@
 
         Failure prevented: what is taken in the meantime is still open when the process is killed.
         """
+        if self.members is not None:
+            # A process that takes over goes on under this node's name: then nobody has left.
+            peers = self.handover.look()
+            self.members.stop(farewell=peers.count == 0 or peers.ending)
         longest = max(c.deadline for c in self.config.settings.classes)
         time = min(longest, KILL_COUNTED) + KILL_AFTER - KILL_MARGIN
         self.ends = self.now() + time
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -7,18 +7,21 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from difflib import get_close_matches
+from ipaddress import ip_address
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
+from brackenladder.membership.swim import SwimSettings
 from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
 
 Percent = Annotated[float, Meta(ge=0, le=100)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+Address = tuple[str, int]
 
 
 class OperationError(Exception):
@@ -63,18 +66,64 @@
         return StormRules(repeat_share=self.repeat_share_percent / 100, by_worth=self.by_worth)
 
 
+class Membership(Table, frozen=True):
+    """`[membership]`: nodes that know of each other. Its presence switches it on, where the platform lets
+    nodes talk to each other (`policy_limits.peers`)."""
+
+    listen: str = "127.0.0.1:7946"
+    advertise: str = ""  # where others reach this node, if not where it listens
+    seeds: list[str] = msgspec.field(default_factory=list)
+    cluster: Annotated[str, Meta(min_length=1, max_length=64)] = "brackenladder"
+    regions: dict[str, list[str]] = msgspec.field(default_factory=dict)
+    probe_ms: Annotated[float, Meta(ge=20, le=60_000)] = 350.0
+    probe_timeout_ms: Annotated[float, Meta(ge=5, le=30_000)] = 150.0
+    bear_pause_s: Annotated[float, Meta(ge=0, le=600)] = 3.3
+    relays: Annotated[int, Meta(ge=0, le=10)] = 3
+    sync_s: Annotated[float, Meta(ge=0.1, le=86_400)] = 30.0
+    dead_keep_s: Seconds = 300.0
+
+    def settings(self) -> SwimSettings:
+        """The decider's settings."""
+        return SwimSettings(
+            cluster=self.cluster,
+            probe_interval=int(self.probe_ms * 1000),
+            probe_timeout=int(self.probe_timeout_ms * 1000),
+            indirect=self.relays,
+            bear_pause=int(self.bear_pause_s * 1e6),
+            sync_interval=int(self.sync_s * 1e6),
+            dead_keep=int(self.dead_keep_s * 1e6),
+        )
+
+    def region(self, zone: str) -> str:
+        """The region that a zone lies in; none if the file does not say."""
+        return next((region for region, zones in self.regions.items() if zone in zones), "")
+
+    def addresses(self) -> tuple[Address, Address, tuple[Address, ...]]:
+        """Where it listens, what others are told (port 0: the one that is bound), and the seeds."""
+        listen = address(self.listen, "membership.listen")
+        told = address(self.advertise, "membership.advertise") if self.advertise else listen
+        if told[0] in ("0.0.0.0", "::"):
+            raise OperationError(
+                f"membership.advertise: others cannot reach {told[0]}; say this node's address"
+            )
+        seeds = tuple(address(s, f"membership.seeds[{i}]") for i, s in enumerate(self.seeds))
+        return listen, told, seeds
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
     zones: Zones | None = None
     storms: Storms | None = None
+    membership: Membership | None = None
 
 
 NOTHING = Operation()
 
 
-def load(path: str) -> Operation:
-    """Reads a file; an OperationError names the file and the key."""
+def load(path: str, environ: Mapping[str, str] | None = None) -> Operation:
+    """Reads a file; an OperationError names the file and the key. One file serves many nodes of a machine:
+    `LB_MEMBERSHIP_LISTEN` and `LB_MEMBERSHIP_ADVERTISE` override what it says of `[membership]`."""
     try:
         with open(path, "rb") as file:
             table = tomllib.load(file)
@@ -82,6 +131,11 @@
         raise OperationError(f"{path}: {e.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         raise OperationError(f"{path}: not TOML: {e}") from None
+    membership = table.get("membership")
+    for key in ("listen", "advertise") if isinstance(membership, dict) else ():
+        given = (environ or {}).get(f"LB_MEMBERSHIP_{key.upper()}")
+        if given:
+            table["membership"][key] = given
     return build(table, path)
 
 
@@ -92,10 +146,14 @@
         unknown(table["zones"], Zones, where, "zones.")
     if isinstance(table.get("storms"), dict):
         unknown(table["storms"], Storms, where, "storms.")
+    if isinstance(table.get("membership"), dict):
+        unknown(table["membership"], Membership, where, "membership.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
         raise OperationError(f"{where}: {plain(str(e))}") from None
+    if found.membership is not None:
+        check_membership(found.membership, where)
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
@@ -113,6 +171,36 @@
     return found
 
 
+def check_membership(membership: Membership, where: str) -> None:
+    """An OperationError for what the form of a key cannot say."""
+    try:
+        membership.addresses()
+        if membership.probe_timeout_ms >= membership.probe_ms:
+            raise OperationError(
+                f"membership.probe_timeout_ms: {membership.probe_timeout_ms:g} is not below probe_ms"
+                f" ({membership.probe_ms:g}); others are asked between the two"
+            )
+        zones = [zone for zones in membership.regions.values() for zone in zones]
+        twice = next((zone for zone in zones if zones.count(zone) > 1), None)
+        if twice is not None:
+            raise OperationError(f"membership.regions: zone {twice} stands twice; it lies in one region")
+    except OperationError as e:
+        raise OperationError(f"{where}: {e}") from None
+
+
+def address(text: str, what: str) -> Address:
+    """`host:port`, the host as a number: a name would have to be looked up at each datagram."""
+    host, _, port = text.rpartition(":")
+    host = host.strip("[]")
+    try:
+        ip_address(host)
+    except ValueError:
+        host = ""
+    if not host or not (port.isascii() and port.isdigit() and int(port) < 65536):
+        raise OperationError(f"{what}: {text!r} is not an address such as 10.0.0.1:7946")
+    return host, int(port)
+
+
 def unknown(table: dict[str, Any], form: type[Table], where: str, path: str) -> None:
     """An OperationError for the first key that the form lacks, with the nearest that it has."""
     for key in table:
