--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -30,7 +30,7 @@
 import heapq
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import MutableMapping, Sequence
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -191,7 +191,7 @@
     ) -> None:
         self.name, self.address, self.settings = name, address, settings
         self.me = Member(name, address[0], address[1], incarnation, State.ALIVE, 0, zone, region)
-        self.members: dict[str, Member] = {}
+        self.members: MutableMapping[str, Member] = {}
         self.random = random.Random(seed)
         self.health = 0  # Lifeguard's local health multiplier: 0 is well
         self.now = 0
@@ -199,7 +199,6 @@
         self.names: list[str] = []  # of all known members, to draw from
         self.live = 0  # known members that are alive or suspected
         self.round: list[str] = []
-        self.in_round: set[str] = set()
         self.probe: _Probe | None = None
         self.next_probe = 0
         self.next_sync = settings.sync_interval
@@ -357,12 +356,9 @@
             if not self.round:
                 self.round = [n for n, m in self.members.items() if m.state <= State.SUSPECT]
                 self.random.shuffle(self.round)
-                self.in_round = set(self.round)
                 if not self.round:
                     return None
-            name = self.round.pop()
-            self.in_round.discard(name)
-            member = self.members.get(name)
+            member = self.members.get(self.round.pop())
             if member is not None and member.state <= State.SUSPECT:
                 return member
 
@@ -559,7 +555,9 @@
             suspicion.confirmers |= probe.nacks  # each has tried by itself, in vain
             if not suspicion.own:
                 suspicion.own = True
-                suspicion.start = min(suspicion.start, probe.start)
+                suspicion.start = min(
+                    suspicion.start, max(probe.start, self.now - self.settings.probe_interval)
+                )
                 suspicion.next_ping = self.now
         if len(suspicion.confirmers) > before or probe is not None:
             time = self._suspicion_time(len(suspicion.confirmers) - 1)
@@ -598,7 +596,7 @@
         self.live += (state <= State.SUSPECT) - (old <= State.SUSPECT)
         if state != State.SUSPECT:
             self.suspicions.pop(member.name, None)
-        if state == State.ALIVE:
+        if state == State.ALIVE and old > State.SUSPECT and member.name not in self.round:
             self._insert(member.name)
         self.changes.append(
             Change(self.now, member.name, old.name.lower(), state.name.lower(), incarnation, source, why)
@@ -692,9 +690,7 @@
         return self.random.sample(live, min(count, len(live)))
 
     def _insert(self, name: str) -> None:
-        if name not in self.in_round:
-            self.in_round.add(name)
-            self.round.insert(self.random.randrange(len(self.round) + 1), name)
+        self.round.insert(self.random.randrange(len(self.round) + 1), name)
 
     def _forget(self) -> None:
         keep = self.settings.dead_keep
