--- a/brackenladder/cli/fault.py
+++ b/brackenladder/cli/fault.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import sys
 from pathlib import Path
-from typing import NoReturn, TextIO
+from typing import Any, NoReturn, TextIO
 
 import click
 
 from brackenladder.fault.control import Control
+from brackenladder.fault.datagrams import Plan, read_rules
 from brackenladder.fault.relay import Address, AddressError, Relay, loopback
-from brackenladder.fault.script import Script, ScriptError, load
+from brackenladder.fault.script import Script, ScriptError, build, load, read_table
+from brackenladder.fault.switch import Switch
 
 
 def stop(text: str) -> NoReturn:
@@ -22,8 +25,15 @@
 
 
 @click.command()
-@click.option("--listen", required=True, metavar="ADDRESS", help="Where clients connect: 127.0.0.1:9000.")
-@click.option("--to", "target", required=True, metavar="ADDRESS", help="Where they are passed on to.")
+@click.option("--listen", metavar="ADDRESS", help="Where clients connect: 127.0.0.1:9000.")
+@click.option("--to", "target", metavar="ADDRESS", help="Where they are passed on to.")
+@click.option(
+    "--member",
+    "members",
+    multiple=True,
+    metavar="NAME=FRONT,REAL",
+    help="Datagrams, in place of connections: others reach NAME at FRONT, its process listens at REAL.",
+)
 @click.option("--script", type=click.Path(path_type=Path), help="What is done to the bytes; nothing without.")
 @click.option("--seed", type=click.IntRange(0), help="In place of the script's own.")
 @click.option("--control", metavar="PATH|ADDRESS", help="A Unix or loopback socket for commands.")
@@ -33,8 +43,9 @@
 )
 @click.option("--check", is_flag=True, help="Only read the script and say what is wrong with it.")
 def fault(
-    listen: str,
-    target: str,
+    listen: str | None,
+    target: str | None,
+    members: tuple[str, ...],
     script: Path | None,
     seed: int | None,
     control: str | None,
@@ -44,8 +55,16 @@
 ) -> None:
     """Delay, pace, cut, freeze, split and garble what passes between two loopback sockets.
 
-    The same script gives the same faults at the same bytes of the same connections in each run.
+    The same script gives the same faults at the same bytes of the same connections in each run. With
+    --member, given for each of several, the [[datagram]] rules hold for what they send each other.
     """
+    if members:
+        if listen or target or control:
+            stop("--member goes without --listen, --to and --control")
+        switch_between(members, script, seed, log, check)
+        return
+    if listen is None or target is None:
+        stop("--listen and --to are needed, or --member for each of several that send datagrams")
     try:
         found = load(script) if script is not None else Script()
         here, there = loopback(listen), loopback(target)
@@ -70,6 +89,54 @@
         stop(f"cannot listen: {e.strerror or e}")
 
 
+def switch_between(
+    members: tuple[str, ...], script: Path | None, seed: int | None, log: TextIO, check: bool
+) -> None:
+    """The same for datagrams between named members."""
+    try:
+        table = read_table(script) if script is not None else {}
+        found = build(table, str(script))
+        rules = read_rules(table.get("datagram", []), str(script))
+        fronts: dict[str, tuple[Address, Address]] = {}
+        for text in members:
+            name, equals, addresses = text.partition("=")
+            front, comma, real = addresses.partition(",")
+            if not (name and equals and comma) or name in fronts:
+                stop(f"--member {text}: write it as NAME=FRONT,REAL, each name once")
+            fronts[name] = loopback(front), loopback(real)
+    except (ScriptError, AddressError) as e:
+        stop(str(e))
+    number = seed if seed is not None else found.seed
+    if check:
+        click.echo(f"{script or 'no script'}: good, {len(rules)} rules for datagrams, seed {number}.")
+        return
+
+    def write(line: dict[str, Any]) -> None:
+        log.write(json.dumps(line) + "\n")
+        log.flush()
+
+    try:
+        asyncio.run(between(Switch(Plan(rules, number), write), fronts))
+    except OSError as e:
+        stop(f"cannot listen: {e.strerror or e}")
+
+
+async def between(switch: Switch, fronts: dict[str, tuple[Address, Address]]) -> None:
+    """Runs until SIGTERM or SIGINT."""
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, ended.set)
+    try:
+        for name, (front, real) in fronts.items():
+            host, port = await switch.add(name, real, front)
+            click.echo(f"fault: {name} is reached at {host}:{port}", err=True)
+        switch.begin()
+        await ended.wait()
+    finally:
+        switch.close()
+    click.echo(f"fault: {switch.passed_on} passed on, {switch.lost} lost, {switch.strays} strays", err=True)
+
+
 async def serve(relay: Relay, listen: Address, where: Path | Address | None) -> None:
     """Runs until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
--- a/brackenladder/fault/script.py
+++ b/brackenladder/fault/script.py
@@ -95,18 +95,23 @@
 
 def load(path: Path) -> Script:
     """Reads a script. A ScriptError says what is wrong with it."""
+    return build(read_table(path), str(path))
+
+
+def read_table(path: Path) -> dict[str, Any]:
+    """A script's tables, not checked yet; a ScriptError if the file cannot be read."""
     try:
-        table = tomllib.loads(path.read_text(encoding="utf-8"))
+        return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as e:
         raise ScriptError(f"{path}: {e.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         raise ScriptError(f"{path}: not TOML: {e}") from None
-    return build(table, str(path))
 
 
 def build(table: dict[str, Any], where: str) -> Script:
-    """A Script from decoded TOML; a ScriptError otherwise."""
-    known_keys(table, ("seed", "rule"), where, "")
+    """A Script from decoded TOML; a ScriptError otherwise. `[[datagram]]` is for `datagrams.read_rules`."""
+    known_keys(table, ("seed", "rule", "datagram"), where, "")
+    table = {key: value for key, value in table.items() if key != "datagram"}
     rules = table.get("rule", [])
     for i, rule in enumerate(rules if isinstance(rules, list) else ()):
         if isinstance(rule, dict):
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
@@ -16,7 +15,7 @@
 from msgspec import Meta
 
 from brackenladder.fault.datagrams import DatagramRule, matches, read_rules
-from brackenladder.fault.script import Form, ScriptError, known_keys
+from brackenladder.fault.script import Form, ScriptError, known_keys, read_table
 from brackenladder.operation import OperationError, build
 
 FaultKind = Literal["kill", "restart", "pause", "leave", "upgrade"]
@@ -120,12 +119,7 @@
 
 def load(path: Path, changes: dict[str, Any] | None = None) -> Swarm:
     """Reads a script; `changes` of `[world]` take precedence. A ScriptError says what is wrong with it."""
-    try:
-        table = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as e:
-        raise ScriptError(f"{path}: {e.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        raise ScriptError(f"{path}: not TOML: {e}") from None
+    table = read_table(path)
     if isinstance(table.get("world"), dict):
         table["world"] |= changes or {}
     return read(table, str(path))
