--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -1042,7 +1042,7 @@
     def subset_size(self, kinds: dict[int, Order[Listed]]) -> int:
         """How many of these servers this copy uses."""
         n = sum(map(len, kinds.values()))
-        part = ceil(n / self.settings.instances)
+        part = ceil(n / self.settings.place[1])
         if part > SUBSET_MOST:
             # Failure prevented: where copies are few, most of a large fleet is nobody's and stands idle.
             return min(SUBSET_BOUND, part)
@@ -1089,7 +1089,7 @@
         drawn = [
             entry
             for _, kinds in sorted(self.roster.orders.items())
-            for entry in stretch(self.roster, kinds, s.index, s.instances, self.subset_size(kinds))
+            for entry in stretch(self.roster, kinds, *s.place, self.subset_size(kinds))
         ]
         if drawn == self.drawn and all(srv.member for srv in self.members):
             # Nothing has changed for this copy, as in most changes of a large fleet.
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -51,7 +51,9 @@
         except operation.OperationError as e:
             click.echo(str(e), err=True)
             sys.exit(2)
-        tables = [name for name in ("zones", "storms", "membership") if getattr(read, name) is not None]
+        tables = [
+            name for name in ("zones", "storms", "membership", "spread") if getattr(read, name) is not None
+        ]
         click.echo(f"{operator}: good. It switches on: {', '.join(tables) or 'nothing'}.")
     if config is None:
         if operator is None:
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -94,6 +94,9 @@
     zone: int = 0
     instances: int = 1  # instances that send to this tier, this one included
     index: int = 0
+    ring: tuple[int, int] | None = (
+        None  # this instance's place among those that live, where it is known better
+    )
     tick: int = 1000  # least time between two batches of events
     max_attempts: int = 1
     cancel: bool = False
@@ -115,11 +118,18 @@
     over_share_worth: float = 1.0
     report_fields: Sequence[str] = ()
 
+    @property
+    def place(self) -> tuple[int, int]:
+        """The place by which servers are shared out: (index, count). What all instances together must not
+        exceed goes by `instances` all the same."""
+        return self.ring or (self.index, self.instances)
+
     def __post_init__(self) -> None:
         def need(ok: bool, key: str) -> None:
             if not ok:  # comparisons with a NaN are false as well
                 raise ValueError(f"settings: impossible value for {key}")
 
+        need(self.ring is None or 0 <= self.ring[0] < self.ring[1], "ring")
         need(len(self.classes) > 0, "classes")
         for i, c in enumerate(self.classes):
             need(c.aim > 0, f"classes[{i}].aim")
--- a/brackenladder/net/members.py
+++ b/brackenladder/net/members.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from time import monotonic_ns
 from typing import Any, cast
 
@@ -61,12 +62,14 @@
         seeds: tuple[Address, ...],
         seed: int,
         known: dict[str, Any],
+        changed: Callable[[], None] = lambda: None,
     ) -> None:
         self.node = node  # its address is that which others reach, or the bound one where the port is 0
         self.settings = settings
         self.listen = listen
         self.seeds = seeds
         self.seed = seed
+        self.changed = changed  # told whenever somebody's state has changed
         self.known = known  # goes into the line that tells of the start
         self.log = structured(node.name)
         self.swim: Swim | None = None  # once there is a socket
@@ -144,7 +147,8 @@
         if self.swim is None:
             return
         self.post(sends)
-        for change in self.swim.drain():
+        changes = self.swim.drain()
+        for change in changes:
             self.log.info("member", **{k: v for k, v in change.__dict__.items() if k != "time"})
         due = self.swim.next_deadline()
         if self.timer is None or due < self.due_at:  # a later one is found when the earlier wakes
@@ -153,6 +157,8 @@
             self.due_at = due
             delay = max(0, due - now()) / 1e6
             self.timer = asyncio.get_running_loop().call_later(delay, self.due)
+        if changes:
+            self.changed()
 
     def due(self) -> None:
         self.timer = None
@@ -161,6 +167,10 @@
 
     # ---- operators -----------------------------------------------------------------------------------
 
+    def live(self) -> list[str]:
+        """The names of all that are alive or merely suspected, this node included."""
+        return [] if self.swim is None else [m.name for m in self.swim.alive()]
+
     def view(self) -> list[Member]:
         """This node and all known members, by name."""
         return [] if self.swim is None else [self.swim.me, *self.swim.view()]
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -43,6 +43,7 @@
 if TYPE_CHECKING:
     from brackenladder.net.members import Members
     from brackenladder.operation import Membership, Operation
+    from brackenladder.spread import Spread
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 KILL_COUNTED = 3_000_000  # after SIGTERM a node has the longest deadline for its end, or so long...
@@ -143,6 +144,9 @@
         self.operation = operation
         self.members: Members | None = None
         self.member_wish: Membership | None = None
+        self.spread: Spread | None = None
+        self.ring: tuple[int, int] | None = None  # the place that is in force, if not the platform's
+        self.place_timer: asyncio.TimerHandle | None = None
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
         self.balancer.storms = self.storm_judge(operation)
@@ -183,7 +187,7 @@
         """The figures."""
         found = self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
         if self.members is not None:
-            found["membership"] = self.members.figures()
+            found["membership"] = {**self.members.figures(), "place": self.ring}
         return True, found
 
     def ready(self) -> bool:
@@ -229,6 +233,9 @@
         if peers:
             most_open = max(1, settings.max_open // (1 + peers))
             settings = replace(settings, instances=settings.instances + peers, max_open=most_open)
+        if self.ring is not None:
+            # What all nodes must not do together goes by the larger count: members may be cut off, not dead.
+            settings = replace(settings, ring=self.ring, instances=max(settings.instances, self.ring[1]))
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
@@ -242,6 +249,7 @@
             self.log_lines.line("membership: off, since the platform's policy_limits.peers is false")
             wish = None
         if wish == self.member_wish:
+            self.tend_spread()
             return
         if self.members is not None:
             self.members.stop(farewell=allowed)
@@ -258,10 +266,47 @@
             here = Member(self.config.name, *told, 0, MemberState.ALIVE, 0, zone, wish.region(zone))
             asked = self.config.control
             control = {"control": f"{asked[0]}:{self.control.port}"} if asked and self.control else {}
-            self.members = Members(here, wish.settings(), listen, seeds, self.config.seed, control)
+            self.members = Members(
+                here, wish.settings(), listen, seeds, self.config.seed, control, self.members_changed
+            )
             self.members.start()
         if self.control is not None:
             self.control.serve("/admin/membership", self.members.table if self.members else None)
+        self.tend_spread()
+
+    def tend_spread(self) -> None:
+        """Shares the servers out among the members that live, or no longer, as the operators wish."""
+        wish = self.operation.spread if self.operation is not None and self.members is not None else None
+        if wish is None:
+            self.spread = None
+        elif self.spread is None or self.spread.rules != wish.rules():
+            from brackenladder.spread import Spread  # here: a node without such a wish does not need it
+
+            self.spread = Spread(self.config.name, number_of(self.config.name), wish.rules())
+        self.members_changed()
+
+    def members_changed(self) -> None:
+        """Somebody has come, gone, or changed its state."""
+        if self.spread is not None and self.members is not None:
+            self.spread.members(self.now(), self.members.live())
+        self.take_place()
+
+    def take_place(self) -> None:
+        """Takes up the place that is due, and looks again when the next one is."""
+        spread = self.spread
+        place = spread.place(self.now()) if spread is not None else None
+        ring = (place.index, place.count) if place is not None else None
+        if ring != self.ring:
+            self.ring = ring
+            self.log_lines.line(f"spread: place {ring[0]} of {ring[1]}" if ring else "spread: off")
+            self.renew(self.table.settings)
+        due = spread.due() if spread is not None else None
+        if due is not None and self.place_timer is None:  # one that comes too early looks again
+            self.place_timer = self.loop.call_later(max(0, due - self.now()) / 1e6 + 0.001, self.place_due)
+
+    def place_due(self) -> None:
+        self.place_timer = None
+        self.take_place()
 
     # ---- the course of a node -------------------------------------------------------------------------
 
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -16,6 +16,7 @@
 from msgspec import Meta
 
 from brackenladder.membership.swim import SwimSettings
+from brackenladder.spread import SpreadRules
 from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
 
@@ -110,12 +111,24 @@
         return listen, told, seeds
 
 
+class SpreadTable(Table, frozen=True):
+    """`[spread]`: servers are shared out among the members that live. Its presence switches it on, where
+    `[membership]` is on."""
+
+    hold_s: Seconds = 2.0
+    apart_s: Annotated[float, Meta(ge=0, le=600)] = 3.0
+
+    def rules(self) -> SpreadRules:
+        return SpreadRules(hold=int(self.hold_s * 1e6), apart=int(self.apart_s * 1e6))
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
     zones: Zones | None = None
     storms: Storms | None = None
     membership: Membership | None = None
+    spread: SpreadTable | None = None
 
 
 NOTHING = Operation()
@@ -148,12 +161,16 @@
         unknown(table["storms"], Storms, where, "storms.")
     if isinstance(table.get("membership"), dict):
         unknown(table["membership"], Membership, where, "membership.")
+    if isinstance(table.get("spread"), dict):
+        unknown(table["spread"], SpreadTable, where, "spread.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
         raise OperationError(f"{where}: {plain(str(e))}") from None
     if found.membership is not None:
         check_membership(found.membership, where)
+    elif found.spread is not None:
+        raise OperationError(f"{where}: spread: goes by the members that live; [membership] is missing")
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
