Subsets are whole parts of the ring, so that all servers lie in as many of them

Cause: stretch() ends a window after so many servers, not where another begins, so coverage is to within one.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -122,17 +122,18 @@
 ) -> list[Listed]:
     """Copy `index`'s part of a zone: a stretch of an order in which the machines of each kind lie evenly.
 
-    Failure prevented: by chance a copy's few members are all of a slow kind, and it keeps them crowded while
-    others' fast ones stand idle.
+    Failure prevented: by chance a copy's few members are all of a slow kind, and stay crowded.
     """
     orders = [order for _, order in sorted(kinds.items())]
     shifts = [mix(kind, 0) / 2**64 for kind in sorted(kinds)]
     n = sum(len(order) for order in orders)
-    size = min(size, n)
-    start = index % copies * n // copies
+    size, index = min(size, n), index % copies
+    start = index * n // copies
     before = cut(orders, shifts, n, start)
     while True:
-        end = start + size
+        # Failure prevented: some servers lie in one stretch more than others, and get as much more to do.
+        whole = n <= max(SUBSET_LEAST, size // 2) * copies  # a stretch of whole parts is not much longer
+        end = (index - -size * copies // n) * n // copies if whole else start + size
         until = cut(orders, shifts, n, end if end <= n else end - n)
         found: list[Listed] = []
         for order, first, last in zip(orders, before, until, strict=True):
