Membership: a member that comes back at another address is found there

Need: a restart of the same name at another port was pinged at the old one until every other member happened to hear its list. Cause: a datagram's incarnation made the new one known with the old address (_heard_from), and the gossip with the new address was then stale (_apply wants a higher incarnation). Change: an address that a member says of itself at the same incarnation is taken. The lab runs a thawed member's timers before its datagrams, as event loops do, and forgets where a restarted one listened. Tests: another address, an address taken by another name, a slow loop; and ten processes of which the platform tells all the same place.

--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -126,6 +126,8 @@
     def member(self, name: str, port: int, incarnation: int) -> Swim:
         seed = self.random.getrandbits(32)
         swim = Swim(name, ("emu", port), self.settings, seed=seed, incarnation=incarnation)
+        if name in self.nodes:  # nothing of it listens at an earlier address any more
+            self.by_port.pop(self.nodes[name].swim.address[1], None)
         self.nodes[name], self.by_port[port] = Node(name, swim), name
         return swim
 
@@ -174,7 +176,11 @@
         self.at(at, freeze)
 
     def thaw(self, node: Node) -> None:
+        """It runs again: an event loop looks at its timers first, then at what has come meanwhile."""
         held, node.held = node.held, []
+        if self.now >= node.swim.next_deadline():
+            self.send(node, node.swim.tick(self.now))
+            self.tell(node)
         for _, data, source in held:
             self.deliver(node, data, source)
         self.wake(node)
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -544,6 +544,14 @@
                 )
                 self._set(member, State.ALIVE, item.incarnation, item.source, "higher incarnation")
                 self._enqueue(item)
+            elif (
+                item.source == item.name
+                and item.incarnation == member.incarnation
+                and (item.host, item.port) != self._address(member)
+            ):
+                # Its incarnation came ahead, in a datagram of its own that named no address.
+                member.host, member.port = item.host, item.port
+                self._enqueue(item)
             else:
                 self.counters.stale += 1
         elif item.state == State.SUSPECT:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -142,6 +142,44 @@
     assert asked and swim.members["c"].state == State.DEAD
 
 
+def test_an_address_that_another_name_has_taken_over_keeps_neither_from_the_truth() -> None:
+    world = settled(5)
+    world.kill("m3", world.now)
+    world.start("x9", 4, world.now + SECOND)  # on m3's port
+    world.run(world.now + 15 * SECOND)
+    assert dead_everywhere(world, "m3")
+    assert all(world.state(n.name, "x9") == State.ALIVE for n in world.live() if n.name != "x9")
+
+
+def test_a_member_that_comes_back_at_another_address_is_found_there() -> None:
+    for after in (
+        SECOND // 20,
+        SECOND,
+    ):  # before it is suspected; then, when news of that meets it at its start
+        world = settled(5)
+        world.kill("m3", world.now)
+        world.start("m3", 44, world.now + after)  # knowing nothing, at incarnation 0 as the one before
+        world.run(world.now + 15 * SECOND)
+        assert world.agreed(set())
+        assert all(n.swim.members["m3"].port == 44 for n in world.live() if n.name != "m3")
+
+
+def slow_member(swim: SwimSettings) -> int:
+    """How many others a member suspects whose loop stands still for 340 of each 400 ms, 60 ms from all."""
+    world = settled(8, swim=swim, net=Net(delay=60_000))
+    start = world.now
+    for turn in range(75):
+        world.pause("m2", start + turn * 400_000, 340_000)
+    world.run(start + 40 * SECOND)
+    assert not [c for _, c in world.changes if c.new == "dead"]
+    return sum(1 for o, c in world.changes if o == "m2" and c.new == "suspect" and c.source == "m2")
+
+
+def test_a_member_with_a_slow_loop_slows_down_instead_of_accusing_others() -> None:
+    accused = slow_member(replace(BASE, most_health=0))
+    assert accused >= 20 and slow_member(BASE) <= accused / 2
+
+
 def test_every_small_world_of_two_faults_ends_in_agreement() -> None:
     # 225 sequences; of three and four faults, 3,375 and 50,625 by hand (docs/membership.md).
     bad = {sequence: wrong for sequence in worlds(3, 2) if (wrong := violations(3, sequence, seed=1))}
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -25,6 +25,16 @@
     return {"world": {"nodes": nodes, "watch_s": watch, "zones": ["a", "b"]}, **parts}
 
 
+# Ten nodes that the platform tells all the same place, two of which die, before twenty servers.
+HERD = world(
+    10,
+    18.0,
+    fault=[{"kind": "kill", "at_s": 1.0, "nodes": ["n2", "n3"]}],
+    servers={"count": 20},
+    load={"requests_per_s": 150.0},
+)
+HERD["world"]["platform"] = "same"
+
 WORLDS: dict[str, Table] = {
     "death": world(
         5, 8.0, fault=[{"kind": "kill", "at_s": 0.5, "nodes": ["n3"]}], load={"requests_per_s": 40.0}
@@ -39,6 +49,8 @@
     "loss": world(6, 12.0, datagram=[{"kind": "loss", "rate": 0.05}, {"kind": "duplicate", "rate": 0.1}]),
     "restart": world(4, 8.0, fault=[{"kind": "restart", "at_s": 0.5, "nodes": ["n2"], "for_s": 1.0}]),
     "upgrade": world(4, 8.0, fault=[{"kind": "upgrade", "at_s": 0.5, "nodes": ["n2"]}]),
+    "herd": HERD,
+    "spread": HERD | {"spread": {"hold_s": 1.0, "apart_s": 1.0}},
     "leave": world(4, 4.0, fault=[{"kind": "leave", "at_s": 0.5, "nodes": ["n2"]}]),
 }
 
@@ -124,6 +136,14 @@
     assert figure(results["leave"], "detect_all_s") < 3  # no suspicion has to run out
 
 
+def test_members_that_live_share_all_servers_out_among_themselves(results: dict[str, Result]) -> None:
+    assert figure(results["herd"], "tail_idle") >= 10  # by the platform's word alone
+    result = results["spread"]
+    assert figure(result, "tail_idle") == 0
+    assert figure(result, "tail_max_over_mean") < 0.5 * figure(results["herd"], "tail_max_over_mean")
+    assert figure(result, "duplicates") == 0
+
+
 def test_each_fault_is_one_line(results: dict[str, Result]) -> None:
     kinds = [(line["kind"], line["fault"]) for line in results["pause"].faults]
     assert kinds == [("pause", "begins"), ("pause", "ends")]
