Membership: half of all members killed at once are known dead in seconds

Need: with 300 real nodes and half of them killed 32 pairs were not told of in 70 s; the lab needed 50 s at 100 members. Cause: (1) a failed probe counted against the prober's own health although relays had said no in time, so all survivors slowed down nine times (_end_probe); (2) a confirmation can end a suspicion at a time that has passed, and next_deadline() handed that time out as the one expected, so the next call took the member for one that had stood still, voided its probe and slowed it further (_at). Ruled out: lost gossip (queues ran empty) and the relays' time-outs (three of three nacks came in time). Change: health falls only where no relay answered; the deadline that is handed out is never before now.

--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -243,7 +243,8 @@
 
     def next_deadline(self) -> int:
         """When `tick` should next be called, microseconds."""
-        self.expected = self._deadline()
+        # Not before now: a confirmation may end a suspicion at a time that has passed, which is no stall.
+        self.expected = max(self.now, self._deadline())
         return self.expected
 
     def _deadline(self) -> int:
@@ -395,9 +396,10 @@
         if probe.acked:
             self._health(-1)
             return
-        self._health(+1)
-        if probe.asked > 0 and len(probe.nacks) < probe.asked:
-            self._health(+1)  # relays that did not even say no: the fault may be ours (Lifeguard)
+        # Lifeguard counts a failed probe against the prober, and relays that did not even say no. Where one
+        # said no in time, this member hears well, and is not alone: half of all may have died at once.
+        if not probe.nacks:
+            self._health(+2 if probe.asked > 0 else +1)
         if target is None or target.state > State.SUSPECT:
             return
         if target.heard > probe.start:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -142,6 +142,26 @@
     assert asked and swim.members["c"].state == State.DEAD
 
 
+def test_half_of_all_members_killed_at_once_are_dead_to_the_others_within_fifteen_seconds() -> None:
+    world = World(60, BASE, 1, settled=True)
+    world.run(3 * SECOND)
+    dead = {f"m{i}" for i in range(0, 60, 2)}
+    for name in dead:
+        world.kill(name, world.now)
+    world.run(18 * SECOND)
+    assert world.agreed(dead)
+    assert not [c for _, c in world.changes if c.new == "dead" and c.name not in dead]
+
+
+def test_a_suspicion_that_a_confirmation_ends_at_once_is_not_taken_for_a_stall() -> None:
+    world = World(60, BASE, 1, settled=True)
+    world.run(3 * SECOND)
+    for i in range(0, 60, 4):
+        world.kill(f"m{i}", world.now)
+    world.run(18 * SECOND)
+    assert sum(n.swim.health for n in world.live()) <= 5  # nothing stood still
+
+
 def test_an_address_that_another_name_has_taken_over_keeps_neither_from_the_truth() -> None:
     world = settled(5)
     world.kill("m3", world.now)
