Lab: a return counts as one only where the same process held the member dead

Need: the check of small worlds named one of 3,375 sequences: m1 came back to m2 with incarnation 0. Cause: m2 had been started again in between, and the new process had never held m1 dead (violations: the record went by name). Change: only a change from dead to alive counts. Result: 3,375 sequences of three faults, none bad.

--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -457,6 +457,6 @@
         key = (observer, change.name)
         if change.new == "dead":
             died[key] = change.incarnation
-        elif change.new == "alive" and change.incarnation <= died.pop(key, -1):
+        elif change.old == "dead" and change.new == "alive" and change.incarnation <= died.pop(key, -1):
             wrong.append(f"{change.name} came back to {observer} with incarnation {change.incarnation}")
     return wrong
