Membership: an exchange is answered once, not once for each of its datagrams

Cause: a full list of 1,000 members takes 29 datagrams, and each of them, marked as a question, got a full list in answer (_handle, Sync). Change: only the first datagram of an exchange asks.

--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -683,6 +683,7 @@
             data, count = fit(head, items)
             out.append(self._count(Send(address, data)))
             items = items[max(1, count) :]
+            reply = True  # one answer is wanted, not one to each datagram
             if not items:
                 return out
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 
 from brackenladder.lab.membership import GONE, SECOND, Net, World, violations, worlds
 from brackenladder.membership.swim import Swim, SwimSettings
-from brackenladder.membership.wire import VERSION, Ack, Envelope, Gossip, Ping, State, decode, encode
+from brackenladder.membership.wire import VERSION, Ack, Envelope, Gossip, Ping, State, Sync, decode, encode
 
 BASE = SwimSettings()
 
@@ -162,6 +162,22 @@
     assert sum(n.swim.health for n in world.live()) <= 5  # nothing stood still
 
 
+def test_an_exchange_is_answered_once_however_many_datagrams_it_takes() -> None:
+    one, two = (Swim(n, ("127.0.0.1", p), BASE, seed=1) for n, p in (("a", 1), ("b", 2)))
+    one.join(0, [])
+    two.join(0, [])
+    names = [Gossip(f"m{i}", "127.0.0.1", 100 + i, 0, State.ALIVE, "x") for i in range(200)]
+    for i in range(0, 200, 20):
+        one.receive(
+            1, encode(Envelope(VERSION, BASE.cluster, "x", 0, Sync(True), names[i : i + 20])), ("", 9)
+        )
+    asked = one._sync(two.address, reply=False)
+    answers = [send for ask in asked for send in two.receive(2, ask.data, one.address)]
+    assert len(asked) > 2
+    assert len(answers) <= len(asked) + 1
+    assert len(two.members) == 202  # a, x and the rest
+
+
 def test_an_address_that_another_name_has_taken_over_keeps_neither_from_the_truth() -> None:
     world = settled(5)
     world.kill("m3", world.now)
