Membership: pings to suspected, dead and other members are made in one place

Need: a reading of the whole change found the ping that tells a member how it is held written three times, and a probe whose target was forgotten meanwhile left its deadline in the past, so that the host would have looked again at once until the probe's end. Change: _direct serves all three; such a probe waits for its end; two line breaks that only the formatter wanted.

--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -94,9 +94,7 @@
     zone: int = 0
     instances: int = 1  # instances that send to this tier, this one included
     index: int = 0
-    ring: tuple[int, int] | None = (
-        None  # this instance's place among those that live, where it is known better
-    )
+    ring: tuple[int, int] | None = None  # the place among those that live, where it is known
     tick: int = 1000  # least time between two batches of events
     max_attempts: int = 1
     cancel: bool = False
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -282,9 +282,7 @@
                 self._end_suspicion(self.members[name], suspicion)
             elif now >= suspicion.next_ping:
                 suspicion.next_ping, suspicion.seq = now + self.settings.probe_interval, self._next_seq()
-                member = self.members[name]
-                ping = Ping(suspicion.seq, name, member.incarnation)
-                out.append(self._datagram(self._address(member), ping))
+                out.append(self._direct(self.members[name], suspicion.seq))
         if now >= self.next_sync:
             out.extend(self._periodic_sync())
         if now >= self.next_dead:
@@ -307,9 +305,7 @@
             return []
         self.counters.received += 1
         if envelope.sender == self.name:
-            self.counters.stale += (
-                1  # our own echo, or another process under our name: see docs/membership.md
-            )
+            self.counters.stale += 1  # our own echo, or another process under our name
             return []
         self._heard_from(envelope, source)
         merging = isinstance(envelope.message, Sync)
@@ -363,8 +359,8 @@
         return [self._direct(target, seq)]
 
     def _direct(self, target: Member, seq: int) -> Send:
-        """A ping that tells a suspected member so."""
-        suspected = target.incarnation if target.state == State.SUSPECT else -1
+        """A ping that tells a member so if it is not held alive."""
+        suspected = target.incarnation if target.state != State.ALIVE else -1
         return self._datagram(self._address(target), Ping(seq, target.name, suspected))
 
     def _next_target(self) -> Member | None:
@@ -380,7 +376,8 @@
 
     def _ask_others(self, probe: _Probe) -> list[Send]:
         target = self.members.get(probe.target)
-        if target is None:
+        if target is None:  # forgotten meanwhile
+            probe.asked = -1
             return []
         relays = self._pick(self.settings.indirect, exclude=probe.target)
         probe.asked = len(relays) or -1  # nobody to ask: wait for the end of the period
@@ -669,10 +666,7 @@
         dead = [m for m in self.members.values() if m.state == State.DEAD]
         if not dead:
             return []
-        member = self.random.choice(dead)
-        return [
-            self._datagram(self._address(member), Ping(self._next_seq(), member.name, member.incarnation))
-        ]
+        return [self._direct(self.random.choice(dead), self._next_seq())]
 
     def _sync(self, address: Address, reply: bool) -> list[Send]:
         """All that is known, in as many datagrams as it takes."""
