--- /dev/null
+++ b/brackenladder/freeze/__init__.py
@@ -0,0 +1,1 @@
+"""One elected coordinator that says which changes may happen during an incident."""
--- /dev/null
+++ b/brackenladder/net/parts.py
@@ -0,0 +1,192 @@
+"""The seam between the node and the parts that operators may switch on.
+
+A part is off unless the operators' file asks for it; then `node.py` builds it from `registry.py` and tells it
+of what happens. A part decides nothing itself: it hosts a pure decider. A further part changes no line of the
+node. Where `policy_limits.peers` is false, parts that talk to other nodes are not even imported.
+
+Order: `start`, then any of the others on the node's loop, then `stop` once. A part that raises is stopped and
+named in the log; the node goes on without it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Protocol
+
+from brackenladder.interface import ListKind, Outcome
+from brackenladder.records.interface import Records
+from brackenladder.stores.interface import Store
+from brackenladder.transports.interface import Received, Transport
+
+if TYPE_CHECKING:
+    from brackenladder.net.listing import Line
+    from brackenladder.operation import Operation
+
+
+class Source(Enum):
+    """What a version is of."""
+
+    LIST = "list"  # discovery's list of servers; `origin` names the discovery, since numbers begin anew there
+    SETTINGS = "settings"  # the platform's file: count of reloads, digest of the content
+    OPERATION = "operation"  # the operators' file: the same
+    PROGRAM = "program"
+    MEMBERS = "members"  # the epoch of the view of members
+    TERM = "term"  # of the change-freeze coordinator
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """One version that a node acts on."""
+
+    source: Source
+    origin: str  # where its numbers count: the discovery's address, a file's path
+    number: int
+    digest: str  # of the content, 16 hex digits: two nodes with one number and two digests have diverged
+
+
+@dataclass(frozen=True, slots=True)
+class ListNews:
+    """News of the list of servers, as it was taken up."""
+
+    version: Version
+    kind: ListKind
+    lines: tuple[Line, ...]
+    more: bool  # of a long list, more is to come
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """One attempt that has ended."""
+
+    server: str  # the server's name in the list
+    klass: str
+    outcome: Outcome
+    began: int  # microseconds, by `Host.now`
+    ended: int
+    hit: bool | None  # whether the server answered from its cache, where answers tell; else None
+    key: bytes | None  # the request's shard key, where shards are on
+
+
+class Change(Enum):
+    """Changes that have to be asked for. What is not here never waits: drains, departures, ejection, failover
+    away from a failed zone, refusals, SIGTERM."""
+
+    SETTINGS = "settings"  # a reload of the platform's file
+    OPERATION = "operation"  # a reload of the operators' file
+    UPGRADE = "upgrade"
+    PLACEMENT = "placement"  # which servers or shards this node uses
+    ZONE_RETURN = "zone-return"
+    BRING_UP = "bring-up"  # of a straggler
+    SHUT_OUT = "shut-out"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Whether a change may happen now."""
+
+    go: bool
+    why: str = ""  # why not, for whom it waits, and what an operator can do
+    again: float = 0.0  # seconds after which it is worth asking again
+    grant: tuple[int, int] | None = None  # the term and number that the change acts under (fencing token)
+
+
+GO = Answer(True)
+
+
+class Host(Protocol):
+    """What the node offers to its parts."""
+
+    name: str
+    loop: asyncio.AbstractEventLoop
+
+    def now(self) -> int:
+        """Monotonic microseconds."""
+
+    def wall(self) -> int:
+        """Unix time in microseconds: for people, never for decisions."""
+
+    def seed(self) -> int:
+        """For a part's own random source."""
+
+    def say(self, event: str, **fields: Any) -> None:
+        """One structured line (JSON) in the log, bounded a second like all of them."""
+
+    def operation(self) -> Operation:
+        """The operators' file in force."""
+
+    def live(self) -> list[str]:
+        """The names of the members that are alive, with this one; this one alone without a membership."""
+
+    def member_address(self, name: str) -> tuple[str, int] | None:
+        """Where a member receives datagrams, if it is known."""
+
+    def channel(self, tag: int, received: Received) -> Transport:
+        """An open transport of this part's own to the same parts of other members, on the membership's port.
+        Tags are 1 to 127, one a part. A PartError without a membership."""
+
+    def records(self) -> Records:
+        """The records that spread. A PartError without a membership."""
+
+    def store(self) -> Store:
+        """Where durable state lies: as `[store]` says, else in memory."""
+
+    def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        """Asks all parts whether a change may happen; `then` is called once, with the first no or GO."""
+
+    def ask_list(self) -> None:
+        """Has this node ask its discovery anew, at once."""
+
+    def merge_list(self, lines: tuple[Line, ...]) -> None:
+        """Applies lines that peers hold, in the safe direction: drains and departures at once, unknown
+        servers as cold. What the node's own discovery has told is never undone."""
+
+    def shut_out(self, out: bool, why: str) -> None:
+        """Whether `/ready` says no on a part's word; what is taken is finished."""
+
+
+class Part:
+    """Base of all parts: does nothing. Parts override what they need."""
+
+    name = ""  # the table in the operators' file, the figures' key
+    tag = 0  # the channel's, if any
+    needs_peers = False
+
+    def start(self, host: Host) -> None:
+        """Begins. The host stays the same."""
+
+    def stop(self, farewell: bool) -> None:
+        """Ends; without `farewell` not one more datagram goes out."""
+
+    def reload(self, operation: Operation) -> None:
+        """The operators' file has changed, and still asks for this part."""
+
+    def members_changed(self) -> None:
+        """A member's state has changed."""
+
+    def version(self, version: Version) -> None:
+        """The node has taken up a version of something."""
+
+    def list_news(self, news: ListNews) -> None:
+        """The node has taken up news of the list of servers; told before the first attempt under it."""
+
+    def attempt_ended(self, end: AttemptEnd) -> None:
+        """An attempt has ended. On the ordinary path: microseconds."""
+
+    def asked(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        """Another part or the node wants to make a change; must answer once, now or later."""
+        then(GO)
+
+    def figures(self) -> dict[str, Any] | None:
+        """A table for `/admin/stats`."""
+        return None
+
+    def pages(self) -> dict[str, Callable[[], tuple[bool, dict[str, Any]]]]:
+        """Pages for the control listener, by path: whether all is well, and the table."""
+        return {}
+
+    def calls(self) -> dict[str, Callable[[dict[str, str]], tuple[int, dict[str, Any]]]]:
+        """What operators may POST to the control listener, by path: status and table for the query."""
+        return {}
--- /dev/null
+++ b/brackenladder/transports/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between nodes: one small interface, and the ways that they can go."""
