Transports: the interface names its error, and an end that was opened once stays so

An implementation needs a type to raise: TransportError, under BrackenladderError with its remedy, stands beside the interface as the stores' errors do. Two things left open are settled: an empty datagram is dropped and counted (uvloop drops it silently, a network in memory would carry it), and an end is opened once. The counts are read through a property, since some are asked of the system at that moment.

--- a/brackenladder/transports/interface.py
+++ b/brackenladder/transports/interface.py
@@ -9,7 +9,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import ClassVar, Protocol
+
+from brackenladder.errors import BrackenladderError
 
 Address = tuple[str, int]
 Received = Callable[[bytes, Address], None]
@@ -17,9 +19,19 @@
 LARGEST = 1_400  # bytes of a datagram: whole in one packet on any network in use
 
 
+class TransportError(BrackenladderError):
+    """An address that cannot be had, or an end that is opened twice or after its close."""
+
+    remedy: ClassVar[str] = (
+        "look at `listen` in the operators' file: the address must be one of this machine's, and no other"
+        " program may hold its port (`ss -lunp` shows who does); the node goes on trying"
+    )
+
+
 @dataclass
 class Counters:
-    """What went through; `dropped` counts by reason: "too large", "closed", "unreachable", "full"."""
+    """What went through; `dropped` counts by reason: "empty", "too large", "closed", "unreachable", "full";
+    behind a `Mux` also "foreign" and "unknown tag"."""
 
     sent: int = 0
     sent_bytes: int = 0
@@ -34,15 +46,19 @@
 class Transport(Protocol):
     """One end that sends and receives datagrams."""
 
-    largest: int  # bytes; a larger datagram is dropped and counted, never cut
-    counters: Counters
+    largest: int  # bytes; a larger datagram is dropped and counted, never cut; so is an empty one
+
+    @property
+    def counters(self) -> Counters:
+        """What went through this end so far."""
 
     @property
     def address(self) -> Address | None:
         """Where others reach this end; None before it is open and once it is closed."""
 
     async def open(self, received: Received) -> Address:
-        """Begins to receive. A TransportError if the address cannot be had; it may be tried again."""
+        """Begins to receive. A TransportError if the address cannot be had; it may be tried again. Once open
+        or closed, an end cannot be opened again."""
 
     def send(self, data: bytes, to: Address) -> bool:
         """Hands a datagram on at once, without waiting; never raises. False if it was dropped here, and
