Membership: its host talks through the UDP transport and shares it with parts to come

A refactor: the socket moves from net/members.py to net/udp.py under a Mux, so that other parts can take channels on the membership's port. Its datagrams stay as they were byte for byte; waiting for a port that is held as well. The line that tells of the waiting now says what to do.

--- a/brackenladder/net/members.py
+++ b/brackenladder/net/members.py
@@ -2,7 +2,8 @@
 
 Imported only where the operators' file has `[membership]` and the platform lets nodes talk to each other. The
 decider (`brackenladder.membership.swim`) decides; here are the socket, one timer at its next deadline, the
-monotonic clock (durations only: a clock set by hand moves nothing) and the change lines.
+monotonic clock (durations only: a clock set by hand moves nothing) and the change lines. The socket is
+shared: other parts take channels of their own from `mux`.
 """
 
 from __future__ import annotations
@@ -10,19 +11,20 @@
 import asyncio
 from collections.abc import Callable
 from time import monotonic_ns
-from typing import Any, cast
+from typing import Any
 
 import structlog
 
 from brackenladder.membership.swim import Member, Send, Swim, SwimSettings
 from brackenladder.membership.wire import State
 from brackenladder.net.log import Log
+from brackenladder.net.udp import Udp
+from brackenladder.transports.interface import Address, TransportError
+from brackenladder.transports.mux import Mux
 
 CHANGES_A_SECOND = 1000  # change lines: a node that starts among 300 others writes 300
 BIND_AGAIN = 0.2  # seconds between two tries to have the socket
 
-Address = tuple[str, int]
-
 
 def now() -> int:
     """Monotonic microseconds."""
@@ -51,7 +53,7 @@
     )
 
 
-class Members(asyncio.DatagramProtocol):
+class Members:
     """One node's part in the membership. `node` is what it says of itself."""
 
     def __init__(
@@ -73,7 +75,8 @@
         self.known = known  # goes into the line that tells of the start
         self.log = structured(node.name)
         self.swim: Swim | None = None  # once there is a socket
-        self.transport: asyncio.DatagramTransport | None = None
+        self.udp = Udp(listen)
+        self.mux = Mux(self.udp, settings.cluster)
         self.timer: asyncio.TimerHandle | None = None
         self.binding: asyncio.Task[None] | None = None
         self.due_at = 0
@@ -90,17 +93,14 @@
         told = False
         while True:
             try:
-                await asyncio.get_running_loop().create_datagram_endpoint(
-                    lambda: self, local_addr=self.listen
-                )
+                bound = await self.mux.open(self.received)
                 break
-            except OSError as e:
+            except TransportError as e:
                 if not told:
-                    self.log.warning("membership waits", listen="{}:{}".format(*self.listen), why=str(e))
+                    where = "{}:{}".format(*self.listen)
+                    self.log.warning("membership waits", listen=where, why=e.what, do=e.advice)
                 told = True
             await asyncio.sleep(BIND_AGAIN)
-        assert self.transport is not None
-        bound: Address = self.transport.get_extra_info("sockname")[:2]
         here = (self.node.host, self.node.port) if self.node.port else (self.node.host, bound[1])
         self.log.info("membership begins", listen="{}:{}".format(*bound), **self.known)
         swim = Swim(self.node.name, here, self.settings, self.seed, self.node.zone, self.node.region)
@@ -117,30 +117,18 @@
         swim, self.swim = self.swim, None
         if swim is not None and farewell:
             self.post(swim.leave(now()))
-        if self.transport is not None:
-            self.transport.close()
+        self.mux.close()
         self.log.info("membership ends", farewell=farewell)
 
     # ---- the socket ----------------------------------------------------------------------------------
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+    def received(self, data: bytes, source: Address) -> None:
         if self.swim is not None:
-            self.carry(self.swim.receive(now(), data, (str(addr[0]), int(addr[1]))))
-
-    def error_received(self, exc: Exception) -> None:
-        self.unsent += 1  # a port that refuses, as a killed process's does: the probes tell
+            self.carry(self.swim.receive(now(), data, source))
 
     def post(self, sends: list[Send]) -> None:
-        if self.transport is None:
-            return
         for send in sends:
-            try:
-                self.transport.sendto(send.data, send.address)
-            except (OSError, ValueError, OverflowError, TypeError):  # an address that gossip made up
-                self.unsent += 1
+            self.unsent += not self.mux.send(send.data, send.address)  # an address that gossip made up
 
     def carry(self, sends: list[Send]) -> None:
         """Does what the decider answered, and waits for what comes next."""
