The kinds of change move into the pure package freeze

The deciders of the freeze may not import net/. Change, Answer and GO lie in freeze/changes.py; net/parts.py hands them on, so nobody who imports them from there changes a line.

--- a/brackenladder/net/parts.py
+++ b/brackenladder/net/parts.py
@@ -16,6 +16,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Protocol
 
+from brackenladder.freeze.changes import GO, Answer, Change
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.records.interface import Records
 from brackenladder.stores.interface import Store
@@ -26,6 +27,9 @@
     from brackenladder.operation import Operation
 
 
+__all__ = ["GO", "Answer", "AttemptEnd", "Change", "Host", "ListNews", "Part", "Source", "Version"]
+
+
 class Source(Enum):
     """What a version is of."""
 
@@ -70,32 +74,6 @@
     key: bytes | None  # the request's shard key, where shards are on
 
 
-class Change(Enum):
-    """Changes that have to be asked for. What is not here never waits: drains, departures, ejection, failover
-    away from a failed zone, refusals, SIGTERM."""
-
-    SETTINGS = "settings"  # a reload of the platform's file
-    OPERATION = "operation"  # a reload of the operators' file
-    UPGRADE = "upgrade"
-    PLACEMENT = "placement"  # which servers or shards this node uses
-    ZONE_RETURN = "zone-return"
-    BRING_UP = "bring-up"  # of a straggler
-    SHUT_OUT = "shut-out"
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Whether a change may happen now."""
-
-    go: bool
-    why: str = ""  # why not, for whom it waits, and what an operator can do
-    again: float = 0.0  # seconds after which it is worth asking again
-    grant: tuple[int, int] | None = None  # the term and number that the change acts under (fencing token)
-
-
-GO = Answer(True)
-
-
 class Host(Protocol):
     """What the node offers to its parts."""
 
