Parts: versions and changes that parts tell, hooks for keys and hits, PartError

Need: a term that one part makes the node act on has to reach the others; the ledger has to name the grant that a change was made under; who knows a request's key or a cache hit is a part, not the node. Change: Host.acts_on, Part.made, Part.key_of and hit_of (None by default), and PartError with its remedy.

--- a/brackenladder/net/parts.py
+++ b/brackenladder/net/parts.py
@@ -14,8 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, ClassVar, Protocol
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.freeze.changes import GO, Answer, Change
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.records.interface import Records
@@ -23,11 +24,33 @@
 from brackenladder.transports.interface import Received, Transport
 
 if TYPE_CHECKING:
+    from brackenladder.net.callers import Message
     from brackenladder.net.listing import Line
+    from brackenladder.net.servers import Answer as Reply
     from brackenladder.operation import Operation
 
 
-__all__ = ["GO", "Answer", "AttemptEnd", "Change", "Host", "ListNews", "Part", "Source", "Version"]
+__all__ = [
+    "GO",
+    "Answer",
+    "AttemptEnd",
+    "Change",
+    "Host",
+    "ListNews",
+    "Part",
+    "PartError",
+    "Source",
+    "Version",
+]
+
+
+class PartError(BrackenladderError):
+    """A part wants what this node cannot offer; the part is stopped and the node serves on."""
+
+    remedy: ClassVar[str] = (
+        "give the operators' file the table that the part needs (the line names it), then send SIGHUP; or"
+        " take the part's own table out"
+    )
 
 
 class Source(Enum):
@@ -114,6 +137,9 @@
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         """Asks all parts whether a change may happen; `then` is called once, with the first no or GO."""
 
+    def acts_on(self, version: Version) -> None:
+        """Tells all parts of a version that this part makes the node act on, as of a term."""
+
     def ask_list(self) -> None:
         """Has this node ask its discovery anew, at once."""
 
@@ -131,6 +157,8 @@
     name = ""  # the table in the operators' file, the figures' key
     tag = 0  # the channel's, if any
     needs_peers = False
+    key_of: Callable[[Message], bytes | None] | None = None  # a request's shard key; of one part at most
+    hit_of: Callable[[Reply], bool | None] | None = None  # whether an answer came from a cache; the same
 
     def start(self, host: Host) -> None:
         """Begins. The host stays the same."""
@@ -157,6 +185,9 @@
         """Another part or the node wants to make a change; must answer once, now or later."""
         then(GO)
 
+    def made(self, change: Change, scope: str, grant: tuple[int, int] | None) -> None:
+        """The node has made a change of its own, under this grant where one was given."""
+
     def figures(self) -> dict[str, Any] | None:
         """A table for `/admin/stats`."""
         return None
@@ -166,5 +197,6 @@
         return {}
 
     def calls(self) -> dict[str, Callable[[dict[str, str]], tuple[int, dict[str, Any]]]]:
-        """What operators may POST to the control listener, by path: status and table for the query."""
+        """What operators may POST to the control listener, by path: status and table for the query. A
+        BrackenladderError is answered with 409 and its table."""
         return {}
