Control listener: operators' calls (POST), and pages that may fail

Need: parts let operators change something, as opening an incident; a page of a part may raise. Change: 'acts' by path beside the pages, at most 32 values, unreadable or repeated ones answered with 400, an error of the project with 409 and its table, any other failure with 500. GET is as it was.

--- a/brackenladder/net/control.py
+++ b/brackenladder/net/control.py
@@ -1,4 +1,6 @@
-"""The operators' listener: `/admin/health` and `/admin/stats`, one call per connection.
+"""The operators' listener: pages to read (GET) and calls that change something (POST), one per connection.
+
+A page's path may be a call's as well. What a call is told stands in its query; a body is thrown away.
 
 It shares nothing with the clients' side but the event loop: its callers are few, their descriptors are set
 aside, and none of them may stay for long.
@@ -13,6 +15,7 @@
 
 import httptools
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.net.callers import REASONS
 
 MOST = 16  # callers at a time
@@ -20,6 +23,7 @@
 READ_TIME = 2.0  # seconds for a call to come whole
 LINGER = 0.5  # seconds in which the caller may read its answer
 LARGEST = 8192  # bytes of a call
+MOST_VALUES = 32  # in a call's query
 BACKLOG = 64
 
 
@@ -55,15 +59,26 @@
         self.target += url
 
     def on_message_complete(self) -> None:
-        path = self.target.partition(b"?")[0].decode("latin-1")
-        serve = self.owner.calls.get(path)
-        if serve is None:
-            self.answer(404)
-        elif self.parser.get_method() != b"GET":
-            self.answer(405, headers=b"Allow: GET\r\n")
-        else:
-            ok, table = serve()
-            self.answer(200 if ok else 503, json.dumps(table).encode())
+        path, _, query = self.target.decode("latin-1").partition("?")
+        page, act = self.owner.pages.get(path), self.owner.acts.get(path)
+        method = self.parser.get_method()
+        try:
+            if page is None and act is None:
+                self.answer(404)
+            elif method == b"GET" and page is not None:
+                ok, table = page()
+                self.answer(200 if ok else 503, json.dumps(table).encode())
+            elif method == b"POST" and act is not None:
+                values = values_of(query)
+                status, table = act(values) if values is not None else (400, {"what": "query: unreadable"})
+                self.answer(status, json.dumps(table).encode())
+            else:
+                allowed = [name for name, serve in ((b"GET", page), (b"POST", act)) if serve is not None]
+                self.answer(405, headers=b"Allow: %b\r\n" % b", ".join(allowed))
+        except BrackenladderError as e:
+            self.answer(409, json.dumps(e.table()).encode())
+        except Exception as e:  # one page's failure must not end the listener
+            self.answer(500, json.dumps({"what": f"{type(e).__name__}: {e}"}).encode())
 
     def answer(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         """The one answer; then our end is closed, and the connection soon after."""
@@ -75,7 +90,8 @@
         if body:
             headers += b"Content-Type: application/json\r\n"
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n"
-        self.transport.write(head % (status, REASONS[status], headers, len(body)) + body)
+        reason = REASONS.get(status, b"Answered")
+        self.transport.write(head % (status, reason, headers, len(body)) + body)
         self.transport.write_eof()
         self.timer = self.owner.loop.call_later(LINGER, self.transport.abort)
 
@@ -85,15 +101,31 @@
         self.owner.left(self)
 
 
-Serve = Callable[[], tuple[bool, dict[str, Any]]]
+def values_of(query: str) -> dict[str, str] | None:
+    """A query's values by name; None for one that cannot be read, or says a thing twice."""
+    if not query:
+        return {}
+    from urllib.parse import parse_qsl  # here: a node to which nobody posts does not need it
+
+    try:
+        pairs = parse_qsl(query, True, True, errors="strict", max_num_fields=MOST_VALUES)
+    except ValueError:
+        return None
+    values = dict(pairs)
+    return values if len(values) == len(pairs) else None
+
+
+Page = Callable[[], tuple[bool, dict[str, Any]]]  # whether all is well, and the table
+Act = Callable[[dict[str, str]], tuple[int, dict[str, Any]]]  # status and table
 
 
 class Control:
-    """The listener and its callers; `calls` maps a path to what answers it."""
+    """The listener and its callers; `pages` and `acts` map a path to what answers it."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, calls: dict[str, Serve]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, pages: dict[str, Page]) -> None:
         self.loop = loop
-        self.calls = calls
+        self.pages = pages
+        self.acts: dict[str, Act] = {}
         self.callers: dict[Call, None] = {}  # in the order of their coming
         self.server: asyncio.Server | None = None
 
@@ -101,11 +133,17 @@
         """Binds and listens. An OSError if the address cannot be had."""
         self.server = await self.loop.create_server(lambda: Call(self), *address, backlog=BACKLOG)
 
-    def serve(self, path: str, answer: Serve | None) -> None:
+    def serve(self, path: str, page: Page | None) -> None:
         """Answers a path from now on, or no longer."""
-        self.calls.pop(path, None)
-        if answer is not None:
-            self.calls[path] = answer
+        self.pages.pop(path, None)
+        if page is not None:
+            self.pages[path] = page
+
+    def take(self, path: str, act: Act | None) -> None:
+        """Takes calls to a path from now on, or no longer."""
+        self.acts.pop(path, None)
+        if act is not None:
+            self.acts[path] = act
 
     @property
     def port(self) -> int:
