One seam in the node: a registry of parts, their host, changes that wait, lines of peers

Change: registry.py names parts by their table; hosting.py starts, tells and stops them, and one that raises is stopped and named while the node serves on. changes.py asks all parts before a reload; the old configuration stays meanwhile, a later SIGHUP takes its place, and a platform that forbids the talk waits for nobody. holdings.py keeps one digest of the list that is the same wherever the content is, and lets peers' lines in where they are safe: drains, departures, unknown servers as cold. Nothing of it is imported without the file. Channel, records and store are still a PartError.

--- /dev/null
+++ b/brackenladder/net/hosting.py
@@ -0,0 +1,414 @@
+"""Runs the parts that the operators' file asks for: the node's side of the seam (`parts.py`).
+
+Imported only where there is an operators' file. It starts, tells and stops parts, keeps what one of them does
+wrong from the node, and offers them what `Host` says. It decides nothing but the order.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from hashlib import blake2b
+from time import monotonic_ns, time_ns
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+import brackenladder
+from brackenladder.interface import ListKind, Outcome
+from brackenladder.net import registry
+from brackenladder.net.changes import Changes
+from brackenladder.net.holdings import Holdings
+from brackenladder.net.listing import Line, Listing
+from brackenladder.net.members import structured
+from brackenladder.net.parts import Answer, AttemptEnd, Change, ListNews, Part, PartError, Source, Version
+from brackenladder.net.reload import RELOADED
+from brackenladder.operation import NOTHING, Operation
+from brackenladder.records.interface import Records
+from brackenladder.stores.interface import Store
+from brackenladder.transports.interface import Received, Transport
+
+if TYPE_CHECKING:
+    from brackenladder.net.callers import Message
+    from brackenladder.net.config import Config
+    from brackenladder.net.node import Node, Open
+    from brackenladder.net.servers import Answer as Reply
+
+# Of the settings: what stands for this node alone, and differs though nodes act on the same.
+OWN_SETTINGS = frozenset(("self_index", "zone"))
+SHARED = ("settings", "limits")  # and of the file what is for all
+OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
+
+
+class Hosting:
+    """The parts of one node, and their `Host`."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.name = node.config.name
+        self.loop = node.loop
+        self.log = structured(self.name)
+        self.shift = node.origin // 1000  # from the parts' clock to the node's
+        self.parts: dict[str, Part] = {}  # those that run, by table, in the order of their start
+        self.failed: set[str] = set()  # tables of those that were stopped for what they did
+        self.told_off: set[str] = set()  # tables that are asked for and cannot be had, as the log has said
+        self.asked_for: Operation | None = None  # what the parts go by
+        self.ending = False  # the process ends: what parts have set up may stay
+        self.out = ""  # why `/ready` says no on a part's word
+        self.changes = Changes(self)
+        self.holdings = Holdings()
+        self.tracks = False  # some part wants to know of lists, versions or attempts
+        self.versions: dict[Source, Version] = {}  # in force, as told
+        self.key_of: Callable[[Message], bytes | None] | None = None
+        self.hit_of: Callable[[Reply], bool | None] | None = None
+        self.ended_for: list[Part] = []  # parts that want to know of attempts
+
+    # ---- the course of the parts -----------------------------------------------------------------------
+
+    def tend(self, operation: Operation | None) -> None:
+        """Starts, tells and stops parts, as the operators now wish and the platform allows."""
+        allowed = self.node.config.settings.peers
+        changed, self.asked_for = operation != self.asked_for, operation
+        wanted: list[registry.Entry] = []
+        for entry in registry.PARTS:
+            if entry.asked_for(operation) and not self.lacks(entry, allowed, wanted):
+                wanted.append(entry)
+        tables = {entry.table for entry in wanted}
+        for table in reversed(list(self.parts)):
+            if table not in tables:
+                self.end(table, farewell=allowed)
+        for entry in wanted:
+            part = self.parts.get(entry.table)
+            if part is None:
+                self.begin(entry)
+            elif changed and operation is not None:
+                self.tell(part, part.reload, operation)
+        self.listen_in()
+        self.told_settings(self.node.config)
+        if changed:
+            self.told_operation(operation)
+
+    def lacks(self, entry: registry.Entry, allowed: bool, wanted: list[registry.Entry]) -> bool:
+        """Whether a part cannot be had; the log says why, once while it is so."""
+        why = ""
+        if entry.needs_peers and not allowed:
+            why = "since the platform's policy_limits.peers is false"
+        elif entry.needs and entry.needs not in {w.table for w in wanted}:
+            why = f"since it needs [{entry.needs}], which is off"
+        if not why:
+            self.told_off.discard(entry.table)
+        elif entry.table not in self.told_off:
+            self.told_off.add(entry.table)
+            self.line(f"{entry.table}: off, {why}")
+        return bool(why)
+
+    def begin(self, entry: registry.Entry) -> None:
+        try:
+            part = entry.make()
+        except Exception as e:  # a part that cannot even be imported is no reason not to serve
+            self.failed.add(entry.table)
+            self.line(f"part {entry.table}: not started: {told(e)}")
+            return
+        self.failed.discard(entry.table)
+        self.parts[entry.table] = part
+        self.tell(part, part.start, self)
+        if self.parts.get(entry.table) is part:
+            self.tell(part, self.answer_for, part)
+            for version in self.versions.values():
+                self.tell(part, part.version, version)
+
+    def answer_for(self, part: Part) -> None:
+        """Has the control listener answer a part's pages and calls."""
+        control = self.node.control
+        if control is not None:
+            for path, page in part.pages().items():
+                control.serve(path, page)
+            for path, act in part.calls().items():
+                control.take(path, act)
+
+    def end(self, table: str, farewell: bool) -> None:
+        """Stops a part."""
+        part = self.parts.pop(table, None)
+        if part is None:
+            return
+        self.changes.gone(part)
+        control = self.node.control
+        try:
+            if control is not None:
+                for path in part.pages():
+                    control.serve(path, None)
+                for path in part.calls():
+                    control.take(path, None)
+        except Exception as e:
+            self.line(f"part {table}: at its end: {told(e)}")
+        try:
+            part.stop(farewell)
+        except Exception as e:
+            self.line(f"part {table}: at its end: {told(e)}")
+        self.listen_in()
+
+    def tell(self, part: Part, what: Callable[..., None], *args: Any) -> None:
+        """Calls a part. One that raises is stopped and named in the log.
+
+        Failure prevented: a mistake in what is there to watch the fleet takes the node out of it.
+        """
+        try:
+            what(*args)
+        except Exception as e:
+            self.fail(part, told(e))
+
+    def fail(self, part: Part, why: str) -> None:
+        """Stops a part for what it did; the next SIGHUP starts it again."""
+        table = next((t for t, p in self.parts.items() if p is part), None)
+        if table is not None:
+            self.failed.add(table)
+            self.line(f"part {table}: stopped: {why}; the node goes on without it, SIGHUP starts it again")
+            self.end(table, farewell=False)
+
+    def listen_in(self) -> None:
+        """Finds out who wants what, so that what nobody wants costs nothing."""
+        running = list(self.parts.values())
+        self.ended_for = [p for p in running if overrides(p, "attempt_ended")]
+        tracks = any(
+            overrides(p, name) for p in running for name in ("version", "list_news", "attempt_ended")
+        )
+        begins, self.tracks = tracks and not self.tracks, tracks
+        self.key_of = next((p.key_of for p in running if p.key_of is not None), None)
+        self.hit_of = next((p.hit_of for p in running if p.hit_of is not None), None)
+        self.node.on_ended = self.ended if self.ended_for else None
+        if not running:
+            self.shut_out(False, "")
+        if begins:
+            self.holdings = Holdings()
+            self.versions.clear()
+            self.first_versions()
+
+    def stop(self, farewell: bool) -> None:
+        """The process ends."""
+        self.ending = True
+        self.changes.drop()
+        for table in reversed(list(self.parts)):
+            self.end(table, farewell)
+
+    def reload(self, config: Config, operation: Operation | None) -> None:
+        """Has the node adopt other files as soon as no part has anything against it."""
+        node = self.node
+        differs = any(getattr(config, f) != getattr(node.config, f) for f in RELOADED)
+        kinds = [Change.SETTINGS] if differs else []
+        if operation != self.asked_for:
+            kinds.append(Change.OPERATION)
+        if node.config.settings.peers and not config.settings.peers:
+            kinds = []  # the platform forbids the talk: with whom would it be agreed?
+        self.changes.make(
+            "reload",
+            tuple(kinds),
+            lambda: node.adopt(config, operation),
+            stays="the old configuration stays, a further SIGHUP takes this one's place",
+        )
+
+    # ---- what the node tells ---------------------------------------------------------------------------
+
+    def listed(self, listing: Listing, more: bool) -> Listing:
+        """News of discovery, before the node takes it up; what peers told is put in where it still holds."""
+        if not self.tracks:
+            return listing
+        amended = self.holdings.amended(listing, self.where(), more)
+        self.holdings.take(listing, self.where(), more)
+        version = Version(Source.LIST, self.where(), listing.version, self.holdings.digest())
+        news = ListNews(version, listing.kind, listing.lines, more)
+        for part in list(self.parts.values()):
+            self.tell(part, part.list_news, news)
+        if version.digest:
+            self.acts_on(version)
+        return amended
+
+    def settled(self) -> None:
+        """The node has taken up news of discovery."""
+        if self.holdings.waiting and self.holdings.named is None:
+            waiting, self.holdings.waiting = self.holdings.waiting, ()
+            self.merge_list(waiting)
+
+    def ended(self, r: Open, server: int, began: int, outcome: Outcome, answer: Reply | None) -> None:
+        """An attempt has ended."""
+        end = AttemptEnd(
+            self.holdings.names.get(server) or f"#{server:016x}",
+            self.node.table.names[r.klass],
+            outcome,
+            began - self.shift,
+            self.now(),
+            self.hit_of(answer) if self.hit_of is not None and answer is not None else None,
+            self.key_of(r.message) if self.key_of is not None else None,
+        )
+        for part in self.ended_for:
+            try:
+                part.attempt_ended(end)
+            except Exception as e:
+                self.fail(part, told(e))
+
+    def members_changed(self) -> None:
+        """A member's state has changed."""
+        for part in list(self.parts.values()):
+            self.tell(part, part.members_changed)
+        self.told_members()
+
+    def told_members(self) -> None:
+        """Who lives, as this node sees it."""
+        if self.tracks and self.node.members is not None:
+            live = "\n".join(sorted(self.live()))
+            last = self.versions.get(Source.MEMBERS)
+            if last is None or last.digest != digest_of(live):
+                number = last.number + 1 if last is not None else 1
+                self.acts_on(Version(Source.MEMBERS, self.name, number, digest_of(live)))
+
+    def figures(self) -> dict[str, Any]:
+        """The parts' tables."""
+        found: dict[str, Any] = {}
+        for table, part in list(self.parts.items()):
+            try:
+                figures = part.figures()
+            except Exception as e:
+                self.fail(part, told(e))
+                continue
+            if figures is not None:
+                found[table] = figures
+        if self.changes.waiting:
+            found["waiting"] = self.changes.figures()
+        if self.failed:
+            found["stopped_parts"] = sorted(self.failed)
+        return found
+
+    # ---- versions --------------------------------------------------------------------------------------
+
+    def where(self) -> str:
+        """The discovery whose numbers count."""
+        return "{}:{}".format(*self.node.discovery.address)
+
+    def first_versions(self) -> None:
+        """What is in force as the first part that wants to know of it begins."""
+        number = 0
+        for place in brackenladder.__version__.split("."):
+            number = number * 1000 + int(place)
+        self.acts_on(Version(Source.PROGRAM, "", number, digest_of(brackenladder.__version__)))
+        self.told_settings(self.node.config)
+        self.told_operation(self.asked_for)
+        self.told_members()
+        if self.node.listed is not None:
+            self.ask_list()  # what is in hand was told to nobody
+
+    def told_settings(self, config: Config) -> None:
+        """The platform's file in force."""
+        if self.tracks:
+            shared = {key: config.filed.get(key) for key in SHARED}
+            settings = shared["settings"]
+            if isinstance(settings, dict):
+                shared["settings"] = {k: v for k, v in settings.items() if k not in OWN_SETTINGS}
+            self.counted(Source.SETTINGS, "platform", json.dumps(shared, sort_keys=True))
+
+    def told_operation(self, operation: Operation | None) -> None:
+        """The operators' file in force."""
+        if self.tracks and operation is not None:
+            shared = msgspec.to_builtins(operation)
+            if shared.get("membership"):
+                shared["membership"] |= OWN_MEMBERSHIP
+            self.counted(Source.OPERATION, "operators", json.dumps(shared, sort_keys=True))
+
+    def counted(self, source: Source, origin: str, text: str) -> None:
+        """A file's content, if it is another one than before, under the count of reloads."""
+        digest, last = digest_of(text), self.versions.get(source)
+        if last is None or last.digest != digest:
+            self.acts_on(Version(source, origin, self.node.metrics.sighup_applied, digest))
+
+    def acts_on(self, version: Version) -> None:
+        """Tells all parts of a version that the node acts on, if it is another one than before."""
+        if self.versions.get(version.source) != version:
+            self.versions[version.source] = version
+            for part in list(self.parts.values()):
+                self.tell(part, part.version, version)
+
+    # ---- Host ------------------------------------------------------------------------------------------
+
+    def now(self) -> int:
+        """Monotonic microseconds."""
+        return monotonic_ns() // 1000
+
+    def wall(self) -> int:
+        """Unix time in microseconds: for people, never for decisions."""
+        return time_ns() // 1000
+
+    def seed(self) -> int:
+        """For a part's own random source."""
+        return self.node.config.seed
+
+    def say(self, event: str, **fields: Any) -> None:
+        """One structured line in the log."""
+        self.log.info(event, **fields)
+
+    def line(self, text: str) -> None:
+        """One line in the node's log."""
+        self.node.log_lines.line(text)
+
+    def operation(self) -> Operation:
+        """The operators' file in force."""
+        return self.asked_for or NOTHING
+
+    def live(self) -> list[str]:
+        """The names of the members that are alive, with this one; this one alone without a membership."""
+        members = self.node.members
+        return (members.live() if members is not None else []) or [self.name]
+
+    def member_address(self, name: str) -> tuple[str, int] | None:
+        """Where a member receives datagrams, if it is known."""
+        members = self.node.members
+        swim = members.swim if members is not None else None
+        member = swim.members.get(name) if swim is not None else None
+        return (member.host, member.port) if member is not None else None
+
+    def channel(self, tag: int, received: Received) -> Transport:
+        """An open transport of a part's own on the membership's port."""
+        raise PartError("no channel to other nodes: there is no membership", "membership")
+
+    def records(self) -> Records:
+        """The records that spread."""
+        raise PartError("no records of other nodes: there is no membership", "membership")
+
+    def store(self) -> Store:
+        """Where durable state lies."""
+        raise PartError("no store", "store")
+
+    def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        """Asks all parts whether a change may happen; `then` is called once, with the first no or GO."""
+        self.changes.may(change, scope, then)
+
+    def ask_list(self) -> None:
+        """Has this node ask its discovery anew, at once."""
+        self.node.discovery.fetch()
+
+    def merge_list(self, lines: tuple[Line, ...]) -> None:
+        """Applies lines that peers hold, in the safe direction."""
+        safe = self.holdings.merge(lines, self.where(), self.node.now())
+        if safe:
+            self.node.take(Listing(ListKind.CHANGES, self.holdings.version, safe), False)
+
+    def shut_out(self, out: bool, why: str) -> None:
+        """Whether `/ready` says no on a part's word; what is taken is finished, and no connection outlives
+        its answer, so that clients which keep one go elsewhere."""
+        if out != bool(self.out):
+            self.out = (why or "a part's word") if out else ""
+            self.line(f"ready: no, {self.out}" if out else "ready: again")
+            if not self.node.callers.draining:
+                self.node.callers.closing = out
+
+
+def told(e: Exception) -> str:
+    """An exception in one line; an error that knows a remedy says it."""
+    return e.line() if isinstance(e, PartError) else f"{type(e).__name__}: {e}"
+
+
+def overrides(part: Part, name: str) -> bool:
+    """Whether a part does something of its own there."""
+    return getattr(type(part), name) is not getattr(Part, name)
+
+
+def digest_of(text: str) -> str:
+    """Of a content, 16 hex digits."""
+    return blake2b(text.encode(errors="surrogatepass"), digest_size=8).hexdigest()
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -37,10 +37,11 @@
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
 from brackenladder.net.metrics import Metrics
 from brackenladder.net.peers import Peers
-from brackenladder.net.reload import ClassTable
+from brackenladder.net.reload import RELOADED, STARTING, ClassTable
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 if TYPE_CHECKING:
+    from brackenladder.net.hosting import Hosting
     from brackenladder.net.members import Members
     from brackenladder.operation import Membership, Operation
     from brackenladder.spread import Spread
@@ -57,12 +58,6 @@
     b" content-length x-budget-ms".split()
 )
 KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
-# What a running node takes on, and what is of use at a start only.
-RELOADED = (
-    *("discovery", "filed_discovery", "filed", "peers", "peers_all", "settings", "classes", "tenants"),
-    *("zones", "kinds", "connect_timeout", "idle_time", "inline_reports", "report_names"),
-)
-STARTING = ("known", "seed")
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
 
 
@@ -142,6 +137,10 @@
         )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.operation = operation
+        self.parts: Hosting | None = None  # what runs the parts, where there is an operators' file...
+        self.on_ended: Callable[[Open, int, int, Outcome, Answer | None], None] | None = (
+            None  # ...and listens
+        )
         self.members: Members | None = None
         self.member_wish: Membership | None = None
         self.spread: Spread | None = None
@@ -165,6 +164,7 @@
             self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
             await self.control.start(self.config.control)
         self.tend_members()
+        self.tend_parts()
         self.started = True
         self.post(self.balancer.start)
         if self.config.accept_fd is not None:
@@ -188,11 +188,14 @@
         found = self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
         if self.members is not None:
             found["membership"] = {**self.members.figures(), "place": self.ring}
+        if self.parts is not None:
+            found |= self.parts.figures()
         return True, found
 
     def ready(self) -> bool:
         """Whether the front may send clients here."""
-        return self.listed is not None and not self.callers.draining
+        out = self.callers.draining or self.parts is not None and self.parts.out
+        return self.listed is not None and not out
 
     # ---- sharing with a process that takes over -------------------------------------------------------
 
@@ -239,6 +242,17 @@
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
+    # ---- the parts that operators switch on -----------------------------------------------------------
+
+    def tend_parts(self) -> None:
+        """Starts, tells and ends the parts that the operators' file asks for."""
+        if self.parts is None and self.operation is not None:
+            from brackenladder.net.hosting import Hosting  # here: a node without such a file needs none of it
+
+            self.parts = Hosting(self)
+        if self.parts is not None:
+            self.parts.tend(self.operation)
+
     # ---- the nodes that know of each other -----------------------------------------------------------
 
     def tend_members(self) -> None:
@@ -290,6 +304,8 @@
         if self.spread is not None and self.members is not None:
             self.spread.members(self.now(), self.members.live())
         self.take_place()
+        if self.parts is not None:
+            self.parts.members_changed()
 
     def take_place(self) -> None:
         """Takes up the place that is due, and looks again when the next one is."""
@@ -342,7 +358,14 @@
         return Storms(rules, worth, self.config.seed, self.now())
 
     def reload(self, config: Config, operation: Operation | None = None) -> None:
-        """Takes on a new configuration: connections, requests and all that was learned stay.
+        """Takes on a new configuration, as soon as no part has anything against it."""
+        if self.parts is not None:
+            self.parts.reload(config, operation)
+        else:
+            self.adopt(config, operation)
+
+    def adopt(self, config: Config, operation: Operation | None) -> None:
+        """Takes on a new configuration now: connections, requests and all that was learned stay.
 
         What only a start can take on is named in the log. Requests that are open keep the settings they
         came under: their classes keep their numbers, and their attempts are counted against the old bound.
@@ -353,11 +376,13 @@
         self.classes = self.table.numbers
         self.config = replace(old, **{f: getattr(config, f) for f in RELOADED})
         self.metrics.serves(config.classes)
+        self.metrics.reloaded(applied=True)
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.pool.renew(config.connect_timeout, config.idle_time)
         self.renew(settings)
         same, self.operation = operation == self.operation, operation
         self.tend_members()
+        self.tend_parts()
         if not same:
             self.post(self.balancer.new_zones, self.judge(operation))
             self.post(self.balancer.new_storms, self.storm_judge(operation))
@@ -371,7 +396,6 @@
         if config.discovery != old.discovery:
             self.discovery.move(config.discovery)
         self.peers.rename(config.peers, config.peers_all)
-        self.metrics.reloaded(applied=True)
         self.log_lines.line(f"reload: discovery {config.discovery[0]}:{config.discovery[1]}")
 
     def zone_of(self, config: Config) -> int:
@@ -390,10 +414,14 @@
 
         Failure prevented: what is taken in the meantime is still open when the process is killed.
         """
-        if self.members is not None:
+        if self.parts is not None or self.members is not None:
             # A process that takes over goes on under this node's name: then nobody has left.
             peers = self.handover.look()
-            self.members.stop(farewell=peers.count == 0 or peers.ending)
+            farewell = peers.count == 0 or peers.ending
+            if self.parts is not None:
+                self.parts.stop(farewell)
+            if self.members is not None:
+                self.members.stop(farewell)
         longest = max(c.deadline for c in self.config.settings.classes)
         time = min(longest, KILL_COUNTED) + KILL_AFTER - KILL_MARGIN
         self.ends = self.now() + time
@@ -437,6 +465,14 @@
             else:
                 self.loop.call_later(PUSH_RETRY, self.discovery.watch, True)
             return
+        if self.parts is not None:
+            listing = self.parts.listed(listing, more)
+        self.take(listing, more)
+        if self.parts is not None:
+            self.parts.settled()
+
+    def take(self, listing: Listing, more: bool = False) -> None:
+        """Takes up news of the list."""
         latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
         whole = listing.kind != ListKind.CHANGES
         if whole:
@@ -737,6 +773,8 @@
             if outcome == Outcome.OK and r.caller is not None and not r.flowing:
                 kind = answer.content_type
                 self.conclude(r.id, 200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+        if self.on_ended is not None:
+            self.on_ended(r, server, began, outcome, answer)
         if r.flowing and r.caller is not None:
             self.conclude(r.id, 200 if outcome == Outcome.OK else 502)
         final = r.caller is None
--- /dev/null
+++ b/brackenladder/net/registry.py
@@ -0,0 +1,44 @@
+"""Which parts there are, and which tables of the operators' file switch them on.
+
+A part's module is imported only where its table is present and the platform allows what it needs; nothing is
+imported here. A further part is one line in `PARTS` and a table of its own in `operation.py`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brackenladder.net.parts import Part
+    from brackenladder.operation import Operation
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One part."""
+
+    table: str  # the operators' file's, that switches it on
+    place: str  # `module:class`; the class is made without arguments
+    needs_peers: bool = False  # it talks to other nodes: off where `policy_limits.peers` is false
+    needs: str = ""  # the table of a part that must run before it
+
+    def asked_for(self, operation: Operation | None) -> bool:
+        """Whether the operators' file has its table."""
+        return getattr(operation, self.table, None) is not None
+
+    def make(self) -> Part:
+        """Imports the part and makes one. Whatever the import raises comes through."""
+        module, _, name = self.place.partition(":")
+        part: Part = getattr(import_module(module), name)()
+        return part
+
+
+# In the order of their start; they are stopped in reverse.
+PARTS: list[Entry] = [
+    # Audit: who acted on which version.
+    # Shards: which server is a key's home.
+    # Forecast: what a change of placement would cost.
+    # Freeze: who may change what during an incident. Last: it is told what the others know.
+]
--- a/brackenladder/net/reload.py
+++ b/brackenladder/net/reload.py
@@ -8,6 +8,12 @@
 
 from brackenladder.interface import ClassSettings, Settings
 
+# What a running node takes on, and what is of use at a start only.
+RELOADED = (
+    *("discovery", "filed_discovery", "filed", "peers", "peers_all", "settings", "classes", "tenants"),
+    *("zones", "kinds", "connect_timeout", "idle_time", "inline_reports", "report_names"),
+)
+STARTING = ("known", "seed")
 # Keys that a file may leave out though the one before had them.
 OPTIONAL = frozenset(
     ("known", "seed", "peers", "peers_all", "peer_listen", "aim_stretch", "extra", "tenants")
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,419 @@
+"""The seam: what parts are told, what they may hold up, and that nothing of it is there without them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import Bench, Client, Server, call, play, until
+
+from brackenladder.interface import Outcome
+from brackenladder.net import registry
+from brackenladder.net.listing import Line
+from brackenladder.net.node import Node, number_of
+from brackenladder.net.parts import (
+    Answer,
+    AttemptEnd,
+    Change,
+    Host,
+    ListNews,
+    Part,
+    PartError,
+    Source,
+    Version,
+)
+from brackenladder.operation import Operation, Table
+
+ROOT = Path(__file__).parent.parent
+
+
+class Wish(Table, frozen=True):
+    number: int = 0
+
+
+class Wide(Operation, frozen=True):
+    """An operators' file with tables for the parts of these tests."""
+
+    dummy: Wish | None = None
+    other: Wish | None = None
+
+
+class Dummy(Part):
+    """Notes each call; says no while `no` is set, raises where `raises` says."""
+
+    name = "dummy"
+    made_ones: list[Dummy] = []
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[Any, ...]] = []
+        self.no = ""
+        self.raises = ""
+        self.made_ones.append(self)
+
+    def note(self, *what: Any) -> None:
+        if what[0] == self.raises:
+            raise ValueError("a mistake")
+        self.seen.append(what)
+
+    def start(self, host: Host) -> None:
+        self.host = host
+        self.note("start")
+
+    def stop(self, farewell: bool) -> None:
+        self.note("stop", farewell)
+
+    def reload(self, operation: Operation) -> None:
+        self.note("reload")
+
+    def version(self, version: Version) -> None:
+        self.note("version", version)
+
+    def list_news(self, news: ListNews) -> None:
+        self.note("list", news)
+
+    def attempt_ended(self, end: AttemptEnd) -> None:
+        self.note("attempt", end)
+
+    def asked(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        self.note("asked", change, scope)
+        then(Answer(not self.no, self.no, 0.1, (3, 7)))
+
+    def made(self, change: Change, scope: str, grant: tuple[int, int] | None) -> None:
+        self.note("made", change, grant)
+
+    def figures(self) -> dict[str, Any]:
+        return {"seen": len(self.seen)}
+
+    def pages(self) -> dict[str, Callable[[], tuple[bool, dict[str, Any]]]]:
+        return {"/admin/dummy": lambda: (True, {"calls": len(self.seen)})}
+
+    def calls(self) -> dict[str, Callable[[dict[str, str]], tuple[int, dict[str, Any]]]]:
+        def act(values: dict[str, str]) -> tuple[int, dict[str, Any]]:
+            if "bad" in values:
+                raise PartError("no such thing", "dummy.bad")
+            return 200, values
+
+        return {"/admin/dummy": act}
+
+
+class Other(Part):
+    """A part with no say and no ears."""
+
+
+@pytest.fixture(autouse=True)
+def registered(monkeypatch: pytest.MonkeyPatch) -> None:
+    here = __name__
+    entries = [
+        registry.Entry("dummy", f"{here}:Dummy", needs_peers=True),
+        registry.Entry("other", f"{here}:Other", needs="dummy"),
+    ]
+    monkeypatch.setattr(registry, "PARTS", [*registry.PARTS, *entries])
+    Dummy.made_ones.clear()
+
+
+async def bench_with(operation: Operation | None, *servers: Server, **config: Any) -> Bench:
+    """A node whose operators' file was there from the start."""
+    bench = Bench(*servers, config={"control": "127.0.0.1:0"} | config)
+    node_of = Node.__init__
+    try:
+        Node.__init__ = lambda node, config, loop, _=None: node_of(node, config, loop, operation)  # type: ignore[method-assign, assignment, misc]
+        return await bench.start()
+    finally:
+        Node.__init__ = node_of  # type: ignore[method-assign]
+
+
+async def asked(node: Node, head: str) -> tuple[int, Any]:
+    assert node.control is not None
+    client = await Client(node.control.port).open()
+    status, _, body = await client.ask(f"{head} HTTP/1.1\r\n\r\n".encode())
+    return status, json.loads(body) if body else None
+
+
+def line(name: str, state: str = "ready", **changes: Any) -> Line:
+    from brackenladder.interface import State
+
+    given = {"host": "127.0.0.1", "port": 9, "zone": "here", "kind": "std", "cell": 0, "weight": 1.0}
+    return Line(id=name, state=State[state.upper()], **({"started": 0} | given | changes))
+
+
+def versions(part: Dummy) -> list[Version]:
+    return [what[1] for what in part.seen if what[0] == "version"]
+
+
+def names(seen: list[tuple[Any, ...]]) -> list[str]:
+    return [what[0] for what in seen]
+
+
+def test_a_part_sees_every_call_in_order() -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish()), Server())
+        node, (part,) = bench.node, Dummy.made_ones
+        # The list is told before the first attempt under it, and the version with it.
+        assert names(part.seen) == ["start", "version", "version", "version", "list", "version"]
+        assert [v.source for v in versions(part)] == [
+            Source.PROGRAM,
+            Source.SETTINGS,
+            Source.OPERATION,
+            Source.LIST,
+        ]
+        news = part.seen[4][1]
+        assert news.version.number == 41 and [x.id for x in news.lines] == ["s0"] and not news.more
+        assert news.version.origin == f"127.0.0.1:{bench.discovery.port}" and len(news.version.digest) == 16
+        before = part.host.now()
+        assert (await bench.once(call()))[0] == 200
+        end = part.seen[-1][1]
+        assert (end.server, end.klass, end.outcome) == ("s0", "view", Outcome.OK)
+        assert before <= end.began + 1 and end.began <= end.ended <= part.host.now()
+        del part.seen[:]
+        node.reload(node.config, Wide(dummy=Wish(number=1), other=Wish()))
+        assert names(part.seen) == ["asked", "reload", "version", "made"]
+        assert part.seen[-1] == ("made", Change.OPERATION, (3, 7))
+        node.reload(node.config, None)
+        assert part.seen[-1] == ("stop", True) and node.on_ended is None
+        assert (await asked(node, "GET /admin/dummy"))[0] == 404
+
+    play(scene)
+
+
+def test_figures_pages_and_calls_stand_at_the_control_listener() -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish()))
+        node = bench.node
+        assert (await asked(node, "GET /admin/stats"))[1]["dummy"]["seen"] > 0
+        assert (await asked(node, "GET /admin/dummy"))[0] == 200
+        assert await asked(node, "POST /admin/dummy?zone=a%20b&n=") == (200, {"zone": "a b", "n": ""})
+        status, table = await asked(node, "POST /admin/dummy?bad=1")
+        assert status == 409 and table["where"] == "dummy.bad" and table["do"] == PartError.remedy
+        assert (await asked(node, "POST /admin/dummy?n=1&n=2"))[0] == 400
+        assert (await asked(node, "POST /admin/dummy?%ff=1"))[0] == 400
+        assert (await asked(node, "POST /admin/stats"))[0] == 405
+        assert (await asked(node, "PUT /admin/dummy"))[0] == 405
+
+    play(scene)
+
+
+@pytest.mark.parametrize("where", ["start", "version", "list", "attempt", "reload", "asked", "made", "stop"])
+def test_a_part_that_raises_is_stopped_and_the_node_serves_on(
+    where: str, capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plain = Dummy.__init__
+
+    def broken(self: Dummy) -> None:
+        plain(self)
+        self.raises = where
+
+    async def scene() -> None:
+        monkeypatch.setattr(Dummy, "__init__", broken)
+        bench = await bench_with(Wide(dummy=Wish()), Server())
+        node = bench.node
+        assert (await bench.once(call()))[0] == 200
+        wish = Wide(dummy=Wish(number=1)) if where != "stop" else Wide()
+        monkeypatch.setattr(Dummy, "__init__", plain)
+        node.reload(node.config, wish)
+        assert node.operation == wish  # what it raised at has held up nothing
+        assert (await bench.once(call()))[0] == 200
+        node.reload(node.config, node.operation)
+        assert node.parts is not None
+        assert len(node.parts.parts) == (where != "stop")  # SIGHUP has started it again
+
+    play(scene)
+    said = capfd.readouterr().err
+    assert "part dummy: " in said and "ValueError: a mistake" in said
+
+
+def test_a_part_that_cannot_be_had_is_named_and_nothing_of_it_is_made(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(other=Wish()))
+        assert bench.node.parts is not None and not bench.node.parts.parts
+        closed = await Bench(policy_limits={"peers": False}).start()
+        closed.node.reload(closed.node.config, Wide(dummy=Wish()))
+        assert not Dummy.made_ones
+
+    play(scene)
+    said = capfd.readouterr().err
+    assert "other: off, since it needs [dummy], which is off" in said
+    assert "dummy: off, since the platform's policy_limits.peers is false" in said
+
+
+def test_without_parts_nothing_of_them_is_imported() -> None:
+    code = (
+        "import sys, asyncio; sys.path[:0] = ['tests']; from loopback import Bench, Server, call, play\n"
+        "async def scene():\n"
+        "    bench = await Bench(Server()).start()\n"
+        "    assert (await bench.once(call()))[0] == 200 and bench.node.on_ended is None\n"
+        "    bench.node.reload(bench.node.config)\n"
+        "play(scene)\n"
+        "ours = [m for m in sys.modules if m.startswith('brackenladder.')]\n"
+        "new = 'parts registry hosting holdings changes members audit freeze forecast stores records'\n"
+        "print([m for m in ours if {*m.split('.')} & {*new.split()}])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+# ---- changes that wait ------------------------------------------------------------------------------------
+
+
+def test_a_reload_waits_until_all_let_it_and_a_later_one_takes_its_place(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish()), Server())
+        node, (part,) = bench.node, Dummy.made_ones
+        part.no = "the change freeze holds, for incident 4; close it"
+        first = replace(node.config, idle_time=node.config.idle_time + 1)
+        last = replace(node.config, idle_time=node.config.idle_time + 2)
+        node.reload(first, node.operation)
+        assert node.config.idle_time == first.idle_time - 1 and node.metrics.sighup_applied == 0
+        waiting = (await asked(node, "GET /admin/stats"))[1]["waiting"]
+        assert [w["why"] for w in waiting] == [part.no]
+        node.reload(last, node.operation)
+        part.no = ""
+        await until(lambda: node.config.idle_time == last.idle_time)
+        assert node.metrics.sighup_applied == 1 and part.seen[-1] == ("made", Change.SETTINGS, (3, 7))
+        assert "waiting" not in (await asked(node, "GET /admin/stats"))[1]
+
+    play(scene)
+    said = capfd.readouterr().err
+    assert "reload: waits: the change freeze holds, for incident 4; close it; the old configuration" in said
+    assert "reload: goes ahead after " in said
+
+
+def test_what_the_platform_forbids_waits_for_nobody() -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish()), Server())
+        node, (part,) = bench.node, Dummy.made_ones
+        part.no = "no"
+        off = replace(node.config, settings=replace(node.config.settings, peers=False))
+        node.reload(off, node.operation)
+        assert part.seen[-1] == ("stop", False) and not node.settings.peers
+
+    play(scene)
+
+
+def test_a_part_that_never_answers_is_stopped_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
+    from brackenladder.net import changes
+
+    monkeypatch.setattr(changes, "ASK_TIME", 0.02)
+    monkeypatch.setattr(changes, "MOST_AGAIN", 0.02)
+    monkeypatch.setattr(Dummy, "asked", lambda *_: None)
+
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish()))
+        node = bench.node
+        node.reload(node.config, Wide(dummy=Wish(number=2)))
+        assert node.operation == Wide(dummy=Wish())
+        await until(lambda: node.operation == Wide(dummy=Wish(number=2)))
+        assert Dummy.made_ones[0].seen[-1] == ("stop", False)
+
+    play(scene)
+
+
+# ---- the list of servers ----------------------------------------------------------------------------------
+
+
+async def with_list(*servers: dict[str, Any], version: int = 50) -> tuple[Bench, Dummy]:
+    bench = await bench_with(Wide(dummy=Wish()))
+    part = Dummy.made_ones[-1]
+    bench.discovery.say(version, True, *servers)
+    await until(lambda: part.seen[-1][0] == "version" and part.seen[-1][1].number == version)
+    return bench, part
+
+
+def digest(part: Dummy) -> str:
+    return versions(part)[-1].digest
+
+
+def test_one_content_has_one_digest_whatever_the_order_the_way_and_the_addresses() -> None:
+    async def scene() -> None:
+        server = await Server().start()
+        a, b, c = (server.entry(name) for name in "abc")
+        one, part = await with_list(a, b, c)
+        other, second = await with_list({**c, "addr": "127.0.0.1:9"}, {**a, "cell": 3}, version=7)
+        assert digest(part) != digest(second)
+        other.discovery.say(8, False, b, a)
+        await until(lambda: second.seen[-1][1].number == 8)
+        assert digest(part) == digest(second)
+        other.discovery.say(9, False, {**b, "state": "gone"})
+        one.discovery.say(51, True, a, c)
+        await until(lambda: second.seen[-1][1].number == 9 and part.seen[-1][1].number == 51)
+        assert digest(part) == digest(second)
+
+    play(scene)
+
+
+def usable(bench: Bench, name: str) -> int | None:
+    """The port where a server takes something new, if it does."""
+    endpoint = bench.node.pool.endpoints.get(number_of(name))
+    return endpoint.port if endpoint is not None and endpoint.ready else None
+
+
+def test_peers_bring_drains_at_once_and_new_servers_as_cold() -> None:
+    async def scene() -> None:
+        server = await Server().start()
+        bench, part = await with_list(server.entry("a"), server.entry("b"))
+        part.host.merge_list((line("a", "draining"), line("new", port=server.port)))
+        assert not usable(bench, "a") and usable(bench, "b") and usable(bench, "new")
+        started = bench.node.pool.endpoints[number_of("new")].started
+        assert abs(started - bench.node.now()) < 60_000_000
+        # What the agent repeats of the old version undoes nothing...
+        count = len(part.seen)
+        bench.discovery.say(50, True, server.entry("a"), server.entry("b"))
+        await until(lambda: len(part.seen) > count)
+        assert not usable(bench, "a") and usable(bench, "new")
+        # ...and its next version is what holds.
+        bench.discovery.say(51, True, server.entry("a"), server.entry("b"))
+        await until(lambda: usable(bench, "a") is not None)
+        assert not usable(bench, "new")
+
+    play(scene)
+
+
+@pytest.mark.parametrize("told", ["draining", "gone", "absent"])
+def test_peers_never_undrain(told: str) -> None:
+    async def scene() -> None:
+        server = await Server().start()
+        bench, part = await with_list(server.entry("a"), server.entry("b"))
+        left = [server.entry("b")] + ([server.entry("a", told)] if told != "absent" else [])
+        bench.discovery.say(51, told == "absent", *left)
+        await until(lambda: not usable(bench, "a"))
+        for started in (0, bench.node.now()):
+            part.host.merge_list((line("a", started=started), line("b", port=10)))
+            assert not usable(bench, "a") and usable(bench, "b") == server.port
+
+    play(scene)
+
+
+def test_a_node_that_is_shut_out_says_so_and_finishes_what_it_has_taken() -> None:
+    async def scene() -> None:
+        gate = asyncio.Event()
+
+        async def slow(request: Any, writer: Any) -> bytes:
+            await gate.wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+        bench = await bench_with(Wide(dummy=Wish()), Server(slow))
+        (part,) = Dummy.made_ones
+        ready = b"GET /ready HTTP/1.1\r\n\r\n"
+        kept = await bench.client()
+        kept.send(call())
+        await until(lambda: bench.servers[0].requests != [])
+        part.host.shut_out(True, "behind the frontier")
+        assert (await bench.once(ready))[0] == 503
+        gate.set()
+        status, headers, _ = await kept.receive()
+        assert status == 200 and headers["connection"] == "close"
+        part.host.shut_out(False, "")
+        assert (await bench.once(ready))[0] == 200
+        assert "connection" not in (await bench.once(call()))[1]
+
+    play(scene)
