Stores: one in memory, the [store] table and the contract suite's first part

Need: the audit and the freeze keep state across restarts and are built beside this. Change: the store in memory (bounded, numbers never reused), open_store with the operators' [store] table and LB_STORE_PATH, and the first contract tests: single cases and a state machine against a model. The kinds directory and sqlite are refused until they follow.

--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -17,6 +17,7 @@
 
 from brackenladder.membership.swim import SwimSettings
 from brackenladder.spread import SpreadRules
+from brackenladder.stores.factory import Kind, StoreWish
 from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
 
@@ -122,6 +123,26 @@
         return SpreadRules(hold=int(self.hold_s * 1e6), apart=int(self.apart_s * 1e6))
 
 
+class StoreTable(Table, frozen=True):
+    """`[store]`: where parts keep state across restarts. Without it they have it in memory."""
+
+    kind: Kind = "memory"
+    path: str = ""  # a folder in which each node has its own; empty: under $TMPDIR, which does not last
+    most_mb: Annotated[float, Meta(ge=0.0625, le=4096)] = 16.0
+    lasting: bool | None = None  # false: the path is empty after a restart, as $TMPDIR is
+
+    def wish(self) -> StoreWish:
+        """What a node opens; an OperationError for a store that cannot last as it should."""
+        if self.lasting and (self.kind == "memory" or not self.path):
+            raise OperationError(
+                "store.lasting: memory and $TMPDIR do not last; give a kind and a path, or leave it out"
+            )
+        if self.kind == "memory" and self.path:
+            raise OperationError('store.path: kind "memory" has no path; say another kind, or leave it out')
+        lasting = bool(self.path) if self.lasting is None else self.lasting
+        return StoreWish(self.kind, self.path, int(self.most_mb * (1 << 20)), lasting)
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
@@ -129,14 +150,16 @@
     storms: Storms | None = None
     membership: Membership | None = None
     spread: SpreadTable | None = None
+    store: StoreTable | None = None
 
 
 NOTHING = Operation()
+OVERRIDDEN = {"membership": ("listen", "advertise"), "store": ("path",)}  # by LB_TABLE_KEY
 
 
 def load(path: str, environ: Mapping[str, str] | None = None) -> Operation:
     """Reads a file; an OperationError names the file and the key. One file serves many nodes of a machine:
-    `LB_MEMBERSHIP_LISTEN` and `LB_MEMBERSHIP_ADVERTISE` override what it says of `[membership]`."""
+    `LB_MEMBERSHIP_LISTEN`, `LB_MEMBERSHIP_ADVERTISE` and `LB_STORE_PATH` override what it says."""
     try:
         with open(path, "rb") as file:
             table = tomllib.load(file)
@@ -144,11 +167,11 @@
         raise OperationError(f"{path}: {e.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         raise OperationError(f"{path}: not TOML: {e}") from None
-    membership = table.get("membership")
-    for key in ("listen", "advertise") if isinstance(membership, dict) else ():
-        given = (environ or {}).get(f"LB_MEMBERSHIP_{key.upper()}")
-        if given:
-            table["membership"][key] = given
+    for name, keys in OVERRIDDEN.items():
+        for key in keys if isinstance(table.get(name), dict) else ():
+            given = (environ or {}).get(f"LB_{name}_{key}".upper())
+            if given:
+                table[name][key] = given
     return build(table, path)
 
 
@@ -163,6 +186,8 @@
         unknown(table["membership"], Membership, where, "membership.")
     if isinstance(table.get("spread"), dict):
         unknown(table["spread"], SpreadTable, where, "spread.")
+    if isinstance(table.get("store"), dict):
+        unknown(table["store"], StoreTable, where, "store.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
@@ -171,6 +196,11 @@
         check_membership(found.membership, where)
     elif found.spread is not None:
         raise OperationError(f"{where}: spread: goes by the members that live; [membership] is missing")
+    if found.store is not None:
+        try:
+            found.store.wish()
+        except OperationError as e:
+            raise OperationError(f"{where}: {e}") from None
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
--- /dev/null
+++ b/brackenladder/stores/factory.py
@@ -0,0 +1,42 @@
+"""Opens the store that the operators' file asks for; only that one's module is imported."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Literal
+from urllib.parse import quote
+
+from brackenladder.stores.common import MOST
+from brackenladder.stores.interface import Store, StoreError
+from brackenladder.stores.memory import MemoryStore
+
+Kind = Literal["memory", "directory", "sqlite"]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWish:
+    """Which store an installation wants."""
+
+    kind: Kind = "memory"
+    path: str = ""  # the folder of all nodes' folders; empty: under $TMPDIR
+    most: int = MOST  # bytes
+    lasting: bool = False  # whether the place is still there after a restart of the machine
+
+
+def open_store(wish: StoreWish | None, name: str) -> Store:
+    """The store of the node called `name`, in a folder of its own; without a wish, in memory. A StoreError if
+    it cannot be opened, a StoreHeld while another process (in an upgrade: the one before) has it."""
+    if wish is None or wish.kind == "memory":
+        return MemoryStore(wish.most if wish else MOST)
+    raise StoreError(f"no store of kind {wish.kind}", "store.kind")
+
+
+def folder(wish: StoreWish, name: str) -> str:
+    """Where a node's files lie. Any name gives one folder of its own, inside the path."""
+    own = "node-" + quote(name, safe="")
+    if len(own) > 128:
+        own = own[:100] + "-" + sha256(name.encode()).hexdigest()[:16]
+    return os.path.join(wish.path or os.path.join(tempfile.gettempdir(), "brackenladder-stores"), own)
--- /dev/null
+++ b/tests/contracts/stores.py
@@ -0,0 +1,20 @@
+"""The implementations of `Store` that the contract suite holds to its page: one line adds one."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from brackenladder.stores.interface import Store
+from brackenladder.stores.memory import MemoryStore
+
+
+@dataclass(frozen=True)
+class Kind:
+    name: str
+    open: Callable[[Path, int], Store]  # a place of its own, and the bound in bytes
+    lasting: bool = True  # whether what it holds is found again at the place
+
+
+KINDS = [
+    Kind("memory", lambda place, most: MemoryStore(most), lasting=False),
+]
--- /dev/null
+++ b/tests/contracts/test_stores.py
@@ -0,0 +1,177 @@
+"""What every store holds to (`stores/interface.py`): single cases, and a machine against a model."""
+
+import tempfile
+from pathlib import Path
+
+import pytest
+from contracts.stores import KINDS, Kind
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from brackenladder.stores.interface import Store, StoreError, StoreFull
+
+MOST = 1 << 20
+
+every = pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.name)
+every_lasting = pytest.mark.parametrize("kind", [k for k in KINDS if k.lasting], ids=lambda kind: kind.name)
+
+
+def contents(store: Store) -> dict:
+    """All that a store holds."""
+    records, logs = store.names()
+    return {"records": {n: store.get(n) for n in records}, "logs": {n: list(store.read(n)) for n in logs}}
+
+
+# ---- single cases ------------------------------------------------------------------------------------
+
+
+@every
+def test_what_is_absent_reads_as_nothing(kind, tmp_path):
+    store = kind.open(tmp_path, MOST)
+    assert store.get("a") is None and list(store.read("a")) == []
+    store.replace("a", None)
+    store.cut("a", 7)
+    assert store.names() == ([], []) and store.size() == 0
+
+
+@every
+@pytest.mark.parametrize("name", ["", "A", "a/b", "..", "a.b", "a" * 65, "a\n", "é", "a\0"])
+def test_what_is_not_a_name_is_refused_by_every_call(kind, tmp_path, name):
+    store = kind.open(tmp_path, MOST)
+    for call in (
+        lambda: store.get(name),
+        lambda: store.replace(name, b""),
+        lambda: store.append(name, b""),
+        lambda: store.read(name),
+        lambda: store.cut(name, 1),
+    ):
+        with pytest.raises(StoreError):
+            call()
+    assert store.names() == ([], [])
+
+
+@every
+def test_a_closed_store_answers_with_an_error(kind, tmp_path):
+    store = kind.open(tmp_path, MOST)
+    store.append("log", b"1")
+    store.close()
+    store.close()
+    for call in (
+        lambda: store.get("a"),
+        lambda: store.replace("a", b""),
+        lambda: store.append("log", b""),
+        lambda: store.read("log"),
+        lambda: store.cut("log", 1),
+        store.names,
+        store.size,
+    ):
+        with pytest.raises(StoreError):
+            call()
+
+
+@every
+def test_a_full_store_keeps_what_it_holds_and_takes_again_what_is_made_room_for(kind, tmp_path):
+    store = kind.open(tmp_path, MOST)
+    store.replace("vote", b"kept")
+    with pytest.raises(StoreFull):
+        store.replace("vote", bytes(MOST))
+    with pytest.raises(StoreFull):
+        store.append("none", bytes(MOST))
+    numbers = []
+    with pytest.raises(StoreFull):
+        while True:
+            numbers.append(store.append("log", bytes(MOST // 32)))
+            assert store.size() <= MOST
+    assert 24 <= len(numbers) <= 32  # the bound is for data, not for overhead
+    assert store.get("vote") == b"kept" and [n for n, _ in store.read("log")] == numbers
+    store.cut("log", numbers[len(numbers) // 2])
+    assert store.append("log", b"x" * (MOST // 32)) == len(numbers) + 1
+    store.replace("vote", b"next")
+    assert store.get("vote") == b"next" and "none" not in store.names()[1]
+
+
+# ---- against a model ---------------------------------------------------------------------------------
+
+LOGS = st.sampled_from(["one", "two", "t-0_9"])
+DATA = st.one_of(st.binary(max_size=40), st.integers(0, 9000).map(lambda n: b"\0" * n))
+
+
+class Machine(RuleBasedStateMachine):
+    """Any calls in any order; after each, the store holds what the model holds."""
+
+    kind: Kind
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = self.kind.open(Path(self.folder.name), MOST)
+        self.records: dict[str, bytes] = {}
+        self.logs: dict[str, list[tuple[int, bytes]]] = {}
+        self.following: dict[str, int] = {}
+
+    def teardown(self) -> None:
+        self.store.close()
+        self.folder.cleanup()
+
+    @rule(name=LOGS, data=st.none() | DATA)
+    def replace(self, name, data):
+        self.store.replace(name, data)
+        if data is None:
+            self.records.pop(name, None)
+        else:
+            self.records[name] = data
+
+    @rule(log=LOGS, data=DATA)
+    def append(self, log, data):
+        number = self.following.setdefault(log, 1)
+        assert self.store.append(log, data) == number
+        self.logs.setdefault(log, []).append((number, data))
+        self.following[log] += 1
+
+    @rule(log=LOGS, back=st.integers(-3, 6))
+    def cut(self, log, back):
+        before = self.following.get(log, 1) - back
+        self.store.cut(log, before)
+        if log in self.logs:
+            self.logs[log] = [e for e in self.logs[log] if e[0] >= before]
+
+    @rule(log=LOGS, back=st.integers(-2, 6))
+    def read(self, log, back):
+        since = self.following.get(log, 1) - back
+        assert list(self.store.read(log, since)) == [e for e in self.logs.get(log, []) if e[0] > since]
+
+    @rule(log=LOGS)
+    def too_large(self, log):
+        with pytest.raises(StoreFull):
+            self.store.append(log, bytes(MOST + 1))
+        with pytest.raises(StoreFull):
+            self.store.replace(log, bytes(MOST + 1))
+
+    @precondition(lambda self: self.kind.lasting)
+    @rule()
+    def reopen(self):
+        size = self.store.size()
+        self.store.close()
+        self.store = self.kind.open(Path(self.folder.name), MOST)
+        assert self.store.size() == size
+
+    @invariant()
+    def same(self):
+        assert contents(self.store) == {"records": self.records, "logs": self.logs}
+        assert self.store.names() == (sorted(self.records), sorted(self.logs))
+        assert self.store.size() <= MOST
+
+
+@every
+def test_it_behaves_as_the_model_does(kind):
+    machine = type("MachineOf", (Machine,), {"kind": kind})
+    run_state_machine_as_test(
+        machine, settings=settings(derandomize=True, deadline=None, max_examples=40, stateful_step_count=30)
+    )
