--- a/brackenladder/stores/factory.py
+++ b/brackenladder/stores/factory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import tempfile
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Literal
@@ -31,6 +30,10 @@
     it cannot be opened, a StoreHeld while another process (in an upgrade: the one before) has it."""
     if wish is None or wish.kind == "memory":
         return MemoryStore(wish.most if wish else MOST)
+    if wish.kind == "directory":
+        from brackenladder.stores.directory import DirectoryStore
+
+        return DirectoryStore(folder(wish, name), wish.most, wish.lasting)
     raise StoreError(f"no store of kind {wish.kind}", "store.kind")
 
 
@@ -39,4 +42,6 @@
     own = "node-" + quote(name, safe="")
     if len(own) > 128:
         own = own[:100] + "-" + sha256(name.encode()).hexdigest()[:16]
-    return os.path.join(wish.path or os.path.join(tempfile.gettempdir(), "brackenladder-stores"), own)
+    return os.path.join(
+        wish.path or os.path.join(os.environ.get("TMPDIR", "/tmp"), "brackenladder-stores"), own
+    )
--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from brackenladder.stores.directory import DirectoryStore
 from brackenladder.stores.interface import Store
 from brackenladder.stores.memory import MemoryStore
 
@@ -17,4 +18,5 @@
 
 KINDS = [
     Kind("memory", lambda place, most: MemoryStore(most), lasting=False),
+    Kind("directory", lambda place, most: DirectoryStore(str(place), most)),
 ]
