--- a/brackenladder/stores/factory.py
+++ b/brackenladder/stores/factory.py
@@ -9,7 +9,7 @@
 from urllib.parse import quote
 
 from brackenladder.stores.common import MOST
-from brackenladder.stores.interface import Store, StoreError
+from brackenladder.stores.interface import Store
 from brackenladder.stores.memory import MemoryStore
 
 Kind = Literal["memory", "directory", "sqlite"]
@@ -34,7 +34,9 @@
         from brackenladder.stores.directory import DirectoryStore
 
         return DirectoryStore(folder(wish, name), wish.most, wish.lasting)
-    raise StoreError(f"no store of kind {wish.kind}", "store.kind")
+    from brackenladder.stores.sqlite import SqliteStore
+
+    return SqliteStore(folder(wish, name), wish.most, wish.lasting)
 
 
 def folder(wish: StoreWish, name: str) -> str:
--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -7,6 +7,7 @@
 from brackenladder.stores.directory import DirectoryStore
 from brackenladder.stores.interface import Store
 from brackenladder.stores.memory import MemoryStore
+from brackenladder.stores.sqlite import SqliteStore
 
 
 @dataclass(frozen=True)
@@ -19,4 +20,5 @@
 KINDS = [
     Kind("memory", lambda place, most: MemoryStore(most), lasting=False),
     Kind("directory", lambda place, most: DirectoryStore(str(place), most)),
+    Kind("sqlite", lambda place, most: SqliteStore(str(place), most)),
 ]
