Errors of the node's files, lists, settings and addresses are types with a remedy

Need: what an operator reads at a start or a reload said what was wrong, seldom what to do, and an address that was taken said neither which address nor whose; one type stood for files that are missing, not JSON, cut down or out of range.

Change: SettingsError, ListError, ConfigError, OperationError and ListenError go under BrackenladderError, each with finer types where the operator's action differs. Messages name the file and the key path, the option or the address; the command line and the log add the remedy after ' -- '. What the system refuses at listening becomes one of five types (net/bind.py); `run` keeps status 2 for the configuration, 1 for an address. A server list's faults name their key as list.servers[3].addr, no longer as one of the settings. tests/test_errors.py imports all modules, walks all types, and prints the row of docs/on-call.md that lacks.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -15,7 +15,9 @@
 
 import uvloop
 
-from brackenladder.net.config import Config, ConfigError, load
+from brackenladder.errors import BrackenladderError
+from brackenladder.net.bind import ListenError
+from brackenladder.net.config import Config, load
 from brackenladder.net.node import Node
 
 if TYPE_CHECKING:
@@ -23,7 +25,7 @@
 
 
 def wishes(environ: Mapping[str, str]) -> Operation | None:
-    """The operators' file, if LB_OPERATOR names one. A ConfigError if it cannot be used."""
+    """The operators' file, if LB_OPERATOR names one. An OperationError if it cannot be used."""
     path = environ.get("LB_OPERATOR")
     if not path:
         return None
@@ -33,7 +35,7 @@
     try:
         return load(path, environ)
     except OperationError as e:
-        raise ConfigError(f"LB_OPERATOR: {e}") from None
+        raise e.within("LB_OPERATOR") from None
 
 
 async def serve(config: Config, operation: Operation | None) -> None:
@@ -51,8 +53,8 @@
         try:
             operation = wishes(os.environ)
             node.reload(load(os.environ, node.config), operation)
-        except ConfigError as e:
-            node.keep(str(e))
+        except BrackenladderError as e:
+            node.keep(e)
 
     loop.set_exception_handler(failed)
     loop.add_signal_handler(signal.SIGHUP, reload)  # before the node can be ready: untended, it kills
@@ -68,13 +70,13 @@
     """Starts a node; 2 if it was told what it cannot start with."""
     try:
         config, operation = load(os.environ), wishes(os.environ)
-    except ConfigError as e:
-        print(f"brackenladder: {e}", file=sys.stderr)
+    except BrackenladderError as e:
+        print(f"brackenladder: {e.line()}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config, operation))
-    except OSError as e:
-        print(f"brackenladder: cannot listen: {e.strerror}", file=sys.stderr)
+    except ListenError as e:
+        print(f"brackenladder: cannot listen: {e.line()}", file=sys.stderr)
         return 1
     return 0
 
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -49,7 +49,7 @@
         try:
             read = operation.load(operator)
         except operation.OperationError as e:
-            click.echo(str(e), err=True)
+            click.echo(e.line(), err=True)
             sys.exit(2)
         tables = [
             name for name in ("zones", "storms", "membership", "spread") if getattr(read, name) is not None
@@ -62,7 +62,7 @@
     try:
         found = load({"LB_CONFIG": config})
     except ConfigError as e:
-        click.echo(f"{config}: {str(e).removeprefix('LB_CONFIG: ')}", err=True)
+        click.echo(e.line().removeprefix("LB_CONFIG: "), err=True)
         sys.exit(2)
     servers = len(found.known.lines) if found.known else 0
     click.echo(
--- a/brackenladder/errors.py
+++ b/brackenladder/errors.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
+from typing import ClassVar, Self
 
 
 class BrackenladderError(Exception):
@@ -25,6 +25,12 @@
         self.where = where
         self.advice = remedy or self.remedy
 
+    def within(self, place: str) -> Self:
+        """The same error, seen from further out: `place` (a file, an option, a peer) goes before `where`."""
+        self.where = f"{place}: {self.where}" if self.where else place
+        self.args = (f"{self.where}: {self.what}",)
+        return self
+
     def line(self) -> str:
         """What, where and the remedy in one line, as the log and the command line show it."""
         return f"{self} -- {self.advice}"
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -9,7 +9,17 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Protocol
+from typing import ClassVar, Protocol
+
+from brackenladder.errors import BrackenladderError
+
+
+class SettingsError(BrackenladderError, ValueError):
+    """A value of the platform's settings that is missing, of another kind, or impossible."""
+
+    remedy: ClassVar[str] = (
+        "give the named key of the settings a value of its kind and range, as the platform's own page has it"
+    )
 
 
 class Effect(IntEnum):
@@ -125,7 +135,7 @@
     def __post_init__(self) -> None:
         def need(ok: bool, key: str) -> None:
             if not ok:  # comparisons with a NaN are false as well
-                raise ValueError(f"settings: impossible value for {key}")
+                raise SettingsError("impossible value", f"settings.{key}")
 
         need(self.ring is None or 0 <= self.ring[0] < self.ring[1], "ring")
         need(len(self.classes) > 0, "classes")
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -5,11 +5,12 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, ClassVar
 
-from brackenladder.interface import ListKind, Settings
+from brackenladder.errors import BrackenladderError
+from brackenladder.interface import ListKind, Settings, SettingsError
 from brackenladder.net.control import DESCRIPTORS as CONTROL_SOCKETS
-from brackenladder.net.listing import Listing, read_listing
+from brackenladder.net.listing import ListError, Listing, read_listing
 from brackenladder.net.reload import missing
 from brackenladder.settings import COLUMNS, Fields, settings_of
 
@@ -20,8 +21,54 @@
 LEAST_CONNECTIONS = 8
 
 
-class ConfigError(Exception):
-    """The node cannot start with what it was told; the text is one plain line."""
+class ConfigError(BrackenladderError):
+    """The node cannot start, or go on, with what it was told; the text is one plain line."""
+
+    remedy: ClassVar[str] = "run `brackenladder check FILE` on the node's configuration file and correct it"
+
+
+class ConfigUnset(ConfigError):
+    """Nothing names a configuration file."""
+
+    remedy: ClassVar[str] = "set LB_CONFIG in the node's environment to the path of its configuration file"
+
+
+class ConfigUnreadable(ConfigError):
+    """The configuration file is not there, or not for this user to read."""
+
+    remedy: ClassVar[str] = "let LB_CONFIG name a file that exists and that the node's user may read"
+
+
+class ConfigMalformed(ConfigError):
+    """The configuration file is not a JSON object."""
+
+    remedy: ClassVar[str] = "write the whole file as one JSON object; replace it by renaming, never in place"
+
+
+class ConfigMissing(ConfigError):
+    """A key that must be there is not: the file was cut down, or its writer stopped early."""
+
+    remedy: ClassVar[str] = "put the named key back, with the value it had in the file before"
+
+
+class ConfigValue(ConfigError):
+    """A key of the configuration file has a value of another kind, or out of its range."""
+
+    remedy: ClassVar[str] = (
+        "correct the key's value in the configuration file, then start the node or send SIGHUP"
+    )
+
+
+class ConfigAddress(ConfigError):
+    """An address of the configuration file or the environment that is not HOST:PORT."""
+
+    remedy: ClassVar[str] = "write the named address as HOST:PORT, with a port of 0 to 65535: 127.0.0.1:8080"
+
+
+class ConfigDescriptor(ConfigError):
+    """LB_ACCEPT_FD is not the number of a descriptor."""
+
+    remedy: ClassVar[str] = "let LB_ACCEPT_FD hold the number under which the platform hands the socket over"
 
 
 @dataclass(frozen=True)
@@ -55,13 +102,13 @@
 
 
 def read_address(text: object, what: str) -> Address:
-    """`host:port` as a pair; a ConfigError that names `what` otherwise."""
+    """`host:port` as a pair; a ConfigAddress that names `what` otherwise."""
     if isinstance(text, str):
         host, _, port = text.rpartition(":")
         host = host.strip("[]")
         if host and port.isascii() and port.isdigit() and 0 <= int(port) < 65536:
             return host, int(port)
-    raise ConfigError(f"{what}: not an address of the form host:port")
+    raise ConfigAddress("not an address of the form host:port", what)
 
 
 def load(environ: Mapping[str, str], last: Config | None = None) -> Config:
@@ -69,25 +116,38 @@
 
     At a reload (`last` is the configuration in force) the environment is still that of the start: an
     address of discovery that has changed in the file holds, and one that has not leaves what is in force.
+    What cannot be used is a ConfigError; nothing else is raised.
     """
     path = environ.get("LB_CONFIG")
     if not path:
-        raise ConfigError("LB_CONFIG is not set")
+        raise ConfigUnset("LB_CONFIG is not set")
+    try:
+        return load_file(path, environ, last)
+    except (SettingsError, ListError) as e:
+        raise ConfigValue(e.what, e.where).within(f"LB_CONFIG: {path}") from None
+    except ConfigDescriptor:
+        raise
+    except ConfigError as e:
+        raise e.within(f"LB_CONFIG: {path}") from None
+
+
+def load_file(path: str, environ: Mapping[str, str], last: Config | None) -> Config:
+    """The same, with paths of keys that begin in the file."""
     try:
         with open(path, "rb") as file:
             table = json.loads(file.read())
     except OSError as e:
-        raise ConfigError(f"LB_CONFIG: {e.strerror}") from None
+        raise ConfigUnreadable(e.strerror or str(e)) from None
     except (ValueError, RecursionError):
-        raise ConfigError("LB_CONFIG: not JSON") from None
+        raise ConfigMalformed("not JSON") from None
     if not isinstance(table, dict):
-        raise ConfigError("LB_CONFIG: not an object")
+        raise ConfigMalformed("not an object")
     filed = table.get("discovery")
     kept = {key: value for key, value in table.items() if key != "known"}
     if last is not None:
         lacks = missing(kept, last.filed)
         if lacks is not None:
-            raise ConfigError(f"LB_CONFIG: {lacks} is missing")
+            raise ConfigMissing(f"{lacks} is missing")
     for key in ("name", "listen", "discovery", "control"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
     if last is not None and filed:
@@ -95,30 +155,28 @@
         table["discovery"] = f"{last.discovery[0]}:{last.discovery[1]}" if same else filed
     given = environ.get("LB_ACCEPT_FD")
     if given and not (given.isascii() and given.isdigit()):
-        raise ConfigError("LB_ACCEPT_FD: not a descriptor")
+        raise ConfigDescriptor("not a descriptor", "LB_ACCEPT_FD")
     accept_fd = int(given) if given else None
-    try:
-        return replace(read(table), filed_discovery=filed, filed=kept, accept_fd=accept_fd)
-    except ValueError as e:
-        raise ConfigError(str(e)) from None
+    return replace(read(table), filed_discovery=filed, filed=kept, accept_fd=accept_fd)
 
 
 def read(table: dict[str, Any]) -> Config:
-    """A Config from the decoded file. What is missing or impossible is a ValueError or a ConfigError."""
+    """A Config from the decoded file. What is missing or impossible is a SettingsError, a ListError or
+    a ConfigError."""
     name, seed = table.get("name"), table.get("seed", "0")
     if not isinstance(name, str):
-        raise ConfigError("name: missing")
+        raise ConfigMissing("missing", "name")
     try:
         number = int(seed, 16)
     except (TypeError, ValueError):
-        raise ConfigError("seed: not a hexadecimal number") from None
-    fields = Fields(table)
+        raise ConfigValue("not a hexadecimal number", "seed") from None
+    fields = Fields(table, "", ConfigValue)
     given = fields.sub("limits", optional=True)
     sockets, memory = given.whole("sockets", 1024), given.whole("memory_mb", 128)
     control = table.get("control")
     reserved = RESERVED_SOCKETS + (CONTROL_SOCKETS if control else 0)
     if sockets < reserved + LEAST_CONNECTIONS:
-        raise ConfigError(f"limits.sockets: at least {reserved + LEAST_CONNECTIONS} are needed")
+        raise ConfigValue(f"at least {reserved + LEAST_CONNECTIONS} are needed", "limits.sockets")
     peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
     settings = fields.sub("settings")
     limits = settings.sub("policy_limits")
@@ -126,7 +184,7 @@
     columns = [str(c) for c in report.items("columns")]
     classes = tuple(c.text("name") for c in settings.tables("classes"))
     if len(set(classes)) < len(classes):
-        raise ConfigError("settings.classes: a name stands twice")
+        raise ConfigValue("a name stands twice", "settings.classes")
     known = table.get("known")
     return Config(
         name=name,
--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
 from time import monotonic
 from typing import cast
@@ -11,7 +10,7 @@
 import httptools
 
 from brackenladder.interface import ListKind
-from brackenladder.net.listing import Listing, LongListing, read_listing
+from brackenladder.net.listing import ListError, Listing, LongListing, decode
 from brackenladder.net.log import Log
 
 LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
@@ -230,9 +229,9 @@
     def short(self, body: bytearray) -> Listing | None:
         """An answer's list; None for one that cannot be used."""
         try:
-            listing = read_listing(json.loads(body))
-        except (ValueError, RecursionError) as e:
-            self.drop(str(e))
+            listing = decode(body)
+        except ListError as e:
+            self.drop(e.line())
             return None
         lines = self.newer(listing.kind, listing.version)
         if lines is None:
@@ -279,8 +278,8 @@
                 for _ in listing.check(PART):
                     await asyncio.sleep(monotonic() - began)
                     began = monotonic()
-            except (ValueError, RecursionError) as e:
-                self.drop(str(e))
+            except ListError as e:
+                self.drop(e.line())
                 then(False)
                 return
             if address != self.address:
--- a/brackenladder/net/listing.py
+++ b/brackenladder/net/listing.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from itertools import islice
 from json.decoder import WHITESPACE  # type: ignore[attr-defined]  # json's own pattern for what it skips
-from typing import Any
+from typing import Any, ClassVar
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ListKind, State
 from brackenladder.settings import Fields
 
@@ -16,6 +17,18 @@
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 
 
+class ListError(BrackenladderError, ValueError):
+    """A server list with a line or a head that cannot be used; the list in hand stays whole."""
+
+    remedy: ClassVar[str] = "mend that entry where discovery has it from; the list in hand holds until then"
+
+
+class ListMalformed(ListError):
+    """An answer of discovery that is no server list at all."""
+
+    remedy: ClassVar[str] = "check that an agent listens at the address of discovery, and what it answers"
+
+
 @dataclass(frozen=True, slots=True)
 class Line:
     """One server as discovery names it."""
@@ -40,15 +53,25 @@
     lines: tuple[Line, ...]
 
 
+def decode(body: bytes | bytearray) -> Listing:
+    """The Listing in an answer's body; a ListError for anything else."""
+    try:
+        return read_listing(json.loads(body))
+    except ListError:
+        raise
+    except (ValueError, RecursionError) as e:
+        raise ListMalformed(f"not JSON: {e}", "list") from None
+
+
 def read_listing(table: object, kind: ListKind | None = None) -> Listing:
     """A Listing from decoded JSON, of the `kind` it states itself if none is given.
 
     Failure prevented: skipping one bad line of a full list would remove a server that runs. Anything
-    wrong is a ValueError for the whole list, and the list in hand stays.
+    wrong is a ListError for the whole list, and the list in hand stays.
     """
     if not isinstance(table, dict):
-        raise ValueError("list: not an object")
-    fields = Fields(table, "list.")
+        raise ListMalformed("not an object", "list")
+    fields = Fields(table, "list.", ListError)
     if kind is None:
         kind = ListKind.FULL if fields.flag("full") else ListKind.CHANGES
     lines = tuple(read_line(line) for line in fields.tables("servers"))
@@ -76,7 +99,7 @@
 def members_of(text: str) -> Iterator[tuple[str, Any]]:
     """The members of a JSON object one after the other, each with its key; of an array each of its entries.
 
-    So much of a long text is decoded at a time. A ValueError where it is not an object, or ends early.
+    So much of a long text is decoded at a time. A ListMalformed where it is not an object, or ends early.
     """
 
     def skip(place: int) -> int:
@@ -85,7 +108,7 @@
     def expect(place: int, signs: str) -> str:
         sign = text[place : place + 1]
         if not sign or sign not in signs:
-            raise ValueError(f"list: expected one of {signs} at character {place}")
+            raise ListMalformed(f"expected one of {signs} at character {place}", "list")
         return sign
 
     place = skip(0)
@@ -115,7 +138,7 @@
         sign = expect(place, ",}")
         place = skip(place + 1)
     if place < len(text) and sign != "}":
-        raise ValueError(f"list: more text at character {place}")
+        raise ListMalformed(f"more text at character {place}", "list")
 
 
 class LongListing:
@@ -126,19 +149,32 @@
     """
 
     def __init__(self, body: bytes | bytearray) -> None:
-        self.text = body.decode()
+        try:
+            self.text = body.decode()
+        except UnicodeDecodeError as e:
+            raise ListMalformed(str(e), "list") from None
         self.kind = ListKind.CHANGES
         self.version = 0
         self.count = 0
 
     def check(self, size: int) -> Iterator[None]:
-        """Reads the whole list, `size` lines for each step. A ValueError at anything that is wrong."""
+        """Reads the whole list, `size` lines for each step. A ListError at anything that is wrong."""
+        try:
+            yield from self.steps(size)
+        except ListError:
+            raise
+        except (ValueError, RecursionError) as e:
+            raise ListMalformed(f"not JSON: {e}", "list") from None
+
+    def steps(self, size: int) -> Iterator[None]:
         head: dict[str, Any] = {"servers": []}
         for key, value in members_of(self.text):
             if key != "servers":
                 head[key] = value
                 continue
-            read_line(Fields(value if isinstance(value, dict) else {}, f"list.servers[{self.count}]."))
+            read_line(
+                Fields(value if isinstance(value, dict) else {}, f"list.servers[{self.count}].", ListError)
+            )
             self.count += 1
             if self.count % size == 0:
                 yield
@@ -148,7 +184,9 @@
     def parts(self, size: int) -> Iterator[Listing]:
         """The list as listings of `size` lines, in order; at least one."""
         lines = (
-            read_line(Fields(v, "list.servers.")) for key, v in members_of(self.text) if key == "servers"
+            read_line(Fields(v, "list.servers.", ListError))
+            for key, v in members_of(self.text)
+            if key == "servers"
         )
         for _ in range(max(1, -(-self.count // size))):
             yield Listing(self.kind, self.version, tuple(islice(lines, size)))
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING, Any
 
 from brackenladder.balance import Balancer
+from brackenladder.errors import BrackenladderError
 from brackenladder.interface import (
     Effect,
     ListKind,
@@ -27,6 +28,7 @@
     StormJudge,
     ZoneJudge,
 )
+from brackenladder.net.bind import listening
 from brackenladder.net.bodies import Source
 from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import LEAST_CONNECTIONS, Config
@@ -157,12 +159,16 @@
         self.ends = 1 << 62  # the time by which all that is taken must be answered
 
     async def start(self) -> None:
-        """Begins to serve. An OSError if an address cannot be had."""
+        """Begins to serve. A ListenError if an address cannot be had."""
         if self.config.settings.peers and self.config.peer_listen is not None:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+            with listening("peer_listen", self.config.peer_listen):
+                await self.loop.create_datagram_endpoint(
+                    lambda: self.peers, local_addr=self.config.peer_listen
+                )
         if self.config.control is not None:
             self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
-            await self.control.start(self.config.control)
+            with listening("control", self.config.control):
+                await self.control.start(self.config.control)
         self.tend_members()
         self.tend_parts()
         self.started = True
@@ -174,7 +180,9 @@
             self.told(self.config.known)
         if not self.config.settings.list_on_request:
             self.discovery.watch(True)
-        self.callers.start(self.config.listen, self.config.accept_fd)
+        inherited = self.config.accept_fd
+        with listening("listen", self.config.listen if inherited is None else inherited):
+            self.callers.start(self.config.listen, inherited)
 
     # ---- operators ------------------------------------------------------------------------------------
 
@@ -404,10 +412,10 @@
             return config.settings.zone
         return self.zones.setdefault(config.zones[config.settings.zone], len(self.zones))
 
-    def keep(self, why: str) -> None:
+    def keep(self, why: BrackenladderError) -> None:
         """A new file that cannot be used: all stays as it is."""
         self.metrics.reloaded(applied=False)
-        self.log_lines.line(f"reload: {why}; the old configuration stays")
+        self.log_lines.line(f"reload: {why.line()}; the old configuration stays")
 
     async def drain(self) -> None:
         """Answers what has been taken, and ends.
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable, Mapping
 from difflib import get_close_matches
 from ipaddress import ip_address
-from typing import Annotated, Any
+from typing import Annotated, Any, ClassVar
 
 import msgspec
 from msgspec import Meta
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.membership.swim import SwimSettings
 from brackenladder.spread import SpreadRules
 from brackenladder.stores.factory import Kind, StoreWish
@@ -26,8 +27,46 @@
 Address = tuple[str, int]
 
 
-class OperationError(Exception):
-    """A file that cannot be used; the text says where it is wrong and what to do, in one line."""
+class OperationError(BrackenladderError):
+    """An operators' file that cannot be used; nothing of it is taken."""
+
+    remedy: ClassVar[str] = "run `brackenladder check --operator FILE` and correct what it names"
+
+
+class OperationUnreadable(OperationError):
+    """The operators' file is not there, or not for this user to read."""
+
+    remedy: ClassVar[str] = "let LB_OPERATOR name a file that the node's user may read, or leave it unset"
+
+
+class OperationMalformed(OperationError):
+    """The operators' file is not TOML."""
+
+    remedy: ClassVar[str] = "mend the operators' file at the line and column named; the form is TOML"
+
+
+class OperationUnknownKey(OperationError):
+    """A key or table that this version of the program does not have."""
+
+    remedy: ClassVar[str] = "correct the key's spelling, or take it out; deploy/operator.toml shows all keys"
+
+
+class OperationValue(OperationError):
+    """A key of the operators' file has a value of another kind, or out of its range."""
+
+    remedy: ClassVar[str] = "give the key a value in the range that deploy/operator.toml shows beside it"
+
+
+class OperationConflict(OperationError):
+    """Two keys of the operators' file that contradict each other."""
+
+    remedy: ClassVar[str] = "change one of the keys named so that both can hold, or take one out"
+
+
+class OperationAddress(OperationError):
+    """An address of the operators' file, or of LB_MEMBERSHIP_*, that other nodes could not send to."""
+
+    remedy: ClassVar[str] = "write IP:PORT in numbers, as others reach this node; a name is not looked up"
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -105,8 +144,8 @@
         listen = address(self.listen, "membership.listen")
         told = address(self.advertise, "membership.advertise") if self.advertise else listen
         if told[0] in ("0.0.0.0", "::"):
-            raise OperationError(
-                f"membership.advertise: others cannot reach {told[0]}; say this node's address"
+            raise OperationAddress(
+                f"others cannot reach {told[0]}; say this node's address", "membership.advertise"
             )
         seeds = tuple(address(s, f"membership.seeds[{i}]") for i, s in enumerate(self.seeds))
         return listen, told, seeds
@@ -134,11 +173,13 @@
     def wish(self) -> StoreWish:
         """What a node opens; an OperationError for a store that cannot last as it should."""
         if self.lasting and (self.kind == "memory" or not self.path):
-            raise OperationError(
-                "store.lasting: memory and $TMPDIR do not last; give a kind and a path, or leave it out"
+            raise OperationConflict(
+                "memory and $TMPDIR do not last; give a kind and a path, or leave it out", "store.lasting"
             )
         if self.kind == "memory" and self.path:
-            raise OperationError('store.path: kind "memory" has no path; say another kind, or leave it out')
+            raise OperationConflict(
+                'kind "memory" has no path; say another kind, or leave it out', "store.path"
+            )
         lasting = bool(self.path) if self.lasting is None else self.lasting
         return StoreWish(self.kind, self.path, int(self.most_mb * (1 << 20)), lasting)
 
@@ -164,9 +205,9 @@
         with open(path, "rb") as file:
             table = tomllib.load(file)
     except OSError as e:
-        raise OperationError(f"{path}: {e.strerror}") from None
+        raise OperationUnreadable(e.strerror or str(e), path) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        raise OperationError(f"{path}: not TOML: {e}") from None
+        raise OperationMalformed(f"not TOML: {e}", path) from None
     for name, keys in OVERRIDDEN.items():
         for key in keys if isinstance(table.get(name), dict) else ():
             given = (environ or {}).get(f"LB_{name}_{key}".upper())
@@ -191,30 +232,32 @@
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
-        raise OperationError(f"{where}: {plain(str(e))}") from None
+        key, what = plain(str(e))
+        raise OperationValue(what, key).within(where) from None
     if found.membership is not None:
         check_membership(found.membership, where)
     elif found.spread is not None:
-        raise OperationError(f"{where}: spread: goes by the members that live; [membership] is missing")
+        raise OperationConflict("goes by the members that live; [membership] is missing", f"{where}: spread")
     if found.store is not None:
         try:
             found.store.wish()
         except OperationError as e:
-            raise OperationError(f"{where}: {e}") from None
+            raise e.within(where) from None
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
-            raise OperationError(
-                f"{where}: zones.panic_until_percent: {zones.panic_until_percent:g} is below"
-                f" panic_below_percent ({zones.panic_below_percent:g}); panic ends no lower than it begins"
+            raise OperationConflict(
+                f"{zones.panic_until_percent:g} is below panic_below_percent"
+                f" ({zones.panic_below_percent:g}); panic ends no lower than it begins",
+                f"{where}: zones.panic_until_percent",
             )
         for zone, near in zones.near.items():
             if zone in near:
-                raise OperationError(
-                    f"{where}: zones.near.{zone}: names itself; leave it out, it comes first"
+                raise OperationValue(
+                    "names itself; leave it out, it comes first", f"{where}: zones.near.{zone}"
                 )
             if len(set(near)) < len(near):
-                raise OperationError(f"{where}: zones.near.{zone}: names a zone twice")
+                raise OperationValue("names a zone twice", f"{where}: zones.near.{zone}")
     return found
 
 
@@ -223,16 +266,17 @@
     try:
         membership.addresses()
         if membership.probe_timeout_ms >= membership.probe_ms:
-            raise OperationError(
-                f"membership.probe_timeout_ms: {membership.probe_timeout_ms:g} is not below probe_ms"
-                f" ({membership.probe_ms:g}); others are asked between the two"
+            raise OperationConflict(
+                f"{membership.probe_timeout_ms:g} is not below probe_ms ({membership.probe_ms:g});"
+                " others are asked between the two",
+                "membership.probe_timeout_ms",
             )
         zones = [zone for zones in membership.regions.values() for zone in zones]
         twice = next((zone for zone in zones if zones.count(zone) > 1), None)
         if twice is not None:
-            raise OperationError(f"membership.regions: zone {twice} stands twice; it lies in one region")
+            raise OperationConflict(f"zone {twice} stands twice; it lies in one region", "membership.regions")
     except OperationError as e:
-        raise OperationError(f"{where}: {e}") from None
+        raise e.within(where) from None
 
 
 def address(text: str, what: str) -> Address:
@@ -244,7 +288,7 @@
     except ValueError:
         host = ""
     if not host or not (port.isascii() and port.isdigit() and int(port) < 65536):
-        raise OperationError(f"{what}: {text!r} is not an address such as 10.0.0.1:7946")
+        raise OperationAddress(f"{text!r} is not an address such as 10.0.0.1:7946", what)
     return host, int(port)
 
 
@@ -254,10 +298,12 @@
         if key not in form.__struct_fields__:
             near = get_close_matches(key, form.__struct_fields__, 1)
             hint = f"did you mean {near[0]}?" if near else f"known are {', '.join(form.__struct_fields__)}"
-            raise OperationError(f"{where}: {path}{key}: unknown key; {hint}")
+            raise OperationUnknownKey(f"unknown key; {hint}", f"{where}: {path}{key}")
 
 
-def plain(text: str) -> str:
-    """msgspec's words, with the path first: `zones.return_s: expected ...`."""
+def plain(text: str) -> tuple[str, str]:
+    """msgspec's words as the path of a key and what is wrong there: `zones.return_s`, `expected ...`."""
     what, mark, path = text.rpartition(" - at `")
-    return f"{path.rstrip('`').removeprefix('$.')}: {what[0].lower()}{what[1:]}" if mark else text
+    if not mark:
+        return "", text
+    return path.rstrip("`").removeprefix("$").lstrip("."), what[0].lower() + what[1:]
--- a/brackenladder/settings.py
+++ b/brackenladder/settings.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from brackenladder.interface import ClassSettings, Effect, Group, Settings, TenantSettings
+from brackenladder.errors import BrackenladderError
+from brackenladder.interface import ClassSettings, Effect, Group, Settings, SettingsError, TenantSettings
 
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
@@ -19,17 +20,20 @@
 
 
 class Fields:
-    """Reads a JSON object's keys. What is missing or of the wrong form is a ValueError that names the key.
+    """Reads a JSON object's keys. What is missing or of the wrong form is an `error` that names its path.
 
     An optional key may be absent or null.
     """
 
-    def __init__(self, table: dict[str, Any], where: str = "") -> None:
+    def __init__(
+        self, table: dict[str, Any], where: str = "settings.", error: type[BrackenladderError] = SettingsError
+    ) -> None:
         self.table = table
         self.where = where
+        self.error = error
 
-    def bad(self, key: str) -> ValueError:
-        return ValueError(f"settings: missing or impossible value for {self.where}{key}")
+    def bad(self, key: str) -> BrackenladderError:
+        return self.error("missing or impossible value", f"{self.where}{key}")
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self.table.get(key)
@@ -74,7 +78,7 @@
     def table_at(self, value: Any, key: str) -> Fields:
         if not isinstance(value, dict):
             raise self.bad(key)
-        return Fields(value, f"{self.where}{key}.")
+        return Fields(value, f"{self.where}{key}.", self.error)
 
     def tables(self, key: str, optional: bool = False) -> list[Fields]:
         return [self.table_at(v, f"{key}[{i}]") for i, v in enumerate(self.listed(key, optional))]
@@ -85,9 +89,9 @@
 
 
 def settings_of(env: object) -> Settings:
-    """The settings in decoded JSON. A missing or impossible value is a ValueError that names the key."""
+    """The settings in decoded JSON. A missing or impossible value is a SettingsError that names the key."""
     if not isinstance(env, dict):
-        raise ValueError("settings: not an object")
+        raise SettingsError("not an object", "settings")
 
     fields = Fields(env)
     limits = fields.sub("policy_limits")
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,197 @@
+"""Every error that an operator may see: a remedy of its own, a row in the on-call table, shown in full."""
+
+import errno
+import importlib
+import json
+import pkgutil
+import re
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from test_node import node_table, settings
+
+import brackenladder
+from brackenladder.errors import BrackenladderError
+from brackenladder.net.bind import AddressForbidden, AddressForeign, ListenError, SocketUnusable, listening
+
+ROOT = Path(__file__).parent.parent
+TABLE = ROOT / "docs" / "on-call.md"
+FEWEST_WORDS = 5
+
+
+def types() -> list[type[BrackenladderError]]:
+    """All error types of all modules, sorted by name."""
+    for module in pkgutil.walk_packages(brackenladder.__path__, "brackenladder."):
+        importlib.import_module(module.name)
+    found, left = set(), [BrackenladderError]
+    while left:
+        below = left.pop().__subclasses__()
+        left += below
+        # Types that other tests define are not the package's.
+        found |= {t for t in below if t.__module__.startswith("brackenladder.")}
+    return sorted(found, key=lambda t: t.__name__)
+
+
+def rows() -> dict[str, tuple[str, str]]:
+    """The "Errors" table: what each type means, and what to do."""
+    part = TABLE.read_text().partition("\n## Errors\n")[2].partition("\n## ")[0]
+    cells = [
+        [c.strip() for c in line.strip("|").split("|")] for line in part.splitlines() if line[:3] == "| `"
+    ]
+    assert all(len(c) == 3 for c in cells), f"a row of {TABLE.name} has not three cells"
+    return {name.strip("`"): (meaning, do) for name, meaning, do in cells}
+
+
+def faults(found: list[type[BrackenladderError]], table: dict[str, tuple[str, str]]) -> list[str]:
+    """What is wrong with the types and their rows, each with what a developer must write."""
+    out = []
+    taken: dict[str, str] = {}
+    for t in found:
+        place = f"{t.__module__}.{t.__name__}"
+        own = vars(t).get("remedy", "")
+        if len(own.split()) < FEWEST_WORDS:
+            out.append(
+                f"{place}: write `remedy: ClassVar[str]` of its own: {FEWEST_WORDS} words or more, what to do"
+            )
+        elif own in taken:
+            out.append(
+                f"{place}: its remedy is word for word that of {taken[own]}; say what is to be done here"
+            )
+        taken.setdefault(own, place)
+        meaning = (t.__doc__ or "").partition("\n\n")[0]
+        if "__doc__" not in vars(t) or not meaning:
+            out.append(f"{place}: write a docstring that says what it means")
+        if not all(table.get(t.__name__, ())) or t.__name__ not in table:
+            row = f"| `{t.__name__}` | {' '.join(meaning.split()).rstrip('.')} | {own} |"
+            out.append(
+                f'{place}: add its row to "Errors" in docs/on-call.md, in the order of names:\n    {row}'
+            )
+    names = [t.__name__ for t in found]
+    out += [
+        f"{name}: two types have this name; rename one" for name in {n for n in names if names.count(n) > 1}
+    ]
+    out += [
+        f"{name}: its row in docs/on-call.md tells of no type; take it out"
+        for name in table.keys() - set(names)
+    ]
+    if list(table) != sorted(table):
+        out.append('"Errors" in docs/on-call.md: put the rows in the order of names')
+    return out
+
+
+def test_each_error_has_a_remedy_of_its_own_and_a_row_for_whoever_is_on_call():
+    found = types()
+    assert len(found) > 20
+    wrong = faults(found, rows())
+    assert not wrong, "\n" + "\n".join(wrong)
+
+
+def test_the_check_finds_what_it_is_for():
+    class Bare(BrackenladderError):
+        """Nothing said."""
+
+    class Short(BrackenladderError):
+        """Little said."""
+
+        remedy = "try again later"
+
+    class First(BrackenladderError):
+        """Something said."""
+
+        remedy = "take the fourth key out of the file"
+
+    class Second(First):
+        """The same said."""
+
+        remedy = "take the fourth key out of the file"
+
+    class Heir(First):
+        """Nothing of its own said."""
+
+    class Said(BrackenladderError):
+        """All said."""
+
+        remedy = "put the fifth key into the file"
+
+    table = {"Said": ("all said", "put it in"), "Zero": ("gone", "nothing")}
+    words = "\n".join(faults([Bare, Short, First, Second, Heir, Said], table))
+    for name, part in (("Bare", "write `remedy"), ("Short", "write `remedy"), ("Heir", "write `remedy")):
+        assert re.search(rf"\.{name}: {part}", words), words
+    assert ".Second: its remedy is word for word that of" in words and ".Said: " not in words
+    assert "| `First` | Something said | take the fourth key out of the file |" in words
+    assert "Zero: its row" in words
+
+
+def test_an_error_says_what_where_and_the_remedy():
+    class Small(BrackenladderError):
+        """For this test."""
+
+        remedy = "make it larger than it is"
+
+    e = Small("too small", "a.b")
+    assert str(e.within("f.toml")) == "f.toml: a.b: too small" and e.args == (str(e),)
+    assert e.line() == "f.toml: a.b: too small -- make it larger than it is"
+    assert e.table() == {"error": "Small", "what": "too small", "where": "f.toml: a.b", "do": e.remedy}
+    assert Small("x", remedy="leave it").line() == "x -- leave it"
+    assert str(Small("x").within("y")) == "y: x"
+
+
+def started(tmp_path: Path, table: object, **environ: str) -> tuple[int, str]:
+    """The status and the one line of a node that cannot start."""
+    (tmp_path / "config.json").write_text(json.dumps(table) if table is not None else "{")
+    environ = {"LB_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT), **environ}
+    command = [sys.executable, "-m", "brackenladder"]
+    done = subprocess.run(command, env=environ, cwd=tmp_path, capture_output=True, text=True, timeout=30)
+    assert done.stderr.count("\n") == 1, done.stderr
+    return done.returncode, done.stderr
+
+
+def test_a_node_that_cannot_start_says_what_where_and_what_to_do(tmp_path):
+    good = node_table(1, settings())
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        held.listen()
+        taken = f"127.0.0.1:{held.getsockname()[1]}"
+        status, words = started(tmp_path, good, LB_LISTEN=taken)
+    assert status == 1 and f"cannot listen: listen {taken}: " in words and "`ss -ltnp` names it" in words
+    status, words = started(tmp_path, good, LB_CONTROL="192.0.2.1:1")
+    assert status == 1 and "cannot listen: control 192.0.2.1:1: " in words and AddressForeign.remedy in words
+    status, words = started(tmp_path, good, LB_ACCEPT_FD="77")
+    assert status == 1 and "listen descriptor 77: Bad file descriptor" in words
+    assert SocketUnusable.remedy in words
+    for table, environ, place, remedy in (
+        (None, {}, "config.json: not JSON", "one JSON object"),
+        (good | {"listen": "here"}, {}, "config.json: listen: not an address", "HOST:PORT"),
+        (good | {"limits": {"sockets": "x"}}, {}, "config.json: limits.sockets: ", "correct the key"),
+        (
+            good | {"settings": settings(tick=0)},
+            {},
+            "config.json: settings.tick: impossible",
+            "correct the key",
+        ),
+        (good, {"LB_OPERATOR": "no.toml"}, "LB_OPERATOR: no.toml: No such file", "LB_OPERATOR name a file"),
+    ):
+        status, words = started(tmp_path, table, **environ)
+        assert status == 2 and place in words and remedy in words.partition(" -- ")[2], words
+
+
+HERE = ("127.0.0.1", 80)
+
+
+@pytest.mark.parametrize(
+    ("failure", "address", "kind"),
+    [
+        (PermissionError(errno.EACCES, "Permission denied"), HERE, AddressForbidden),
+        (socket.gaierror(socket.EAI_NONAME, "Name or service not known"), HERE, AddressForeign),
+        (UnicodeError("label too long"), HERE, AddressForeign),
+        (OSError(errno.EINVAL, "Invalid argument"), HERE, ListenError),
+        (OSError(errno.EINVAL, "Invalid argument"), 3, SocketUnusable),
+    ],
+)
+def test_what_the_system_refuses_is_told_by_what_can_be_done(failure, address, kind):
+    with pytest.raises(OSError) as e, listening("listen", address):
+        raise failure
+    assert type(e.value) is kind and str(e.value).startswith("listen ")
