--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
 import statistics
@@ -18,6 +17,7 @@
 from functools import partial
 from itertools import product
 
+from brackenladder.lab.network import Net, Schedule
 from brackenladder.membership.swim import Change, Member, Send, Swim, SwimSettings
 from brackenladder.membership.wire import State
 
@@ -26,17 +26,6 @@
 STATES = frozenset(s.name.lower() for s in State)
 
 
-@dataclass
-class Net:
-    """What the network does to a datagram from one member to another."""
-
-    loss: float = 0.0  # part of datagrams lost
-    delay: int = 500  # microseconds, each way
-    jitter: int = 500  # up to so much more, uniformly: datagrams may come out of order
-    duplicate: float = 0.0  # part of datagrams delivered twice
-    cut: set[tuple[str, str]] = field(default_factory=set)  # (from, to): nothing passes that way
-
-
 @dataclass
 class Node:
     name: str
@@ -81,7 +70,7 @@
         return dict(self.items()).values()
 
 
-class World:
+class World(Schedule):
     """Members `m0` ... on ports 1 ... of one emulated host. They join through `m0` within a second, or, in a
     world that begins `settled`, all know each other from the start."""
 
@@ -94,17 +83,14 @@
         settled: bool = False,
         heard: Callable[[str, Change], None] | None = None,
     ) -> None:
+        super().__init__()
         self.settings, self.net, self.random = settings, net or Net(), random.Random(seed)
         self.seed = seed
-        self.now = 0
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
-        self.order = 0
         self.nodes: dict[str, Node] = {}
         self.by_port: dict[int, str] = {}
         self.changes: list[tuple[str, Change]] = []  # (observer, change), unless somebody else hears them
         self.heard = heard or (lambda observer, change: self.changes.append((observer, change)))
         self.bytes = 0
-        self.groups: list[set[str]] | None = None
         if settled:
             self.settle(size)
             return
@@ -131,19 +117,6 @@
         self.nodes[name], self.by_port[port] = Node(name, swim), name
         return swim
 
-    # The schedule.
-
-    def at(self, time: int, what: Callable[[], None]) -> None:
-        self.order += 1
-        heapq.heappush(self.events, (time, self.order, what))
-
-    def run(self, until: int) -> None:
-        while self.events and self.events[0][0] <= until:
-            time, _, what = heapq.heappop(self.events)
-            self.now = max(self.now, time)
-            what()
-        self.now = until
-
     # Members.
 
     def start(self, name: str, port: int, at: int, incarnation: int = 0) -> None:
@@ -215,19 +188,18 @@
         for send in sends:
             self.bytes += len(send.data)
             target = self.by_port.get(send.address[1])
-            if target is None or self.random.random() < self.net.loss:
-                continue
-            if (node.name, target) in self.net.cut or self.split(node.name, target):
+            if target is None:
                 continue
-            copies = 2 if self.random.random() < self.net.duplicate else 1
-            for _ in range(copies):
-                delay = self.net.delay + self.random.randrange(self.net.jitter + 1)
-                self.at(self.now + delay, self.arrival(target, send.data, node.swim.address))
-
-    def split(self, a: str, b: str) -> bool:
-        if self.groups is None:
-            return False
-        return not any(a in group and b in group for group in self.groups)
+            for late in self.net.fate(self.random, node.name, target):
+                self.at(self.now + late, self.arrival(target, send.data, node.swim.address))
+
+    @property
+    def groups(self) -> list[set[str]] | None:
+        return self.net.groups
+
+    @groups.setter
+    def groups(self, groups: list[set[str]] | None) -> None:
+        self.net.groups = groups
 
     def arrival(self, target: str, data: bytes, source: tuple[str, int]) -> Callable[[], None]:
         def arrive() -> None:
