--- a/brackenladder/net/udp.py
+++ b/brackenladder/net/udp.py
@@ -53,7 +53,7 @@
             return
         try:
             lost = struct.unpack_from("=I", held.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, 36), 4 * DROPS)[0]
-        except (OSError, struct.error):  # not this system, or closed
+        except (OSError, struct.error):  # not this system
             return
         if lost > self.lost:
             self.tally.dropped["full"] = self.tally.dropped.get("full", 0) + lost - self.lost
@@ -81,6 +81,7 @@
         if self.transport is not None:
             self.count_lost()
             self.transport.close()
+            self.transport = None
         self.end()
 
     # ---- what the loop calls ---------------------------------------------------------------------------
