Membership, spread, zones and storms are parts of the node

Need: node.py made, told and ended each of them by hand; a further one would have grown it again. Change: places.py and judges.py hold the four as parts, each imported only where its table is present; node.py keeps the place in force and a way to the members.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -20,7 +20,6 @@
 from brackenladder.net.changes import Changes
 from brackenladder.net.holdings import Holdings
 from brackenladder.net.listing import Line, Listing
-from brackenladder.net.members import structured
 from brackenladder.net.parts import Answer, AttemptEnd, Change, ListNews, Part, PartError, Source, Version
 from brackenladder.net.reload import RELOADED
 from brackenladder.operation import NOTHING, Operation
@@ -31,6 +30,7 @@
 if TYPE_CHECKING:
     from brackenladder.net.callers import Message
     from brackenladder.net.config import Config
+    from brackenladder.net.members import Members
     from brackenladder.net.node import Node, Open
     from brackenladder.net.servers import Answer as Reply
 
@@ -47,12 +47,13 @@
         self.node = node
         self.name = node.config.name
         self.loop = node.loop
-        self.log = structured(self.name)
+        self.log: Any = None  # once a part has something to say
         self.shift = node.origin // 1000  # from the parts' clock to the node's
         self.parts: dict[str, Part] = {}  # those that run, by table, in the order of their start
         self.failed: set[str] = set()  # tables of those that were stopped for what they did
-        self.told_off: set[str] = set()  # tables that are asked for and cannot be had, as the log has said
-        self.asked_for: Operation | None = None  # what the parts go by
+        self.members: Members | None = None  # set by the part that has them
+        self.asked_for: Operation | None = None  # what the parts go by...
+        self.asked_before: Operation | None = None  # ...and went by until then
         self.ending = False  # the process ends: what parts have set up may stay
         self.out = ""  # why `/ready` says no on a part's word
         self.changes = Changes(self)
@@ -68,12 +69,13 @@
     def tend(self, operation: Operation | None) -> None:
         """Starts, tells and stops parts, as the operators now wish and the platform allows."""
         allowed = self.node.config.settings.peers
-        changed, self.asked_for = operation != self.asked_for, operation
+        self.asked_before, self.asked_for = self.asked_for, operation
+        changed = operation != self.asked_before
         wanted: list[registry.Entry] = []
         for entry in registry.PARTS:
-            if entry.asked_for(operation) and not self.lacks(entry, allowed, wanted):
+            if entry.asked_for(operation) and not self.lacks(entry, allowed, operation, wanted):
                 wanted.append(entry)
-        tables = {entry.table for entry in wanted}
+        tables = {entry.table for entry in wanted} - self.outdated(operation)
         for table in reversed(list(self.parts)):
             if table not in tables:
                 self.end(table, farewell=allowed)
@@ -88,19 +90,35 @@
         if changed:
             self.told_operation(operation)
 
-    def lacks(self, entry: registry.Entry, allowed: bool, wanted: list[registry.Entry]) -> bool:
-        """Whether a part cannot be had; the log says why, once while it is so."""
-        why = ""
+    def lacks(
+        self,
+        entry: registry.Entry,
+        allowed: bool,
+        operation: Operation | None,
+        wanted: list[registry.Entry],
+    ) -> bool:
+        """Whether a part that is asked for cannot be had; the log says why."""
         if entry.needs_peers and not allowed:
-            why = "since the platform's policy_limits.peers is false"
-        elif entry.needs and entry.needs not in {w.table for w in wanted}:
-            why = f"since it needs [{entry.needs}], which is off"
-        if not why:
-            self.told_off.discard(entry.table)
-        elif entry.table not in self.told_off:
-            self.told_off.add(entry.table)
-            self.line(f"{entry.table}: off, {why}")
-        return bool(why)
+            self.line(f"{entry.table}: off, since the platform's policy_limits.peers is false")
+            return True
+        if entry.needs and entry.needs not in {w.table for w in wanted}:
+            if getattr(operation, entry.needs, None) is None:  # else its own line has said it
+                self.line(f"{entry.table}: off, since it needs [{entry.needs}], which is off")
+            return True
+        return False
+
+    def outdated(self, operation: Operation | None) -> set[str]:
+        """Parts that run and have to begin anew: whose table has changed, where they say so, and who has a
+        channel, which ends with the membership that carries it."""
+        old: set[str] = set()
+        for entry in registry.PARTS:
+            part = self.parts.get(entry.table)
+            if part is None or operation is None or self.asked_before is None:
+                continue
+            changed = getattr(operation, entry.table, None) != getattr(self.asked_before, entry.table, None)
+            if entry.anew and changed or part.tag and "membership" in old:
+                old.add(entry.table)
+        return old
 
     def begin(self, entry: registry.Entry) -> None:
         try:
@@ -253,7 +271,7 @@
 
     def told_members(self) -> None:
         """Who lives, as this node sees it."""
-        if self.tracks and self.node.members is not None:
+        if self.tracks and self.members is not None:
             live = "\n".join(sorted(self.live()))
             last = self.versions.get(Source.MEMBERS)
             if last is None or last.digest != digest_of(live):
@@ -277,6 +295,11 @@
             found["stopped_parts"] = sorted(self.failed)
         return found
 
+    def zone(self) -> str:
+        """The name of this node's zone."""
+        here = self.node.settings.zone
+        return next((name for name, number in self.node.zones.items() if number == here), "")
+
     # ---- versions --------------------------------------------------------------------------------------
 
     def where(self) -> str:
@@ -341,6 +364,10 @@
 
     def say(self, event: str, **fields: Any) -> None:
         """One structured line in the log."""
+        if self.log is None:
+            from brackenladder.net.members import structured
+
+            self.log = structured(self.name)
         self.log.info(event, **fields)
 
     def line(self, text: str) -> None:
@@ -353,13 +380,11 @@
 
     def live(self) -> list[str]:
         """The names of the members that are alive, with this one; this one alone without a membership."""
-        members = self.node.members
-        return (members.live() if members is not None else []) or [self.name]
+        return (self.members.live() if self.members is not None else []) or [self.name]
 
     def member_address(self, name: str) -> tuple[str, int] | None:
         """Where a member receives datagrams, if it is known."""
-        members = self.node.members
-        swim = members.swim if members is not None else None
+        swim = self.members.swim if self.members is not None else None
         member = swim.members.get(name) if swim is not None else None
         return (member.host, member.port) if member is not None else None
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -25,8 +25,6 @@
     ServerEntry,
     Settings,
     State,
-    StormJudge,
-    ZoneJudge,
 )
 from brackenladder.net.bind import listening
 from brackenladder.net.bodies import Source
@@ -45,8 +43,7 @@
 if TYPE_CHECKING:
     from brackenladder.net.hosting import Hosting
     from brackenladder.net.members import Members
-    from brackenladder.operation import Membership, Operation
-    from brackenladder.spread import Spread
+    from brackenladder.operation import Operation
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 KILL_COUNTED = 3_000_000  # after SIGTERM a node has the longest deadline for its end, or so long...
@@ -143,14 +140,9 @@
         self.on_ended: Callable[[Open, int, int, Outcome, Answer | None], None] | None = (
             None  # ...and listens
         )
-        self.members: Members | None = None
-        self.member_wish: Membership | None = None
-        self.spread: Spread | None = None
         self.ring: tuple[int, int] | None = None  # the place that is in force, if not the platform's
-        self.place_timer: asyncio.TimerHandle | None = None
         self.started = False
-        self.balancer = Balancer(config.settings, config.seed, self, self.judge(operation))
-        self.balancer.storms = self.storm_judge(operation)
+        self.balancer = Balancer(config.settings, config.seed, self)
         self.listed: set[int] | None = None  # the servers in the list, once there is one
         self.gathered: set[int] = set()  # the same, also while the first one is still to be completed
         self.named: set[int] | None = None  # by a whole list of which more is to come, and...
@@ -169,7 +161,6 @@
             self.control = Control(self.loop, {"/admin/health": self.health, "/admin/stats": self.figures})
             with listening("control", self.config.control):
                 await self.control.start(self.config.control)
-        self.tend_members()
         self.tend_parts()
         self.started = True
         self.post(self.balancer.start)
@@ -194,8 +185,6 @@
     def figures(self) -> tuple[bool, dict[str, Any]]:
         """The figures."""
         found = self.metrics.figures(len(self.listed or ()), int(self.balancer.stats()["ejected"]))
-        if self.members is not None:
-            found["membership"] = {**self.members.figures(), "place": self.ring}
         if self.parts is not None:
             found |= self.parts.figures()
         return True, found
@@ -261,110 +250,13 @@
         if self.parts is not None:
             self.parts.tend(self.operation)
 
-    # ---- the nodes that know of each other -----------------------------------------------------------
-
-    def tend_members(self) -> None:
-        """Begins or ends this node's part in the membership: the operators' wish, if the platform allows."""
-        wish = self.operation.membership if self.operation is not None else None
-        allowed = self.config.settings.peers
-        if wish is not None and not allowed:
-            self.log_lines.line("membership: off, since the platform's policy_limits.peers is false")
-            wish = None
-        if wish == self.member_wish:
-            self.tend_spread()
-            return
-        if self.members is not None:
-            self.members.stop(farewell=allowed)
-            self.members = None
-        self.member_wish = wish
-        if wish is not None:
-            # Here: a node without a membership needs neither it nor the packages that it logs with.
-            from brackenladder.membership.swim import Member
-            from brackenladder.membership.wire import State as MemberState
-            from brackenladder.net.members import Members
-
-            listen, told, seeds = wish.addresses()
-            zone = next((name for name, n in self.zones.items() if n == self.settings.zone), "")
-            here = Member(self.config.name, *told, 0, MemberState.ALIVE, 0, zone, wish.region(zone))
-            asked = self.config.control
-            control = {"control": f"{asked[0]}:{self.control.port}"} if asked and self.control else {}
-            self.members = Members(
-                here, wish.settings(), listen, seeds, self.config.seed, control, self.members_changed
-            )
-            self.members.start()
-        if self.control is not None:
-            self.control.serve("/admin/membership", self.members.table if self.members else None)
-        self.tend_spread()
-
-    def tend_spread(self) -> None:
-        """Shares the servers out among the members that live, or no longer, as the operators wish."""
-        wish = self.operation.spread if self.operation is not None and self.members is not None else None
-        if wish is None:
-            self.spread = None
-        elif self.spread is None or self.spread.rules != wish.rules():
-            from brackenladder.spread import Spread  # here: a node without such a wish does not need it
-
-            self.spread = Spread(self.config.name, number_of(self.config.name), wish.rules())
-        self.members_changed()
-
-    def members_changed(self) -> None:
-        """Somebody has come, gone, or changed its state."""
-        if self.spread is not None and self.members is not None:
-            self.spread.members(self.now(), self.members.live())
-        self.take_place()
-        if self.parts is not None:
-            self.parts.members_changed()
-
-    def take_place(self) -> None:
-        """Takes up the place that is due, and looks again when the next one is."""
-        spread = self.spread
-        place = spread.place(self.now()) if spread is not None else None
-        ring = (place.index, place.count) if place is not None else None
-        if ring != self.ring:
-            self.ring = ring
-            self.log_lines.line(f"spread: place {ring[0]} of {ring[1]}" if ring else "spread: off")
-            self.renew(self.table.settings)
-        due = spread.due() if spread is not None else None
-        if due is not None and self.place_timer is None:  # one that comes too early looks again
-            self.place_timer = self.loop.call_later(max(0, due - self.now()) / 1e6 + 0.001, self.place_due)
-
-    def place_due(self) -> None:
-        self.place_timer = None
-        self.take_place()
+    @property
+    def members(self) -> Members | None:
+        """This node's part in the membership, while it has one."""
+        return self.parts.members if self.parts is not None else None
 
     # ---- the course of a node -------------------------------------------------------------------------
 
-    def judge(self, operation: Operation | None) -> ZoneJudge | None:
-        """Who decides between zones, where operators have given rules for them."""
-        if operation is None or operation.zones is None:
-            return None
-        from brackenladder.zones import Judge  # here: a node without such rules does not need it
-
-        names = {number: name for name, number in self.zones.items()}
-        here = self.settings.zone
-        rules = operation.zones.rules(
-            names.get(here, ""), lambda name: self.zones.setdefault(name, len(self.zones))
-        )
-        judge = self.balancer.judge if self.started else None
-        if isinstance(judge, Judge) and judge.here == here:
-            judge.renew(rules)
-            return judge
-        return Judge(rules, here)
-
-    def storm_judge(self, operation: Operation | None) -> StormJudge | None:
-        """Who is let in during a storm, where operators have given rules; the first tier alone refuses."""
-        if operation is None or operation.storms is None or self.settings.tier > 0:
-            return None
-        from brackenladder.storms import Storms  # here: a node without such rules does not need it
-
-        rules = operation.storms.rules()
-        judge = self.balancer.storms
-        if isinstance(judge, Storms):  # what it has learned stays
-            judge.rules = rules
-            return judge
-        worth = [c.worth for c in self.settings.classes]
-        return Storms(rules, worth, self.config.seed, self.now())
-
     def reload(self, config: Config, operation: Operation | None = None) -> None:
         """Takes on a new configuration, as soon as no part has anything against it."""
         if self.parts is not None:
@@ -388,12 +280,8 @@
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.pool.renew(config.connect_timeout, config.idle_time)
         self.renew(settings)
-        same, self.operation = operation == self.operation, operation
-        self.tend_members()
+        self.operation = operation
         self.tend_parts()
-        if not same:
-            self.post(self.balancer.new_zones, self.judge(operation))
-            self.post(self.balancer.new_storms, self.storm_judge(operation))
         left = [
             f.name
             for f in fields(config)
@@ -422,14 +310,10 @@
 
         Failure prevented: what is taken in the meantime is still open when the process is killed.
         """
-        if self.parts is not None or self.members is not None:
+        if self.parts is not None:
             # A process that takes over goes on under this node's name: then nobody has left.
             peers = self.handover.look()
-            farewell = peers.count == 0 or peers.ending
-            if self.parts is not None:
-                self.parts.stop(farewell)
-            if self.members is not None:
-                self.members.stop(farewell)
+            self.parts.stop(farewell=peers.count == 0 or peers.ending)
         longest = max(c.deadline for c in self.config.settings.classes)
         time = min(longest, KILL_COUNTED) + KILL_AFTER - KILL_MARGIN
         self.ends = self.now() + time
--- /dev/null
+++ b/brackenladder/net/places.py
@@ -0,0 +1,109 @@
+"""The nodes that know of each other, and the place of each among those that live, as parts of the node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from brackenladder.membership.swim import Member
+from brackenladder.membership.wire import State
+from brackenladder.net.inner import Inner
+from brackenladder.net.members import Members
+from brackenladder.net.node import number_of
+from brackenladder.net.parts import Change
+from brackenladder.operation import Operation
+from brackenladder.spread import Spread
+
+
+class MembershipPart(Inner):
+    """`[membership]`: this node's part in it. Other settings begin it anew."""
+
+    name = "membership"
+    needs_peers = True
+
+    def begin(self) -> None:
+        wish, node = self.hosting.operation().membership, self.node
+        assert wish is not None
+        listen, told, seeds = wish.addresses()
+        zone = self.hosting.zone()
+        here = Member(node.config.name, *told, 0, State.ALIVE, 0, zone, wish.region(zone))
+        asked = node.config.control
+        control = {"control": f"{asked[0]}:{node.control.port}"} if asked and node.control else {}
+        changed = self.hosting.members_changed
+        members = Members(here, wish.settings(), listen, seeds, node.config.seed, control, changed)
+        self.members = self.hosting.members = members
+        members.start()
+        self.hosting.members_changed()
+
+    def stop(self, farewell: bool) -> None:
+        self.members.stop(farewell)
+        self.hosting.members = None
+
+    def figures(self) -> dict[str, Any]:
+        return {**self.members.figures(), "place": self.node.ring}
+
+    def pages(self) -> Any:
+        return {"/admin/membership": self.members.table}
+
+
+class SpreadPart(Inner):
+    """`[spread]`: servers are shared out among the members that live."""
+
+    name = "spread"
+
+    def begin(self) -> None:
+        self.timer: asyncio.TimerHandle | None = None
+        self.wanted = self.node.ring  # the place that is due, in force or still to be let
+        self.make()
+
+    def make(self) -> None:
+        """Begins anew under other rules."""
+        wish = self.hosting.operation().spread
+        assert wish is not None
+        name = self.node.config.name
+        self.spread = Spread(name, number_of(name), wish.rules())
+        self.members_changed()
+
+    def reload(self, operation: Operation) -> None:
+        if operation.spread is not None and operation.spread.rules() != self.spread.rules:
+            self.make()
+
+    def stop(self, farewell: bool) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.hosting.ending:
+            self.hosting.changes.forget("place")
+            self.move(None)
+
+    def members_changed(self) -> None:
+        self.spread.members(self.node.now(), self.hosting.live())
+        self.take_place()
+
+    def take_place(self) -> None:
+        """Takes up the place that is due, and looks again when the next one is."""
+        place = self.spread.place(self.node.now())
+        ring = (place.index, place.count) if place is not None else None
+        if ring != self.wanted:
+            self.wanted = ring
+            if ring == self.node.ring:
+                self.hosting.changes.forget("place")
+            else:
+                changes = (Change.PLACEMENT,)
+                stays = "the old place stays"
+                self.hosting.changes.make("place", changes, lambda: self.move(ring), stays=stays)
+        due = self.spread.due()
+        if due is not None and self.timer is None:  # one that comes too early looks again
+            delay = max(0, due - self.node.now()) / 1e6 + 0.001
+            self.timer = self.node.loop.call_later(delay, self.due)
+
+    def move(self, ring: tuple[int, int] | None) -> None:
+        """Takes up a place; none: the platform's word holds."""
+        node = self.node
+        if ring != node.ring:
+            node.ring = ring
+            self.hosting.line(f"spread: place {ring[0]} of {ring[1]}" if ring else "spread: off")
+            node.renew(node.table.settings)
+
+    def due(self) -> None:
+        self.timer = None
+        self.take_place()
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -23,6 +23,7 @@
     place: str  # `module:class`; the class is made without arguments
     needs_peers: bool = False  # it talks to other nodes: off where `policy_limits.peers` is false
     needs: str = ""  # the table of a part that must run before it
+    anew: bool = False  # it begins anew when its table changes, instead of being told
 
     def asked_for(self, operation: Operation | None) -> bool:
         """Whether the operators' file has its table."""
@@ -37,6 +38,10 @@
 
 # In the order of their start; they are stopped in reverse.
 PARTS: list[Entry] = [
+    Entry("membership", "brackenladder.net.places:MembershipPart", needs_peers=True, anew=True),
+    Entry("spread", "brackenladder.net.places:SpreadPart", needs="membership"),
+    Entry("zones", "brackenladder.net.judges:ZonesPart"),
+    Entry("storms", "brackenladder.net.judges:StormsPart"),
     # Audit: who acted on which version.
     # Shards: which server is a key's home.
     # Forecast: what a change of placement would cost.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -44,7 +44,7 @@
     """A node that was started with an operators' file."""
     bench = await Bench(policy_limits={"peers": peers}, config=config).start()
     bench.node.operation = operation
-    bench.node.tend_members()
+    bench.node.tend_parts()
     return bench
 
 
