Errors of the two wires are types: FrameError, WireError, WireForeign

Need: two types were both called WireError; the membership told a foreign datagram from a malformed one by looking for a word in the message, so that a cluster or member named 'version' was counted wrongly.

Spoilt, Unreached and Broken stay private: their docstrings say who catches them.

--- a/brackenladder/adapter.py
+++ b/brackenladder/adapter.py
@@ -9,9 +9,10 @@
 import sys
 from struct import Struct
 from struct import error as StructError
-from typing import Any, BinaryIO
+from typing import Any, BinaryIO, ClassVar
 
 from brackenladder.balance import Balancer
+from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings, State
 from brackenladder.settings import settings_of
 
@@ -59,16 +60,18 @@
 EVERY_PEER = 0xFFFF
 
 
-class WireError(Exception):
-    """Input that is not a frame of the wire."""
+class FrameError(BrackenladderError):
+    """Input of the simulator's wire that is no frame, or an event that the wire does not have."""
+
+    remedy: ClassVar[str] = "check that the simulator speaks this version of the wire and was not ended early"
 
 
 def read_settings(text: bytes) -> Settings:
-    """The settings of a CREATE event. A missing or impossible value is a ValueError that names the key."""
+    """The settings of a CREATE event. A missing or impossible value is a SettingsError that names the key."""
     try:
         env = json.loads(text)
     except (ValueError, RecursionError) as e:
-        raise WireError(f"settings are not JSON: {e}") from None
+        raise FrameError(f"settings are not JSON: {e}") from None
     return settings_of(env)
 
 
@@ -137,15 +140,15 @@
                 code = body[pos]
                 reader = READERS[code]
             except IndexError:
-                raise WireError(f"record {record}: batch ends early") from None
+                raise FrameError(f"record {record}: batch ends early") from None
             except KeyError:
-                raise WireError(f"record {record} at byte {pos}: unknown event code {body[pos]}") from None
+                raise FrameError(f"record {record} at byte {pos}: unknown event code {body[pos]}") from None
             try:
                 pos = reader(self, now, body, pos + 1)
             except StructError:
-                raise WireError(f"record {record} at byte {pos}: event {code} is cut short") from None
+                raise FrameError(f"record {record} at byte {pos}: event {code} is cut short") from None
         if pos != len(body):
-            raise WireError(f"{len(body) - pos} bytes after the last record")
+            raise FrameError(f"{len(body) - pos} bytes after the last record")
         return LENGTH.pack(len(self.out)) + self.out
 
     def tell(self, node: int, event: str, *args: Any) -> None:
@@ -181,12 +184,12 @@
     def targets(self, now: int, body: bytes, pos: int) -> int:
         node, kind, _, bank = TARGETS.unpack_from(body, pos)
         if kind > 3:
-            raise WireError(f"unknown list kind {kind}")
+            raise FrameError(f"unknown list kind {kind}")
         list_kind = (ListKind.CHANGES, ListKind.FULL, ListKind.CACHED, ListKind.FAILED)[kind]
         entries: list[ServerEntry] = []
         if list_kind != ListKind.FAILED:
             if bank not in self.banks:
-                raise WireError(f"list {bank} was never sent")
+                raise FrameError(f"list {bank} was never sent")
             entries = self.banks[bank]
         self.tell(node, "server_list", now, list_kind, entries)
         return pos + TARGETS.size
@@ -275,7 +278,7 @@
 def read_exactly(stream: BinaryIO, size: int, what: str) -> bytes:
     data = stream.read(size)
     if len(data) != size:
-        raise WireError(f"{what}: input ends after {len(data)} of {size} bytes")
+        raise FrameError(f"input ends after {len(data)} of {size} bytes", what)
     return data
 
 
@@ -290,12 +293,12 @@
         where = f"batch {batch}"
         count, size, now = HEADER.unpack(first + read_exactly(source, HEADER.size - 1, where + " header"))
         if size < 8:
-            raise WireError(f"{where} header: length {size} is too short")
+            raise FrameError(f"length {size} is too short", f"{where} header")
         body = read_exactly(source, size - 8, where)
         try:
             reply = host.batch(count, body, now)
-        except WireError as e:
-            raise WireError(f"{where}: {e}") from None
+        except BrackenladderError as e:
+            raise e.within(where) from None
         sink.write(reply)
         sink.flush()
         batch += 1
@@ -304,8 +307,8 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except (WireError, ValueError) as e:
-        print(f"brackenladder: {e}", file=sys.stderr)
+    except BrackenladderError as e:
+        print(f"brackenladder: {e.line()}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/brackenladder/lab/live/wire.py
+++ b/brackenladder/lab/live/wire.py
@@ -13,11 +13,11 @@
 
 
 class Unreached(Exception):
-    """No connection came up: nothing was asked."""
+    """No connection came up: nothing was asked. The lab counts it; nobody reads it."""
 
 
 class Broken(Exception):
-    """The connection ended before a whole answer had come."""
+    """The connection ended before a whole answer had come. The lab counts it; nobody reads it."""
 
 
 @dataclass
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -47,6 +47,7 @@
     State,
     Sync,
     WireError,
+    WireForeign,
     decode,
     fit,
 )
@@ -300,7 +301,7 @@
         try:
             envelope = decode(data, self.settings.cluster)
         except WireError as error:
-            kind = "foreign" if "foreign" in str(error) or "version" in str(error) else "malformed"
+            kind = "foreign" if isinstance(error, WireForeign) else "malformed"
             setattr(self.counters, kind, getattr(self.counters, kind) + 1)
             return []
         self.counters.received += 1
--- a/brackenladder/membership/wire.py
+++ b/brackenladder/membership/wire.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 import enum
+from typing import ClassVar
 
 import msgspec
 
+from brackenladder.errors import BrackenladderError
+
 VERSION = 1
 LARGEST = 1_400  # bytes in one datagram: below the usual path MTU, so no datagram is split
 NAME_LIMIT = 64  # characters in a member's name, host, zone or region
@@ -92,8 +95,18 @@
     gossip: list[Gossip] = []
 
 
-class WireError(ValueError):
-    """A datagram that is not ours or not well formed; the text says why."""
+class WireError(BrackenladderError, ValueError):
+    """A datagram to the membership that is not well formed; counted as `malformed` and dropped."""
+
+    remedy: ClassVar[str] = "find who else sends to the membership's port, and give it another"
+
+
+class WireForeign(WireError):
+    """A datagram of another cluster or of another version of the membership; counted as `foreign`."""
+
+    remedy: ClassVar[str] = (
+        "give all nodes of a fleet one `membership.cluster` and one version of the program"
+    )
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -125,9 +138,9 @@
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
         raise WireError(f"malformed datagram: {error}") from None
     if envelope.version != VERSION:
-        raise WireError(f"version {envelope.version}, this member speaks {VERSION}")
+        raise WireForeign(f"version {envelope.version}, this member speaks {VERSION}")
     if envelope.cluster != cluster:
-        raise WireError(f"foreign cluster {envelope.cluster!r}")
+        raise WireForeign(f"foreign cluster {envelope.cluster!r}")
     names = [envelope.sender, *(g.name for g in envelope.gossip)]
     if any(not name or len(name) > NAME_LIMIT for name in names):
         raise WireError("a member's name is empty or too long")
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -69,7 +69,7 @@
 
 
 class Spoilt(Exception):
-    """An answer that cannot be used, whatever may follow."""
+    """An answer that cannot be used, whatever may follow. Caught in this file: no operator sees it."""
 
 
 class Endpoint:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,7 @@
 import pytest
 
 from brackenladder import adapter
-from brackenladder.adapter import Host, WireActions, WireError, read_settings, serve
+from brackenladder.adapter import FrameError, Host, WireActions, read_settings, serve
 
 ROOT = Path(__file__).parent.parent
 ENV = {
@@ -171,7 +171,7 @@
 @pytest.mark.parametrize("name", MALFORMED)
 def test_malformed_input_is_named(name):
     data, message = MALFORMED[name]
-    with pytest.raises((WireError, ValueError), match=message):
+    with pytest.raises((FrameError, ValueError), match=message):
         run(data)
 
 
