--- a/brackenladder/cli/fault.py
+++ b/brackenladder/cli/fault.py
@@ -5,23 +5,19 @@
 import asyncio
 import json
 import signal
-import sys
 from pathlib import Path
-from typing import Any, NoReturn, TextIO
+from typing import Any, TextIO
 
 import click
 
+from brackenladder.cli.stop import OptionError, stop
+from brackenladder.errors import BrackenladderError
 from brackenladder.fault.control import Control
 from brackenladder.fault.datagrams import Plan, read_rules
-from brackenladder.fault.relay import Address, AddressError, Relay, loopback
-from brackenladder.fault.script import Script, ScriptError, build, load, read_table
+from brackenladder.fault.relay import Address, Relay, loopback
+from brackenladder.fault.script import Script, build, load, read_table
 from brackenladder.fault.switch import Switch
-
-
-def stop(text: str) -> NoReturn:
-    """Ends with status 2 and one line that says what to mend."""
-    click.echo(f"brackenladder: {text}", err=True)
-    sys.exit(2)
+from brackenladder.net.bind import ListenError, listening
 
 
 @click.command()
@@ -60,19 +56,19 @@
     """
     if members:
         if listen or target or control:
-            stop("--member goes without --listen, --to and --control")
+            stop(OptionError("goes without --listen, --to and --control", "--member"))
         switch_between(members, script, seed, log, check)
         return
     if listen is None or target is None:
-        stop("--listen and --to are needed, or --member for each of several that send datagrams")
+        stop(OptionError("needed, or --member for each of several that send datagrams", "--listen and --to"))
     try:
         found = load(script) if script is not None else Script()
         here, there = loopback(listen), loopback(target)
         where = None
         if control is not None:
             where = Path(control) if "/" in control or ":" not in control else loopback(control)
-    except (ScriptError, AddressError) as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     if seed is not None:
         found = Script(seed=seed, rules=found.rules)
     if check:
@@ -85,8 +81,8 @@
 
     try:
         asyncio.run(serve(Relay(found, there, write, times), here, where))
-    except OSError as e:
-        stop(f"cannot listen: {e.strerror or e}")
+    except ListenError as e:
+        stop(e, "cannot listen: ")
 
 
 def switch_between(
@@ -102,10 +98,10 @@
             name, equals, addresses = text.partition("=")
             front, comma, real = addresses.partition(",")
             if not (name and equals and comma) or name in fronts:
-                stop(f"--member {text}: write it as NAME=FRONT,REAL, each name once")
+                raise OptionError("write it as NAME=FRONT,REAL, each name once", f"--member {text}")
             fronts[name] = loopback(front), loopback(real)
-    except (ScriptError, AddressError) as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     number = seed if seed is not None else found.seed
     if check:
         click.echo(f"{script or 'no script'}: good, {len(rules)} rules for datagrams, seed {number}.")
@@ -117,8 +113,8 @@
 
     try:
         asyncio.run(between(Switch(Plan(rules, number), write), fronts))
-    except OSError as e:
-        stop(f"cannot listen: {e.strerror or e}")
+    except ListenError as e:
+        stop(e, "cannot listen: ")
 
 
 async def between(switch: Switch, fronts: dict[str, tuple[Address, Address]]) -> None:
@@ -128,7 +124,8 @@
         asyncio.get_running_loop().add_signal_handler(number, ended.set)
     try:
         for name, (front, real) in fronts.items():
-            host, port = await switch.add(name, real, front)
+            with listening(f"--member {name}", front):
+                host, port = await switch.add(name, real, front)
             click.echo(f"fault: {name} is reached at {host}:{port}", err=True)
         switch.begin()
         await ended.wait()
@@ -144,10 +141,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     control = Control(relay)
-    host, port = await relay.start(listen)
+    with listening("--listen", listen):
+        host, port = await relay.start(listen)
     try:
         if where is not None:
-            await control.start(where)
+            with listening("--control", where if isinstance(where, tuple) else str(where)):
+                await control.start(where)
         click.echo(f"fault: listening on {host}:{port}, to {relay.target[0]}:{relay.target[1]}", err=True)
         await ended.wait()
     finally:
--- a/brackenladder/cli/lab.py
+++ b/brackenladder/cli/lab.py
@@ -6,14 +6,15 @@
 import os
 import sys
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 
 from brackenladder.cli import show
+from brackenladder.cli.stop import NotWritable, OptionError, stop
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab import results
 from brackenladder.lab.experiments import (
-    ExperimentError,
     Run,
     Task,
     checkout,
@@ -23,7 +24,7 @@
     read_values,
 )
 from brackenladder.lab.modules import find
-from brackenladder.lab.scenario import Scenario, ScenarioError, build, read_table
+from brackenladder.lab.scenario import Scenario, build, read_table
 
 CHANGE = click.option(
     "--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change the scenario: load.rps=500."
@@ -41,12 +42,6 @@
     """Play scenarios: the real decisions against modelled or real servers."""
 
 
-def stop(text: str) -> NoReturn:
-    """Ends with status 2 and one line that says what to mend."""
-    click.echo(f"brackenladder: {text}", err=True)
-    sys.exit(2)
-
-
 def prepare(
     path: Path, changes: tuple[str, ...], seeds: str, module: str
 ) -> tuple[dict[str, Any], Scenario, list[int]]:
@@ -56,8 +51,8 @@
         scenario = build(table, str(path), changes)
         numbers = read_seeds(seeds)
         find(module)
-    except (ScenarioError, ValueError) as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     return table, scenario, numbers
 
 
@@ -73,8 +68,8 @@
             return make(
                 tasks, workers, lambda _: bar.advance(line, 0 if alone else 1), seconds if alone else None
             )
-        except ExperimentError as e:
-            stop(str(e))
+        except BrackenladderError as e:
+            stop(e)
 
 
 def keep(folder: Path | None, runs: list[Run]) -> None:
@@ -87,7 +82,7 @@
         times = [{"seed": r.task.seed, "wall_s": round(r.wall, 3), "events": r.events} for r in runs]
         (folder / "timing.json").write_text(json.dumps(times, indent=1) + "\n")
     except OSError as e:
-        stop(f"{folder}: {e.strerror}")
+        stop(NotWritable(e.strerror or str(e), str(folder)))
 
 
 def plain(run: Run) -> dict[str, Any]:
@@ -174,8 +169,8 @@
                 for laid, module, root in sides
             ]
             made = play(tasks, workers, "compare")
-    except ExperimentError as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     first, second = made[0::2], made[1::2]
     if out is not None:
         keep(out / "a", first)
@@ -215,10 +210,10 @@
     key, equals, values_text = over.partition("=")
     try:
         if not equals:
-            raise ValueError(f"--over {over!r}: write it as KEY=VALUES")
+            raise OptionError("write it as KEY=VALUES", f"--over {over!r}")
         values = read_values(values_text)
-    except ValueError as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     table, _, numbers = prepare(scenario, (*changes, f"{key}={values[0]}"), seeds, module)
     for value in values[1:]:
         prepare(scenario, (*changes, f"{key}={value}"), seeds, module)
@@ -249,12 +244,13 @@
 
     target = out or folder / "report.html"
     try:
-        rows = results.read(folder / results.RESULTS)
-        target.write_text(page(rows))
+        text = page(results.read(folder / results.RESULTS))
+    except results.ResultsError as e:
+        stop(e if e.where else e.within(str(folder / results.RESULTS)))
+    try:
+        target.write_text(text)
     except OSError as e:
-        stop(f"{e.filename}: {e.strerror}")
-    except ValueError as e:
-        stop(f"{folder / results.RESULTS}: {e}" if str(folder) not in str(e) else str(e))
+        stop(NotWritable(e.strerror or str(e), str(target)))
     click.echo(str(target))
 
 
@@ -268,7 +264,7 @@
     """Play SCENARIO with real node processes, stand-in servers and clients on loopback sockets."""
     import uvloop
 
-    from brackenladder.lab.live.play import LiveError, run_live
+    from brackenladder.lab.live.play import run_live
 
     table, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
     watch = show.Watch(read, not as_json)
@@ -277,8 +273,8 @@
             tally, figures, verdicts, load_rows = uvloop.run(
                 run_live(read, table, str(scenario), changes, seed, watch.told)
             )
-    except (LiveError, ScenarioError) as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     rows = results.lines(tally, figures, verdicts, "live node", results.version())
     made = Run(Task(table, str(scenario), seed, changes, "live node"), rows, read.seconds, 0)
     keep(out, [made])
@@ -306,13 +302,13 @@
     """
     import uvloop
 
-    from brackenladder.lab.live.play import LiveError, stand
+    from brackenladder.lab.live.play import stand
 
     _, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
     try:
         uvloop.run(stand(read, str(scenario), seed, nodes, lambda line: click.echo(json.dumps(line))))
-    except (LiveError, ScenarioError) as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
 
 
 @lab.command(name="load")
@@ -335,8 +331,8 @@
     _, read, _ = prepare(scenario, changes, str(seed), "brackenladder")
     try:
         clients = Load(build_world(read, seed), [target(t) for t in targets])
-    except ValueError as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     uvloop.run(clients.play())
     figures = alone(clients)
     names = [n for n in show.HEADLINES if n != "service"]
@@ -355,14 +351,16 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the figures for machines.")
 def overhead(rounds: int, seconds: float, connections: int, as_json: bool) -> None:
     """Measure a node's requests a second on one core against a bare relay's, by turns."""
-    from brackenladder.lab.overhead import measure
+    from brackenladder.lab.overhead import MeasureError, measure
 
     with show.bar() as bar:
         task = bar.add_task("overhead", total=rounds)
         try:
             found = measure(rounds, seconds, connections, lambda *_: bar.advance(task))
+        except MeasureError as e:
+            stop(e.within("overhead"))
         except OSError as e:
-            stop(f"overhead: {e}")
+            stop(MeasureError(e.strerror or str(e), "overhead"))
     summary = found.summary()
     if as_json:
         click.echo(json.dumps(summary | {"ratios": found.ratios}))
--- a/brackenladder/cli/swarm.py
+++ b/brackenladder/cli/swarm.py
@@ -14,9 +14,9 @@
 import msgspec
 
 from brackenladder.cli import show
-from brackenladder.cli.lab import stop
-from brackenladder.fault.script import ScriptError
-from brackenladder.lab.swarm.nodes import SwarmError
+from brackenladder.cli.stop import NotWritable, stop
+from brackenladder.errors import BrackenladderError
+from brackenladder.lab.swarm.nodes import SwarmEnded, SwarmError
 from brackenladder.lab.swarm.play import Result, play
 from brackenladder.lab.swarm.script import FIGURES, Swarm, load
 
@@ -37,20 +37,25 @@
     changes = {k: v for k, v in (("seed", seed), ("nodes", nodes)) if v is not None}
     try:
         found = load(script, changes)
-    except ScriptError as e:
-        stop(str(e))
+    except BrackenladderError as e:
+        stop(e)
     try:
         if logs is not None:
-            logs.mkdir(parents=True, exist_ok=True)
+            make(logs)
             result = run_in(found, logs)
         else:
             with tempfile.TemporaryDirectory(prefix="swarm-") as folder:
                 result = run_in(found, Path(folder))
-    except (SwarmError, OSError, TimeoutError) as e:
-        stop(f"{script}: {e}")
+    except BrackenladderError as e:
+        stop(e.within(str(script)))
+    except OSError as e:  # TimeoutError is one
+        stop(SwarmError(e.strerror or str(e) or type(e).__name__, str(script)))
     table(result)
     if out is not None:
-        out.write_text(json.dumps(msgspec.to_builtins(result), indent=1) + "\n")
+        try:
+            out.write_text(json.dumps(msgspec.to_builtins(result), indent=1) + "\n")
+        except OSError as e:
+            stop(NotWritable(e.strerror or str(e), str(out)))
     sys.exit(0 if result.good else 1)
 
 
@@ -61,6 +66,14 @@
         click.echo(f"{name:27} {meaning}")
 
 
+def make(folder: Path) -> None:
+    """Makes a folder; a NotWritable if it cannot be had."""
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as e:
+        raise NotWritable(e.strerror or str(e), str(folder)) from None
+
+
 def run_in(found: Swarm, folder: Path) -> Result:
     """Plays a swarm with a progress bar."""
     with show.bar() as bar:
@@ -78,7 +91,7 @@
         try:
             return asyncio.run(whole())
         except asyncio.CancelledError:
-            raise SwarmError("ended by a signal; so were all its processes") from None
+            raise SwarmEnded("ended by a signal; so were all its processes") from None
 
 
 def table(result: Result) -> None:
--- a/brackenladder/fault/control.py
+++ b/brackenladder/fault/control.py
@@ -3,7 +3,8 @@
     {"do": "strike", "connection": 3, "rule": {"kind": "delay", "direction": "to_client", "ms": 50}}
     {"do": "thaw", "connection": 3}        {"do": "refuse", "on": true}        {"do": "list"}
 
-Without `connection` a command is for all that are open. An answer is {"ok": true, ...} or {"error": "..."}.
+Without `connection` a command is for all that are open. An answer is {"ok": true, ...} or {"error": "...",
+"do": "..."}: what is wrong and where, and what helps.
 """
 
 from __future__ import annotations
@@ -12,17 +13,40 @@
 import json
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.fault.relay import Link, Relay
-from brackenladder.fault.script import Rule, Script, ScriptError, build
+from brackenladder.fault.script import Rule, Script, build
 
 LONGEST = 1 << 20  # bytes of a command
 COMMANDS = ("strike", "thaw", "refuse", "clear", "script", "list")
 
 
-class CommandError(ValueError):
-    """A command that cannot be done; the text says why."""
+class CommandError(BrackenladderError, ValueError):
+    """A command to the fault tool that cannot be done."""
+
+    remedy: ClassVar[str] = "send the command as docs/fault-tool.md shows it, with all its keys"
+
+
+class CommandMalformed(CommandError):
+    """A line to the fault tool that is not JSON."""
+
+    remedy: ClassVar[str] = "send one JSON object a line, with a line's end after it"
+
+
+class ConnectionClosed(CommandError):
+    """A command for a connection that the fault tool does not hold open."""
+
+    remedy: ClassVar[str] = 'ask with {"do": "list"} which connections are open, and name one of them'
+
+
+def read(line: bytes) -> Any:
+    """A line's command; a CommandMalformed if it is not JSON."""
+    try:
+        return json.loads(line)
+    except (ValueError, RecursionError) as e:
+        raise CommandMalformed(f"not JSON: {e}") from None
 
 
 class Control:
@@ -55,21 +79,21 @@
     def answer(self, line: bytes) -> dict[str, Any]:
         """Does one command."""
         try:
-            wish = json.loads(line)
+            wish = read(line)
             if not isinstance(wish, dict) or wish.get("do") not in self.does:
                 raise CommandError(f'"do" is one of {", ".join(COMMANDS)}')
             return {"ok": True} | self.does[wish["do"]](wish)
-        except (CommandError, ScriptError) as e:
-            return {"error": str(e)}
-        except ValueError as e:
-            return {"error": f"not JSON: {e}"}
+        except BrackenladderError as e:
+            return {"error": str(e), "do": e.advice}
 
     def links(self, wish: dict[str, Any]) -> list[Link]:
         if "connection" not in wish:
             return list(self.relay.links.values())
         link = self.relay.links.get(wish["connection"]) if isinstance(wish["connection"], int) else None
         if link is None:
-            raise CommandError(f"connection {wish['connection']!r} is not open; `list` names those that are")
+            raise ConnectionClosed(
+                "is not open; `list` names those that are", f"connection {wish['connection']!r}"
+            )
         return [link]
 
     def strike(self, wish: dict[str, Any]) -> dict[str, Any]:
--- a/brackenladder/fault/datagrams.py
+++ b/brackenladder/fault/datagrams.py
@@ -15,7 +15,7 @@
 import msgspec
 from msgspec import Meta
 
-from brackenladder.fault.script import Form, ScriptError, known_keys
+from brackenladder.fault.script import Form, ScriptKey, ScriptValue, invalid, known_keys
 
 DatagramKind = Literal["loss", "delay", "duplicate", "reorder", "cut", "partition"]
 Names = list[str]
@@ -74,24 +74,23 @@
 def read_rules(tables: Any, where: str) -> tuple[DatagramRule, ...]:
     """The rules of decoded `[[datagram]]` tables; a ScriptError names the first key that is wrong."""
     if not isinstance(tables, list) or len(tables) > LARGEST_RULES:
-        raise ScriptError(f"{where}: datagram: a list of at most {LARGEST_RULES} tables ([[datagram]])")
+        raise ScriptValue(f"a list of at most {LARGEST_RULES} tables ([[datagram]])", f"{where}: datagram")
     rules = []
     for i, table in enumerate(tables):
         path = f"datagram[{i}]"
         kind = table.get("kind") if isinstance(table, dict) else None
         if kind not in OWN_KEYS:
-            raise ScriptError(f"{where}: {path}.kind: {kind!r}; {', '.join(get_args(DatagramKind))}")
+            raise ScriptValue(f"{kind!r}; {', '.join(get_args(DatagramKind))}", f"{where}: {path}.kind")
         need, may = OWN_KEYS[kind]
         known_keys(table, (*ALL_KEYS, *sorted(need | may)), where, path + ".")
         for key in sorted(need - table.keys()):
-            raise ScriptError(f"{where}: {path}.{key}: missing; a rule of kind {kind} needs it")
+            raise ScriptKey(f"missing; a rule of kind {kind} needs it", f"{where}: {path}.{key}")
         try:
             rules.append(msgspec.convert(table, DatagramRule))
         except msgspec.ValidationError as e:
-            what, _, key = str(e).partition(" - at ")
-            raise ScriptError(f"{where}: {path}.{key.strip('`').removeprefix('$.')}: {what}") from None
+            raise invalid(e, where, f"{path}.") from None
         if kind == "partition" and len(rules[-1].groups) < 1:
-            raise ScriptError(f"{where}: {path}.groups: at least one list of names")
+            raise ScriptValue("at least one list of names", f"{where}: {path}.groups")
     return tuple(rules)
 
 
--- a/brackenladder/fault/relay.py
+++ b/brackenladder/fault/relay.py
@@ -14,8 +14,9 @@
 from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic
-from typing import Any
+from typing import Any, ClassVar
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.fault.plan import End, Freeze, Lane, Step, Struck, Wait, Write, refuses
 from brackenladder.fault.script import DIRECTIONS, FOREVER, Direction, Kind, Rule, Script
 
@@ -26,8 +27,16 @@
 Address = tuple[str, int]
 
 
-class AddressError(ValueError):
-    """An address that the tool does not use."""
+class AddressError(BrackenladderError, ValueError):
+    """An address for the fault tool that is not HOST:PORT in numbers."""
+
+    remedy: ClassVar[str] = "write HOST:PORT in numbers, such as 127.0.0.1:8080 or [::1]:8080"
+
+
+class NotLoopback(AddressError):
+    """An address for the fault tool that another machine could reach."""
+
+    remedy: ClassVar[str] = "take an address of 127.0.0.0/8 or ::1, on the machine where the tool runs"
 
 
 def loopback(text: str) -> Address:
@@ -38,13 +47,11 @@
         inside = ipaddress.ip_address(host).is_loopback
         number = int(port)
     except ValueError:
-        raise AddressError(
-            f"{text}: not HOST:PORT with an address in numbers, such as 127.0.0.1:8080"
-        ) from None
+        raise AddressError("not HOST:PORT with an address in numbers", text) from None
     if not inside:
-        raise AddressError(f"{text}: not a loopback address; the tool joins sockets of one machine only")
+        raise NotLoopback("not a loopback address; the tool joins sockets of one machine only", text)
     if not 0 <= number <= 65_535:
-        raise AddressError(f"{text}: no such port")
+        raise AddressError("no such port", text)
     return host, number
 
 
--- a/brackenladder/fault/script.py
+++ b/brackenladder/fault/script.py
@@ -10,11 +10,13 @@
 import tomllib
 from difflib import get_close_matches
 from pathlib import Path
-from typing import Annotated, Any, Literal, get_args
+from typing import Annotated, Any, ClassVar, Literal, get_args
 
 import msgspec
 from msgspec import Meta
 
+from brackenladder.errors import BrackenladderError
+
 Kind = Literal["refuse", "delay", "pace", "split", "garble", "freeze", "cut", "reset", "half_close"]
 Direction = Literal["to_server", "to_client"]
 DIRECTIONS: tuple[Direction, ...] = get_args(Direction)
@@ -41,8 +43,34 @@
 OWN = frozenset().union(*(need | may for need, may in OWN_KEYS.values()))
 
 
-class ScriptError(Exception):
-    """A script that cannot be used; the text names the file, the key and what to do, in one line."""
+class ScriptError(BrackenladderError):
+    """A script of faults that cannot be used; nothing of it is played."""
+
+    remedy: ClassVar[str] = "correct the script where the line says; `fault --check` reads it alone"
+
+
+class ScriptUnreadable(ScriptError):
+    """A script that is not there, or not for this user to read."""
+
+    remedy: ClassVar[str] = "name a script that exists and that you may read; scenarios/ holds some"
+
+
+class ScriptMalformed(ScriptError):
+    """A script that is not TOML."""
+
+    remedy: ClassVar[str] = "mend the script at the line and column named; the form is TOML"
+
+
+class ScriptKey(ScriptError):
+    """A script's rule with a key that it has no use for, or without one that it needs."""
+
+    remedy: ClassVar[str] = "take that key out, or add it: docs/fault-tool.md lists the keys of each kind"
+
+
+class ScriptValue(ScriptError):
+    """A key of a script has a value of another kind, or out of its range."""
+
+    remedy: ClassVar[str] = "give that key a value as docs/fault-tool.md or docs/swarm.md has it"
 
 
 class Form(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -103,9 +131,9 @@
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as e:
-        raise ScriptError(f"{path}: {e.strerror}") from None
+        raise ScriptUnreadable(e.strerror or str(e), str(path)) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        raise ScriptError(f"{path}: not TOML: {e}") from None
+        raise ScriptMalformed(f"not TOML: {e}", str(path)) from None
 
 
 def build(table: dict[str, Any], where: str) -> Script:
@@ -119,19 +147,24 @@
     try:
         script = msgspec.convert(table, Script)
     except msgspec.ValidationError as e:
-        what, _, path = str(e).partition(" - at ")
-        raise ScriptError(f"{where}: {path.strip('`').removeprefix('$.') or 'script'}: {what}") from None
+        raise invalid(e, where) from None
     for i, found in enumerate(script.rules):
         check_values(found, f"rule[{i}]", where)
     return script
 
 
+def invalid(error: msgspec.ValidationError, where: str, path: str = "") -> ScriptValue:
+    """msgspec's words as an error of ours; `path` is that of the table that was read."""
+    what, _, key = str(error).partition(" - at ")
+    return ScriptValue(what, f"{where}: {path}{key.strip('`').removeprefix('$.') or 'script'}")
+
+
 def known_keys(table: dict[str, Any], known: tuple[str, ...], where: str, path: str) -> None:
     for key in table:
         if key not in known:
             near = get_close_matches(key, known, 1)
             hint = f"did you mean {near[0]}?" if near else f"known are {', '.join(known)}"
-            raise ScriptError(f"{where}: {path}{key}: unknown key; {hint}")
+            raise ScriptKey(f"unknown key; {hint}", f"{where}: {path}{key}")
 
 
 def check_rule(rule: dict[str, Any], path: str, where: str) -> None:
@@ -143,32 +176,32 @@
     if kind not in OWN_KEYS:
         kinds = ", ".join(OWN_KEYS)
         near = get_close_matches(str(kind), OWN_KEYS, 1)
-        raise ScriptError(
-            f"{where}: {path}.kind: {kind!r}; " + (f"did you mean {near[0]}?" if near else kinds)
+        raise ScriptValue(
+            f"{kind!r}; " + (f"did you mean {near[0]}?" if near else kinds), f"{where}: {path}.kind"
         )
     need, may = OWN_KEYS[kind]
     for key in sorted(need - rule.keys()):
-        raise ScriptError(f"{where}: {path}.{key}: missing; a rule of kind {kind} needs it")
+        raise ScriptKey(f"missing; a rule of kind {kind} needs it", f"{where}: {path}.{key}")
     for key in sorted((rule.keys() & OWN) - need - may):
-        raise ScriptError(f"{where}: {path}.{key}: a rule of kind {kind} has no use for it")
+        raise ScriptKey(f"a rule of kind {kind} has no use for it", f"{where}: {path}.{key}")
 
 
 def check_values(rule: Rule, path: str, where: str) -> None:
     """What the form of a key cannot say."""
     if isinstance(rule.at, list) and rule.at[0] > rule.at[1]:
-        raise ScriptError(
-            f"{where}: {path}.at: from {rule.at[0]} to {rule.at[1]}: the first must not be larger"
+        raise ScriptValue(
+            f"from {rule.at[0]} to {rule.at[1]}: the first must not be larger", f"{where}: {path}.at"
         )
     if isinstance(rule.pieces, list) and rule.pieces[0] > rule.pieces[1]:
-        raise ScriptError(f"{where}: {path}.pieces: the first must not be larger than the second")
+        raise ScriptValue("the first must not be larger than the second", f"{where}: {path}.pieces")
     if rule.times > 1 and rule.every_bytes is None:
-        raise ScriptError(f"{where}: {path}.times: every_bytes says after how many bytes; it is missing")
+        raise ScriptKey("every_bytes says after how many bytes; it is missing", f"{where}: {path}.times")
     if rule.every_bytes is not None and rule.kind in ("refuse", "cut", "reset", "half_close"):
-        raise ScriptError(f"{where}: {path}.every_bytes: a {rule.kind} happens once to a connection")
+        raise ScriptKey(f"a {rule.kind} happens once to a connection", f"{where}: {path}.every_bytes")
     if rule.kind == "refuse" and rule.at != 0:
-        raise ScriptError(f"{where}: {path}.at: a refusal comes before the first byte")
+        raise ScriptValue("a refusal comes before the first byte", f"{where}: {path}.at")
     if rule.message > 1 and rule.header is None:
-        raise ScriptError(f"{where}: {path}.message: counts places of a header; name the header")
+        raise ScriptKey("counts places of a header; name the header", f"{where}: {path}.message")
     which = rule.connections
     if which.last is not None and which.last < which.first:
-        raise ScriptError(f"{where}: {path}.connections.last: is below first")
+        raise ScriptValue("is below first", f"{where}: {path}.connections.last")
--- a/brackenladder/lab/claims.py
+++ b/brackenladder/lab/claims.py
@@ -5,9 +5,10 @@
 import operator
 from dataclasses import dataclass
 from difflib import get_close_matches
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 from brackenladder.lab.rules import RULES
+from brackenladder.lab.scenario import ScenarioError
 
 if TYPE_CHECKING:
     from brackenladder.lab.measures import Figures
@@ -33,6 +34,12 @@
         return not self.holds and self.known_gap is None
 
 
+class MetricError(ScenarioError, ValueError):
+    """A claim about a figure that no run reports, or over seconds that the day does not have."""
+
+    remedy: ClassVar[str] = "claim one of the figures of docs/lab.md, by rows also as NAME@FROM:TO in seconds"
+
+
 def names(s: Scenario) -> list[str]:
     """All metrics that a scenario can name, without `@A:B`."""
     from brackenladder.lab.measures import BY_ROWS, WHOLE
@@ -46,26 +53,26 @@
 
 
 def check_metric(metric: str, s: Scenario) -> None:
-    """A ValueError that names the nearest metric if this one is not known or its span is not of this day."""
+    """A MetricError that names the nearest metric if this one is not known or its span is not of this day."""
     base, at, span = metric.partition("@")
     known = names(s)
     if base not in known:
         near = get_close_matches(base, known, 1)
         hint = f"did you mean {near[0]!r}?" if near else f"known are {', '.join(known[:12])} and others"
-        raise ValueError(f"unknown metric {metric!r}; {hint}")
+        raise MetricError(f"unknown metric {metric!r}; {hint}")
     if not at:
         return
     from brackenladder.lab.measures import BY_ROWS
 
     if base.rpartition(".")[2] not in (*BY_ROWS, "crossed") or base.startswith("rule."):
-        raise ValueError(f"{base!r} is of the whole day and takes no @A:B")
+        raise MetricError(f"{base!r} is of the whole day and takes no @A:B")
     start, colon, end = span.partition(":")
     try:
         first, last = float(start), float(end)
     except ValueError:
-        raise ValueError(f"{metric!r}: write the seconds as @20:30") from None
+        raise MetricError(f"{metric!r}: write the seconds as @20:30") from None
     if not colon or not 0 <= first < last <= s.seconds:
-        raise ValueError(f"{metric!r}: the day has the seconds 0 to {s.seconds:g}")
+        raise MetricError(f"{metric!r}: the day has the seconds 0 to {s.seconds:g}")
 
 
 def judge(claims: list[Claim], figures: Figures) -> list[Verdict]:
--- a/brackenladder/lab/experiments.py
+++ b/brackenladder/lab/experiments.py
@@ -18,9 +18,10 @@
 from dataclasses import dataclass, field
 from io import BytesIO
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import brackenladder
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab import worker
 from brackenladder.lab.scenario import ScenarioError
 from brackenladder.lab.stats import Difference, paired
@@ -40,8 +41,28 @@
 )
 
 
-class ExperimentError(Exception):
-    """A run that could not be made; the text says which and why."""
+class ExperimentError(BrackenladderError):
+    """A run that could not be made; the others are not made either."""
+
+    remedy: ClassVar[str] = "play that scenario with that seed alone, with --workers 1, to see more of it"
+
+
+class RevisionUnknown(ExperimentError):
+    """A side of a comparison that is neither a folder nor a revision."""
+
+    remedy: ClassVar[str] = "give --a or --b a checkout's folder, or a revision that `git rev-parse` knows"
+
+
+class SeedsError(BrackenladderError, ValueError):
+    """Seeds on the command line that are no list of numbers."""
+
+    remedy: ClassVar[str] = "write --seeds as 3, 1-10 or 1,4,7-9: whole numbers from 0 on"
+
+
+class ValuesError(BrackenladderError, ValueError):
+    """Values of a sweep that are neither a list nor a span."""
+
+    remedy: ClassVar[str] = "write the values as 1,2,4 or as FROM:TO:STEP with a step over 0: 0.5:1.5:0.25"
 
 
 @dataclass(frozen=True)
@@ -125,11 +146,11 @@
             try:
                 answer = worker.play({**task.wire(), "progress": progress})
             except ScenarioError as e:
-                raise ExperimentError(str(e)) from None
+                raise ExperimentError(e.what, e.where, e.advice) from None
         else:
             answer = apart(task)
         if "error" in answer:
-            raise ExperimentError(f"{task.where}, seed {task.seed}: {answer['error']}")
+            raise ExperimentError(answer["error"], f"{task.where}, seed {task.seed}", answer.get("do", ""))
         run = Run(task, answer["rows"], answer["wall"], answer["events"])
         if done is not None:
             done(run)
@@ -142,31 +163,31 @@
 
 
 def read_seeds(text: str) -> list[int]:
-    """`3`, `1-10` or `1,4,7-9`; a ValueError for anything else."""
+    """`3`, `1-10` or `1,4,7-9`; a SeedsError for anything else."""
     seeds: list[int] = []
     for part in text.split(","):
         first, dash, last = part.strip().partition("-")
         if not first.isdigit() or (dash and not last.isdigit()):
-            raise ValueError(f"seeds {text!r}: write 3, 1-10 or 1,4,7-9")
+            raise SeedsError("write 3, 1-10 or 1,4,7-9", f"seeds {text!r}")
         seeds += range(int(first), int(last if dash else first) + 1)
     if not seeds:
-        raise ValueError(f"seeds {text!r}: none")
+        raise SeedsError("none", f"seeds {text!r}")
     return seeds
 
 
 def read_values(text: str) -> list[str]:
-    """`a,b,c` as it stands, or `FROM:TO:STEP` in numbers; a ValueError for anything else."""
+    """`a,b,c` as it stands, or `FROM:TO:STEP` in numbers; a ValuesError for anything else."""
     if text.count(":") != 2:
         values = [v.strip() for v in text.split(",") if v.strip()]
         if not values:
-            raise ValueError(f"values {text!r}: none")
+            raise ValuesError("none", f"values {text!r}")
         return values
     try:
         first, last, step = (float(v) for v in text.split(":"))
     except ValueError:
-        raise ValueError(f"values {text!r}: write 0.5:1.5:0.25 or 1,2,4") from None
+        raise ValuesError("write 0.5:1.5:0.25 or 1,2,4", f"values {text!r}") from None
     if step <= 0 or last < first:
-        raise ValueError(f"values {text!r}: the step must be over 0, and the end not before the start")
+        raise ValuesError("the step must be over 0, and the end not before the start", f"values {text!r}")
     return [f"{first + i * step:g}" for i in range(int((last - first) / step + 1e-9) + 1)]
 
 
@@ -182,8 +203,8 @@
     made = subprocess.run(["git", "archive", origin, "brackenladder"], cwd=PACKAGES, capture_output=True)
     if made.returncode:
         reason = made.stderr.decode(errors="replace").strip().splitlines()
-        raise ExperimentError(
-            f"{origin}: neither a folder nor a revision: {reason[-1] if reason else 'git failed'}"
+        raise RevisionUnknown(
+            f"neither a folder nor a revision: {reason[-1] if reason else 'git failed'}", origin
         )
     with tempfile.TemporaryDirectory() as folder:
         with tarfile.open(fileobj=BytesIO(made.stdout)) as archive:
--- a/brackenladder/lab/live/__main__.py
+++ b/brackenladder/lab/live/__main__.py
@@ -5,22 +5,30 @@
 import json
 import sys
 from pathlib import Path
+from typing import ClassVar
 
 import uvloop
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab.live.load import Load, Target
 from brackenladder.lab.scenario import build
 from brackenladder.lab.world import build_world
 
 
+class TargetError(BrackenladderError, ValueError):
+    """An address for the lab's load that is not written as one, or not of this machine."""
+
+    remedy: ClassVar[str] = "write --target 127.0.0.1:PORT, with @ZONE after it if the node's zone matters"
+
+
 def target(text: str) -> Target:
-    """`host:port` or `host:port@zone`; a ValueError for anything else."""
+    """`host:port` or `host:port@zone`; a TargetError for anything else."""
     address, _, zone = text.partition("@")
     host, colon, port = address.rpartition(":")
     if not (colon and host and port.isdigit() and (not zone or zone.isdigit())):
-        raise ValueError(f"target {text!r}: write it as host:port or host:port@zone")
+        raise TargetError("write it as host:port or host:port@zone", f"target {text!r}")
     if not (host.startswith("127.") or host in ("localhost", "[::1]", "::1")):
-        raise ValueError(f"target {text!r}: the lab sends to loopback addresses only")
+        raise TargetError("the lab sends to loopback addresses only", f"target {text!r}")
     return Target(host.strip("[]"), int(port), int(zone or 0))
 
 
--- a/brackenladder/lab/live/play.py
+++ b/brackenladder/lab/live/play.py
@@ -13,16 +13,17 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab.claims import Verdict, judge
 from brackenladder.lab.live.fleet import Fleet, LiveNode, too_large
 from brackenladder.lab.live.load import Load, take_rows
 from brackenladder.lab.live.wire import Broken, Pool, Unreached
 from brackenladder.lab.measures import Figures
-from brackenladder.lab.scenario import Scenario, ScenarioError
+from brackenladder.lab.scenario import Scenario, ScenarioTooLarge
 from brackenladder.lab.stage import Tally
 from brackenladder.lab.world import SECOND, build_world
 
@@ -31,8 +32,16 @@
 Told = Callable[[Fleet, float, dict[str, int]], None]
 
 
-class LiveError(Exception):
-    """A live run that could not be made; the text says why."""
+class LiveError(BrackenladderError):
+    """A live run whose load did not play to its end."""
+
+    remedy: ClassVar[str] = "free cores and memory, or make the scenario smaller with --set"
+
+
+class NodeEnded(LiveError):
+    """A node of a live run that ended while it started."""
+
+    remedy: ClassVar[str] = "remove the reason that the node gave; `lab fleet` shows the file it reads"
 
 
 class Runner:
@@ -74,7 +83,7 @@
                 if process.returncode is not None:
                     if node.process is process:
                         words = (self.folder / f"node-{node.number}.log").read_text().strip().splitlines()
-                        raise LiveError(f"node {node.number} ended at once: {words[-1] if words else ''}")
+                        raise NodeEnded(f"ended at once: {words[-1] if words else ''}", f"node {node.number}")
                     return  # killed while it started
                 await asyncio.sleep(0.02)
         node.fleet.tiers[node.tier].directory.catch_up(node)
@@ -140,7 +149,7 @@
     world = build_world(scenario, seed)
     problem = too_large(world)
     if problem is not None:
-        raise ScenarioError(f"{where}: {problem}")
+        raise ScenarioTooLarge(problem, where)
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     with tempfile.TemporaryDirectory(prefix="lab-") as name:
@@ -218,7 +227,7 @@
     world = build_world(scenario, seed)
     problem = too_large(world)
     if problem is not None:
-        raise ScenarioError(f"{where}: {problem}")
+        raise ScenarioTooLarge(problem, where)
     stop = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/brackenladder/lab/modules.py
+++ b/brackenladder/lab/modules.py
@@ -9,9 +9,10 @@
 from collections.abc import Sequence
 from importlib import import_module
 from random import Random
-from typing import Any
+from typing import Any, ClassVar
 
 from brackenladder.balance import TIMER_HELD, TOKEN_BITS, Balancer, Server
+from brackenladder.errors import BrackenladderError
 from brackenladder.interface import (
     NEVER_RAN,
     Actions,
@@ -234,6 +235,12 @@
         super().outcome(*args)
 
 
+class ModuleUnknown(BrackenladderError, ValueError):
+    """A decision module that cannot be found or imported."""
+
+    remedy: ClassVar[str] = "give --module a short name that is known, or package.module:Class on PYTHONPATH"
+
+
 NAMED: dict[str, Any] = {
     "brackenladder": Balancer,
     "random": RandomChoice,
@@ -248,15 +255,15 @@
 
 
 def find(name: str) -> Any:
-    """A module by its short name or as `package.module:Class`; a ValueError for what cannot be found."""
+    """A module by its short name or as `package.module:Class`; a ModuleUnknown for what cannot be found."""
     if name in NAMED:
         return NAMED[name]
     path, colon, attribute = name.partition(":")
     if not colon:
-        raise ValueError(
+        raise ModuleUnknown(
             f"no module is called {name!r}; known are {', '.join(NAMED)}, or write package.module:Class"
         )
     try:
         return getattr(import_module(path), attribute)
     except (ImportError, AttributeError) as e:
-        raise ValueError(f"module {name!r}: {e}") from None
+        raise ModuleUnknown(str(e), f"module {name!r}") from None
--- a/brackenladder/lab/overhead.py
+++ b/brackenladder/lab/overhead.py
@@ -22,11 +22,13 @@
 from pathlib import Path
 from statistics import median
 from time import monotonic, sleep
-from typing import cast
+from typing import ClassVar, cast
 
 import httptools
 import uvloop
 
+from brackenladder.errors import BrackenladderError
+
 PACKAGES = Path(__file__).parents[2]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 SERVERS = 2  # of each of the two processes of servers
@@ -289,12 +291,18 @@
         process.stdout.close()
 
 
+class MeasureError(BrackenladderError, OSError):
+    """A measurement one of whose processes ended or never listened."""
+
+    remedy: ClassVar[str] = "leave at least three cores and 500 free ports to the measurement, and repeat it"
+
+
 def words(process: subprocess.Popen[str]) -> str:
-    """The next line that a role says; an OSError if it has ended instead."""
+    """The next line that a role says; a MeasureError if it has ended instead."""
     assert process.stdout is not None
     line = process.stdout.readline()
     if not line:
-        raise OSError(f"a process of the measurement ended with status {process.wait()}")
+        raise MeasureError(f"a process of the measurement ended with status {process.wait()}")
     return line
 
 
@@ -356,7 +364,7 @@
         if process.poll() is not None:
             break
         sleep(0.05)
-    raise OSError(f"nothing listens on port {port}")
+    raise MeasureError(f"nothing listens on port {port}")
 
 
 def one_turn(
--- a/brackenladder/lab/report.py
+++ b/brackenladder/lab/report.py
@@ -9,6 +9,8 @@
 
 import matplotlib
 
+from brackenladder.lab.results import ResultsError
+
 matplotlib.use("svg")
 import matplotlib.pyplot as plt  # noqa: E402
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]  # noqa: E402
@@ -38,13 +40,13 @@
 
 
 def runs_of(rows: Rows) -> list[Rows]:
-    """The rows of each run; a ValueError if they begin in the middle of one."""
+    """The rows of each run; a ResultsError if they begin in the middle of one."""
     out: list[Rows] = []
     for row in rows:
         if row["type"] == "run":
             out.append([])
         if not out:
-            raise ValueError("the first row is not that of a run")
+            raise ResultsError("the first row is not that of a run")
         out[-1].append(row)
     return out
 
@@ -339,7 +341,7 @@
     """The whole page, for one run or several."""
     runs = runs_of(rows)
     if not runs:
-        raise ValueError("no run in it")
+        raise ResultsError("no run in it")
     first = runs[0][0]
     head = (
         f"<h1>{escape(first['scenario'])}: {escape(first['title'])}</h1>"
--- a/brackenladder/lab/results.py
+++ b/brackenladder/lab/results.py
@@ -4,11 +4,12 @@
 
 from hashlib import blake2b
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 
 import brackenladder
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab.claims import Verdict
 from brackenladder.lab.clients import OUTCOMES
 from brackenladder.lab.measures import Figures
@@ -104,6 +105,12 @@
     return out
 
 
+class ResultsError(BrackenladderError, ValueError):
+    """A file of results that is not there, or that `lab run --out` did not write so."""
+
+    remedy: ClassVar[str] = "name a folder that `lab run --out FOLDER` has filled, or fill it anew"
+
+
 def write(path: Path, rows: list[dict[str, Any]]) -> None:
     """Writes rows as JSON Lines."""
     with path.open("wb") as file:
@@ -112,14 +119,18 @@
 
 
 def read(path: Path) -> list[dict[str, Any]]:
-    """Reads JSON Lines back; a ValueError names the line that is wrong."""
+    """Reads JSON Lines back; a ResultsError names the line that is wrong."""
+    try:
+        text = path.read_bytes()
+    except OSError as e:
+        raise ResultsError(e.strerror or str(e), str(path)) from None
     rows = []
-    for number, line in enumerate(path.read_bytes().splitlines(), 1):
+    for number, line in enumerate(text.splitlines(), 1):
         try:
             row = msgspec.json.decode(line)
         except msgspec.DecodeError as e:
-            raise ValueError(f"{path}: line {number}: not JSON: {e}") from None
+            raise ResultsError(f"not JSON: {e}", f"{path}: line {number}") from None
         if not isinstance(row, dict) or "type" not in row:
-            raise ValueError(f"{path}: line {number}: not a row of results")
+            raise ResultsError("not a row of results", f"{path}: line {number}")
         rows.append(row)
     return rows
--- a/brackenladder/lab/scenario.py
+++ b/brackenladder/lab/scenario.py
@@ -10,11 +10,12 @@
 from copy import deepcopy
 from difflib import get_close_matches
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, ClassVar, Literal
 
 import msgspec
 from msgspec import Meta, field
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.operation import NOTHING, Operation
 
 Figure = float | tuple[float, float]
@@ -24,8 +25,46 @@
 Points = list[tuple[float, float]]  # (second, factor), joined by straight lines
 
 
-class ScenarioError(Exception):
-    """A scenario that cannot be played; the text says where it is wrong and what to do."""
+class ScenarioError(BrackenladderError):
+    """A scenario that cannot be played."""
+
+    remedy: ClassVar[str] = "correct the scenario where the line says; docs/lab.md shows its tables"
+
+
+class ScenarioUnreadable(ScenarioError):
+    """A scenario, or one that it extends, that is not there, not for this user to read, or no text."""
+
+    remedy: ClassVar[str] = "name a scenario that exists and that you may read, such as scenarios/demo.toml"
+
+
+class ScenarioMalformed(ScenarioError):
+    """A scenario that is not TOML."""
+
+    remedy: ClassVar[str] = "mend the scenario at the line and column named; the form is TOML"
+
+
+class ScenarioValue(ScenarioError):
+    """A key of a scenario that is unknown, missing, of another kind, out of its range, or against another."""
+
+    remedy: ClassVar[str] = "correct that key of the scenario: docs/lab.md says what it means and may be"
+
+
+class ScenarioName(ScenarioError):
+    """A scenario that refers to what it does not have, or gives two things one name."""
+
+    remedy: ClassVar[str] = "write the name as the table has it that defines it, and each name once"
+
+
+class ScenarioChange(ScenarioError):
+    """A change on the command line that fits no key of the scenario."""
+
+    remedy: ClassVar[str] = "write --set KEY.PATH=VALUE with a path of the scenario; lists count from 0"
+
+
+class ScenarioTooLarge(ScenarioError):
+    """A scenario that is too large for real processes on one machine."""
+
+    remedy: ClassVar[str] = "play it with `brackenladder lab run`, or make it smaller with --set"
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -334,7 +373,7 @@
     try:
         return tomllib.loads(text)
     except tomllib.TOMLDecodeError as e:
-        raise ScenarioError(f"{where}: not TOML: {e}") from None
+        raise ScenarioMalformed(f"not TOML: {e}", where) from None
 
 
 def read_table(path: Path, above: tuple[Path, ...] = ()) -> dict[str, Any]:
@@ -345,17 +384,17 @@
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as e:
-        reason = e.strerror if isinstance(e, OSError) else "not UTF-8 text"
-        raise ScenarioError(f"{path}: {reason}") from None
+        reason = (e.strerror or str(e)) if isinstance(e, OSError) else "not UTF-8 text"
+        raise ScenarioUnreadable(reason, str(path)) from None
     table = decode(text, str(path))
     base = table.pop("extends", None)
     if base is None:
         return table
     if not isinstance(base, str):
-        raise ScenarioError(f"{path}: extends: write the name of a file beside this one")
+        raise ScenarioValue("write the name of a file beside this one", f"{path}: extends")
     other = path.parent / base
     if other.resolve() in above or other.resolve() == path.resolve():
-        raise ScenarioError(f"{path}: extends: {base} leads back to this file")
+        raise ScenarioValue(f"{base} leads back to this file", f"{path}: extends")
     return merged(read_table(other, (*above, path.resolve())), table)
 
 
@@ -381,7 +420,7 @@
         text = str(e).replace("Object contains unknown field", "unknown key")
         reason, _, path = text.partition(" - at ")
         path = path.strip("`").removeprefix("$").lstrip(".") or "the file's top"
-        raise ScenarioError(f"{where}: {path}: {reason}") from None
+        raise ScenarioValue(reason, f"{where}: {path}") from None
     check(scenario, where)
     return scenario
 
@@ -391,7 +430,7 @@
     path, equals, value = change.partition("=")
     steps = path.strip().split(".")
     if not equals or not all(steps):
-        raise ScenarioError(f"change {change!r}: write it as KEY.PATH=VALUE, such as load.rps=500")
+        raise ScenarioChange("write it as KEY.PATH=VALUE, such as load.rps=500", f"change {change!r}")
     try:
         parsed = tomllib.loads(f"v = {value.strip()}")["v"]
     except tomllib.TOMLDecodeError:
@@ -401,8 +440,8 @@
         last = i == len(steps) - 1
         if isinstance(at, list):
             if not step.isdigit() or int(step) >= len(at):
-                raise ScenarioError(
-                    f"change {change!r}: {'.'.join(steps[:i])} has {len(at)} entries, from 0 on"
+                raise ScenarioChange(
+                    f"{'.'.join(steps[:i])} has {len(at)} entries, from 0 on", f"change {change!r}"
                 )
             key: Any = int(step)
         elif isinstance(at, dict):
@@ -410,7 +449,7 @@
             if not last:
                 at.setdefault(step, {})
         else:
-            raise ScenarioError(f"change {change!r}: {'.'.join(steps[:i])} is a value, not a table")
+            raise ScenarioChange(f"{'.'.join(steps[:i])} is a value, not a table", f"change {change!r}")
         if last:
             at[key] = parsed
         else:
@@ -423,18 +462,18 @@
         return
     near = get_close_matches(name, names, 1)
     hint = f"; did you mean {near[0]!r}?" if near else f"; known are {', '.join(names[:12]) or 'none'}"
-    raise ScenarioError(f"{where}: no {what} is called {name!r}{hint}")
+    raise ScenarioName(f"no {what} is called {name!r}{hint}", where)
 
 
 def unique(names: list[str], where: str, what: str) -> None:
     for name in names:
         if names.count(name) > 1:
-            raise ScenarioError(f"{where}: two of the {what} are called {name!r}")
+            raise ScenarioName(f"two of the {what} are called {name!r}", where)
 
 
 def check(s: Scenario, where: str) -> None:
     """What no single table can tell: references between tables, and a fleet that exists."""
-    from brackenladder.lab.claims import check_metric
+    from brackenladder.lab.claims import MetricError, check_metric
 
     zones = [z.name for z in s.zones]
     tiers = [t.name for t in s.tier]
@@ -446,16 +485,16 @@
         kinds = [k.name for k in t.kind]
         unique(kinds, f"{where}: tier[{i}].kind", "kinds")
         if not t.server and least(t.servers) < 1:
-            raise ScenarioError(f"{where}: tier[{i}]: say how many `servers` it has, or name each `server`")
+            raise ScenarioValue("say how many `servers` it has, or name each `server`", f"{where}: tier[{i}]")
         for j, named in enumerate(t.server):
             known(named.kind, kinds, f"{where}: tier[{i}].server[{j}].kind", "kind")
             if named.zone is not None:
                 known(named.zone, zones, f"{where}: tier[{i}].server[{j}].zone", "zone")
         if i == 0 and least(t.nodes) < 1:
-            raise ScenarioError(f"{where}: tier[0].nodes: at least one node is needed")
+            raise ScenarioValue("at least one node is needed", f"{where}: tier[0].nodes")
         if i > 0 and t.nodes != 0:
-            raise ScenarioError(
-                f"{where}: tier[{i}].nodes: below the first tier every server above has a node of its own"
+            raise ScenarioValue(
+                "below the first tier every server above has a node of its own", f"{where}: tier[{i}].nodes"
             )
     for i, f in enumerate(s.faults):
         at = f"{where}: fault[{i}]"
@@ -467,14 +506,14 @@
         if f.machine is not None:
             known(f.machine, [k.name for k in tier.kind], f"{at}.machine", "kind of machine")
         if f.kind == "join" and tier.reserve == 0:
-            raise ScenarioError(f"{at}: a join needs `reserve` servers in tier {tier.name!r}")
+            raise ScenarioValue(f"a join needs `reserve` servers in tier {tier.name!r}", at)
         if f.at >= s.seconds:
-            raise ScenarioError(f"{at}.at: the day is over after {s.seconds:g} seconds")
+            raise ScenarioValue(f"the day is over after {s.seconds:g} seconds", f"{at}.at")
     for i, c in enumerate(s.claims):
         try:
             check_metric(c.metric, s)
-        except ValueError as e:
-            raise ScenarioError(f"{where}: claim[{i}].metric: {e}") from None
+        except MetricError as e:
+            raise e.within(f"{where}: claim[{i}].metric") from None
 
 
 def least(figure: Figure) -> float:
--- a/brackenladder/lab/swarm/nodes.py
+++ b/brackenladder/lab/swarm/nodes.py
@@ -15,8 +15,9 @@
 from itertools import count
 from pathlib import Path
 from time import monotonic
-from typing import Any
+from typing import Any, ClassVar
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.fault.switch import Address
 from brackenladder.lab.live.wire import Incoming
 
@@ -51,8 +52,24 @@
 }
 
 
-class SwarmError(Exception):
-    """A swarm that could not be played; the text says why."""
+class SwarmError(BrackenladderError):
+    """A swarm that could not be played to its end."""
+
+    remedy: ClassVar[str] = "free memory, processes and descriptors, or play it with fewer --nodes"
+
+
+class NodeSilent(SwarmError):
+    """A node of a swarm that did not begin in time."""
+
+    remedy: ClassVar[str] = (
+        "read all that the node said, with --logs FOLDER; if it was slow, take fewer --nodes"
+    )
+
+
+class SwarmEnded(SwarmError):
+    """A swarm that was ended from outside."""
+
+    remedy: ClassVar[str] = "play it again from its start; its figures of this time are lost"
 
 
 ADDRESSES = count()  # of this process's nodes, in all of its swarms
@@ -168,9 +185,8 @@
         for wait in waits:
             wait.cancel()
         if not self.begun.is_set():
-            raise SwarmError(
-                f"node {self.name} did not begin: {' / '.join(self.noise[-3:]) or 'it said nothing'}"
-            )
+            words = " / ".join(self.noise[-3:]) or "it said nothing"
+            raise NodeSilent(f"did not begin: {words}", f"node {self.name}")
 
     async def read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from brackenladder.fault.datagrams import DatagramRule, matches, read_rules
-from brackenladder.fault.script import Form, ScriptError, known_keys, read_table
+from brackenladder.fault.script import Form, ScriptKey, ScriptValue, invalid, known_keys, read_table
 from brackenladder.operation import OperationError, build
 
 FaultKind = Literal["kill", "restart", "pause", "leave", "upgrade"]
@@ -153,35 +153,36 @@
         spread = {} if swarm.spread is None else {"spread": swarm.spread}
         build({"membership": swarm.membership} | spread, where)
     except msgspec.ValidationError as e:
-        what, _, path = str(e).partition(" - at ")
-        raise ScriptError(f"{where}: {path.strip('`').removeprefix('$.') or 'script'}: {what}") from None
+        raise invalid(e, where) from None
     except OperationError as e:
-        raise ScriptError(str(e)) from None
+        raise ScriptValue(e.what, e.where) from None
     taken = {"listen", "advertise", "seeds"} & swarm.membership.keys()
     if taken:
-        raise ScriptError(
-            f"{where}: membership.{min(taken)}: the swarm itself gives the nodes their addresses"
+        raise ScriptKey(
+            "the swarm itself gives the nodes their addresses", f"{where}: membership.{min(taken)}"
         )
     rules = []
     for rule in table.get("datagram", []):
         if not isinstance(rule, dict):
-            raise ScriptError(f"{where}: datagram: a list of tables ([[datagram]])")
+            raise ScriptValue("a list of tables ([[datagram]])", f"{where}: datagram")
         named = {k: swarm.resolve(rule[k]) for k in ("from", "to") if isinstance(rule.get(k), list)}
         if isinstance(rule.get("groups"), list):
             named["groups"] = [swarm.resolve(g) for g in rule["groups"]]  # type: ignore[misc]
         rules.append(rule | named)
     for i, fault in enumerate(swarm.faults):
         if not swarm.resolve(fault.nodes):
-            raise ScriptError(
-                f"{where}: fault[{i}].nodes: no node of n0 to n{swarm.world.nodes - 1} is meant"
+            raise ScriptValue(
+                f"no node of n0 to n{swarm.world.nodes - 1} is meant", f"{where}: fault[{i}].nodes"
             )
         if fault.kind in ("pause", "restart") and fault.for_s <= 0:
-            raise ScriptError(f"{where}: fault[{i}].for_s: missing; a {fault.kind} needs it")
+            raise ScriptKey(f"missing; a {fault.kind} needs it", f"{where}: fault[{i}].for_s")
     for i, expect in enumerate(swarm.expects):
         if expect.figure not in FIGURES:
-            raise ScriptError(f"{where}: expect[{i}].figure: {expect.figure!r}; one of {', '.join(FIGURES)}")
+            raise ScriptValue(
+                f"{expect.figure!r}; one of {', '.join(FIGURES)}", f"{where}: expect[{i}].figure"
+            )
         if expect.at_most is None and expect.at_least is None:
-            raise ScriptError(f"{where}: expect[{i}]: needs at_most or at_least")
+            raise ScriptKey("needs at_most or at_least", f"{where}: expect[{i}]")
     return msgspec.structs.replace(swarm, datagrams=read_rules(rules, where))
 
 
--- a/brackenladder/lab/worker.py
+++ b/brackenladder/lab/worker.py
@@ -9,16 +9,23 @@
 import json
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import brackenladder
+from brackenladder.errors import BrackenladderError
+
+
+class CheckoutError(BrackenladderError, ValueError):
+    """A folder to take the program from that does not hold it."""
+
+    remedy: ClassVar[str] = "name the top folder of a checkout, the one that holds brackenladder/"
 
 
 def take_from(root: Path) -> None:
     """From here on, what is imported of the program comes from this checkout."""
     package = root / "brackenladder"
     if not (package / "balance.py").is_file():
-        raise ValueError(f"{root}: no checkout of the project: brackenladder/balance.py is missing")
+        raise CheckoutError("no checkout of the project: brackenladder/balance.py is missing", str(root))
     brackenladder.__path__.insert(0, str(package))
 
 
@@ -45,7 +52,7 @@
     try:
         answer = play(task)
     except Exception as e:  # the parent shows it: whatever went wrong, went wrong with this task
-        answer = {"error": f"{type(e).__name__}: {e}"}
+        answer = {"error": f"{type(e).__name__}: {e}", "do": getattr(e, "advice", "")}
     sys.stdout.write(json.dumps(answer))
     return 0
 
--- a/brackenladder/net/bind.py
+++ b/brackenladder/net/bind.py
@@ -52,8 +52,8 @@
 
 
 @contextmanager
-def listening(what: str, address: tuple[str, int] | int) -> Iterator[None]:
-    """Turns an OSError inside into a ListenError that names `what` and the address, or the descriptor."""
+def listening(what: str, address: tuple[str, int] | int | str) -> Iterator[None]:
+    """Turns an OSError inside into a ListenError that names `what` and the address, descriptor or path."""
     try:
         yield
     except OSError as e:
@@ -62,6 +62,7 @@
             raise SocketUnusable(why, f"{what} descriptor {address}") from None
         # A name that cannot be looked up (gaierror) has numbers of its own, all of them negative.
         kind = AddressForeign if e.errno is not None and e.errno < 0 else KINDS.get(e.errno, ListenError)
-        raise kind(why, f"{what} {address[0]}:{address[1]}") from None
+        place = address if isinstance(address, str) else f"{address[0]}:{address[1]}"
+        raise kind(why, f"{what} {place}") from None
     except UnicodeError as e:  # a name that no look-up can be made for
         raise AddressForeign(str(e), f"{what} {address}") from None
