--- a/brackenladder/stores/directory.py
+++ b/brackenladder/stores/directory.py
@@ -173,7 +173,7 @@
         base = begun(LOG) + BASE.pack(there.next, based(log, there.next))
         fd = -1
         try:
-            fd = self.files.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+            fd = self.files.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND)
             self.files.write(fd, base + entry)
             self.files.sync(fd)
             self.files.sync(self.folder)
--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -1,9 +1,12 @@
 """The implementations of `Store` that the contract suite holds to its page: one line adds one."""
 
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
+
 from brackenladder.stores.directory import DirectoryStore
 from brackenladder.stores.interface import Store
 from brackenladder.stores.memory import MemoryStore
@@ -22,3 +25,8 @@
     Kind("directory", lambda place, most: DirectoryStore(str(place), most)),
     Kind("sqlite", lambda place, most: SqliteStore(str(place), most)),
 ]
+
+every = pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.name)
+every_lasting = pytest.mark.parametrize("kind", [k for k in KINDS if k.lasting], ids=lambda kind: kind.name)
+
+FAST = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None  # an fsync there takes no time
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -1,11 +1,11 @@
 """What every store holds to (`stores/interface.py`): single cases, and a machine against a model."""
 
-import os
 import tempfile
 from pathlib import Path
 
 import pytest
-from contracts.stores import KINDS, Kind
+from contracts.model import Model, contents
+from contracts.stores import FAST, Kind, every
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -16,26 +16,9 @@
     run_state_machine_as_test,
 )
 
-from brackenladder.stores.interface import Store, StoreError, StoreFull
+from brackenladder.stores.interface import StoreError, StoreFull
 
 MOST = 1 << 20
-FAST = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None  # an fsync there takes no time
-
-every = pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.name)
-every_lasting = pytest.mark.parametrize("kind", [k for k in KINDS if k.lasting], ids=lambda kind: kind.name)
-
-
-@pytest.fixture
-def place():
-    with tempfile.TemporaryDirectory(dir=FAST) as folder:
-        yield Path(folder)
-
-
-def contents(store: Store) -> dict:
-    """All that a store holds."""
-    records, logs = store.names()
-    return {"records": {n: store.get(n) for n in records}, "logs": {n: list(store.read(n)) for n in logs}}
-
 
 # ---- single cases ------------------------------------------------------------------------------------
 
@@ -120,9 +103,7 @@
         super().__init__()
         self.folder = tempfile.TemporaryDirectory(dir=FAST)
         self.store = self.kind.open(Path(self.folder.name), MOST)
-        self.records: dict[str, bytes] = {}
-        self.logs: dict[str, list[tuple[int, bytes]]] = {}
-        self.following: dict[str, int] = {}
+        self.model = Model()
 
     def teardown(self) -> None:
         self.store.close()
@@ -131,29 +112,22 @@
     @rule(name=LOGS, data=st.none() | DATA)
     def replace(self, name, data):
         self.store.replace(name, data)
-        if data is None:
-            self.records.pop(name, None)
-        else:
-            self.records[name] = data
+        self.model.replace(name, data)
 
     @rule(log=LOGS, data=DATA)
     def append(self, log, data):
-        number = self.following.setdefault(log, 1)
-        assert self.store.append(log, data) == number
-        self.logs.setdefault(log, []).append((number, data))
-        self.following[log] += 1
+        assert self.store.append(log, data) == self.model.append(log, data)
 
     @rule(log=LOGS, back=st.integers(-3, 6))
     def cut(self, log, back):
-        before = self.following.get(log, 1) - back
+        before = self.model.next.get(log, 1) - back
         self.store.cut(log, before)
-        if log in self.logs:
-            self.logs[log] = [e for e in self.logs[log] if e[0] >= before]
+        self.model.cut(log, before)
 
     @rule(log=LOGS, back=st.integers(-2, 6))
     def read(self, log, back):
-        since = self.following.get(log, 1) - back
-        assert list(self.store.read(log, since)) == [e for e in self.logs.get(log, []) if e[0] > since]
+        since = self.model.next.get(log, 1) - back
+        assert list(self.store.read(log, since)) == [e for e in self.model.logs.get(log, []) if e[0] > since]
 
     @rule(log=LOGS)
     def too_large(self, log):
@@ -172,8 +146,8 @@
 
     @invariant()
     def same(self):
-        assert contents(self.store) == {"records": self.records, "logs": self.logs}
-        assert self.store.names() == (sorted(self.records), sorted(self.logs))
+        assert contents(self.store) == self.model.contents()
+        assert self.store.names() == (sorted(self.model.records), sorted(self.model.logs))
         assert self.store.size() <= MOST
 
 
