--- /dev/null
+++ b/brackenladder/forecast/fleet.py
@@ -0,0 +1,58 @@
+"""Which servers each node uses, worked out for all nodes by the rule that each of them follows itself.
+
+Every node takes its stretch of one order of the servers (`balance.stretch`), by its place and its size, both
+of which the others know. Free of I/O, clock and randomness.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from brackenladder.balance import SUBSET_BOUND, SUBSET_LEAST, SUBSET_MOST, stretch
+from brackenladder.forecast.placement import Subset
+from brackenladder.interface import ServerEntry
+from brackenladder.roster import Roster
+
+
+@dataclass(frozen=True)
+class NodeNow:
+    """What is known of one node."""
+
+    index: int  # its place...
+    count: int  # ...of so many
+    size: int  # servers that it wants
+    rate: float  # requests with keys a second
+
+
+def subsets(entries: Sequence[ServerEntry], nodes: Sequence[NodeNow], zoned: bool = False) -> list[Subset]:
+    """Each node's members, by their places in `entries`."""
+    roster = Roster(zoned, frozenset())
+    roster.begin()
+    for entry in entries:
+        roster.put(entry)
+    roster.end()
+    places = {entry.server: place for place, entry in enumerate(entries)}
+    known: dict[tuple[int, int, int], tuple[int, ...]] = {}
+    out = []
+    for node in nodes:
+        which = (node.index, node.count, node.size)
+        if which not in known:
+            members: list[int] = []
+            for _, kinds in sorted(roster.orders.items()):
+                n = sum(map(len, kinds.values()))
+                size = size_of(n, node.count, node.size)
+                members += (
+                    places[listed.id] for listed in stretch(roster, kinds, node.index, node.count, size)
+                )
+            known[which] = tuple(members)
+        out.append(Subset(known[which], node.rate))
+    return out
+
+
+def size_of(n: int, count: int, wanted: int) -> int:
+    """How many of `n` servers a node uses that wants so many: as `Balancer.subset_size` has it."""
+    part = -(-n // max(1, count))
+    if part > SUBSET_MOST:
+        return min(SUBSET_BOUND, part)
+    return n if n < 2 * SUBSET_LEAST else max(wanted, part)
--- /dev/null
+++ b/brackenladder/forecast/model.py
@@ -0,0 +1,486 @@
+"""What a change of placement does to cache hits, worked out before it is made.
+
+A least-recently-used cache keeps the keys asked for within its characteristic time: Che's approximation (Che,
+Tung, Wang 2002; why it holds so well: Fricker, Robert, Roberts 2012). After a change the same holds with a
+time that itself changes: a key is there if it was asked for within that time, by its rate here before the
+change and its rate here since. So the moment after a change, the minutes that follow, a server that begins
+cold and a change upon a change are one formula, in which only the rates differ; nothing is guessed.
+
+Keys known by themselves are reckoned one by one; of the others each shard has its part, by rate. A server's
+shards are taken together by the part of their requests that it gets. Free of I/O, clock and randomness;
+`forecast` rests every few milliseconds, so that a node can go on with its calls in between.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from math import exp, inf, log, sqrt
+from statistics import NormalDist
+
+from brackenladder.forecast.placement import Shares
+from brackenladder.forecast.popularity import Popularity
+
+NORMAL = NormalDist()
+NEVER_CHANGED = inf
+STEPS = (0.0, 1 / 64, 1 / 16, 1 / 8, 1 / 4, 1 / 2, 3 / 4, 1.0, 1.5)  # of the characteristic time
+HORIZON = 1_800.0  # seconds: what has not come about by then is not waited for
+RECOVERED = 0.1  # of the gap to the new steady state, at its largest: so much may be left
+ALIKE = 4  # parts of shards are told apart by steps of an octave's such part
+EXACT = 1e-4  # of the entries: how well the characteristic time is found
+DEVIATIONS = 2.0  # in an interval
+MODEL_ERROR = 0.004  # of a hit rate, where all that goes in is right: Che's approximation and the grouping
+SILENT_ERROR = 0.2  # how far silent nodes' hit rate is taken to be off
+MOST_SILENT = 0.5  # of the requests; more, and nothing is known
+
+
+@dataclass(frozen=True)
+class Cache:
+    """What a server's cache is."""
+
+    entries: float  # objects that it holds; of bytes and sizes see `entries_of`
+    ttl: float = 0.0  # seconds after which an object is fetched anew; 0: never
+    cacheable: float = 1.0  # the part of requests whose answer may be kept at all
+
+
+def entries_of(size: float, mean: float, cv: float = 0.0, largest: float = inf) -> tuple[float, float]:
+    """How many objects a cache of `size` bytes holds, and the part of objects that are not too large.
+
+    Sizes are taken as lognormal with this mean and coefficient of variation, and to have nothing to do with
+    popularity.
+    """
+    if cv <= 0:
+        return (size / mean, 1.0) if mean <= largest else (0.0, 0.0)
+    variance = log(1 + cv * cv)
+    if largest == inf:
+        return size / mean, 1.0
+    point = (log(largest / mean) + variance / 2) / sqrt(variance)
+    part = NORMAL.cdf(point)
+    return size / (mean * NORMAL.cdf(point - sqrt(variance)) / max(part, 1e-9)), part
+
+
+@dataclass(frozen=True)
+class ServerNow:
+    """What a forecast knows of one server."""
+
+    cache: Cache
+    age: float = inf  # seconds since its cache was empty
+    bears: float = 0.0  # misses a second; 0: not known
+
+
+@dataclass(frozen=True)
+class Question:
+    """A change: who gets what of each shard before it and after it. Servers stand in one order throughout."""
+
+    servers: Sequence[ServerNow]
+    before: Shares
+    after: Shares
+    popularity: Popularity
+    earlier: Shares | None = None  # before the change before, if that is still felt...
+    since: float = NEVER_CHANGED  # ...which was so many seconds ago
+    drift: float = 0.0  # the part of popularity that moved of late, 0 to 1
+    silent: float = 0.0  # the part of the requests whose nodes have not been heard
+    unlike: float = 0.0  # the part of the requests by which nodes' keys differ
+    told: float | None = None  # the hit rate that answers tell
+    past: float = 0.0  # the root mean square error of past forecasts of such changes
+    rate: float | None = None  # requests a second of all nodes, where silent ones are to be counted in
+
+
+@dataclass(frozen=True)
+class ServerForecast:
+    """One server: its part of all requests and its hit rate."""
+
+    part_before: float
+    part_after: float
+    hits: tuple[float, ...]  # by the forecast's times
+    now: float
+    steady: float
+    misses: float  # a second, at the worst time
+    load: float  # those over what it bears; 0 where that is not known
+
+    def at(self, times: Sequence[float], t: float) -> float:
+        """The hit rate so many seconds after the change."""
+        return between(times, self.hits, t, self.steady)
+
+
+@dataclass(frozen=True)
+class Forecast:
+    """What is expected. Hit rates are of the fleet unless they say otherwise."""
+
+    times: tuple[float, ...]  # seconds after the change; the first is the moment after it
+    hits: tuple[float, ...]
+    now: float
+    steady: float
+    half: float  # half the interval's width, about each of the fleet's hit rates
+    recovered: float  # seconds until nearly all of the loss is made good
+    worst: float  # the largest load of misses on a server, over what it bears; 0 where that is not known
+    worst_high: float  # the same at the interval's far end
+    misses_now: float  # a second, of the fleet
+    misses_most: float
+    servers: tuple[ServerForecast, ...] = field(repr=False, default=())
+    unknown: str = ""  # why nothing can be said, if so
+
+    @property
+    def lowest(self) -> float:
+        """The hit rate at its worst."""
+        return min((*self.hits, self.steady), default=0.0)
+
+    def at(self, t: float) -> float:
+        """The fleet's hit rate so many seconds after the change."""
+        return between(self.times, self.hits, t, self.steady)
+
+    def node(self, members: Sequence[int]) -> tuple[float, float, float]:
+        """A node's hit rate now, at its worst moment and steady, by the servers that are its members after
+        the change (for now: those among them that had a part before)."""
+        out = []
+        for of in ("now", "lowest", "steady"):
+            total = weight = 0.0
+            for i in members:
+                s = self.servers[i]
+                part = s.part_before if of == "now" else s.part_after
+                hit = s.now if of == "now" else s.steady if of == "steady" else min(*s.hits, s.steady)
+                total, weight = total + part * hit, weight + part
+            out.append(total / weight if weight else 0.0)
+        return out[0], out[1], out[2]
+
+
+def unknown(why: str) -> Forecast:
+    """A forecast that says nothing; `rules` never lets a change through on it."""
+    return Forecast((), (), 0.0, 0.0, 1.0, inf, inf, inf, 0.0, inf, (), why)
+
+
+def between(times: Sequence[float], values: Sequence[float], t: float, last: float) -> float:
+    """Straight lines between the points; the last value after them."""
+    for i, at in enumerate(times):
+        if t <= at:
+            if i == 0:
+                return values[0]
+            part = (t - times[i - 1]) / max(at - times[i - 1], 1e-9)
+            return values[i - 1] + part * (values[i] - values[i - 1])
+    return last
+
+
+class Items:
+    """Keys of one server, those alike together: how many, and their rates here in the three times."""
+
+    __slots__ = ("count", "earlier", "before", "after", "since", "age")
+
+    def __init__(self, since: float, age: float) -> None:
+        self.count: list[float] = []
+        self.earlier: list[float] = []
+        self.before: list[float] = []
+        self.after: list[float] = []
+        self.since = since
+        self.age = age
+
+    def add(self, count: float, earlier: float, before: float, after: float) -> None:
+        self.count.append(count)
+        self.earlier.append(earlier)
+        self.before.append(before)
+        self.after.append(after)
+
+    def absent(self, t: float, theta: float) -> list[float]:
+        """The chance that each key was not asked for in the last `theta` seconds, `t` after the change."""
+        new = min(theta, t)
+        past = max(0.0, min(theta - t, self.age))
+        old = min(past, self.since)
+        older = past - old
+        if older > 0:
+            return [
+                exp(-a * older - b * old - c * new)
+                for a, b, c in zip(self.earlier, self.before, self.after, strict=True)
+            ]
+        if old > 0:
+            return [exp(-b * old - c * new) for b, c in zip(self.before, self.after, strict=True)]
+        return [exp(-c * new) for c in self.after]
+
+    def characteristic(self, entries: float, t: float, first: float) -> float:
+        """How long ago the oldest key in the cache was asked for last, `t` after the change.
+
+        Where all that was ever asked for has room, infinity: nothing is ever pushed out.
+        """
+        count = self.count
+        total = sum(count)
+
+        def held(theta: float) -> float:
+            return total - sum(map(times, count, self.absent(t, theta)))
+
+        longest = min(t + self.age, 1e7)
+        if held(longest) <= entries:
+            return inf
+        low, high = 0.0, longest
+        theta = min(max(first, 1e-6), longest) if first < inf else longest / 2
+        # The number held against the logarithm of the time is nearly straight: a secant, kept in its bracket.
+        last = (0.0, 0.0)
+        for _ in range(40):
+            found = held(theta)
+            if abs(found - entries) <= EXACT * entries:
+                break
+            if found < entries:
+                low = theta
+            else:
+                high = theta
+            x, y = log(theta), found - entries
+            guess = theta * entries / max(found, 1e-9)
+            if last[0] != x and last[1] and (last[1] - y):
+                step = x - y * (last[0] - x) / (last[1] - y)
+                guess = exp(min(max(step, -30.0), 30.0))
+            last = (x, y)
+            if not low < guess < high:
+                guess = sqrt(max(low, 1e-9) * high) if high > 4 * low else (low + high) / 2
+            theta = guess
+        return theta
+
+    def hit(self, t: float, theta: float, kept: Sequence[float] | None = None) -> float:
+        """The part of the requests after the change that finds its key, at a time `t` after it."""
+        rate = sum(map(times, self.count, self.after))
+        if rate <= 0:
+            return 0.0
+        absent = self.absent(t, theta)
+        if kept is None:
+            miss = sum([n * c * a for n, c, a in zip(self.count, self.after, absent, strict=True)])
+            return 1 - miss / rate
+        found = sum(
+            [n * c * (1 - a) * k for n, c, a, k in zip(self.count, self.after, absent, kept, strict=True)]
+        )
+        return found / rate
+
+
+def times(a: float, b: float) -> float:
+    return a * b
+
+
+def kept_part(rate: float, theta: float, ttl: float) -> float:
+    """How much of a key's hits is left by a time to live: hits with it over hits without.
+
+    A key is fetched, found until it goes, and fetched again. Without a time to live it stays for
+    (exp(rate theta) - 1) / rate on average, theta at the least; beyond that its stay is taken as exponential.
+    """
+    if rate <= 0:
+        return 1.0
+    x = rate * theta
+    if x > 30 or theta == inf:
+        stay, plain = ttl, 1.0
+    else:
+        mean = (exp(x) - 1) / rate
+        plain = 1 - exp(-x)
+        if ttl <= theta:
+            stay = ttl
+        else:
+            more = max(mean - theta, 1e-12)
+            stay = theta + more * (1 - exp(-min(50.0, (ttl - theta) / more)))
+    hits = rate * stay
+    return min(1.0, hits / (1 + hits) / plain) if plain > 0 else 1.0
+
+
+def items_of(q: Question, place: int, factor: float, age: float) -> Items:
+    """A server's keys. `factor`: requests of all nodes over those heard."""
+    items = Items(q.since, age)
+    before, after = q.before.parts[place], q.after.parts[place]
+    earlier = q.earlier.parts[place] if q.earlier is not None else before
+    groups: dict[tuple[int, int, int], list[float]] = {}
+    shards = set(before) | set(after) | set(earlier)
+    for shard in shards:
+        a, b, c = earlier.get(shard, 0.0), before.get(shard, 0.0), after.get(shard, 0.0)
+        line = groups.setdefault((step(a), step(b), step(c)), [0.0, 0.0, 0.0, 0.0])
+        line[0] += 1
+        line[1] += a
+        line[2] += b
+        line[3] += c
+    pop = q.popularity
+    for n, a, b, c in groups.values():
+        a, b, c = a / n * factor, b / n * factor, c / n * factor
+        for keys, rate in pop.tail:
+            items.add(keys * n, rate * a, rate * b, rate * c)
+    for shard, rate in pop.top:
+        if shard in shards:
+            rate *= factor
+            items.add(
+                1.0,
+                rate * earlier.get(shard, 0.0),
+                rate * before.get(shard, 0.0),
+                rate * after.get(shard, 0.0),
+            )
+    return items
+
+
+def step(part: float) -> int:
+    return int(ALIKE * log(part, 2) // 1) if part > 1e-9 else -1000
+
+
+def per_shard(pop: Popularity, shards: int) -> Popularity:
+    """The same with the tail of one shard in place of all."""
+    return Popularity(
+        pop.rate,
+        pop.top,
+        [(keys / shards, rate) for keys, rate in pop.tail],
+        pop.sampled,
+        [[(keys / shards, rate) for keys, rate in g] for g in pop.groups],
+    )
+
+
+def sample_error(q: Question, shards: int) -> float:
+    """The standard error of a hit rate that the sample's size makes, by leaving out a part of it in turn."""
+    groups = q.popularity.groups
+    if len(groups) < 2:
+        return 0.1
+    caches = [s.cache for s, parts in zip(q.servers, q.after.parts, strict=True) if parts]
+    if not caches:
+        return 0.0
+    entries = sum(c.entries for c in caches) / len(caches)
+    mean = 1 / max(1.0, q.after.homes)  # of a shard's requests, at a server that gets any
+    held = sum(map(len, q.after.parts)) / len(caches) / shards  # shards of a server
+    found = []
+    for tail in groups:
+        items = Items(NEVER_CHANGED, inf)
+        for keys, rate in tail:
+            items.add(keys * shards * held, 0.0, 0.0, rate * mean)
+        for _, rate in q.popularity.top:
+            items.add(held, 0.0, 0.0, rate * mean)
+        theta = items.characteristic(entries, 1e7, 1.0)
+        found.append(items.hit(1e7, theta))
+    middle = sum(found) / len(found)
+    n = len(found)
+    return sqrt((n - 1) / n * sum((f - middle) ** 2 for f in found))
+
+
+def forecast(q: Question, shards: int) -> Iterator[Forecast | None]:
+    """Works a change out. Yields None every few milliseconds, the result last."""
+    if not q.popularity.known:
+        yield unknown("too few requests with keys have been counted")
+        return
+    if q.silent > MOST_SILENT:
+        yield unknown(f"{q.silent:.0%} of the requests are of nodes that are not heard")
+        return
+    if all(s.cache.entries <= 0 for s in q.servers):
+        yield unknown("the size of the servers' caches is not known, and no answer tells of hits")
+        return
+    q = Question(**{**q.__dict__, "popularity": per_shard(q.popularity, shards)})
+    rate = q.rate if q.rate is not None else q.popularity.rate
+    factor = rate / q.popularity.rate
+    found: list[tuple[float, float, float, list[float]]] = []  # part before, part after, now, theta's hits
+    steady: list[float] = []
+    scale = 0.0  # the servers' characteristic time, the longest that matters
+    built: list[tuple[Items, ServerNow, float]] = []
+    top = [0.0] * shards
+    for shard, r in q.popularity.top:
+        top[shard] += r
+    tail = sum(keys * r for keys, r in q.popularity.tail)
+    for place, server in enumerate(q.servers):
+        items = items_of(q, place, factor, server.age)
+        # `now` is the moment before the change: what is asked for is as before.
+        whole = tail + sum(top) / shards
+        parts = [
+            sum(p * (tail + top[s]) for s, p in side.parts[place].items()) / (whole * shards)
+            for side in (q.before, q.after)
+        ]
+        before = Items(items.since, items.age)
+        before.count, before.earlier = items.count, items.earlier
+        before.before = before.after = items.before
+        c = server.cache
+        theta = before.characteristic(c.entries, 0.0, 1.0)
+        kept = None
+        if c.ttl:
+            kept = [kept_part(r, theta, c.ttl) for r in items.before]
+        now = before.hit(0.0, theta, kept) * c.cacheable
+        last = items.characteristic(c.entries, 1e7, theta)
+        if parts[1] > 0 and last < inf:
+            scale = max(scale, last)
+        found.append((parts[0], parts[1], now, []))
+        built.append((items, server, theta))
+        steady.append(last)
+        yield None
+    scale = min(scale or HORIZON, HORIZON)
+    at = tuple(s * scale for s in STEPS)
+    ends: list[float] = []
+    for (_, part, now, hits), (items, server, theta), last in zip(found, built, steady, strict=True):
+        c = server.cache
+        same = items.before == items.after and server.age == inf and q.since == NEVER_CHANGED
+        if part <= 0 or same:
+            hits += [now] * len(at)
+            ends.append(now)
+            continue
+        old = new = None
+        if c.ttl:
+            old = [kept_part(r, theta, c.ttl) if r > 0 else 1.0 for r in items.before]
+            new = [kept_part(r, last, c.ttl) for r in items.after]
+        for t in at:
+            kept = None
+            if old is not None and new is not None:
+                turned = min(1.0, t / c.ttl)
+                kept = [o + (n - o) * turned for o, n in zip(old, new, strict=True)]
+            theta = items.characteristic(c.entries, t, theta)
+            hits.append(items.hit(t, theta, kept) * c.cacheable)
+            yield None
+        ends.append(items.hit(1e7, last, new) * c.cacheable)
+    yield None
+    error = sample_error(q, shards)
+    yield None
+    yield gathered(q, rate, at, found, ends, error)
+
+
+def gathered(
+    q: Question,
+    rate: float,
+    at: tuple[float, ...],
+    found: list[tuple[float, float, float, list[float]]],
+    ends: list[float],
+    error: float,
+) -> Forecast:
+    """The servers' hit rates as a forecast of the fleet."""
+    now = sum(b * n for b, _, n, _ in found)
+    fleet = tuple(sum(a * hits[i] for _, a, _, hits in found) for i in range(len(at)))
+    steady = sum(a * e for (_, a, _, _), e in zip(found, ends, strict=True))
+    off = abs(q.told - now) if q.told is not None else 0.0
+    half = (
+        DEVIATIONS
+        * sqrt(
+            error**2
+            + MODEL_ERROR**2
+            + q.past**2
+            + (q.drift * now / 2) ** 2
+            + (q.silent * SILENT_ERROR) ** 2
+            + (q.unlike * SILENT_ERROR) ** 2
+        )
+        + off
+    )
+    servers = []
+    worst = worst_high = 0.0
+    for (b, a, n, hits), end, server in zip(found, ends, q.servers, strict=True):
+        low = min((*hits, end))
+        misses = rate * a * (1 - low)
+        load = misses / server.bears if server.bears > 0 else 0.0
+        worst = max(worst, load)
+        if server.bears > 0:
+            worst_high = max(worst_high, rate * a * (1 - max(0.0, low - half)) / server.bears)
+        servers.append(ServerForecast(b, a, tuple(hits), n, end, misses, load))
+    lowest = min((*fleet, steady))
+    return Forecast(
+        times=at,
+        hits=fleet,
+        now=now,
+        steady=steady,
+        half=half,
+        recovered=recovery(at, fleet, steady),
+        worst=worst,
+        worst_high=worst_high,
+        misses_now=rate * (1 - now),
+        misses_most=rate * (1 - lowest),
+        servers=tuple(servers),
+    )
+
+
+def recovery(at: Sequence[float], fleet: Sequence[float], steady: float) -> float:
+    """Seconds until all but a small part of the largest gap to the steady state is made good."""
+    gaps = [max(0.0, steady - h) for h in fleet]
+    most = max(gaps, default=0.0)
+    if most <= MODEL_ERROR:
+        return 0.0
+    left = RECOVERED * most
+    for i in range(len(gaps) - 1, -1, -1):
+        if gaps[i] > left:
+            if i == len(gaps) - 1:
+                return HORIZON
+            part = (gaps[i] - left) / (gaps[i] - gaps[i + 1])
+            return at[i] + part * (at[i + 1] - at[i])
+    return 0.0
