Stores: the files ended at any byte, with a disk whose cache is lost

Need: a kill shows nothing of what was never synced; a loss of power does. Change: a disk in memory that records a directory store's operations and says what is found after an end at any byte of them: all that was written, only what was synced, or a part with any order of names and lengths without bytes; also an end while it is mended, and errors of the disk at drawn operations. For SQLite its log is cut at any byte, with and without a tail of zeros.

--- /dev/null
+++ b/tests/contracts/test_store_bytes.py
@@ -0,0 +1,182 @@
+"""The two stores that write files, ended at drawn bytes of what they write."""
+
+import errno
+import shutil
+from pathlib import Path
+from random import Random
+
+import pytest
+from contracts.disk import Disk, Inode, State, play
+from contracts.model import apply, contents, drawn, holds
+
+from brackenladder.stores.directory import DirectoryStore
+from brackenladder.stores.files import Files
+from brackenladder.stores.interface import StoreError
+from brackenladder.stores.sqlite import SqliteStore
+
+MOST = 1 << 17
+
+
+def lay(place: Path, files: dict[str, bytes]) -> None:
+    """Makes the place hold these files."""
+    shutil.rmtree(place, ignore_errors=True)
+    place.mkdir()
+    for name, data in files.items():
+        (place / name).write_bytes(data)
+
+
+def left_at(state: State, event: tuple, mode: str, rng: Random) -> dict[str, bytes]:
+    """What is found after an end within this event, which the state has not seen."""
+    if event[0] != "write":
+        return state.left(mode, rng)
+    inode = state.names[event[1]]
+    before = len(inode.data)
+    play(state, event, rng.randint(0, len(event[2])))
+    found = state.left(mode, rng)
+    del inode.data[before:]
+    return found
+
+
+@pytest.mark.parametrize("mode", ["kill", "none", "some"])
+def test_a_directory_is_whole_after_an_end_at_any_byte_and_one_while_it_is_mended(mode, place):
+    calls, models = drawn(11, 150)
+    disk = Disk()
+    ends = []
+    store = DirectoryStore(str(place / "first"), MOST, files=disk)
+    for number, call in enumerate(calls):
+        if number % 40 == 39:
+            store.close()
+            store = DirectoryStore(str(place / "first"), MOST, files=disk)
+        apply(store, call)
+        ends.append(len(disk.events))
+    store.close()
+    rng = Random(12)
+    points = sorted(rng.randrange(len(disk.events)) for _ in range(1000))
+    state, seen, mended = State(), 0, 0
+    for point in points:
+        for event in disk.events[seen:point]:
+            play(state, event)
+        seen = point
+        done = sum(end <= point for end in ends)
+        lay(place / "again", left_at(state, disk.events[point], mode, rng))
+        if rng.random() < 0.3:
+            mended += end_while_opening(place / "again", mode, rng)
+        store = DirectoryStore(str(place / "again"), MOST)
+        holds(store, models[done : done + 2])
+        store.close()
+    assert mended > 3
+
+
+def end_while_opening(place: Path, mode: str, rng: Random) -> bool:
+    """Opens what an end has left, and ends that as well at a drawn byte of what it writes."""
+    state = State()
+    for path in place.iterdir():
+        inode = Inode()
+        inode.data[:] = inode.durable = path.read_bytes()
+        state.names[path.name] = state.durable[path.name] = inode
+    disk = Disk()
+    DirectoryStore(str(place), MOST, files=disk).close()
+    if not disk.events:
+        return False
+    point = rng.randrange(len(disk.events))
+    for event in disk.events[:point]:
+        play(state, event)
+    lay(place, left_at(state, disk.events[point], mode, rng))
+    return True
+
+
+class Failing(Files):
+    """Fails from the operation `at` on for `times` of them; of a write it does a part."""
+
+    def __init__(self, at: int, times: int, number: int, rng: Random) -> None:
+        self.at, self.times, self.number, self.rng = at, times, number, rng
+        self.count = 0
+
+    def fails(self) -> bool:
+        self.count += 1
+        return self.at <= self.count < self.at + self.times
+
+    def may(self) -> None:
+        if self.number != errno.EIO and self.fails():
+            raise OSError(self.number, "injected")
+
+    def open(self, path, flags):
+        self.may()
+        return super().open(path, flags)
+
+    def write(self, fd, data):
+        if self.fails():
+            super().write(fd, data[: self.rng.randrange(len(data))])
+            raise OSError(self.number, "injected")
+        super().write(fd, data)
+
+    def sync(self, fd):
+        if self.number == errno.EIO and self.fails():
+            raise OSError(self.number, "injected")
+
+    def truncate(self, fd, size):
+        self.may()
+        super().truncate(fd, size)
+
+    def rename(self, old, new):
+        self.may()
+        super().rename(old, new)
+
+    def unlink(self, path):
+        self.may()
+        super().unlink(path)
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EROFS, errno.EIO])
+def test_a_directory_whose_disk_fails_for_a_while_holds_the_old_or_the_new(number, place):
+    """With an error of an fsync nobody can say which; with any other it is the old."""
+    rng = Random(13)
+    failed = 0
+    for run in range(120):
+        calls, models = drawn(run, 25)
+        path = str(place / str(run))
+        files = Failing(rng.randrange(1, 120), rng.randint(1, 5), number, rng)
+        try:
+            store = DirectoryStore(path, MOST, files=files)
+        except StoreError:
+            continue
+        model = models[0]
+        for call in calls:
+            after = model.after(call)
+            try:
+                apply(store, call)
+                model = after
+            except StoreError:
+                failed += 1
+                held = contents(store)
+                if number == errno.EIO and held == after.contents():
+                    model = after
+                assert held == model.contents()
+        store.close()
+        store = DirectoryStore(path, MOST)
+        holds(store, [model])
+        store.close()
+    assert failed > 50
+
+
+def test_an_sqlite_file_is_whole_after_an_end_at_any_byte_of_its_log(place):
+    calls, models = drawn(14, 100)
+    store = SqliteStore(str(place / "first"), MOST)
+    file, log = place / "first" / "store.db", place / "first" / "store.db-wal"
+    whole = file.read_bytes()
+    ends = [log.stat().st_size]
+    for call in calls:
+        apply(store, call)
+        ends.append(log.stat().st_size)
+    assert file.read_bytes() == whole  # all that was written since lies in the log
+    written = log.read_bytes()
+    store.close()
+    rng = Random(15)
+    for _ in range(1000):
+        point = rng.randrange(len(written))
+        done = max(sum(end <= point for end in ends) - 1, 0)
+        rest = min(rng.choice([0, 0, 512, 4096]), len(written) - point)  # there in length alone
+        lay(place / "again", {"store.db": whole, "store.db-wal": written[:point] + bytes(rest)})
+        store = SqliteStore(str(place / "again"), MOST)
+        holds(store, models[done : done + 2])
+        store.close()
