Control listener: a file that was turned down is shown with what, where and the remedy

Need: /admin/stats counted refused files; the reason stood in the log alone, which may have been rotated or bounded away by the time somebody asks.

Change: sighup_refused holds the error of the last SIGHUP while it is the last word: type, what, where, do. It is gone once a file is taken.

Measured: the tests of operation pass with the new assertions, and fail without the change.

--- a/brackenladder/net/metrics.py
+++ b/brackenladder/net/metrics.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from brackenladder.errors import BrackenladderError
+
 
 class Metrics:
     """Counts where something ends: a fetch only reads, and costs the same however busy the node is."""
@@ -14,6 +16,7 @@
         self.forwards = 0  # attempts written whole to servers
         self.sighup_applied = 0
         self.sighup_rejected = 0
+        self.refused: BrackenladderError | None = None  # why, if the last file was turned down
 
     def serves(self, names: tuple[str, ...]) -> None:
         """Names the classes that are served from now on."""
@@ -37,15 +40,17 @@
         """An attempt's last byte was written."""
         self.forwards += 1
 
-    def reloaded(self, applied: bool) -> None:
-        """A new file was taken, or turned down."""
-        if applied:
+    def reloaded(self, refused: BrackenladderError | None = None) -> None:
+        """A new file was taken, or turned down for a reason."""
+        self.refused = refused
+        if refused is None:
             self.sighup_applied += 1
         else:
             self.sighup_rejected += 1
 
     def figures(self, discovered: int, ejected: int) -> dict[str, Any]:
         """All figures, with what only discovery and the module can say."""
+        refused = {} if self.refused is None else {"sighup_refused": self.refused.table()}
         return {
             "results": {name: dict(ends) for name, ends in self.results.items()},
             "outstanding": self.outstanding,
@@ -54,4 +59,5 @@
             "ejected": ejected,
             "sighup_applied": self.sighup_applied,
             "sighup_rejected": self.sighup_rejected,
+            **refused,
         }
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -276,7 +276,7 @@
         self.classes = self.table.numbers
         self.config = replace(old, **{f: getattr(config, f) for f in RELOADED})
         self.metrics.serves(config.classes)
-        self.metrics.reloaded(applied=True)
+        self.metrics.reloaded()
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.pool.renew(config.connect_timeout, config.idle_time)
         self.renew(settings)
@@ -302,7 +302,7 @@
 
     def keep(self, why: BrackenladderError) -> None:
         """A new file that cannot be used: all stays as it is."""
-        self.metrics.reloaded(applied=False)
+        self.metrics.reloaded(why)
         self.log_lines.line(f"reload: {why.line()}; the old configuration stays")
 
     async def drain(self) -> None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -414,7 +414,10 @@
             file.write_text(text)
             node.send_signal(signal.SIGHUP)
             assert b"the old configuration stays" in await node.stderr.readline()
-            assert (await ask(control, "/admin/stats"))[2]["sighup_rejected"] == count
+            figures = (await ask(control, "/admin/stats"))[2]
+            assert figures["sighup_rejected"] == count
+            refused = figures["sighup_refused"]
+            assert refused["error"].startswith("Config") and str(file) in refused["where"] and refused["do"]
         assert (await client.ask(call("invite")))[0] == 200
         table["settings"]["classes"].append(table["settings"]["classes"][0] | {"name": "look"})
         file.write_text(json.dumps(table))
@@ -423,6 +426,7 @@
         assert (await client.ask(call().replace(b"/view?", b"/look?")))[0] == 200
         figures = (await ask(control, "/admin/stats"))[2]
         assert (figures["sighup_applied"], figures["sighup_rejected"]) == (1, len(broken))
+        assert "sighup_refused" not in figures
         client.writer.close()
         node.terminate()
         assert await asyncio.wait_for(node.wait(), 20) == 0
