Parts have channels on the membership's port and the store of the operators' file

Need: the audit and the freeze talk to their like in other nodes and keep state; both were a PartError. Change: Host.channel hands out a channel of the shared port, Host.store opens what [store] asks for, once for all parts. A part that builds on either begins anew when that table changes; a store that another process still has (an upgrade) is waited for while the node serves; channels of a part that ends are closed.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable
 from hashlib import blake2b
@@ -15,6 +16,7 @@
 import msgspec
 
 import brackenladder
+from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.net import registry
 from brackenladder.net.changes import Changes
@@ -24,7 +26,8 @@
 from brackenladder.net.reload import RELOADED
 from brackenladder.operation import NOTHING, Operation
 from brackenladder.records.interface import Records
-from brackenladder.stores.interface import Store
+from brackenladder.stores.factory import open_store
+from brackenladder.stores.interface import Store, StoreError, StoreHeld
 from brackenladder.transports.interface import Received, Transport
 
 if TYPE_CHECKING:
@@ -36,6 +39,7 @@
 
 # Of the settings: what stands for this node alone, and differs though nodes act on the same.
 OWN_SETTINGS = frozenset(("self_index", "zone"))
+STORE_AGAIN = 0.5  # seconds until a store that another process has is tried again
 SHARED = ("settings", "limits")  # and of the file what is for all
 OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
 
@@ -56,6 +60,12 @@
         self.asked_before: Operation | None = None  # ...and went by until then
         self.ending = False  # the process ends: what parts have set up may stay
         self.out = ""  # why `/ready` says no on a part's word
+        self.kept: Store | None = None  # the store, while some part uses it
+        self.beginning = ""  # the table of the part that starts just now
+        self.leaning: dict[str, set[str]] = {}  # what parts build on: the membership's port, the store
+        self.channels: dict[str, list[Transport]] = {}  # by their part's table
+        self.held: set[str] = set()  # tables of parts that wait for a store another process has
+        self.again: asyncio.TimerHandle | None = None
         self.changes = Changes(self)
         self.holdings = Holdings()
         self.tracks = False  # some part wants to know of lists, versions or attempts
@@ -76,6 +86,7 @@
             if entry.asked_for(operation) and not self.lacks(entry, allowed, operation, wanted):
                 wanted.append(entry)
         tables = {entry.table for entry in wanted} - self.outdated(operation)
+        self.held.clear()
         for table in reversed(list(self.parts)):
             if table not in tables:
                 self.end(table, farewell=allowed)
@@ -108,17 +119,11 @@
         return False
 
     def outdated(self, operation: Operation | None) -> set[str]:
-        """Parts that run and have to begin anew: whose table has changed, where they say so, and who has a
-        channel, which ends with the membership that carries it."""
-        old: set[str] = set()
-        for entry in registry.PARTS:
-            part = self.parts.get(entry.table)
-            if part is None or operation is None or self.asked_before is None:
-                continue
-            changed = getattr(operation, entry.table, None) != getattr(self.asked_before, entry.table, None)
-            if entry.anew and changed or part.tag and "membership" in old:
-                old.add(entry.table)
-        return old
+        """Parts that have to begin anew: whose table has changed, where they say so, and who builds on the
+        membership's port or the store while that is another one from now on."""
+        anew = {entry.table for entry in registry.PARTS if entry.anew} | {"store"}
+        changed = {t for t in anew if getattr(operation, t, None) != getattr(self.asked_before, t, None)}
+        return changed | {t for t, builds in self.leaning.items() if builds & changed}
 
     def begin(self, entry: registry.Entry) -> None:
         try:
@@ -129,12 +134,38 @@
             return
         self.failed.discard(entry.table)
         self.parts[entry.table] = part
-        self.tell(part, part.start, self)
+        self.beginning = entry.table
+        try:
+            part.start(self)
+        except StoreHeld as e:
+            self.wait_for_store(entry.table, e)
+        except Exception as e:
+            self.fail(part, told(e))
+        finally:
+            self.beginning = ""
         if self.parts.get(entry.table) is part:
             self.tell(part, self.answer_for, part)
             for version in self.versions.values():
                 self.tell(part, part.version, version)
 
+    def wait_for_store(self, table: str, e: StoreHeld) -> None:
+        """Another process has the store: in an upgrade the one before this, until its SIGTERM. The part
+        begins when it can be had; nothing else waits."""
+        if table not in self.held:
+            self.line(f"part {table}: waits: {e.line()}")
+        self.held.add(table)
+        self.end(table, farewell=False)
+        if self.again is None:
+            self.again = self.loop.call_later(STORE_AGAIN, self.try_again)
+
+    def try_again(self) -> None:
+        self.again = None
+        for entry in registry.PARTS:
+            if entry.table in self.held:
+                self.begin(entry)
+        self.held -= self.parts.keys()
+        self.listen_in()
+
     def answer_for(self, part: Part) -> None:
         """Has the control listener answer a part's pages and calls."""
         control = self.node.control
@@ -149,6 +180,8 @@
         part = self.parts.pop(table, None)
         if part is None:
             return
+        self.leaning.pop(table, None)
+        channels = self.channels.pop(table, [])
         self.changes.gone(part)
         control = self.node.control
         try:
@@ -163,6 +196,14 @@
             part.stop(farewell)
         except Exception as e:
             self.line(f"part {table}: at its end: {told(e)}")
+        for channel in channels:
+            channel.close()
+        if self.kept is not None and not any("store" in builds for builds in self.leaning.values()):
+            kept, self.kept = self.kept, None
+            try:
+                kept.close()
+            except StoreError as e:
+                self.line(f"store: at its end: {told(e)}")
         self.listen_in()
 
     def tell(self, part: Part, what: Callable[..., None], *args: Any) -> None:
@@ -204,6 +245,8 @@
     def stop(self, farewell: bool) -> None:
         """The process ends."""
         self.ending = True
+        if self.again is not None:
+            self.again.cancel()
         self.changes.drop()
         for table in reversed(list(self.parts)):
             self.end(table, farewell)
@@ -389,8 +432,14 @@
         return (member.host, member.port) if member is not None else None
 
     def channel(self, tag: int, received: Received) -> Transport:
-        """An open transport of a part's own on the membership's port."""
-        raise PartError("no channel to other nodes: there is no membership", "membership")
+        """An open transport of a part's own on the membership's port; it ends with the membership."""
+        if self.members is None:
+            raise PartError("no channel to other nodes: there is no membership", "membership")
+        self.lean("membership")
+        channel = self.members.mux.channel(tag, received)
+        owner = self.beginning or next((t for t, p in self.parts.items() if p.tag == tag), "")
+        self.channels.setdefault(owner, []).append(channel)
+        return channel
 
     def records(self) -> Records:
         """The records that spread."""
@@ -398,7 +447,17 @@
 
     def store(self) -> Store:
         """Where durable state lies."""
-        raise PartError("no store", "store")
+        self.lean("store")
+        if self.kept is None:
+            table = self.operation().store
+            self.kept = open_store(table.wish() if table is not None else None, self.name)
+        return self.kept
+
+    def lean(self, table: str) -> None:
+        """Notes what the part that starts just now builds on; who asks later is not known, so all may."""
+        tables = [self.beginning] if self.beginning else list(self.parts)
+        for user in tables:
+            self.leaning.setdefault(user, set()).add(table)
 
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         """Asks all parts whether a change may happen; `then` is called once, with the first no or GO."""
@@ -426,7 +485,7 @@
 
 def told(e: Exception) -> str:
     """An exception in one line; an error that knows a remedy says it."""
-    return e.line() if isinstance(e, PartError) else f"{type(e).__name__}: {e}"
+    return e.line() if isinstance(e, BrackenladderError) else f"{type(e).__name__}: {e}"
 
 
 def overrides(part: Part, name: str) -> bool:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,7 @@
 from loopback import Bench, Client, Server, call, play, until
 
 from brackenladder.interface import Outcome
-from brackenladder.net import registry
+from brackenladder.net import hosting, registry
 from brackenladder.net.listing import Line
 from brackenladder.net.node import Node, number_of
 from brackenladder.net.parts import (
@@ -29,7 +29,7 @@
     Source,
     Version,
 )
-from brackenladder.operation import Operation, Table
+from brackenladder.operation import Operation, Table, build
 
 ROOT = Path(__file__).parent.parent
 
@@ -417,3 +417,78 @@
         assert "connection" not in (await bench.once(call()))[1]
 
     play(scene)
+
+
+# ---- what parts build on ----------------------------------------------------------------------------------
+
+
+class Talker(Part):
+    """Has a channel and a store."""
+
+    name, tag = "talker", 9
+
+    def start(self, host: Host) -> None:
+        self.host, self.heard = host, []
+        self.channel = host.channel(self.tag, lambda data, source: self.heard.append(data))
+        self.store = host.store()
+
+
+def test_channels_and_the_store_are_had_anew_when_their_table_changes(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(hosting, "STORE_AGAIN", 0.02)
+    monkeypatch.setattr(
+        registry, "PARTS", [*registry.PARTS[:-2], registry.Entry("other", f"{__name__}:Talker")]
+    )
+
+    def wish(seed: str = "", kind: str = "memory", **keys: Any) -> Wide:
+        table: dict[str, Any] = {"listen": "127.0.0.1:0", "seeds": [seed] if seed else [], **keys}
+        store = {"kind": kind} | ({"path": str(tmp_path)} if kind != "memory" else {})
+        plain = build({"membership": table, "store": store}, "operator.toml")
+        return Wide(membership=plain.membership, store=plain.store, other=Wish())
+
+    def talker(bench: Bench) -> Talker | None:
+        part = bench.node.parts.parts.get("other")  # type: ignore[union-attr]
+        return part if isinstance(part, Talker) else None
+
+    async def scene() -> None:
+        one = await bench_with(wish(kind="directory"), name="n1")
+        first = talker(one)
+        assert first is not None and first.store.lasting
+        await until(lambda: first.channel.address is not None)
+        seed = "{}:{}".format(*(first.channel.address or ()))
+        two = await bench_with(wish(seed), name="n2")
+        # The membership begins anew, and with it whoever has a channel on its port.
+        two.node.reload(two.node.config, wish(seed, probe_ms=400.0))
+        second = talker(two)
+        assert second is not None
+        await until(lambda: second.host.member_address("n1") is not None)
+        assert second.channel.send(b"hello", second.host.member_address("n1") or ("", 0))
+        await until(lambda: first.heard == [b"hello"])
+        assert second.host.live() == ["n2", "n1"] or second.host.live() == ["n1", "n2"]
+        # A store that another process has is waited for, while the node serves.
+        heir = await bench_with(wish(kind="directory"), name="n1")
+        assert talker(heir) is None and (await bench_ready(heir))
+        one.node.parts.stop(farewell=False)  # type: ignore[union-attr]
+        await until(lambda: talker(heir) is not None)
+
+    play(scene)
+    assert "part other: waits: " in capfd.readouterr().err
+
+
+async def bench_ready(bench: Bench) -> bool:
+    return (await bench.once(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
+
+
+def test_what_a_part_needs_and_the_node_has_not_is_said_with_a_remedy(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    entry = registry.Entry("other", f"{__name__}:Talker")
+    monkeypatch.setattr(registry, "PARTS", [entry])
+
+    async def scene() -> None:
+        bench = await bench_with(Wide(other=Wish()))
+        assert bench.node.parts is not None and not bench.node.parts.parts and await bench_ready(bench)
+
+    play(scene)
+    assert "there is no membership -- give the operators' file the table" in capfd.readouterr().err
