Audit: hosted as a part of the node, its ledger in a store, lines from peers

Need: the deciders of the audit have to run in the node.

net/audit.py hosts them: attempts are counted under the versions in force, the ledger goes to the store's log in batches, the node's word goes out as a record, and one that is behind asks its own discovery, then other agents, then peers for what a quorum holds by digest. [audit] in the operators' file switches it on.

--- a/brackenladder/audit/ledger.py
+++ b/brackenladder/audit/ledger.py
@@ -286,6 +286,27 @@
         self.since_checkpoint += 1
         self.bytes += len(body)
 
+    def follow(self, book: Book) -> Ledger:
+        """A ledger that goes on from `book`, which came only now, with all that this one has taken in. Only
+        before this one's first batch."""
+        self.settle()
+        later = Ledger(self.rules, book)
+        shift = later.last_span
+        for body in self.bodies:
+            entry = ENTRY.decode(body)
+            if isinstance(entry, Begin):
+                later.begin(entry.node, entry.at, entry.wall, entry.note)
+            elif isinstance(entry, Taken):
+                later.write(msgspec.structs.replace(entry, span=entry.span + shift))
+            elif isinstance(entry, Sums):
+                later.write(Sums(tuple((n + shift, *rest) for n, *rest in entry.spans)))  # type: ignore[misc]
+            else:
+                later.write(entry)
+        later.last_span = self.last_span + shift
+        later.span = later.book.spans.get(later.last_span) if self.span is not None else None
+        later.early, later.unsaved = self.early, self.unsaved
+        return later
+
     # ---- what happens ---------------------------------------------------------------------------------
 
     def begin(self, node: str, now: int, wall: int, note: str = "", least_life: int = 0) -> None:
--- /dev/null
+++ b/brackenladder/net/audit.py
@@ -0,0 +1,740 @@
+"""Hosts the audit: the node's ledger, its view of the fleet, and what it does about itself when it is behind.
+
+`brackenladder.audit` decides; here are the clock, the store's log, the members' records, the channel to their
+audits and calls to other agents of discovery. Imported only where the operators' file has `[audit]`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import replace
+from time import perf_counter
+from typing import Any
+
+import brackenladder
+from brackenladder.audit import lines, word
+from brackenladder.audit.fleet import WRONG, FleetRules, Heard, Picture, State, View
+from brackenladder.audit.ledger import Key, Ledger, LedgerError, Reading, read
+from brackenladder.audit.mend import Deed, Do, Mender, MendRules, Own
+from brackenladder.audit.word import KIND, Held, Service, Word
+from brackenladder.errors import BrackenladderError
+from brackenladder.interface import ListKind
+from brackenladder.interface import State as ServerState
+from brackenladder.net.discovery import Call
+from brackenladder.net.holdings import Holdings
+from brackenladder.net.listing import Line, Listing, LongListing
+from brackenladder.net.parts import Answer, AttemptEnd, Change, Host, ListNews, Part, Source, Version
+from brackenladder.operation import Operation
+from brackenladder.records.interface import Records
+from brackenladder.stores.interface import Store, StoreError
+from brackenladder.transports.interface import Address, Transport
+
+TAG = 2  # of the channel
+TICK = 0.25  # seconds between two judgements
+WITNESS = 30_000_000  # microseconds after which the ledger's head is told anew
+EPOCH = 5_000_000  # the same for the members' epoch, which moves all the time while many start
+STORE_AGAIN = 1.0  # seconds before a store that could not be had is tried again
+MOST_BATCHES = 64  # that wait for a store; then a checkpoint stands for them
+MOST_LOGS = 3  # of broken chains that are kept to be looked at
+RATE = 256_000  # bytes a second that are handed over to stragglers, all together
+LONGEST = 1 << 20  # bytes of another agent's answer
+PART = 50  # lines of it that are read in one go
+AGENT_TIME = 0.7  # seconds for another agent's answer
+
+
+class Audit(Part):
+    """The part."""
+
+    name = "audit"
+    tag = TAG
+    needs_peers = False
+
+    def __init__(self) -> None:
+        self.host: Host = None  # type: ignore[assignment]  # until `start`
+        self.ledger = Ledger()
+        self.store: Store | None = None
+        self.log = "audit"
+        self.restored: dict[str, Any] = {}  # what the store held
+        self.waiting: deque[tuple[bytes, bool]] = deque()  # batches that the store has not taken
+        self.broken = ""  # what is wrong with the ledger or its store, for people
+        self.write_ms = self.worst_ms = 0.0
+        self.records: Records | None = None
+        self.channel: Transport | None = None
+        self.addresses: dict[Address, str] = {}
+        self.own = Own()
+        self.origin = ""  # as the host names it
+        self.lines: dict[str, Line] = {}  # by the own discovery's word
+        self.coming: dict[str, Line] | None = None  # a whole list of which more is to come
+        self.lists: tuple[Held, ...] = ()
+        self.versions: dict[Source, Version] = {}
+        self.words: dict[str, tuple[int, Word | None]] = {}  # by owner: the record's version, decoded
+        self.said: bytes = b""
+        self.witnessed = (0, 0, b"")  # when the head was last told, entries, head
+        self.rewound: dict[str, tuple[int, int]] = {}  # owners whose ledgers went back
+        self.picture: Picture | None = None
+        self.states: dict[str, State] = {}
+        self.gathering: lines.Gathering | None = None
+        self.gathered_from = ""
+        self.asked_at = 0
+        self.asked_for: tuple[int, ...] = ()
+        self.hinted_at = 0
+        self.extra: dict[str, Line] = {}  # servers that peers have told, and the own discovery has not
+        self.epoch = (0, 0)  # of the members, as told, and when
+        self.call: Call | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.split: tuple[Held, list[tuple[lines.Row, ...]]] | None = None
+        self.budget = (0.0, 0)  # bytes that may go out, and as of when
+        self.granting = False
+        self.out = False
+        self.counts = dict.fromkeys(
+            ("asked_own", "asked_agents", "asked_peers", "brought_up", "by_agent", "by_peers", "told",
+             "handed_over", "shut_out", "let_in", "refused"), 0
+        )  # fmt: skip
+        self.timer: asyncio.TimerHandle | None = None
+        self.flushing: asyncio.TimerHandle | None = None
+        self.store_due = 0.0
+        self.fleet_due = 0.0
+        self.started = 0
+
+    # ---- the course of it -----------------------------------------------------------------------------
+
+    def start(self, host: Host) -> None:
+        """Begins; the store and the other nodes may come later."""
+        self.host = host
+        self.started = host.now()
+        self.rules(host.operation())
+        self.ledger.begin(host.name, host.now(), host.wall())
+        self.have_store()
+        self.have_fleet()
+        host.say("audit begins", life=self.ledger.book.life, log=self.log, **self.restored)
+        self.tick()
+        self.flush()
+
+    def rules(self, operation: Operation) -> None:
+        """Takes the operators' wishes; what is going on goes on."""
+        wish = operation.audit
+        assert wish is not None
+        us = 1_000_000
+        self.wish = wish
+        fleet = FleetRules(lag=int(wish.lag_s * us), hold=int(wish.hold_s * us))
+        mend = MendRules(
+            lag=int(wish.lag_s * us),
+            silence=int(wish.silence_s * us),
+            agents=len(wish.agents),
+            out_after=int(wish.out_after_s * us),
+            share=wish.out_share_percent / 100,
+            in_after=int(wish.in_after_s * us),
+            floor=wish.ready_least,
+            floor_share=wish.ready_share_percent / 100,
+        )
+        if self.picture is None:
+            self.view = View(self.host.name, fleet)
+            self.mender = Mender(self.host.name, mend, self.host.seed() ^ self.host.now())
+        self.view.rules, self.mender.rules = fleet, mend
+
+    def reload(self, operation: Operation) -> None:
+        """The operators' file has changed."""
+        before = self.wish.numbering
+        self.rules(operation)
+        last = self.versions.get(Source.LIST)
+        if self.wish.numbering != before and last is not None:
+            self.version(last)
+
+    def stop(self, farewell: bool) -> None:
+        """Ends in order: the ledger says so."""
+        for timer in (self.timer, self.flushing):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.flushing = None
+        if self.call is not None:
+            self.call.end()
+        for task in self.tasks:
+            task.cancel()
+        if self.channel is not None:
+            self.channel.close()
+        self.ledger.end(self.host.now())
+        self.write()
+        if self.out:
+            self.host.shut_out(False, "the audit ends")
+        self.host.say("audit ends", entries=self.ledger.book.entries, head=self.ledger.book.head.hex()[:16])
+
+    # ---- what the node tells --------------------------------------------------------------------------
+
+    def attempt_ended(self, end: AttemptEnd) -> None:
+        """An attempt counts under the versions that were in force when it began."""
+        self.ledger.attempt(end.outcome, end.began)
+
+    def list_news(self, news: ListNews) -> None:
+        """The own discovery has spoken, if only to say that there is nothing new."""
+        self.own.answered = self.host.now()
+        whole = news.kind != ListKind.CHANGES
+        if whole and self.coming is None:
+            self.coming = {}
+        for into in (self.lines, self.coming) if not whole else (self.coming,):
+            for line in news.lines if into is not None else ():
+                assert into is not None
+                if line.state == ServerState.GONE:
+                    into.pop(line.id, None)
+                else:
+                    into[line.id] = line
+        if whole and not news.more and self.coming is not None:
+            self.lines, self.coming = self.coming, None
+            if self.own.list is None or news.version.number > self.own.list.number:
+                self.extra.clear()
+
+    def version(self, version: Version) -> None:
+        """The node acts on another version of something."""
+        now = self.host.now()
+        self.versions[version.source] = version
+        origin = version.origin
+        if version.source == Source.LIST:
+            origin = self.wish.numbering or origin
+            held = Held(origin, version.number, version.digest)
+            self.lists = word.history(self.lists, held)
+            self.own.list = held
+            self.own.taken = None  # the own discovery's word alone holds
+            self.gathering = None
+        if version.source == Source.MEMBERS and self.recent(now):
+            return
+        self.ledger.taken(Key(version.source.value, origin, version.number, version.digest), now)
+
+    def recent(self, now: int) -> bool:
+        """Members change in swarms; one version of them a second is told apart.
+
+        Failure prevented: three hundred that start together make as many versions, and a list's own are
+        summed up to make room for them.
+        """
+        last = self.ledger.book.force.get(Source.MEMBERS.value)
+        return last is not None and now - last.taken < 1_000_000
+
+    # ---- the ledger's store ---------------------------------------------------------------------------
+
+    def have_store(self) -> None:
+        """Opens the ledger's log, and goes on where it ends. What was counted meanwhile is kept.
+
+        In an upgrade the process before this one has the store until its end.
+        """
+        try:
+            store = self.host.store()
+            reading = self.read_log(store)
+        except BrackenladderError as e:
+            if self.broken != e.line():
+                self.broken = e.line()
+                self.host.say("audit waits for its store", **e.table())
+            self.store_due = self.host.loop.time() + STORE_AGAIN
+            return
+        self.store, self.broken = store, ""
+        book = reading.book
+        if book.life:
+            unclosed = not book.closed
+            self.ledger = self.ledger.follow(book)
+            self.restored = {
+                "lives": book.life, "entries": book.entries, "killed": unclosed, "gaps": reading.gaps,
+            }  # fmt: skip
+            if self.waiting:
+                self.waiting.clear()
+
+    def read_log(self, store: Store) -> Reading:
+        """The newest log that can be read. A broken one stays as it is, and the next number begins.
+
+        Failure prevented: a node that appends to a chain that is broken buries the break.
+        """
+        logs = sorted(n for n in store.names()[1] if n == "audit" or n.startswith("audit-"))
+        self.log = logs[-1] if logs else "audit"
+        try:
+            return read(store.read(self.log), self.host.name, self.log)
+        except (LedgerError, StoreError) as e:
+            self.host.say("audit ledger broken", **e.table())
+            number = int(self.log.partition("-")[2] or "1") + 1
+            self.log = f"audit-{number:04}"
+            for old in logs[: -(MOST_LOGS - 1)]:
+                last = max((n for n, _ in store.read(old)), default=0) if not isinstance(e, StoreError) else 0
+                if last:
+                    store.cut(old, last + 1)
+            self.restored = {"broken": e.line()}
+            return Reading(type(self.ledger.book)())
+
+    def flush(self) -> None:
+        """Writes what has come since the last time. A kill loses no more than that."""
+        if self.store is None and self.host.loop.time() >= self.store_due:
+            self.have_store()
+        self.write()
+        self.flushing = self.host.loop.call_later(self.wish.flush_s, self.flush)
+
+    def write(self) -> None:
+        if self.store is None:
+            return  # the entries wait, and sums do not grow
+        if len(self.waiting) >= MOST_BATCHES:
+            self.waiting.clear()
+            self.waiting.append((self.ledger.checkpoint(), True))
+        else:
+            self.waiting.extend(self.ledger.flush(self.host.now()))
+        began = perf_counter()
+        try:
+            while self.waiting:
+                data, cut = self.waiting[0]
+                number = self.store.append(self.log, data)
+                self.waiting.popleft()
+                if cut:
+                    self.store.cut(self.log, number)
+            self.broken = ""
+        except StoreError as e:
+            if self.broken != e.line():
+                self.broken = e.line()
+                self.host.say("audit ledger not written", waiting=len(self.waiting), **e.table())
+        self.write_ms = (perf_counter() - began) * 1000
+        self.worst_ms = max(self.worst_ms, self.write_ms)
+
+    # ---- the fleet ------------------------------------------------------------------------------------
+
+    def have_fleet(self) -> None:
+        """Takes part in what the members tell each other, once there is a membership."""
+        self.fleet_due = self.host.loop.time() + STORE_AGAIN
+        try:
+            self.records = self.host.records()
+            if self.channel is None:
+                self.channel = self.host.channel(TAG, self.received)
+        except BrackenladderError:
+            self.records = None
+
+    def tick(self) -> None:
+        """Judges, acts, and says what has changed."""
+        self.timer = self.host.loop.call_later(TICK, self.tick)
+        if self.records is None:
+            if self.host.loop.time() >= self.fleet_due:
+                self.have_fleet()
+            if self.records is None:
+                return
+        now = self.host.now()
+        live = self.host.live()
+        words = self.hear(self.records)
+        picture = self.picture = self.view.judge(now, live, words)
+        for deed in self.mender.tick(now, picture, self.own):
+            self.do(deed, now)
+        self.fetch_on(now)
+        self.notice(picture)
+        if picture.awake:  # until then the word of this node's life before is what others go by
+            self.speak(now)
+
+    def hear(self, records: Records) -> dict[str, Heard]:
+        """The members' words, and this node's as it would say it now."""
+        found: dict[str, Heard] = {}
+        for record in records.of(KIND):
+            if record.owner == self.host.name:
+                continue
+            known = self.words.get(record.owner)
+            if known is None or known[0] != record.version:
+                known = self.words[record.owner] = (record.version, word.decode(record.body))
+                self.witness(record.owner, known[1])
+            if known[1] is not None:
+                found[record.owner] = Heard(known[1], record.stale)
+        for owner in self.words.keys() - found.keys():
+            if records.get(owner, KIND) is None:
+                del self.words[owner]
+        found[self.host.name] = Heard(self.word())
+        return found
+
+    def witness(self, owner: str, heard: Word | None) -> None:
+        """Another's ledger must not go back: an old store was put in its place, or its end was cut off."""
+        if heard is None or not heard.entries:
+            return
+        mark = (heard.life, heard.entries)
+        before = self.rewound.get(owner, (0, 0))
+        if mark < before:
+            self.host.say("audit ledger went back", member=owner, before=before, now=mark)
+        self.rewound[owner] = mark
+
+    def word(self) -> Word:
+        """What this node says of itself."""
+        m = self.mender
+        files = {
+            s: (v.number, v.digest)
+            for s, v in self.versions.items()
+            if s in (Source.SETTINGS, Source.OPERATION)
+        }
+        term = self.versions.get(Source.TERM)
+        return Word(
+            life=self.ledger.book.life,
+            entries=self.witnessed[1],
+            head=self.witnessed[2],
+            lists=self.lists,
+            taken=self.own.taken,
+            settings=files.get(Source.SETTINGS, (0, "")),
+            operation=files.get(Source.OPERATION, (0, "")),
+            program=brackenladder.__version__,
+            members=self.epoch[0],
+            known=self.picture.known if self.picture is not None else 0,
+            term=term.number if term is not None else 0,
+            ready=self.own.list is not None,
+            step=m.step,
+            service=m.service,
+            slot=m.slot,
+            claim=m.claim if m.service != Service.IN else 0,
+            votes=m.ballots(),
+        )
+
+    def speak(self, now: int) -> None:
+        """Tells the others, if there is something to tell."""
+        assert self.records is not None
+        if not self.said:
+            self.claim_life(now)
+        if now - self.witnessed[0] >= WITNESS:
+            self.witnessed = (now, self.ledger.book.entries, self.ledger.book.head[:8])
+        members = self.versions.get(Source.MEMBERS)
+        if members is not None and now - self.epoch[1] >= EPOCH:
+            self.epoch = (members.number, now)
+        body = word.encode(self.word())
+        if body != self.said:
+            self.said = body
+            self.records.put(KIND, body)
+
+    def claim_life(self, now: int) -> None:
+        """Before the first word: others may know of later lives than an old store does."""
+        assert self.records is not None
+        record = self.records.get(self.host.name, KIND)
+        before = word.decode(record.body) if record is not None else None
+        if before is not None and before.life >= self.ledger.book.life:
+            note = f"others know of life {before.life} with {before.entries} entries"
+            self.host.say("audit life", life=before.life + 1, why=note)
+            in_force = [row.key for row in self.ledger.book.force.values()]
+            self.ledger.settle()
+            self.ledger.begin(self.host.name, now, self.host.wall(), note, before.life)
+            for key in in_force:
+                self.ledger.taken(key, now)
+
+    def notice(self, picture: Picture) -> None:
+        """One line for each member that has become a straggler or the like, or is none any more."""
+        marked = WRONG | {State.SILENT}
+        for n, standing in picture.standings.items():
+            old, new = self.states.get(n, State.UNKNOWN), standing.state
+            self.states[n] = new
+            if old != new and (old in marked or new in marked) and picture.awake:
+                self.host.say("standing", member=n, old=old.value, new=new.value, why=standing.why)
+        for n in self.states.keys() - picture.standings.keys():
+            del self.states[n]
+
+    # ---- deeds ----------------------------------------------------------------------------------------
+
+    def do(self, deed: Deed, now: int) -> None:
+        """Does what the decider asks for."""
+        if deed.do == Do.TELL:
+            address = self.host.member_address(deed.who)
+            if address is not None and self.channel is not None and deed.target is not None:
+                self.counts["told"] += 1
+                self.channel.send(lines.encode(lines.Hint(deed.target)), address)
+            return
+        after = round((now - self.mender.clock) / 1e6, 3) if self.mender.clock else None
+        self.host.say("audit does", what=deed.do.value, why=deed.why, who=deed.who, clock_s=after)
+        if deed.do == Do.ASK_OWN:
+            self.counts["asked_own"] += 1
+            self.own.hinted = False
+            self.host.ask_list()
+        elif deed.do == Do.ASK_AGENT and deed.target is not None:
+            self.ask_agent(deed.index, deed.target)
+        elif deed.do == Do.ASK_PEER and deed.target is not None:
+            self.counts["asked_peers"] += 1
+            if self.gathering is None or self.gathering.target != deed.target:
+                self.gathering = lines.Gathering(deed.target)
+            self.gathered_from = deed.who
+            self.ask_parts(now)
+        elif deed.do == Do.GO_OUT:
+            self.host.may(Change.SHUT_OUT, self.host.name, lambda answer: self.go_out(answer, deed.why))
+        elif deed.do == Do.COME_IN:
+            self.come_in(deed.why)
+
+    def go_out(self, answer: Answer, why: str) -> None:
+        now = self.host.now()
+        if self.timer is None or self.mender.service != Service.ASKING:
+            return
+        if not answer.go:
+            self.counts["refused"] += 1
+            self.host.say("audit waits", what="shut-out", why=answer.why)
+        self.mender.went(now, answer.go)
+        if answer.go:
+            self.counts["shut_out"] += 1
+            self.out = True
+            self.ledger.act("shut-out", why, now, answer.grant)
+            self.host.say("shut out", why=why, slot=self.mender.slot, grant=answer.grant)
+            self.host.shut_out(True, f"audit: {why}")
+
+    def come_in(self, why: str) -> None:
+        self.counts["let_in"] += 1
+        self.out = False
+        self.ledger.act("let-in", why, self.host.now())
+        self.host.say("let in", why=why)
+        self.host.shut_out(False, why)
+
+    # ---- lines from others ----------------------------------------------------------------------------
+
+    def received(self, data: bytes, source: Address) -> None:
+        """Another node's audit."""
+        message = lines.decode(data)
+        if isinstance(message, lines.Hint):
+            self.hinted(message.target)
+        elif isinstance(message, lines.Ask):
+            self.hand_over(message, source)
+        elif isinstance(message, lines.Part):
+            gathering = self.gathering
+            if gathering is not None and gathering.take(message):
+                self.gathering = None
+                rows, by = gathering.rows(), self.gathered_from
+                self.use(gathering.target, [line_of(r) for r in rows], by, "by_peers")
+            elif (
+                gathering is not None and gathering.of and not set(self.asked_for) & set(gathering.missing())
+            ):
+                self.ask_parts(self.host.now())
+
+    def hinted(self, target: Held) -> None:
+        """Another node says that this one is behind: the own discovery is asked at once, once a second."""
+        mine, now = self.own.list, self.host.now()
+        behind = mine is not None and mine.origin == target.origin and mine.number < target.number
+        if behind and now - self.hinted_at >= 1_000_000:
+            self.hinted_at = now
+            self.own.hinted = True
+            if self.mender.effort is None:  # it has not seen so itself: what it hears may be cut off
+                self.counts["asked_own"] += 1
+                self.host.ask_list()
+
+    def ask_parts(self, now: int) -> None:
+        """Asks the present peer for what is missing."""
+        address = self.host.member_address(self.gathered_from)
+        if self.gathering is None or address is None or self.channel is None:
+            return
+        self.asked_for, self.asked_at = self.gathering.missing(), now
+        self.channel.send(lines.encode(lines.Ask(self.gathering.target, self.asked_for)), address)
+
+    def fetch_on(self, now: int) -> None:
+        """Asks again for parts that were lost; one that is no longer behind asks for nothing."""
+        if self.mender.effort is None:
+            self.gathering = None
+        elif self.gathering is not None and now - self.asked_at >= 150_000:
+            self.ask_parts(now)
+
+    def hand_over(self, message: lines.Ask, source: Address) -> None:
+        """Parts of the list, as this node's own discovery told it; so many bytes a second at most."""
+        target, now = message.target, self.host.now()
+        if target != self.own.list or len(self.lines) > lines.MOST_LINES or self.channel is None:
+            return
+        if self.split is None or self.split[0] != target:
+            rows = (row_of(line) for line in self.lines.values())
+            self.split = (target, lines.split(rows, self.channel.largest))
+        left = min(RATE / 4, self.budget[0] + (now - self.budget[1]) * RATE / 1e6)
+        parts = self.split[1] or [()]
+        for index in message.parts[: lines.WINDOW]:
+            if 0 <= index < len(parts) and left > 0:
+                data = lines.encode(lines.Part(target, index, len(parts), parts[index]))
+                left -= len(data)
+                self.counts["handed_over"] += 1
+                self.channel.send(data, source)
+        self.budget = (left, now)
+
+    def ask_agent(self, index: int, target: Held) -> None:
+        """Asks another agent for its list, which counts only if it is the content that a quorum holds."""
+        others = self.wish.others()
+        if index >= len(others):
+            return
+        self.counts["asked_agents"] += 1
+        if self.call is not None:
+            self.call.end()
+
+        def told(call: Call, body: bytearray | None) -> None:
+            call.end()
+            if body is not None and len(body) <= LONGEST and target.digest:
+                task = self.host.loop.create_task(self.read_agent(bytes(body), target, others[index]))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+        self.call = Call(self.host.loop, others[index], told)
+        self.call.ask("/v1/endpoints", AGENT_TIME)
+
+    async def read_agent(self, body: bytes, target: Held, agent: Address) -> None:
+        """Reads another agent's list in parts, so that requests are served in between."""
+        found: list[Line] = []
+        try:
+            listing = LongListing(body)
+            for _ in listing.check(PART):
+                await asyncio.sleep(0)
+            for part in listing.parts(PART):
+                found += part.lines
+                await asyncio.sleep(0)
+        except (ValueError, RecursionError) as e:
+            self.host.say("audit agent not understood", agent="{}:{}".format(*agent), why=str(e))
+            return
+        self.use(target, found, "{}:{}".format(*agent), "by_agent")
+
+    def use(self, target: Held, found: list[Line], by: str, how: str) -> None:
+        """Takes over a list's content, if it is what a quorum holds: departures and drains at once, and
+        servers that are new here once nobody has anything against it."""
+        now = self.host.now()
+        effort = self.mender.effort
+        if effort is None or effort.target != target or not target.digest:
+            return
+        check = Holdings()
+        check.take(Listing(ListKind.FULL, target.number, tuple(found)), target.origin, False)
+        if check.digest() != target.digest:
+            self.host.say("audit lines refused", by=by, why=f"their digest is not {target.digest}")
+            return
+        theirs = {line.id for line in found}
+        here = self.extra | self.lines
+        gone = [replace(line, state=ServerState.GONE) for name, line in here.items() if name not in theirs]
+        drains = [line for line in found if line.state != ServerState.READY]
+        fresh = [line for line in found if line.state == ServerState.READY and line.id not in self.lines]
+        if gone or drains:
+            self.host.merge_list(tuple(gone + drains))
+        clock = self.mender.clock
+
+        def granted(answer: Answer) -> None:
+            self.granting = False
+            if self.timer is None or self.own.taken == target:
+                return
+            if not answer.go:
+                self.host.say("audit waits", what="bring-up", why=answer.why)
+                return
+            if fresh:
+                self.host.merge_list(tuple(fresh))
+            for line in gone:
+                self.extra.pop(line.id, None)
+            self.extra |= {line.id: line for line in fresh}
+            at = self.host.now()
+            self.own.taken = target
+            self.counts["brought_up"] += 1
+            self.counts[how] += 1
+            key = Key(Source.LIST.value, *target)
+            self.ledger.told(key, by, now)
+            self.ledger.act(
+                "brought-up", f"{len(gone)} gone, {len(drains)} drain, {len(fresh)} new", at, answer.grant
+            )
+            self.ledger.taken(key, at)
+            self.host.say(
+                "brought up", by=by, how=how, origin=target.origin, number=target.number, gone=len(gone),
+                drains=len(drains), new=len(fresh), after_clock_s=round((at - clock) / 1e6, 3),
+            )  # fmt: skip
+
+        if not self.granting:
+            self.granting = True
+            self.host.may(Change.BRING_UP, self.host.name, granted)
+
+    # ---- people ---------------------------------------------------------------------------------------
+
+    def figures(self) -> dict[str, Any]:
+        """Counts for the node's figures."""
+        picture = self.picture
+        found: dict[str, Any] = {
+            "life": self.ledger.book.life,
+            "entries": self.ledger.book.entries,
+            "unsaved": self.ledger.unsaved,
+            "waiting_batches": len(self.waiting),
+            "write_ms": round(self.write_ms, 3),
+            "worst_write_ms": round(self.worst_ms, 3),
+            "store": "none" if self.store is None else "lasting" if self.store.lasting else "not lasting",
+            "wrong": self.broken,
+            "service": self.mender.service.name.lower(),
+            "step": self.mender.step,
+            **self.counts,
+        }
+        if picture is not None:
+            found["standings"] = {s.value: len(picture.names(s)) for s in State}
+            found["side"] = picture.side
+        return found
+
+    def pages(self) -> dict[str, Any]:
+        """`/admin/audit`."""
+        return {"/admin/audit": self.page}
+
+    def page(self) -> tuple[bool, dict[str, Any]]:
+        """The ledger and the view of the fleet; times in seconds ago."""
+        now = self.host.now()
+        table: dict[str, Any] = {"ledger": ago(self.ledger.table(), now), "log": self.log}
+        table["ledger"]["restored"] = self.restored
+        table["ledger"]["wrong"] = self.broken
+        picture = self.picture
+        if picture is not None:
+            table["fleet"] = {
+                "side": picture.side,
+                "awake": picture.awake,
+                "live": len(picture.live),
+                "known": picture.known,
+                "quorum": picture.quorum,
+                "frontiers": [
+                    {
+                        "origin": f.origin, "number": f.number, "digest": f.digest, "holders": len(f.holders),
+                        "support": f.support, "quorum": f.quorum, "of": f.of, "contested": f.contested,
+                    }
+                    for f in picture.frontiers.values()
+                ],
+                "members": [self.row(n, picture, now) for n in sorted(picture.standings)],
+                "settings": self.groups(picture, "settings"),
+                "operation": self.groups(picture, "operation"),
+                "program": self.groups(picture, "program"),
+            }  # fmt: skip
+            table["self"] = {
+                "service": self.mender.service.name.lower(),
+                "step": self.mender.step,
+                "clock_s": round((now - self.mender.clock) / 1e6, 3) if self.mender.clock else None,
+                "answered_s": round((now - self.own.answered) / 1e6, 3) if self.own.answered else None,
+                "taken": self.own.taken._asdict() if self.own.taken is not None else None,
+                "votes": {slot: name for slot, (name, _) in self.mender.votes.items()},
+                "may_be_out": self.mender.slots(picture),
+                "floor": self.mender.floor(picture),
+                **self.counts,
+            }
+        return not self.broken, table
+
+    def row(self, n: str, picture: Picture, now: int) -> dict[str, Any]:
+        """One member, for people."""
+        s, heard = picture.standings[n], picture.words.get(n)
+        found: dict[str, Any] = {
+            "name": n,
+            "state": s.state.value,
+            "why": s.why,
+            "since_s": round((now - s.since) / 1e6, 3),
+        }
+        if heard is not None:
+            w = heard.word
+            found |= {
+                "list": list(w.list) if w.list is not None else None,
+                "taken": list(w.taken) if w.taken is not None else None,
+                "service": w.service.name.lower(),
+                "life": w.life,
+                "entries": w.entries,
+                "head": w.head.hex(),
+                "settings": w.settings[1],
+                "operation": w.operation[1],
+                "program": w.program,
+                "term": w.term,
+            }
+        return found
+
+    @staticmethod
+    def groups(picture: Picture, field: str) -> dict[str, int]:
+        """How many members hold which content."""
+        found: dict[str, int] = {}
+        for heard in picture.words.values():
+            value = getattr(heard.word, field)
+            digest = value if isinstance(value, str) else value[1]
+            found[digest] = found.get(digest, 0) + 1
+        return found
+
+
+def ago(table: dict[str, Any], now: int) -> dict[str, Any]:
+    """Times of this node's clock as seconds ago; of lives before this one they mean nothing, and go."""
+    for row in table["versions"]:
+        for key in ("told_us", "taken_us", "first_us", "last_us"):
+            at = row.pop(key)
+            here = at and row["life"] == table["life"]
+            row[key.replace("_us", "_s_ago")] = round((now - at) / 1e6, 3) if here else None
+    return table
+
+
+def row_of(line: Line) -> lines.Row:
+    state = line.state.name
+    return lines.Row(
+        line.id, line.host, line.port, line.zone, line.kind, line.cell, state, line.weight, line.started
+    )
+
+
+def line_of(row: lines.Row) -> Line:
+    """A state that is not known counts as draining, as in discovery's own lists."""
+    state = ServerState.__members__.get(row.state, ServerState.DRAINING)
+    return Line(row.id, row.host, row.port, row.zone, row.kind, row.cell, state, row.weight, row.started)
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -43,6 +43,7 @@
     Entry("zones", "brackenladder.net.judges:ZonesPart"),
     Entry("storms", "brackenladder.net.judges:StormsPart"),
     # Audit: who acted on which version.
+    Entry("audit", "brackenladder.net.audit:Audit"),
     # Shards: which server is a key's home.
     # Forecast: what a change of placement would cost.
     # Freeze: who may change what during an incident. Last: it is told what the others know.
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -184,6 +184,27 @@
         return StoreWish(self.kind, self.path, int(self.most_mb * (1 << 20)), lasting)
 
 
+class AuditTable(Table, frozen=True):
+    """`[audit]`: which node acts on which version. Its presence switches it on; without `[membership]` the
+    node keeps its own ledger and knows nothing of the others."""
+
+    numbering: str = ""
+    agents: list[str] = msgspec.field(default_factory=list)
+    flush_s: Annotated[float, Meta(ge=0.05, le=60)] = 0.5
+    lag_s: Seconds = 2.5
+    silence_s: Seconds = 6.0
+    hold_s: Seconds = 2.0
+    out_after_s: Seconds = 30.0
+    out_share_percent: Percent = 10.0
+    in_after_s: Seconds = 10.0
+    ready_least: Annotated[int, Meta(ge=1)] = 1
+    ready_share_percent: Percent = 50.0
+
+    def others(self) -> tuple[Address, ...]:
+        """The agents that a straggler asks beside its own."""
+        return tuple(address(a, f"audit.agents[{i}]") for i, a in enumerate(self.agents))
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
@@ -192,6 +213,7 @@
     membership: Membership | None = None
     spread: SpreadTable | None = None
     store: StoreTable | None = None
+    audit: AuditTable | None = None
 
 
 NOTHING = Operation()
@@ -229,6 +251,8 @@
         unknown(table["spread"], SpreadTable, where, "spread.")
     if isinstance(table.get("store"), dict):
         unknown(table["store"], StoreTable, where, "store.")
+    if isinstance(table.get("audit"), dict):
+        unknown(table["audit"], AuditTable, where, "audit.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
@@ -243,6 +267,11 @@
             found.store.wish()
         except OperationError as e:
             raise e.within(where) from None
+    if found.audit is not None:
+        try:
+            found.audit.others()
+        except OperationError as e:
+            raise e.within(where) from None
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
