--- /dev/null
+++ b/brackenladder/records/wire.py
@@ -0,0 +1,143 @@
+"""The datagrams of the records: bounded, versioned, MessagePack by msgspec.
+
+`Heads` tells how far owners have come, `Want` asks for records of owners, `Have` brings them. What does not
+decode, names another version or is out of range is refused by `decode` with `WireError`; the caller counts
+it and drops it.
+"""
+
+from __future__ import annotations
+
+import enum
+import struct
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+
+import msgspec
+
+from brackenladder.records.interface import MOST_BODY
+
+VERSION = 1
+LAST = 1 << 47  # the highest count or version that is taken: one more must still encode
+KEY = 6  # bytes by which owners are named in heads: names of up to 64 characters would fill them
+NAME_LIMIT = 64
+KIND_LIMIT = 32
+HEAD = struct.Struct(">6sHII")  # key, count (48 bits), check
+
+
+class Head(msgspec.Struct, frozen=True, order=True):
+    """How far an owner has come: its `count` rises with each word of it; `check` is over all its records."""
+
+    count: int = 0
+    check: int = 0
+
+
+class Ask(enum.IntEnum):
+    """What the sender of heads wants in return."""
+
+    NOTHING = 0
+    NEWER = 1  # of the owners that it names
+    ALL = 2  # heads of all owners that it does not name
+
+
+class Heads(msgspec.Struct, tag=1, array_like=True, frozen=True):
+    """Heads of owners, packed."""
+
+    packed: bytes
+    ask: Ask = Ask.NOTHING
+
+
+class Held(msgspec.Struct, array_like=True, frozen=True):
+    """One record that the asker holds, so that it is not sent again."""
+
+    kind: str
+    version: int
+    check: int
+
+
+class Want(msgspec.Struct, tag=2, array_like=True, frozen=True):
+    """Send me an owner's records that are newer than these."""
+
+    key: bytes
+    held: list[Held] = []
+
+
+class Item(msgspec.Struct, array_like=True, frozen=True):
+    """One record."""
+
+    owner: str
+    kind: str
+    version: int
+    body: bytes
+
+
+class Have(msgspec.Struct, tag=3, array_like=True, frozen=True):
+    """Records, and the heads of their owners at the sender."""
+
+    heads: bytes
+    items: list[Item]
+
+
+Message = Heads | Want | Have
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+    message: Message
+
+
+class WireError(ValueError):
+    """A datagram that is not well formed; the text says why."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(message: Message) -> bytes:
+    return _encoder.encode(Envelope(VERSION, message))
+
+
+def decode(data: bytes) -> Message:
+    """The message in a datagram. A `WireError` for what is malformed, out of range or another version's."""
+    try:
+        envelope = _decoder.decode(data)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise WireError(f"malformed datagram: {error}") from None
+    if envelope.version != VERSION:
+        raise WireError(f"version {envelope.version}, this member speaks {VERSION}")
+    message = envelope.message
+    heads = (
+        message.packed if isinstance(message, Heads) else message.heads if isinstance(message, Have) else b""
+    )
+    if len(heads) % HEAD.size:
+        raise WireError("heads are cut off")
+    if isinstance(message, Want) and len(message.key) != KEY:
+        raise WireError("a key has six bytes")
+    for item in message.items if isinstance(message, Have) else ():
+        if not 0 < len(item.owner) <= NAME_LIMIT or not 0 < len(item.kind) <= KIND_LIMIT:
+            raise WireError("an owner's name or a kind is empty or too long")
+        if not 0 < item.version <= LAST or len(item.body) > MOST_BODY:
+            raise WireError(f"a record of {item.owner!r} is out of range")
+    return message
+
+
+def pack(heads: Iterable[tuple[bytes, Head]]) -> bytes:
+    """Heads as bytes, 16 each."""
+    return b"".join(HEAD.pack(k, h.count >> 32, h.count & 0xFFFFFFFF, h.check) for k, h in heads)
+
+
+def unpack(data: bytes) -> Iterator[tuple[bytes, Head]]:
+    """The same back; a count out of range is left out."""
+    for key, high, low, check in HEAD.iter_unpack(data):
+        if (count := high << 32 | low) <= LAST:
+            yield key, Head(count, check)
+
+
+def key_of(owner: str) -> bytes:
+    """An owner's short name."""
+    return blake2b(owner.encode(errors="surrogatepass"), digest_size=KEY).digest()
+
+
+def check_of(data: bytes) -> int:
+    """32 bits over a content."""
+    return int.from_bytes(blake2b(data, digest_size=4).digest(), "big")
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,216 @@
+"""Records that spread: merging, loss, partitions, earlier lives, the dead, the stale, the budget."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.lab.network import Net
+from brackenladder.lab.records import SECOND, World, held
+from brackenladder.records.interface import MOST_BODY
+from brackenladder.records.table import LARGEST, RecordTable, Rules
+from brackenladder.records.wire import LAST, Have, Item, encode
+
+PLACES: dict[str, tuple[str, int]] = {"a": ("emu", 1), "b": ("emu", 2), "c": ("emu", 3)}
+
+
+def table(name: str = "a", **rules: Any) -> RecordTable:
+    made = RecordTable(name, 1, Rules(**rules))
+    made.members(0, PLACES)
+    return made
+
+
+def seen(node: RecordTable) -> dict[tuple[str, str], tuple[int, bytes]]:
+    return {(o.name, k): (e.version, e.body) for o in node.owners.values() for k, e in o.records.items()}
+
+
+def brought(*items: Item) -> bytes:
+    return encode(Have(b"", list(items)))
+
+
+ITEMS = st.builds(
+    Item,
+    st.sampled_from(["b", "c"]),
+    st.sampled_from(["x", "y"]),
+    st.integers(1, 4),
+    st.sampled_from([b"", b"1", b"2", b"3"]),
+)
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(st.lists(ITEMS, max_size=12), st.randoms(use_true_random=False), st.lists(st.integers(0, 11)))
+def test_merging_in_any_order_with_loss_repaired_and_repetition_gives_the_same(
+    items: list[Item], draw: random.Random, again: list[int]
+) -> None:
+    one, two, three = table(), table(), table()
+    for item in items:
+        one.receive(1, brought(item), PLACES["b"])
+    shuffled = [*items, *(items[i] for i in again if i < len(items))]
+    draw.shuffle(shuffled)
+    for item in shuffled:
+        two.receive(1, brought(item), PLACES["c"])
+    for i in range(0, len(shuffled), 3):
+        three.receive(1, brought(*shuffled[i : i + 3]), PLACES["c"])
+    assert seen(one) == seen(two) == seen(three)
+    for (owner, kind), (version, _) in seen(one).items():
+        assert version == max(i.version for i in items if (i.owner, i.kind) == (owner, kind))
+
+
+def world(size: int = 8, seed: int = 1, loss: float = 0.0, **rules: Any) -> World:
+    made = World(size, seed, Net(loss=loss), Rules(**rules))
+    for name in made.nodes:
+        made.put(name, "state", name.encode())
+    made.run(10)
+    return made
+
+
+def everywhere(made: World, owner: str, kind: str = "state") -> set[bytes | None]:
+    found = [n.table.get(owner, kind) for n in made.nodes.values() if n.end.address is not None]
+    return {r.body if r is not None else None for r in found}
+
+
+def test_a_record_reaches_all_in_spite_of_loss_duplicates_and_reordering() -> None:
+    for seed in range(2):
+        made = World(16, seed, Net(loss=0.2, duplicate=0.2, jitter=200_000))
+        for i, name in enumerate(made.nodes):
+            made.put(name, "one", b"%d" % i)
+            made.put(name, "two", b"x" * MOST_BODY)
+        made.run(12)
+        assert made.agreed()
+        assert len(made.nodes["m3"].table.of("two")) == 16
+        made.put("m7", "one", b"news")
+        made.run(5)
+        assert everywhere(made, "m7", "one") == {b"news"}
+
+
+def test_what_pushes_missed_is_repaired_by_exchanges() -> None:
+    made = world(pushes=1, fanout=1)
+    made.net.cut = {("m0", f"m{i}") for i in range(1, 8)}
+    made.put("m0", "state", b"unheard")
+    made.run(2)
+    assert everywhere(made, "m0") == {b"unheard", b"m0"}
+    made.net.cut = set()
+    made.run(6)
+    assert everywhere(made, "m0") == {b"unheard"}
+
+
+def test_both_sides_of_a_partition_come_together() -> None:
+    made = world()
+    sides = [{"m0", "m1", "m2"}, {"m3", "m4", "m5", "m6", "m7"}]
+    made.net.groups = sides
+    for side in sides:
+        made.tell(side, side)
+    for name in made.nodes:
+        made.put(name, "state", b"parted")
+    made.run(10)
+    assert everywhere(made, "m0") == {b"parted", b"m0"}
+    made.net.groups = None
+    made.tell(made.nodes)
+    made.run(6)
+    assert made.agreed() and everywhere(made, "m0") == {b"parted"}
+
+
+def test_an_owner_that_starts_anew_goes_on_above_its_earlier_life() -> None:
+    made = world(withdraw_after=5 * SECOND)
+    for i in range(5):
+        made.put("m2", "state", b"%d" % i)
+        made.put("m2", "other", b"old")
+        made.run(1)
+    old = made.nodes["m2"].table.me
+    made.start("m2")
+    made.tell(made.nodes)
+    made.put("m2", "state", b"new life")  # at version 1, before it has heard of its earlier word
+    made.run(4)
+    assert everywhere(made, "m2") == {b"new life"}
+    entry = made.nodes["m2"].table.me.records["state"]
+    assert entry.version > old.records["state"].version
+    assert made.nodes["m2"].table.me.head.count > old.head.count
+    assert everywhere(made, "m2", "other") == {b"old"}
+    made.run(8)
+    assert everywhere(made, "m2", "other") == {None}  # not written again: withdrawn
+
+
+def test_records_of_the_dead_are_dropped_and_late_gossip_brings_none_back() -> None:
+    made = world(drop_after=10 * SECOND)
+    late = made.nodes["m1"]
+    made.stop("m4")
+    made.tell([n for n in made.nodes if n != "m4"], [n for n in made.nodes if n != "m1"])
+    made.run(9)
+    assert everywhere(made, "m4") == {b"m4"}
+    made.run(6)
+    kept = {n for n, node in made.nodes.items() if held(node, "m4")}
+    assert kept == {"m1", "m4"}  # m1 has not heard of the death, and goes on telling
+    made.run(20)
+    assert {n for n, node in made.nodes.items() if held(node, "m4")} == {"m1", "m4"}
+    late.table.members(made.now, {n: made.nodes[n].end.wish for n in made.nodes if n != "m4"})
+    made.run(15)
+    assert not held(late, "m4")
+
+
+def test_an_owner_that_falls_silent_is_stale_and_one_without_news_is_not() -> None:
+    made = world()
+    made.run(60)
+    assert not any(r.stale for n in made.nodes.values() for r in n.table.of("state"))
+    made.stop("m5")  # the membership does not know yet
+    made.run(made.nodes["m0"].table.stale_after / SECOND + 5)
+    for name in ("m0", "m3"):
+        assert [r.owner for r in made.nodes[name].table.of("state") if r.stale] == ["m5"]
+
+
+def test_what_goes_out_keeps_to_the_budget_and_all_arrives_in_the_end() -> None:
+    made = world(16, rate=1_000, rate_a_member=50, most_rate=2_000)
+    before = {n: node.table.counters.sent_bytes for n, node in made.nodes.items()}
+    for name in made.nodes:
+        made.put(name, "state", b"y" * 900)
+    made.run(5)
+    for name, node in made.nodes.items():
+        assert node.table.counters.sent_bytes - before[name] <= 2_000 * (5 + 2)
+    assert sum(n.table.counters.held_back for n in made.nodes.values()) > 0
+    made.run(60)
+    assert made.agreed()
+
+
+def test_the_same_events_give_the_same_datagrams() -> None:
+    def played() -> tuple[int, list[Any]]:
+        made = world(10, seed=5, loss=0.1)
+        made.put("m1", "state", b"z")
+        made.run(5)
+        return made.sent(), [seen(n.table) for n in made.nodes.values()]
+
+    assert played() == played()
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=1_400))
+def test_any_datagram_is_taken_without_harm(data: bytes) -> None:
+    one = table()
+    one.receive(1, data, PLACES["b"])
+    assert one.counters.malformed + one.counters.received == 1
+    assert seen(one) == {}
+
+
+def test_bounds_hold() -> None:
+    one = table()
+    with pytest.raises(ValueError):
+        one.put(1, "state", b"x" * (MOST_BODY + 1))
+    with pytest.raises(ValueError):
+        one.put(1, "k" * 33, b"x")
+    assert one.put(1, "state", b"x") and not one.put(2, "state", b"x")
+    for i in range(40):
+        one.receive(3, brought(Item("b", f"kind{i}", 1, b"x"), Item("stranger", "k", 1, b"x")), PLACES["b"])
+    assert len(one.owners["b"].records) == 16 and "stranger" not in one.owners
+    assert one.receive(4, brought(Item("b", "kind1", LAST + 1, b"x")), PLACES["b"]) == []
+    assert one.counters.malformed == 1
+    many = {f"node-with-a-long-name-{i}": ("emu", i + 1) for i in range(500)}
+    big = RecordTable("a", 1)
+    big.members(0, many)
+    for _ in range(100):
+        for send in big.tick(big.next_deadline()):
+            assert len(send.data) <= LARGEST
+    one.tick(10)
+    one.tick(5)  # a clock that goes back stands still
+    assert one.now == 10
