Records are hosted on a channel of the membership's port, from the first part that asks

Where no part asks, nothing is imported and nothing sent. The figures of the membership carry a table `records`. A datagram that is not well formed is a type of its own with a remedy.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -442,8 +442,11 @@
         return channel
 
     def records(self) -> Records:
-        """The records that spread."""
-        raise PartError("no records of other nodes: there is no membership", "membership")
+        """The records that spread; they end with the membership."""
+        if self.members is None:
+            raise PartError("no records of other nodes: there is no membership", "membership")
+        self.lean("membership")
+        return self.members.records()
 
     def store(self) -> Store:
         """Where durable state lies."""
--- a/brackenladder/net/members.py
+++ b/brackenladder/net/members.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections.abc import Callable
 from time import monotonic_ns
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -22,6 +22,9 @@
 from brackenladder.transports.interface import Address, TransportError
 from brackenladder.transports.mux import Mux
 
+if TYPE_CHECKING:
+    from brackenladder.net.records import Spreading
+
 CHANGES_A_SECOND = 1000  # change lines: a node that starts among 300 others writes 300
 BIND_AGAIN = 0.2  # seconds between two tries to have the socket
 
@@ -80,6 +83,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.binding: asyncio.Task[None] | None = None
         self.due_at = 0
+        self.spreading: Spreading | None = None  # the records, once a part has asked for them
         self.unsent = 0  # datagrams that no socket would take
 
     # ---- the course of it ----------------------------------------------------------------------------
@@ -117,6 +121,8 @@
         swim, self.swim = self.swim, None
         if swim is not None and farewell:
             self.post(swim.leave(now()))
+        if self.spreading is not None:
+            self.spreading.stop()
         self.mux.close()
         self.log.info("membership ends", farewell=farewell)
 
@@ -146,6 +152,8 @@
             delay = max(0, due - now()) / 1e6
             self.timer = asyncio.get_running_loop().call_later(delay, self.due)
         if changes:
+            if self.spreading is not None:
+                self.spreading.members(self.addresses())
             self.changed()
 
     def due(self) -> None:
@@ -153,6 +161,21 @@
         if self.swim is not None:
             self.carry(self.swim.tick(now()) if now() >= self.swim.next_deadline() else [])
 
+    # ---- what builds on it ---------------------------------------------------------------------------
+
+    def records(self) -> Spreading:
+        """The records that spread among the members, from the first call on."""
+        if self.spreading is None:
+            from brackenladder.net.records import Spreading
+
+            self.spreading = Spreading(self.node.name, self.seed, self.mux.channel)
+            self.spreading.members(self.addresses())
+        return self.spreading
+
+    def addresses(self) -> dict[str, Address]:
+        """Where each that is alive or merely suspected is reached, this node included."""
+        return {} if self.swim is None else {m.name: (m.host, m.port) for m in self.swim.alive()}
+
     # ---- operators -----------------------------------------------------------------------------------
 
     def live(self) -> list[str]:
@@ -190,6 +213,7 @@
         if self.swim is None:
             return {"joined": False, "states": counts, "unsent": self.unsent}
         swim = self.swim
+        spread = {} if self.spreading is None else {"records": self.spreading.figures()}
         return {
             "joined": True,
             "states": counts,
@@ -197,4 +221,5 @@
             "incarnation": swim.me.incarnation,
             "unsent": self.unsent,
             **swim.counters.__dict__,
+            **spread,
         }
--- a/brackenladder/records/table.py
+++ b/brackenladder/records/table.py
@@ -41,8 +41,8 @@
     Held,
     Item,
     Message,
+    RecordsMalformed,
     Want,
-    WireError,
     check_of,
     decode,
     encode,
@@ -155,7 +155,7 @@
 
     def __init__(self, name: str, seed: int, rules: Rules | None = None, now: int = 0) -> None:
         self.name, self.rules = name, rules or Rules()
-        self.random = random.Random(seed)
+        self.random = random.Random(f"{seed}/{name}")
         self.now = now
         self.me = Owner(name, key_of(name), Head(1, 0))
         self.owners: dict[str, Owner] = {name: self.me}
@@ -267,7 +267,7 @@
         self._at(now)
         try:
             message = decode(data)
-        except WireError:
+        except RecordsMalformed:
             self.counters.malformed += 1
             return []
         self.counters.received += 1
--- a/brackenladder/records/wire.py
+++ b/brackenladder/records/wire.py
@@ -1,8 +1,8 @@
 """The datagrams of the records: bounded, versioned, MessagePack by msgspec.
 
 `Heads` tells how far owners have come, `Want` asks for records of owners, `Have` brings them. What does not
-decode, names another version or is out of range is refused by `decode` with `WireError`; the caller counts
-it and drops it.
+decode, names another version or is out of range is refused by `decode` with `RecordsMalformed`; the caller
+counts it and drops it.
 """
 
 from __future__ import annotations
@@ -11,9 +11,11 @@
 import struct
 from collections.abc import Iterable, Iterator
 from hashlib import blake2b
+from typing import ClassVar
 
 import msgspec
 
+from brackenladder.errors import BrackenladderError
 from brackenladder.records.interface import MOST_BODY
 
 VERSION = 1
@@ -85,8 +87,13 @@
     message: Message
 
 
-class WireError(ValueError):
-    """A datagram that is not well formed; the text says why."""
+class RecordsMalformed(BrackenladderError, ValueError):
+    """A datagram to the records that is not well formed; counted as `malformed` and dropped."""
+
+    remedy: ClassVar[str] = (
+        "give all nodes of the fleet one version of the program; if they have it,"
+        " find who else sends to the port"
+    )
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -98,26 +105,26 @@
 
 
 def decode(data: bytes) -> Message:
-    """The message in a datagram. A `WireError` for what is malformed, out of range or another version's."""
+    """The message in a datagram. A `RecordsMalformed` for one that is not well formed."""
     try:
         envelope = _decoder.decode(data)
     except (msgspec.DecodeError, ValueError) as error:
-        raise WireError(f"malformed datagram: {error}") from None
+        raise RecordsMalformed(f"malformed datagram: {error}") from None
     if envelope.version != VERSION:
-        raise WireError(f"version {envelope.version}, this member speaks {VERSION}")
+        raise RecordsMalformed(f"version {envelope.version}, this member speaks {VERSION}")
     message = envelope.message
     heads = (
         message.packed if isinstance(message, Heads) else message.heads if isinstance(message, Have) else b""
     )
     if len(heads) % HEAD.size:
-        raise WireError("heads are cut off")
+        raise RecordsMalformed("heads are cut off")
     if isinstance(message, Want) and len(message.key) != KEY:
-        raise WireError("a key has six bytes")
+        raise RecordsMalformed("a key has six bytes")
     for item in message.items if isinstance(message, Have) else ():
         if not 0 < len(item.owner) <= NAME_LIMIT or not 0 < len(item.kind) <= KIND_LIMIT:
-            raise WireError("an owner's name or a kind is empty or too long")
+            raise RecordsMalformed("an owner's name or a kind is empty or too long")
         if not 0 < item.version <= LAST or len(item.body) > MOST_BODY:
-            raise WireError(f"a record of {item.owner!r} is out of range")
+            raise RecordsMalformed(f"a record of {item.owner!r} is out of range")
     return message
 
 
