The return of a zone waits where a part has a say; failing over never does

Need: during an incident a zone that comes back is a change of where calls go, and the freeze must be able to hold it; what takes calls over from a lost zone must not wait. Change: the judge of zones keeps a zone that is back at what it bore before until it is let, while somebody has a say (asks); if another zone is lost meanwhile it counts at once. Its part of the node asks, and the log line says why it waits. Without such a part nothing differs.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -72,6 +72,7 @@
         self.versions: dict[Source, Version] = {}  # in force, as told
         self.key_of: Callable[[Message], bytes | None] | None = None
         self.hit_of: Callable[[Reply], bool | None] | None = None
+        self.on_voices: Callable[[], None] | None = None  # told when others than before may have a say
         self.ended_for: list[Part] = []  # parts that want to know of attempts
 
     # ---- the course of the parts -----------------------------------------------------------------------
@@ -234,6 +235,8 @@
         begins, self.tracks = tracks and not self.tracks, tracks
         self.key_of = next((p.key_of for p in running if p.key_of is not None), None)
         self.hit_of = next((p.hit_of for p in running if p.hit_of is not None), None)
+        if self.on_voices is not None:
+            self.on_voices()
         self.node.on_ended = self.ended if self.ended_for else None
         if not running:
             self.shut_out(False, "")
--- a/brackenladder/net/judges.py
+++ b/brackenladder/net/judges.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
+
 from brackenladder.balance import Balancer
 from brackenladder.net.inner import Inner
+from brackenladder.net.parts import Change
 from brackenladder.operation import Operation
 from brackenladder.storms import Storms
 from brackenladder.zones import Judge
 
+LOOK = 0.5  # seconds between two looks for zones that have come back
+
 
 class ZonesPart(Inner):
     """`[zones]`: who decides between zones."""
@@ -15,15 +21,55 @@
     name = "zones"
 
     def begin(self) -> None:
+        self.timer: asyncio.TimerHandle | None = None
+        self.wanted: set[int] = set()  # zones whose return waits to be let
         self.give(self.judge(self.hosting.operation()))
+        self.hosting.on_voices = self.look
+        self.look()
 
     def reload(self, operation: Operation) -> None:
         self.give(self.judge(operation))
+        self.look()
 
     def stop(self, farewell: bool) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.hosting.on_voices = None
         if not self.hosting.ending:
+            self.forget(self.wanted)
             self.give(None)
 
+    def look(self) -> None:
+        """Asks for zones that have come back, while any part has a say in that."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None
+        judge, asks = self.node.balancer.judge, bool(self.hosting.changes.with_a_say())
+        if not isinstance(judge, Judge):
+            return
+        judge.asks = asks
+        self.forget(self.wanted - judge.back.keys())
+        for number in judge.back.keys() - self.wanted if asks else ():
+            self.wanted.add(number)
+            scope = f"zone={self.called(number)}"
+            allow = partial(judge.let.add, number)
+            stays = "its calls stay where they are"
+            self.hosting.changes.make(self.matter(number), (Change.ZONE_RETURN,), allow, scope, stays)
+        if asks:
+            self.timer = self.node.loop.call_later(LOOK, self.look)
+
+    def forget(self, numbers: set[int]) -> None:
+        """Returns that are wanted no longer, or made."""
+        for number in numbers:
+            self.hosting.changes.forget(self.matter(number))
+        self.wanted = self.wanted - numbers
+
+    def called(self, number: int) -> str:
+        return next((name for name, n in self.node.zones.items() if n == number), str(number))
+
+    def matter(self, number: int) -> str:
+        return f"return of zone {self.called(number)}"
+
     def judge(self, operation: Operation) -> Judge:
         """A judge by the operators' rules; the one there is keeps what it learned."""
         assert operation.zones is not None
--- a/brackenladder/zones.py
+++ b/brackenladder/zones.py
@@ -85,6 +85,9 @@
         self.rates: list[float] = []  # the same by class
         self.spilled = 0.0  # part of the load that goes to other zones
         self.excess = 0.0  # and that is refused
+        self.asks = False  # a zone that comes back has to be let
+        self.back: dict[int, float] = {}  # zones that wait for that, with the servers that counted until then
+        self.let: set[int] = set()  # and those that have been
 
     def renew(self, rules: ZoneRules) -> None:
         """Other rules from now on; what was learned of zones, load and servers stays."""
@@ -134,7 +137,11 @@
         if not self.panic:
             there *= 1.0 - state.unwell.get(number, 0.0)
         if zone.gone and ready >= LOST * zone.usual:
-            zone.gone, zone.back_at = False, now
+            if not self.waits(number, zone):
+                zone.gone, zone.back_at = False, now
+        elif zone.gone:
+            self.back.pop(number, None)
+            self.let.discard(number)
         elif not zone.gone and zone.usual and ready < LOST * zone.usual:
             if now - zone.lost_at > rules.calm_time:
                 zone.losses = 0
@@ -151,6 +158,22 @@
                 zone.back_at = None
             else:
                 zone.bears = min(there, zone.usual * grown)
+        if number in self.back:
+            zone.bears = min(zone.bears, self.back[number])
+
+    def waits(self, number: int, zone: Zone) -> bool:
+        """Whether a zone whose servers are there again has to wait until it is let.
+
+        Failure prevented: another zone is lost, and its calls are refused while this one's servers stand by.
+        What takes calls over from a lost zone waits for nobody.
+        """
+        needed = any(z.gone and n not in self.back for n, z in self.zones.items() if n != number)
+        if self.asks and not needed and number not in self.let:
+            self.back.setdefault(number, zone.bears)
+            return True
+        self.back.pop(number, None)
+        self.let.discard(number)
+        return False
 
     def note_load(self, span: int, state: ZoneState) -> None:
         """Follows what is asked of this copy, by class and together."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -29,7 +29,8 @@
     Source,
     Version,
 )
-from brackenladder.operation import Operation, Table, build
+from brackenladder.operation import Operation, Table, Zones, build
+from brackenladder.zones import Judge
 
 ROOT = Path(__file__).parent.parent
 
@@ -288,6 +289,25 @@
     assert "reload: goes ahead after " in said
 
 
+def test_the_return_of_a_zone_waits_until_all_let_it(capfd: pytest.CaptureFixture[str]) -> None:
+    async def scene() -> None:
+        bench = await bench_with(Wide(dummy=Wish(), zones=Zones()))
+        (part,), judge = Dummy.made_ones, bench.node.balancer.judge
+        assert isinstance(judge, Judge) and judge.asks
+        part.no = "the change freeze holds"
+        judge.back[1] = 2.0
+        asked = ("asked", Change.ZONE_RETURN, "zone=there")
+        await until(lambda: asked in part.seen)
+        assert not judge.let
+        part.no = ""
+        await until(lambda: judge.let == {1})
+        bench.node.reload(bench.node.config, Wide(zones=Zones()))
+        assert not judge.asks  # nobody is left who has a say
+
+    play(scene)
+    assert "return of zone there: waits: the change freeze holds; its calls stay" in capfd.readouterr().err
+
+
 def test_what_the_platform_forbids_waits_for_nobody() -> None:
     async def scene() -> None:
         bench = await bench_with(Wide(dummy=Wish()), Server())
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -382,6 +382,27 @@
     play(scene)
 
 
+def test_a_zone_that_comes_back_waits_to_be_let_unless_another_is_lost():
+    site = Site(ZoneRules(return_time=4 * SEC, server_rate=25.0))
+    site.run(40)
+    site.judge.asks = True
+    site.ready[B] = 2
+    site.run(5)
+    site.ready[B] = 10
+    site.run(20)
+    zones = site.judge.zones
+    assert zones[B].gone and zones[B].bears == 2 and set(site.judge.back) == {B}
+    site.judge.let.add(B)
+    site.run(6)
+    assert not zones[B].gone and zones[B].bears == 10 and not site.judge.back
+    for lost in (B, C):  # C goes while B waits: what takes over its calls waits for nobody
+        site.ready[lost] = 0
+        site.run(5)
+        site.ready[B] = 10
+    site.run(10)
+    assert not zones[B].gone and zones[C].gone and not site.judge.back
+
+
 def test_a_node_without_the_file_imports_nothing_of_it():
     code = (
         "import sys, brackenladder.__main__;"
