--- /dev/null
+++ b/tests/test_freeze.py
@@ -0,0 +1,359 @@
+"""The change freeze in an emulated world of virtual time: election, grants, incidents, and the hard cases."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import pytest
+
+from brackenladder.freeze.changes import Change
+from brackenladder.freeze.election import RECORD, ElectionRules, Elector
+from brackenladder.freeze.machine import Freeze
+from brackenladder.freeze.state import State, overlap, read_scope
+from brackenladder.lab.freeze import SECOND, World, rules_of
+
+ZONE_A, ZONE_B = "zone=a", "zone=b"
+
+
+def settled(nodes: int = 6, seed: int = 1, electors: int = 3, write: int = 2_000) -> World:
+    """A world whose coordinator has begun to give."""
+    world = World(nodes, seed, electors, write=write)
+    assert world.until(lambda: world.coordinator() is not None, 8 * SECOND)
+    world.run(world.now + 2 * SECOND)
+    return world
+
+
+def well(world: World) -> None:
+    assert world.wrong == []
+
+
+def leader(world: World) -> str:
+    found = world.coordinator()
+    assert found is not None
+    return found
+
+
+def others(world: World, *but: str) -> list[str]:
+    return [n for n in world.sites if n not in but]
+
+
+def last(world: World, id: str) -> str:
+    """What a request was told last, in words."""
+    return world.outcomes[id][-1][1].why
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_coordinator_that_is_killed_is_followed_within_two_leases_and_forgets_nothing(seed: int) -> None:
+    world = settled(seed=seed, electors=5)
+    world.ask("n5", "up", scope=ZONE_A)
+    assert world.until(lambda: "go" in world.what("up"), SECOND)
+    world.call("n5", "c", "open", "fire", ZONE_B, 1)
+    assert world.until(lambda: "go" in world.what("c"), SECOND)
+    first = leader(world)
+    world.kill(first)
+    assert world.until(lambda: world.coordinator() not in (None, first), 4 * SECOND)
+    world.run(world.now + 2 * SECOND)
+    world.ask("n5", "beside", scope=ZONE_A)
+    world.ask("n5", "in b", scope=ZONE_B)
+    world.run(world.now + SECOND)
+    assert "up" in last(world, "beside") and "fire" in last(world, "in b")
+    well(world)
+
+
+def test_a_coordinator_that_wakes_after_five_seconds_acts_no_more() -> None:
+    world = settled()
+    first = leader(world)
+    asker, other = others(world, *world.rules.election.electors)[:2]
+    world.pause(first, 5 * SECOND)
+    # Its own questions, and those of a node that holds on to it, wait in its socket.
+    for i in range(4):
+        world.at(world.now + i * SECOND, partial(world.ask, asker, f"late{i}"))
+    assert world.until(lambda: world.coordinator() not in (None, first), 4 * SECOND)
+    world.run(world.now + 1_100_000)
+    world.ask(other, "new")
+    assert world.until(lambda: "go" in world.what("new") or world.made != {}, SECOND)
+    world.run(world.now + 5 * SECOND)
+    assert ("ended", first) in [(what, who) for _, who, what, _, _ in world.log]
+    well(world)
+
+
+@pytest.mark.parametrize("out", [True, False])
+def test_a_coordinator_cut_off_in_one_direction_is_replaced(out: bool) -> None:
+    world = settled(electors=5)
+    first = leader(world)
+    rest = others(world, first)
+    world.net.cut |= {(first, n) for n in rest} if out else {(n, first) for n in rest}
+    assert world.until(lambda: world.coordinator() not in (None, first), 4 * SECOND)
+    second = leader(world)
+    world.net.cut.clear()
+    world.run(world.now + 10 * SECOND)
+    assert leader(world) == second  # nobody topples it when the cut heals
+    well(world)
+
+
+def test_an_elector_that_hears_nothing_does_not_topple_the_coordinator() -> None:
+    world = settled()
+    first = leader(world)
+    deaf = next(n for n in world.rules.election.electors if n != first)
+    world.net.cut |= {(n, deaf) for n in others(world, deaf)}
+    world.run(world.now + 20 * SECOND)
+    assert leader(world) == first and len(world.elected) == 1
+
+
+def test_of_two_two_and_one_nobody_coordinates_and_each_kind_of_change_is_answered_in_time() -> None:
+    world = settled(7, electors=5)
+    world.apart(["n0", "n1", "n5"], ["n2", "n3", "n6"], ["n4"])
+    world.run(world.now + 3 * SECOND)
+    assert world.coordinator() is None
+    for kind in Change:
+        world.ask("n6", kind.value, kind)
+    began = world.now
+    world.run(world.now + 31 * SECOND)
+    for kind in Change:
+        rule = world.rules.holder.alone[kind.value]
+        at, outcome = world.outcomes[kind.value][0]
+        assert outcome.what == ("go" if rule.go else "wait") and outcome.token is None
+        assert at - began <= rule.after + SECOND
+        assert rule.go or "must run and reach each other" in outcome.why
+    world.net.cut.clear()
+    assert world.until(lambda: world.coordinator() is not None, 4 * SECOND)
+    well(world)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_electors_killed_in_the_middle_of_a_grant_lose_none_that_was_told(seed: int) -> None:
+    world = settled(seed=seed, write=20_000)
+    first = leader(world)
+    world.ask("n5", "up")
+    world.run(world.now + 3_000 * (1 + seed * 4))  # before the write, during it, after it, before the answers
+    for name in world.rules.election.electors:
+        world.kill(name)
+    for name in world.rules.election.electors:
+        world.start(name)
+    assert world.until(lambda: world.coordinator() is not None, 5 * SECOND), first
+    world.run(world.now + 2 * SECOND)
+    world.ask("n4", "beside")
+    world.run(world.now + SECOND)
+    if "go" in world.what("up"):
+        assert "go" not in world.what("beside")
+    well(world)
+
+
+def test_all_electors_restarted_with_their_stores_go_on_from_them() -> None:
+    world = settled()
+    world.call("n4", "c", "open", "fire")
+    assert world.until(lambda: "go" in world.what("c"), SECOND)
+    for name in world.rules.election.electors:
+        world.kill(name)
+        world.start(name)
+    began = world.now
+    assert world.until(lambda: world.coordinator() is not None, 4 * SECOND)
+    assert world.now - began >= 1.9 * SECOND  # nobody votes before a whole lease: the promises are forgotten
+    assert world.incident("fire") is not None
+    well(world)
+
+
+def test_all_electors_restarted_without_stores_begin_anew_above_every_term_that_a_node_remembers() -> None:
+    world = settled()
+    world.kill(leader(world))  # a second term
+    world.run(world.now + 5 * SECOND)
+    world.call("n4", "c", "open", "fire")
+    assert world.until(lambda: "go" in world.what("c"), SECOND)
+    for name in world.rules.election.electors:
+        world.kill(name, lose=True)
+        world.start(name)
+    assert world.until(lambda: world.coordinator() is not None, 6 * SECOND)
+    assert max(world.elected) > 2
+    world.run(world.now + 2 * SECOND)
+    world.ask("n4", "up")
+    world.run(world.now + SECOND)
+    assert world.what("up")[-1] == "go"  # what all have lost is lost: the page says so
+
+
+def test_an_elector_without_its_store_counts_only_once_a_majority_of_others_has_told_it() -> None:
+    world = settled()
+    first = leader(world)
+    lost, third = (n for n in world.rules.election.electors if n != first)
+    world.kill(third)
+    world.kill(lost, lose=True)
+    world.start(lost)
+    world.run(world.now + 20 * SECOND)
+    assert world.coordinator() is None  # only one other holds anything
+    world.start(third)
+    assert world.until(lambda: world.coordinator() is not None, 6 * SECOND)
+    well(world)
+
+
+def test_an_operator_may_declare_the_state_gone_for_good() -> None:
+    world = World(6, 3)
+    world.kill("n2")
+    world.run(8 * SECOND)
+    assert world.coordinator() is None  # the third might hold something
+    site = world.sites["n0"]
+    assert site.machine is not None
+    world.work(site, site.machine.declare(site.local(world.now)))
+    assert world.until(lambda: world.coordinator() is not None, 6 * SECOND)
+
+
+def test_a_grant_that_runs_out_while_its_change_is_half_made_halts_it_and_lets_others_go() -> None:
+    world = settled()
+    world.ask("n5", "slow", life=3 * SECOND)
+    assert world.until(lambda: "go" in world.what("slow"), SECOND)
+    world.ask("n4", "next", patience=10 * SECOND)
+    assert world.until(lambda: "go" in world.what("next"), 8 * SECOND)
+    assert world.what("slow") == ["go", "halt", "over"] and last(world, "slow") == "the grant has run out"
+    assert world.outcomes["slow"][1][0] < world.outcomes["next"][0][0]
+    well(world)
+
+
+def test_an_incident_halts_what_is_being_made_and_stops_what_is_asked_for_in_its_scope_alone() -> None:
+    world = settled()
+    world.ask("n5", "a", scope=ZONE_A)
+    world.ask("n4", "b", scope=ZONE_B)
+    world.run(world.now + SECOND)
+    world.call("n3", "c", "open", "fire", ZONE_A)
+    world.run(world.now + SECOND)
+    assert world.what("a") == ["go", "halt"] and world.what("b") == ["go"]
+    assert "fire" in world.in_force
+    world.finish("n5", "a")
+    world.run(world.now + SECOND)
+    world.ask("n3", "later", Change.SETTINGS, ZONE_A)
+    world.ask("n3", "mend", Change.SETTINGS, ZONE_A, mends="fire")
+    world.ask("n3", "at once", Change.SETTINGS, ZONE_A, reason="the front is down")
+    world.run(world.now + SECOND)
+    assert world.what("later") == ["wait"] and "fire" in last(world, "later")
+    assert world.what("mend") == ["go"] == world.what("at once")
+    assert any(what == "emergency" and "the front is down" in why for _, _, what, _, why in world.log)
+    well(world)
+
+
+def test_two_incidents_with_crossing_scopes_both_hold_until_both_are_closed() -> None:
+    world = settled()
+    world.call("n3", "c1", "open", "north", "region=north")
+    world.call("n4", "c2", "open", "tier", "tier=front,zone=a")
+    world.run(world.now + SECOND)
+    for step, (closes, goes) in enumerate([("", False), ("north", False), ("tier", True)]):
+        if closes:
+            world.call("n5", f"close{step}", "close", closes)
+            world.run(world.now + SECOND)
+        world.ask("n5", f"up{step}", scope="zone=a,tier=front")
+        world.ask("n5", f"south{step}", scope="zone=c")
+        world.run(world.now + SECOND)
+        assert world.what(f"up{step}") == (["go"] if goes else ["wait"])
+        assert world.what(f"south{step}") == ["go"]
+        world.finish("n5", f"south{step}")
+    well(world)
+
+
+def test_an_emergency_halts_what_it_conflicts_with_and_waits_for_it() -> None:
+    world = settled()
+    world.ask("n5", "up")
+    world.run(world.now + SECOND)
+    world.ask("n4", "now", reason="certificate runs out", patience=10 * SECOND)
+    world.run(world.now + SECOND)
+    assert world.what("up") == ["go", "halt"] and world.what("now") == []
+    world.finish("n5", "up")
+    assert world.until(lambda: world.what("now") == ["go"], 3 * SECOND)
+    well(world)
+
+
+def test_a_thousand_requests_at_once_are_all_answered_at_once() -> None:
+    world = settled(12)
+    began = world.now
+    for i in range(1_000):
+        world.ask(f"n{3 + i % 9}", f"r{i}", Change.SETTINGS, life=SECOND)
+    world.run(world.now + 2 * SECOND)
+    answers = [world.what(f"r{i}") for i in range(1_000)]
+    assert all(answers)
+    assert max(at for i in range(1_000) for at, _ in world.outcomes[f"r{i}"][:1]) - began < SECOND
+    assert sum(a[0] == "go" for a in answers) >= 256
+    assert all(o.again > 0 for i in range(1_000) for _, o in world.outcomes[f"r{i}"] if o.what == "wait")
+    well(world)
+
+
+def test_who_asks_twice_is_told_the_same() -> None:
+    world = settled()
+    for _ in range(2):
+        world.ask("n5", "up")
+        world.call("n5", "c", "open", "fire", ZONE_B, 1)
+        world.run(world.now + SECOND)
+    tokens = [o.token for _, o in world.outcomes["up"]]
+    assert len(tokens) == 2 and tokens[0] == tokens[1]
+    world.call("n4", "c2", "open", "fire", ZONE_B, 1)
+    world.run(world.now + SECOND)
+    assert world.what("c2") == ["go"] and "since" in last(world, "c2")
+    assert sum(what == "incident opens" for _, _, what, _, _ in world.log) == 1
+    well(world)
+
+
+def test_a_node_that_never_hears_of_the_freeze_makes_nothing_that_needs_a_grant() -> None:
+    world = settled()
+    world.ask("n5", "up", life=4 * SECOND)
+    world.run(world.now + SECOND)
+    world.net.cut |= {(a, b) for n in others(world, "n5") for a, b in (("n5", n), (n, "n5"))}
+    world.call("n3", "c", "open", "fire")
+    world.run(world.now + SECOND)
+    assert "fire" in world.in_force  # nothing can begin any more; what had begun runs out
+    world.ask("n5", "new", scope=ZONE_A)
+    world.run(world.now + 32 * SECOND)
+    assert world.what("up") == ["go", "halt", "over"] and world.what("new") == ["wait"]
+    well(world)
+
+
+def test_a_grant_held_up_in_the_network_is_given_back_instead_of_begun() -> None:
+    world = settled()
+    first = leader(world)
+    world.net.cut |= {(first, "n5")}
+    world.ask("n5", "up")
+    world.run(world.now + 1_500_000)  # granted by now, and its time to begin is over
+    world.net.cut.clear()
+    world.run(world.now + SECOND)
+    begun = world.outcomes["up"][0][1]
+    assert begun.what == "go" and begun.token is not None
+    grants = [why for _, _, what, _, why in world.log if what == "granted"]
+    assert len(grants) == 2 and grants[1].endswith("up~1")
+    well(world)
+
+
+def test_a_lossy_world_with_late_and_double_datagrams_stays_right() -> None:
+    world = World(8, 5, 5)
+    world.net.loss, world.net.duplicate, world.net.jitter = 0.2, 0.3, 50_000
+    for i in range(60):
+        world.at(
+            (3 + i) * SECOND // 2,
+            partial(world.ask, f"n{i % 8}", f"r{i}", scope=ZONE_B, patience=5 * SECOND, life=3 * SECOND),
+        )
+        world.at(
+            (3 + i) * SECOND // 2,
+            partial(world.call, f"n{i % 8}", f"c{i}", ("open", "close")[i % 2], "x", ZONE_A),
+        )
+    world.run(40 * SECOND)
+    assert len(world.made) > 5
+    well(world)
+
+
+def test_scopes_overlap_unless_something_that_both_name_differs() -> None:
+    regions = {"a": "north", "c": "south"}
+
+    def meet(a: str, b: str) -> bool:
+        return overlap(read_scope(a), read_scope(b), regions)
+
+    assert meet("*", "zone=a") and meet("zone=a", "tier=x") and meet("zone=a", "region=north")
+    assert not meet("zone=c", "region=north") and not meet("zone=a", "zone=c")
+    assert not meet("tier=x,zone=a", "tier=y")
+    assert meet("zone=unknown", "region=north")  # it may lie there
+    for bad in ("zone", "zone=", "place=a", "zone=" + "a" * 65):
+        with pytest.raises(ValueError, match="scope is"):
+            read_scope(bad)
+
+
+def test_a_broken_record_is_said_and_a_broken_datagram_counted() -> None:
+    rules = rules_of(["n0", "n1", "n2"])
+    with pytest.raises(ValueError, match="not an elector's record"):
+        Elector("n0", rules.election, State(), 1, 0, b"\x00garbage")
+    machine = Freeze("n0", rules, 1, 0, None)
+    for data in (b"", b"\xc1", b"x" * 2_000, b"\x93\x02\xa2n1\x92\x06\x00"):
+        assert machine.datagram(1, data) == []
+    assert machine.counters.malformed == 4 and RECORD
+    with pytest.raises(ValueError, match="3, 5 or 7"):
+        ElectionRules(("n0", "n1"))
