Server lists are read by msgspec structs, with the path of the key that is wrong

Change: an answer is decoded straight into structs; long lists keep their slices, and each line goes through the same struct, so one set of rules holds for both.

--- a/brackenladder/net/listing.py
+++ b/brackenladder/net/listing.py
@@ -9,9 +9,11 @@
 from json.decoder import WHITESPACE  # type: ignore[attr-defined]  # json's own pattern for what it skips
 from typing import Any, ClassVar
 
+import msgspec
+
 from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ListKind, State
-from brackenladder.settings import Fields
+from brackenladder.settings import Form, Number, given, located
 
 DECODER = json.JSONDecoder()
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
@@ -53,8 +55,39 @@
     lines: tuple[Line, ...]
 
 
+class Entry(Form, frozen=True):
+    """A server's line as discovery writes it."""
+
+    id: str
+    addr: str
+    state: str
+    zone: str | None = None
+    kind: str | None = None
+    cell: Number | None = None
+    weight: Number | None = None
+    started_ms: Number | None = None
+
+
+class Table(Form, frozen=True):
+    """A whole answer."""
+
+    version: Number
+    servers: list[Entry]
+    full: bool | None = None
+
+
+TABLES = msgspec.json.Decoder(Table)
+
+
 def decode(body: bytes | bytearray) -> Listing:
     """The Listing in an answer's body; a ListError for anything else."""
+    try:
+        return listing_of(TABLES.decode(body))
+    except msgspec.ValidationError as e:
+        raise wrong(e) from None
+    except (msgspec.DecodeError, RecursionError):
+        pass
+    # Rare: a name that is half of a pair, NaN where nobody looks. Read as ever, since it is lawful here.
     try:
         return read_listing(json.loads(body))
     except ListError:
@@ -63,36 +96,54 @@
         raise ListMalformed(f"not JSON: {e}", "list") from None
 
 
+def wrong(error: msgspec.ValidationError, path: str = "list") -> ListError:
+    """msgspec's words as an error of ours; `path` is that of the table that was read."""
+    key, what = located(error)
+    return ListError(what, f"{path}.{key}") if key else ListMalformed(what, path)
+
+
 def read_listing(table: object, kind: ListKind | None = None) -> Listing:
     """A Listing from decoded JSON, of the `kind` it states itself if none is given.
 
     Failure prevented: skipping one bad line of a full list would remove a server that runs. Anything
     wrong is a ListError for the whole list, and the list in hand stays.
     """
-    if not isinstance(table, dict):
-        raise ListMalformed("not an object", "list")
-    fields = Fields(table, "list.", ListError)
+    try:
+        return listing_of(msgspec.convert(table, Table), kind)
+    except msgspec.ValidationError as e:
+        raise wrong(e) from None
+
+
+def listing_of(table: Table, kind: ListKind | None = None) -> Listing:
+    """The Listing in an answer that has the form of one."""
     if kind is None:
-        kind = ListKind.FULL if fields.flag("full") else ListKind.CHANGES
-    lines = tuple(read_line(line) for line in fields.tables("servers"))
-    return Listing(kind, fields.whole("version"), lines)
+        kind = ListKind.FULL if table.full else ListKind.CHANGES
+    return Listing(kind, int(table.version), tuple(line_of(e, i) for i, e in enumerate(table.servers)))
+
+
+def read_line(value: object, number: int) -> Line:
+    """One server from decoded JSON; a ListError that names its place in the list."""
+    try:
+        return line_of(msgspec.convert(value, Entry), number)
+    except msgspec.ValidationError as e:
+        raise wrong(e, f"list.servers[{number}]") from None
 
 
-def read_line(line: Fields) -> Line:
+def line_of(entry: Entry, number: int) -> Line:
     """One server. A state that is not known counts as draining: nothing new goes there."""
-    host, _, port = line.text("addr").rpartition(":")
+    host, _, port = entry.addr.rpartition(":")
     if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise line.bad("addr")
+        raise ListError("not an address of the form host:port", f"list.servers[{number}].addr")
     return Line(
-        id=line.text("id"),
+        id=entry.id,
         host=host.strip("[]"),
         port=int(port),
-        zone=line.text("zone", ""),
-        kind=line.text("kind", ""),
-        cell=line.whole("cell", 0),
-        state=STATES.get(line.text("state"), State.DRAINING),
-        weight=line.number("weight", 1.0),
-        started=line.whole("started_ms", 0) * 1000,
+        zone=entry.zone or "",
+        kind=entry.kind or "",
+        cell=int(entry.cell or 0),
+        state=STATES.get(entry.state, State.DRAINING),
+        weight=given(entry.weight, 1.0),
+        started=int(entry.started_ms or 0) * 1000,
     )
 
 
@@ -172,9 +223,7 @@
             if key != "servers":
                 head[key] = value
                 continue
-            read_line(
-                Fields(value if isinstance(value, dict) else {}, f"list.servers[{self.count}].", ListError)
-            )
+            read_line(value, self.count)
             self.count += 1
             if self.count % size == 0:
                 yield
@@ -183,10 +232,7 @@
 
     def parts(self, size: int) -> Iterator[Listing]:
         """The list as listings of `size` lines, in order; at least one."""
-        lines = (
-            read_line(Fields(v, "list.servers.", ListError))
-            for key, v in members_of(self.text)
-            if key == "servers"
-        )
+        entries = (value for key, value in members_of(self.text) if key == "servers")
+        lines = (read_line(value, number) for number, value in enumerate(entries))
         for _ in range(max(1, -(-self.count // size))):
             yield Listing(self.kind, self.version, tuple(islice(lines, size)))
--- a/brackenladder/settings.py
+++ b/brackenladder/settings.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
 
 from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ClassSettings, Effect, Group, Settings, SettingsError, TenantSettings
@@ -19,6 +22,31 @@
 }
 
 
+# What the platform writes as a number: whole or not, never true, never beyond all use.
+Number = Annotated[float, Meta(gt=-1e300, lt=1e300)]
+Plain = str | int | float | bool | None  # an entry of a list that is read as it stands
+
+
+class Form(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """A JSON object that the platform writes. Keys that are not known are skipped; an optional one may be
+    null, which is the same as absent."""
+
+
+def located(error: msgspec.ValidationError) -> tuple[str, str]:
+    """msgspec's words as the path of a key and what is wrong there: `classes[0].worth`, `missing`."""
+    what, mark, path = str(error).rpartition(" - at `")
+    what, path = (what, path.rstrip("`").removeprefix("$")) if mark else (str(error), "")
+    lacks = what.removeprefix("Object missing required field ")
+    if lacks != what:
+        path, what = f"{path}.{lacks.strip('`')}", "Missing"
+    return path.lstrip("."), what[0].lower() + what[1:]
+
+
+def given(value: float | None, default: float) -> float:
+    """A number, or what holds where it is absent or null."""
+    return default if value is None else value
+
+
 class Fields:
     """Reads a JSON object's keys. What is missing or of the wrong form is an `error` that names its path.
 
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -12,7 +12,7 @@
 
 from brackenladder.interface import ListKind
 from brackenladder.net.discovery import Discovery
-from brackenladder.net.listing import LongListing, members_of
+from brackenladder.net.listing import ListError, LongListing, decode, members_of
 from brackenladder.net.log import Log
 
 MANY = 2500
@@ -163,3 +163,58 @@
     asyncio.run(scene())
     lines = capsys.readouterr().err.splitlines()
     assert len(lines) == 2 and "answer dropped" in lines[0] and "after 30 dropped" in lines[1]
+
+
+GOOD = {"id": "s0", "addr": "[::1]:80", "state": "ready"}
+LENIENT = {
+    "bare": (GOOD, "s0 ::1 80 READY 1.0"),
+    "null is absent": (
+        GOOD | dict.fromkeys(("zone", "kind", "cell", "weight", "started_ms")),
+        "s0 ::1 80 READY 1.0",
+    ),
+    "unknown keys": (GOOD | {"weight": 2, "later": {"a": [1, None]}}, "s0 ::1 80 READY 2.0"),
+    "unknown state": (GOOD | {"state": "resting"}, "s0 ::1 80 DRAINING 1.0"),
+    "half a pair": (GOOD | {"id": "\ud800"}, "\ud800 ::1 80 READY 1.0"),
+    "NaN where nobody looks": (GOOD | {"later": float("nan")}, "s0 ::1 80 READY 1.0"),
+    "no state": ({"id": "s0", "addr": "h:80"}, "list.servers[1].state: missing"),
+    "null state": (GOOD | {"state": None}, "list.servers[1].state: expected"),
+    "a port of 0": (GOOD | {"addr": "h:0"}, "list.servers[1].addr: not an address"),
+    "a weight that is true": (GOOD | {"weight": True}, "list.servers[1].weight: expected"),
+    "a weight that is none": (GOOD | {"weight": float("nan")}, "list.servers[1].weight: expected"),
+    "a line that is a word": ("s0", "list.servers[1]: expected"),
+}
+
+
+@pytest.mark.parametrize("case", LENIENT)
+def test_lists_of_any_length_are_read_by_the_same_rules(case):
+    line, words = LENIENT[case]
+    body = json.dumps({"version": 3, "full": None, "servers": [GOOD, line], "more": 1}).encode()
+
+    def whole():
+        return decode(body)
+
+    def slices():
+        long = LongListing(body)
+        for _ in long.check(1):
+            pass
+        (only,) = long.parts(9)
+        return only
+
+    for read in (whole, slices):
+        if words.startswith("list."):
+            with pytest.raises(ListError) as e:
+                read()
+            assert str(e.value).startswith(words)
+            continue
+        found = read()
+        assert (found.version, found.kind) == (3, ListKind.CHANGES)
+        x = found.lines[1]
+        assert f"{x.id} {x.host} {x.port} {x.state.name} {x.weight}" == words
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"{", b"\xff", b'{"servers":[]}', b'{"version":true,"servers":[]}']
+)
+def test_what_is_no_list_is_told_as_one(body):
+    with pytest.raises(ListError, match="^list"):
+        decode(body)
