--- a/brackenladder/forecast/placement.py
+++ b/brackenladder/forecast/placement.py
@@ -24,7 +24,7 @@
 SCORE_TOP = float(1 << 32)
 LEAST_WEIGHT = 1e-3
 MOST_SHARDS = 1 << 14
-SLICE = 12  # shards placed between two rests of `shares`
+SLICE = 8  # shards placed between two rests of `shares`
 
 
 def position(key: bytes) -> int:
@@ -47,7 +47,7 @@
 
 def weighed(draw: int, weight: float) -> float:
     """The score of a draw: exponential with the weight as its rate, so the smallest wins by its weight."""
-    return -log((draw + 1) / SCORE_TOP) / max(weight, LEAST_WEIGHT)
+    return -log(1 - draw / SCORE_TOP) / max(weight, LEAST_WEIGHT)
 
 
 class Scores:
@@ -137,6 +137,10 @@
         most = min(homes, len(node.members))
         wanted[most] = wanted.get(most, 0) | 1 << bit
     weights = [(mask, rate / count / total) for mask, rate, count in levels.values()]
+    for place, (name, _) in enumerate(servers):
+        table.row(name)
+        if place % 100 == 99:
+            yield None
     rows = [table.row(name) for name, _ in servers]
     even = len({weight for _, weight in servers}) <= 1
     seen = 0
@@ -175,9 +179,11 @@
     for most, mask in wanted.items():
         if most < homes:  # a node with fewer members than homes splits its requests over fewer
             adjust(parts, masks, weights, mask, homes, most)
-    for one in parts:
+    for place, one in enumerate(parts):
         for shard in one:
             one[shard] /= homes
+        if place % 50 == 49:
+            yield None
     yield Shares(parts, seen / table.shards)
 
 
--- a/brackenladder/forecast/popularity.py
+++ b/brackenladder/forecast/popularity.py
@@ -51,14 +51,17 @@
     mass = max(0.0, digest.requests - sum(top.values()))
     part = digest.threshold / POSITIONS
     lines = [(p, n) for p, n in digest.counts.items() if p not in top]
+    yield None
     tail: list[tuple[float, float]] = []
     for found in fitted([n for _, n in lines]):
         if found is None:
             yield None
         else:
             tail = found
-    yield None
-    plain = [binned([n for p, n in lines if p % GROUPS != g]) for g in range(GROUPS)] if lines else []
+    plain = []
+    for group in range(GROUPS if lines else 0):
+        yield None
+        plain.append(binned([n for p, n in lines if p % GROUPS != group]))
     yield Popularity(
         rate=digest.requests / span,
         top=[(shard_of(p, shards), n / span) for p, n in sorted(top.items())],
--- a/brackenladder/forecast/sample.py
+++ b/brackenladder/forecast/sample.py
@@ -23,6 +23,7 @@
 
 MOST_SAMPLED = 2_048  # keys of a window
 MOST_TOP = 256  # keys asked for most; twice as many are held before the lesser half goes
+LATELY = 5  # parts of a window: hits are of the last two of them
 TOLD_TOP = 150  # of them in a record
 SKETCH_BITS = 13  # of a position, for the place in a row of the sketch; its two rows go by different bits
 SKETCH_MASK = (1 << SKETCH_BITS) - 1
@@ -31,7 +32,7 @@
 class Window:
     """Counts of one window."""
 
-    __slots__ = ("since", "requests", "threshold", "counts", "heap", "rows", "top", "floor", "hits", "told")
+    __slots__ = ("since", "requests", "threshold", "counts", "heap", "rows", "top", "floor")
 
     def __init__(self, since: int, threshold: int) -> None:
         self.since = since
@@ -42,7 +43,6 @@
         self.rows = array("I", bytes(4 << SKETCH_BITS)), array("I", bytes(4 << SKETCH_BITS))
         self.top: dict[int, int] = {}
         self.floor = 0  # a key that is not in `top` has been asked for so often at most
-        self.hits = self.told = 0  # answers that came from a cache, of those that told
 
     def prune(self) -> None:
         """Keeps the keys asked for most. What a key had before it went is at most the floor."""
@@ -62,9 +62,16 @@
         self.most = most
         self.now = Window(now, POSITIONS)
         self.last: Window | None = None
+        # Answers that came from a cache, of those that told: lately. What came before says little of now.
+        self.lately = now
+        self.hits = [0, 0]
+        self.answers = [0, 0]
 
     def roll(self, now: int) -> bool:
-        """Begins another window when it is time; whether it did."""
+        """Begins another window when it is time; whether it did. To be called every second or so."""
+        if now - self.lately >= self.window // LATELY:
+            self.lately = now
+            self.hits, self.answers = [self.hits[1], 0], [self.answers[1], 0]
         if now - self.now.since < self.window:
             return False
         # As many keys as of late fit in, with room for a half more: so the threshold falls seldom.
@@ -102,8 +109,8 @@
 
     def told(self, hit: bool) -> None:
         """An answer told whether it came from a cache."""
-        self.now.told += 1
-        self.now.hits += hit
+        self.answers[1] += 1
+        self.hits[1] += hit
 
     def digest(self, now: int, tail: int = MOST_SAMPLED) -> Digest:
         """What both windows counted, with at most so many keys of the sample."""
@@ -116,8 +123,8 @@
                 counts=w.counts,
                 top=w.top,
                 floor=w.floor,
-                hits=w.hits,
-                told=w.told,
+                hits=sum(self.hits) if w is self.now else 0,
+                told=sum(self.answers) if w is self.now else 0,
             )
             for w in windows
         ]
@@ -134,8 +141,8 @@
     counts: dict[int, int] = field(default_factory=dict)
     top: dict[int, int] = field(default_factory=dict)  # the keys asked for most
     floor: int = 0  # a key that is not among them has been asked for so often at most
-    hits: int = 0
-    told: int = 0
+    hits: int = 0  # lately...
+    told: int = 0  # ...of so many answers that told
 
     def cut(self, tail: int, top: int = MOST_TOP) -> Digest:
         """The same with fewer keys: those with the least positions, those asked for most."""
@@ -173,6 +180,8 @@
     for there between never and the part's floor: half of it is added. One that parts with less than half of
     the requests name is left to the sample.
     """
+    parts = list(parts)
+    hits, told = sum(p.hits for p in parts), sum(p.told for p in parts)
     parts = [p for p in parts if p.requests]
     if not parts:
         return Digest()
@@ -198,8 +207,8 @@
         counts=counts,
         top={p: n + (floors - named[p]) // 2 for p, n in top.items() if 2 * spoken[p] >= requests},
         floor=floors,
-        hits=sum(p.hits for p in parts),
-        told=sum(p.told for p in parts),
+        hits=hits,
+        told=told,
     )
 
 
