Settings and configuration are read by msgspec structs, errors with the same key paths

Need: Fields was a validator of our own, and its message said 'missing or impossible value' for everything.

Change: SettingsForm and the node's File are structs; errors keep the path of the key and now say what was expected and what stands there, and tell a key that is missing from one that is wrong. Leniency as before: unknown keys skipped, null is absent, unknown effects and groups get the fewest rights. Fields is gone.

--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -7,12 +7,27 @@
 from dataclasses import dataclass, replace
 from typing import Any, ClassVar
 
+import msgspec
+
 from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ListKind, Settings, SettingsError
 from brackenladder.net.control import DESCRIPTORS as CONTROL_SOCKETS
 from brackenladder.net.listing import ListError, Listing, read_listing
 from brackenladder.net.reload import missing
-from brackenladder.settings import COLUMNS, Fields, settings_of
+from brackenladder.settings import (
+    ClassForm,
+    Form,
+    LimitsForm,
+    Number,
+    Plain,
+    ReportForm,
+    SettingsForm,
+    TenantForm,
+    given,
+    located,
+    plain_name,
+    settings_from,
+)
 
 Address = tuple[str, int]
 
@@ -150,65 +165,123 @@
             raise ConfigMissing(f"{lacks} is missing")
     for key in ("name", "listen", "discovery", "control"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
+        if table[key] is None:
+            del table[key]
     if last is not None and filed:
         same = filed == last.filed_discovery
         table["discovery"] = f"{last.discovery[0]}:{last.discovery[1]}" if same else filed
-    given = environ.get("LB_ACCEPT_FD")
-    if given and not (given.isascii() and given.isdigit()):
+    handed = environ.get("LB_ACCEPT_FD")
+    if handed and not (handed.isascii() and handed.isdigit()):
         raise ConfigDescriptor("not a descriptor", "LB_ACCEPT_FD")
-    accept_fd = int(given) if given else None
+    accept_fd = int(handed) if handed else None
     return replace(read(table), filed_discovery=filed, filed=kept, accept_fd=accept_fd)
 
 
+class NamedClass(ClassForm, frozen=True, kw_only=True):
+    """A class of requests, by the name that clients call it."""
+
+    name: str
+
+
+class NamedTenant(TenantForm, frozen=True, kw_only=True):
+    """A team, by the name that clients give."""
+
+    name: str
+
+
+class NodeLimits(LimitsForm, frozen=True, kw_only=True):
+    """`policy_limits`, with the times that only a node on sockets needs."""
+
+    connect_timeout: Number | None = None
+    conn_idle: Number | None = None
+
+
+class NodeReport(ReportForm, frozen=True, kw_only=True):
+    """`report`, with the way in which it comes."""
+
+    how: str | None = None
+
+
+class NodeSettings(SettingsForm, frozen=True, kw_only=True):
+    """The settings object, with what only a node on sockets needs."""
+
+    classes: tuple[NamedClass, ...]
+    tenants: tuple[NamedTenant, ...] | None = None
+    policy_limits: NodeLimits
+    report: NodeReport | None = None
+    dcs: tuple[Plain, ...] | None = None
+    kinds: tuple[Plain, ...] | None = None
+
+
+class Limits(Form, frozen=True, kw_only=True):
+    """`limits`: what the process may use."""
+
+    sockets: Number | None = None
+    memory_mb: Number | None = None
+
+
+class File(Form, frozen=True, kw_only=True):
+    """The configuration file."""
+
+    name: str
+    listen: str
+    discovery: str
+    settings: NodeSettings
+    seed: str = "0"
+    control: Any = None  # addresses that may be left out: null, false and "" all mean none
+    limits: Limits | None = None
+    peer_listen: Any = None
+    peers: tuple[Plain, ...] | None = None
+    peers_all: Any = None
+    known: Any = None
+
+
 def read(table: dict[str, Any]) -> Config:
     """A Config from the decoded file. What is missing or impossible is a SettingsError, a ListError or
     a ConfigError."""
-    name, seed = table.get("name"), table.get("seed", "0")
-    if not isinstance(name, str):
-        raise ConfigMissing("missing", "name")
     try:
-        number = int(seed, 16)
-    except (TypeError, ValueError):
+        file = msgspec.convert(table, File)
+    except msgspec.ValidationError as e:
+        key, what = located(e)
+        kind = SettingsError if key.startswith("settings") else ConfigValue
+        raise (ConfigMissing if what == "missing" and kind is ConfigValue else kind)(what, key) from None
+    try:
+        number = int(file.seed, 16)
+    except ValueError:
         raise ConfigValue("not a hexadecimal number", "seed") from None
-    fields = Fields(table, "", ConfigValue)
-    given = fields.sub("limits", optional=True)
-    sockets, memory = given.whole("sockets", 1024), given.whole("memory_mb", 128)
-    control = table.get("control")
-    reserved = RESERVED_SOCKETS + (CONTROL_SOCKETS if control else 0)
+    limits = file.limits or Limits()
+    sockets, memory = int(given(limits.sockets, 1024)), int(given(limits.memory_mb, 128))
+    reserved = RESERVED_SOCKETS + (CONTROL_SOCKETS if file.control else 0)
     if sockets < reserved + LEAST_CONNECTIONS:
         raise ConfigValue(f"at least {reserved + LEAST_CONNECTIONS} are needed", "limits.sockets")
-    peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
-    settings = fields.sub("settings")
-    limits = settings.sub("policy_limits")
-    report = settings.sub("report", optional=True)
-    columns = [str(c) for c in report.items("columns")]
-    classes = tuple(c.text("name") for c in settings.tables("classes"))
+    settings = file.settings
+    policy, report = settings.policy_limits, settings.report or NodeReport()
+    classes = tuple(c.name for c in settings.classes)
     if len(set(classes)) < len(classes):
         raise ConfigValue("a name stands twice", "settings.classes")
-    known = table.get("known")
     return Config(
-        name=name,
-        listen=read_address(table.get("listen"), "listen"),
-        discovery=read_address(table.get("discovery"), "discovery"),
-        filed_discovery=table.get("discovery"),
+        name=file.name,
+        listen=read_address(file.listen, "listen"),
+        discovery=read_address(file.discovery, "discovery"),
+        filed_discovery=file.discovery,
         filed={},
         seed=number,
-        control=read_address(control, "control") if control else None,
+        control=read_address(file.control, "control") if file.control else None,
         accept_fd=None,
         connections=sockets - reserved,
         reserved=reserved,
         most_held=(memory << 20) // HELD_SHARE,
-        peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
-        peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
-        peers_all=read_address(peers_all, "peers_all") if peers_all else None,
-        known=read_listing(known, ListKind.CACHED) if known else None,
-        settings=settings_of(settings.table),
+        peer_listen=read_address(file.peer_listen, "peer_listen") if file.peer_listen else None,
+        peers=tuple(read_address(p, "peers") for p in file.peers or ()),
+        peers_all=read_address(file.peers_all, "peers_all") if file.peers_all else None,
+        known=read_listing(file.known, ListKind.CACHED) if file.known else None,
+        settings=settings_from(settings),
         classes=classes,
-        tenants=tuple(t.text("name") for t in settings.tables("tenants", optional=True)),
-        zones=tuple(str(z) for z in settings.items("dcs")),
-        kinds=tuple(str(k) for k in settings.items("kinds")),
-        connect_timeout=limits.whole("connect_timeout", 250_000) / 1e6,
-        idle_time=limits.whole("conn_idle", 15_000_000) / 1e6,
-        inline_reports=report.text("how", "off") == "inline",
-        report_names=tuple((c, COLUMNS.get(c, c)) for c in columns),
+        tenants=tuple(t.name for t in settings.tenants or ()),
+        zones=tuple(str(z) for z in settings.dcs or ()),
+        kinds=tuple(str(k) for k in settings.kinds or ()),
+        connect_timeout=int(given(policy.connect_timeout, 250_000)) / 1e6,
+        idle_time=int(given(policy.conn_idle, 15_000_000)) / 1e6,
+        inline_reports=report.how == "inline",
+        report_names=tuple((str(c), plain_name(c)) for c in report.columns or ()),
     )
--- a/brackenladder/settings.py
+++ b/brackenladder/settings.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
-from brackenladder.errors import BrackenladderError
 from brackenladder.interface import ClassSettings, Effect, Group, Settings, SettingsError, TenantSettings
 
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
@@ -47,127 +46,140 @@
     return default if value is None else value
 
 
-class Fields:
-    """Reads a JSON object's keys. What is missing or of the wrong form is an `error` that names its path.
-
-    An optional key may be absent or null.
-    """
-
-    def __init__(
-        self, table: dict[str, Any], where: str = "settings.", error: type[BrackenladderError] = SettingsError
-    ) -> None:
-        self.table = table
-        self.where = where
-        self.error = error
-
-    def bad(self, key: str) -> BrackenladderError:
-        return self.error("missing or impossible value", f"{self.where}{key}")
-
-    def number(self, key: str, default: float | None = None) -> float:
-        value = self.table.get(key)
-        if value is None and default is not None:
-            return default
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not -1e300 < value < 1e300:
-            raise self.bad(key)
-        return float(value)
-
-    def whole(self, key: str, default: int | None = None) -> int:
-        return int(self.number(key, default))
-
-    def flag(self, key: str) -> bool:
-        value = self.table.get(key)
-        if value is not None and not isinstance(value, bool):
-            raise self.bad(key)
-        return bool(value)
-
-    def text(self, key: str, default: str | None = None) -> str:
-        value = self.table.get(key)
-        if value is None and default is not None:
-            return default
-        if not isinstance(value, str):
-            raise self.bad(key)
-        return value
-
-    def listed(self, key: str, optional: bool) -> list[Any]:
-        value = self.table.get(key)
-        if value is None and optional:
-            return []
-        if not isinstance(value, list):
-            raise self.bad(key)
-        return value
-
-    def items(self, key: str) -> list[Any]:
-        """An optional list of plain values."""
-        values = self.listed(key, optional=True)
-        if any(isinstance(v, (dict, list)) for v in values):
-            raise self.bad(key)
-        return values
-
-    def table_at(self, value: Any, key: str) -> Fields:
-        if not isinstance(value, dict):
-            raise self.bad(key)
-        return Fields(value, f"{self.where}{key}.", self.error)
-
-    def tables(self, key: str, optional: bool = False) -> list[Fields]:
-        return [self.table_at(v, f"{key}[{i}]") for i, v in enumerate(self.listed(key, optional))]
-
-    def sub(self, key: str, optional: bool = False) -> Fields:
-        value = self.table.get(key)
-        return self.table_at({} if value is None and optional else value, key)
+class ClassForm(Form, frozen=True, kw_only=True):
+    """A class of requests."""
+
+    effect: str
+    goal_time: Number
+    hard_limit: Number
+    worth: Number
+    late_value: Number | None = None
+    group: str | None = None
+    window: Number | None = None
+    stream: bool | None = None
+
+
+class TenantForm(Form, frozen=True, kw_only=True):
+    """A team that calls."""
+
+    quota_rps: Number | None = None
+
+
+class LimitsForm(Form, frozen=True, kw_only=True):
+    """`policy_limits`: what the platform allows a node."""
+
+    max_attempts: Number
+    cancel: bool | None = None
+    probing: bool | None = None
+    peers: bool | None = None
+    second_copies: bool | None = None
+    retry_after: bool | None = None
+    max_retry_after: Number | None = None
+    max_open: Number | None = None
+
+
+class RulesForm(Form, frozen=True, kw_only=True):
+    """`rules`: what servers bear."""
+
+    cold: Number
+    start_capacity: Number
+    fall_multiple: Number
+    tip_after: Number
+    ask_within: Number | None = None
+    answer_slack: Number | None = None
+
+
+class DeductionsForm(Form, frozen=True, kw_only=True):
+    """`deductions`: what the platform counts against an answer."""
+
+    cross_zone: Number | None = None
+
+
+class ReportForm(Form, frozen=True, kw_only=True):
+    """`report`: what servers tell of their load."""
+
+    columns: tuple[Plain, ...] | None = None
+
+
+class SettingsForm(Form, frozen=True, kw_only=True):
+    """The settings object."""
+
+    classes: tuple[ClassForm, ...]
+    group_size: Number
+    tick: Number
+    policy_limits: LimitsForm
+    rules: RulesForm
+    tenants: tuple[TenantForm, ...] | None = None
+    tier: Number | None = None
+    layers: tuple[Plain, ...] | None = None
+    zone: Number | None = None
+    self_index: Number | None = None
+    discovery: str | None = None
+    weights: str | None = None
+    deductions: DeductionsForm | None = None
+    over_share_worth: Number | None = None
+    report: ReportForm | None = None
 
 
 def settings_of(env: object) -> Settings:
     """The settings in decoded JSON. A missing or impossible value is a SettingsError that names the key."""
-    if not isinstance(env, dict):
-        raise SettingsError("not an object", "settings")
-
-    fields = Fields(env)
-    limits = fields.sub("policy_limits")
-    rules = fields.sub("rules")
-    deductions = fields.sub("deductions", optional=True)
-    report = fields.sub("report", optional=True)
+    try:
+        return settings_from(msgspec.convert(env, SettingsForm))
+    except msgspec.ValidationError as e:
+        key, what = located(e)
+        if not key:
+            raise SettingsError("not an object", "settings") from None
+        raise SettingsError(what, f"settings.{key}") from None
+
+
+def settings_from(form: SettingsForm) -> Settings:
+    """The settings in a settings object whose form is right; a SettingsError if a value is impossible."""
+    limits, rules = form.policy_limits, form.rules
     return Settings(
-        classes=tuple(class_of(c) for c in fields.tables("classes")),
-        tenants=tuple(
-            TenantSettings(quota=t.number("quota_rps", 0.0)) for t in fields.tables("tenants", optional=True)
-        ),
-        tier=fields.whole("tier", 0),
-        tiers=max(1, len(fields.items("layers"))),
-        zone=fields.whole("zone", 0),
-        instances=fields.whole("group_size"),
-        index=fields.whole("self_index", 0),
-        tick=fields.whole("tick"),
-        max_attempts=limits.whole("max_attempts"),
-        cancel=limits.flag("cancel"),
-        probes=limits.flag("probing"),
-        peers=limits.flag("peers"),
-        second_copies=limits.flag("second_copies"),
-        retry_after=limits.flag("retry_after"),
-        max_retry_after=limits.whole("max_retry_after", 0),
-        max_open=limits.whole("max_open", 20000),
-        list_on_request=fields.text("discovery", "push") == "ask",
-        list_ask_within=rules.whole("ask_within", 0),
-        list_weights=fields.text("weights", "off") != "off",
-        cold_time=rules.whole("cold"),
-        cold_share=rules.number("start_capacity"),
-        fall_multiple=rules.number("fall_multiple"),
-        fall_time=rules.whole("tip_after"),
-        answer_slack=rules.whole("answer_slack", 0),
-        cross_zone_price=deductions.number("cross_zone", 0.0),
-        over_share_worth=fields.number("over_share_worth", 1.0),
-        report_fields=tuple(COLUMNS.get(f, str(f)) for f in report.items("columns")),
+        classes=tuple(class_of(c) for c in form.classes),
+        tenants=tuple(TenantSettings(quota=t.quota_rps or 0.0) for t in form.tenants or ()),
+        tier=int(form.tier or 0),
+        tiers=max(1, len(form.layers or ())),
+        zone=int(form.zone or 0),
+        instances=int(form.group_size),
+        index=int(form.self_index or 0),
+        tick=int(form.tick),
+        max_attempts=int(limits.max_attempts),
+        cancel=bool(limits.cancel),
+        probes=bool(limits.probing),
+        peers=bool(limits.peers),
+        second_copies=bool(limits.second_copies),
+        retry_after=bool(limits.retry_after),
+        max_retry_after=int(limits.max_retry_after or 0),
+        max_open=int(given(limits.max_open, 20000)),
+        list_on_request=form.discovery == "ask",
+        list_ask_within=int(rules.ask_within or 0),
+        list_weights=form.weights not in (None, "off"),
+        cold_time=int(rules.cold),
+        cold_share=rules.start_capacity,
+        fall_multiple=rules.fall_multiple,
+        fall_time=int(rules.tip_after),
+        answer_slack=int(rules.answer_slack or 0),
+        cross_zone_price=(form.deductions.cross_zone if form.deductions else None) or 0.0,
+        over_share_worth=given(form.over_share_worth, 1.0),
+        report_fields=tuple(plain_name(c) for c in (form.report.columns if form.report else None) or ()),
     )
 
 
-def class_of(c: Fields) -> ClassSettings:
+def plain_name(column: Plain) -> str:
+    """The plain word for a load report's value, where the settings have another."""
+    return COLUMNS.get(str(column), str(column))
+
+
+def class_of(c: ClassForm) -> ClassSettings:
     """A request class. An effect or group that is not known gets the fewest rights there are."""
     return ClassSettings(
-        effect=EFFECTS.get(c.text("effect"), Effect.UNSAFE),
-        aim=c.whole("goal_time"),
-        deadline=c.whole("hard_limit"),
-        worth=c.number("worth"),
-        late_worth=c.number("late_value", 0.0),
-        group=GROUPS.get(c.text("group", "all"), Group.CELL),
-        window=c.whole("window", 0),
-        stream=c.flag("stream"),
+        effect=EFFECTS.get(c.effect, Effect.UNSAFE),
+        aim=int(c.goal_time),
+        deadline=int(c.hard_limit),
+        worth=c.worth,
+        late_worth=c.late_value or 0.0,
+        group=GROUPS.get("all" if c.group is None else c.group, Group.CELL),
+        window=int(c.window or 0),
+        stream=bool(c.stream),
     )
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -16,6 +16,7 @@
 import brackenladder
 from brackenladder.errors import BrackenladderError
 from brackenladder.net.bind import AddressForbidden, AddressForeign, ListenError, SocketUnusable, listening
+from brackenladder.net.config import read
 
 ROOT = Path(__file__).parent.parent
 TABLE = ROOT / "docs" / "on-call.md"
@@ -195,3 +196,55 @@
     with pytest.raises(OSError) as e, listening("listen", address):
         raise failure
     assert type(e.value) is kind and str(e.value).startswith("listen ")
+
+
+def without(table: dict, *path: str | int) -> dict:
+    """A copy of the table without the key at the path."""
+    table = json.loads(json.dumps(table))
+    inner = table
+    for step in path[:-1]:
+        inner = inner[step]
+    del inner[path[-1]]
+    return table
+
+
+FILE = node_table(1, settings())
+PLACES = {
+    "no name": (without(FILE, "name"), "name: missing"),
+    "no settings": (without(FILE, "settings"), "settings: missing"),
+    "no deadline": (
+        without(FILE, "settings", "classes", 1, "hard_limit"),
+        "settings.classes[1].hard_limit: missing",
+    ),
+    "a flag that is 1": (
+        FILE | {"settings": settings(policy_limits={"cancel": 1})},
+        "settings.policy_limits.cancel: ",
+    ),
+    "a tick that is true": (FILE | {"settings": settings(tick=True)}, "settings.tick: expected"),
+    "a tick that is none": (FILE | {"settings": settings(tick=float("nan"))}, "settings.tick: expected"),
+    "layers a word": (FILE | {"settings": settings(layers="ab")}, "settings.layers: expected"),
+    "peers of lists": (FILE | {"peers": [[]]}, "peers[0]: expected"),
+    "known without a version": (FILE | {"known": {"servers": []}}, "list.version: missing"),
+}
+
+
+@pytest.mark.parametrize("case", PLACES)
+def test_what_is_wrong_with_a_file_is_told_with_the_path_of_the_key(case):
+    table, words = PLACES[case]
+    with pytest.raises(BrackenladderError) as e:
+        read(table)
+    assert str(e.value).startswith(words)
+
+
+def test_what_a_file_leaves_out_or_adds_is_as_before():
+    bare = read(without(FILE, "limits") | {"later": [1], "control": False, "peers": None, "peer_listen": ""})
+    assert bare.connections == 1024 - bare.reserved and bare.control is None and bare.peers == ()
+    odd = settings(tick=1000.9, tenants=None, dcs=[1, None, "z"], kinds=None, over_share_worth=None, later={})
+    odd["classes"] = [
+        odd["classes"][0] | {"effect": "novel", "group": "novel", "window": None, "stream": None}
+    ]
+    found = read(FILE | {"settings": odd})
+    assert found.settings.tick == 1000 and found.zones == ("1", "None", "z")
+    assert found.settings.tenants == () and found.settings.over_share_worth == 1.0
+    only = found.settings.classes[0]
+    assert (only.effect.name, only.group.name, only.window, only.stream) == ("UNSAFE", "CELL", 0, False)
