A change of one node is asked for under its tier and zone

Need: scopes are pairs such as zone=a; a node's bare name is none, and who judges scopes would trip over it. Change: reloads and places are asked for under the node's tier and zone; a part that gives the node's name as the scope gets the same. Result: tests/test_parts.py and tests/test_audit.py green.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -267,6 +267,7 @@
             "reload",
             tuple(kinds),
             lambda: node.adopt(config, operation),
+            self.scope(),
             stays="the old configuration stays, a further SIGHUP takes this one's place",
         )
 
@@ -470,7 +471,12 @@
 
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         """Asks all parts whether a change may happen; `then` is called once, with the first no or GO."""
-        self.changes.may(change, scope, then)
+        self.changes.may(change, self.scope() if scope == self.name else scope, then)
+
+    def scope(self) -> str:
+        """The scope of a change of this node alone: its tier, and its zone if that has a name."""
+        zone = self.zone()
+        return f"tier={self.node.settings.tier}" + (f",zone={zone}" if zone else "")
 
     def ask_list(self) -> None:
         """Has this node ask its discovery anew, at once."""
--- a/brackenladder/net/parts.py
+++ b/brackenladder/net/parts.py
@@ -137,7 +137,8 @@
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         """Asks all parts whether a change may happen; `then` is called once, with the first no or a yes.
 
-        A scope is empty for all, or says `tier=`, `region=`, `zone=`, `server=`, `class=`, by commas."""
+        A scope is empty for all, or says `tier=`, `region=`, `zone=`, `server=`, `class=`, by commas.
+        The node's name stands for its tier and zone: a change of this node alone."""
 
     def acts_on(self, version: Version) -> None:
         """Tells all parts of a version that this part makes the node act on, as of a term."""
--- a/brackenladder/net/places.py
+++ b/brackenladder/net/places.py
@@ -88,9 +88,8 @@
             if ring == self.node.ring:
                 self.hosting.changes.forget("place")
             else:
-                changes = (Change.PLACEMENT,)
-                stays = "the old place stays"
-                self.hosting.changes.make("place", changes, lambda: self.move(ring), stays=stays)
+                scope, stays = self.hosting.scope(), "the old place stays"
+                self.hosting.changes.make("place", (Change.PLACEMENT,), lambda: self.move(ring), scope, stays)
         due = self.spread.due()
         if due is not None and self.timer is None:  # one that comes too early looks again
             delay = max(0, due - self.node.now()) / 1e6 + 0.001
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -178,6 +178,11 @@
         node.reload(node.config, Wide(dummy=Wish(number=1), other=Wish()))
         assert names(part.seen) == ["asked", "reload", "version", "made"]
         assert part.seen[-1] == ("made", Change.OPERATION, (3, 7))
+        part.host.may(Change.SHUT_OUT, "n0", lambda answer: part.seen.append(("answer", answer)))
+        assert part.seen[-2:] == [
+            ("asked", Change.SHUT_OUT, "tier=0,zone=here"),
+            ("answer", Answer(True, grant=(3, 7))),
+        ]
         node.reload(node.config, None)
         assert part.seen[-1] == ("stop", True) and node.on_ended is None
         assert (await asked(node, "GET /admin/dummy"))[0] == 404
