--- a/brackenladder/net/members.py
+++ b/brackenladder/net/members.py
@@ -212,6 +212,7 @@
             counts[member.state.name.lower()] += 1
         if self.swim is None:
             return {"joined": False, "states": counts, "unsent": self.unsent}
+        shared = {w: n for w, n in self.mux.counters.dropped.items() if w in ("foreign", "unknown tag")}
         swim = self.swim
         spread = {} if self.spreading is None else {"records": self.spreading.figures()}
         return {
@@ -220,6 +221,7 @@
             "health": swim.health,
             "incarnation": swim.me.incarnation,
             "unsent": self.unsent,
+            "dropped": {**self.udp.counters.dropped, **shared},
             **swim.counters.__dict__,
             **spread,
         }
--- a/brackenladder/records/table.py
+++ b/brackenladder/records/table.py
@@ -32,6 +32,7 @@
 from brackenladder.records.interface import MOST_BODY, Record
 from brackenladder.records.wire import (
     HEAD,
+    KEY,
     KIND_LIMIT,
     LAST,
     Ask,
@@ -48,6 +49,7 @@
     encode,
     key_of,
     pack,
+    split,
     unpack,
 )
 
@@ -134,6 +136,7 @@
     name: str
     key: bytes
     head: Head = Head()  # the highest that agrees with the records
+    raw: bytes = b""  # the same as it is sent
     records: dict[str, Entry] = field(default_factory=dict)
     renewed: int = 0  # when the head rose
     gone: int | None = None  # since when it is not live
@@ -143,6 +146,9 @@
     asked: int = 0  # how often one of them was asked
     ask_at: int = 0  # the next of them is asked then
 
+    def reach(self, head: Head) -> None:
+        self.head, self.raw = head, pack(self.key, head)
+
     def hold(self, kind: str, entry: Entry) -> None:
         """Puts a record in place of what was there."""
         self.records[kind] = entry
@@ -157,7 +163,8 @@
         self.name, self.rules = name, rules or Rules()
         self.random = random.Random(f"{seed}/{name}")
         self.now = now
-        self.me = Owner(name, key_of(name), Head(1, 0))
+        self.me = Owner(name, key_of(name))
+        self.me.reach(Head(1, 0))
         self.owners: dict[str, Owner] = {name: self.me}
         self.keys: dict[bytes, Owner] = {self.me.key: self.me}
         self.peers: list[str] = []  # live members but this one, sorted
@@ -235,6 +242,7 @@
                 key = key_of(name)
                 if key not in self.keys:
                     owner = self.owners[name] = self.keys[key] = Owner(name, key, renewed=self.now)
+                    owner.reach(Head())
             elif owner.gone is not None:
                 owner.gone = None
         for name, owner in self.owners.items():
@@ -295,16 +303,21 @@
     def _heads(self, message: Heads, source: Address, out: list[Send]) -> None:
         newer: list[bytes] = []
         named: set[bytes] = set()
-        for key, head in unpack(message.packed):
+        for raw in split(message.packed):
+            key = raw[:KEY]
             owner = self.keys.get(key)
             named.add(key)
             if owner is None:
                 self.counters.unknown += 1
-            elif head < owner.head:
+                continue
+            if raw == owner.raw:
+                continue
+            head = unpack(raw)
+            if head < owner.head:
                 newer.append(key)
             elif head > owner.head and owner is self.me:
                 self._earlier_life(head, source, out)
-            elif head > owner.head:
+            else:
                 self._newer(owner, head, source, out)
         if message.ask == Ask.ALL:
             newer += [k for k in self.keys if k not in named]
@@ -326,7 +339,8 @@
     def _adopt(self, owner: Owner, head: Head) -> None:
         """A head that agrees with the records: these are the owner's latest."""
         news = head.check != owner.head.check
-        owner.head, owner.renewed = head, self.now
+        owner.reach(head)
+        owner.renewed = self.now
         if owner.wanted is not None and owner.wanted <= head:
             owner.wanted = None
             self.wanting.pop(owner.key, None)
@@ -361,7 +375,7 @@
             self.counters.unknown += 1
             return
         held = {h.kind: (h.version, h.check) for h in message.held}
-        heads = pack([(owner.key, owner.head)])
+        heads = owner.raw
         items: list[Item] = []
         room = LARGEST - 40 - len(heads)
         for kind, entry in sorted(owner.records.items()):
@@ -392,8 +406,8 @@
                 self.counters.taken += 1
                 if owner.wanted is not None and owner.wanted.check == owner.checked:
                     self._adopt(owner, owner.wanted)
-        for key, head in unpack(message.heads):
-            owner = self.keys.get(key)
+        for raw in split(message.heads):
+            owner, head = self.keys.get(raw[:KEY]), unpack(raw)
             if owner is None or owner is self.me or head <= owner.head:
                 continue
             if head.check == owner.checked:
@@ -407,7 +421,7 @@
 
     def _speak(self, news: bool, above: int = 0) -> None:
         """A further word of this node."""
-        self.me.head = Head(min(max(self.me.head.count, above) + 1, LAST), self.me.checked)
+        self.me.reach(Head(min(max(self.me.head.count, above) + 1, LAST), self.me.checked))
         self._tell_on(self.me, news)
 
     def _earlier_life(self, head: Head, source: Address, out: list[Send]) -> None:
@@ -472,7 +486,7 @@
                 self.warm[key] = left
 
     def _packed(self, keys: Iterable[bytes]) -> bytes:
-        return pack((key, self.keys[key].head) for key in keys)
+        return b"".join([self.keys[key].raw for key in keys])
 
     def _post(self, message: Message, address: Address, out: list[Send]) -> bool:
         """One datagram, if the budget bears it."""
--- a/brackenladder/records/wire.py
+++ b/brackenladder/records/wire.py
@@ -9,7 +9,7 @@
 
 import enum
 import struct
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from hashlib import blake2b
 from typing import ClassVar
 
@@ -128,16 +128,21 @@
     return message
 
 
-def pack(heads: Iterable[tuple[bytes, Head]]) -> bytes:
-    """Heads as bytes, 16 each."""
-    return b"".join(HEAD.pack(k, h.count >> 32, h.count & 0xFFFFFFFF, h.check) for k, h in heads)
+def pack(key: bytes, head: Head) -> bytes:
+    """One head as bytes, 16 of them."""
+    return HEAD.pack(key, head.count >> 32, head.count & 0xFFFFFFFF, head.check)
 
 
-def unpack(data: bytes) -> Iterator[tuple[bytes, Head]]:
-    """The same back; a count out of range is left out."""
-    for key, high, low, check in HEAD.iter_unpack(data):
-        if (count := high << 32 | low) <= LAST:
-            yield key, Head(count, check)
+def split(packed: bytes) -> Iterator[bytes]:
+    """Packed heads, one by one: most are known already, and need not be read."""
+    return (packed[i : i + HEAD.size] for i in range(0, len(packed), HEAD.size))
+
+
+def unpack(raw: bytes) -> Head:
+    """One head back; a count out of range is 0, which is nobody's."""
+    _, high, low, check = HEAD.unpack(raw)
+    count = high << 32 | low
+    return Head(count if count <= LAST else 0, check)
 
 
 def key_of(owner: str) -> bytes:
