--- a/tests/contracts/test_transports.py
+++ b/tests/contracts/test_transports.py
@@ -401,6 +401,19 @@
     play(scene)
 
 
+def test_an_end_that_is_closed_while_it_opens_holds_no_port() -> None:
+    async def scene() -> None:
+        end = Udp(("127.0.0.1", 0))
+        opening = asyncio.ensure_future(end.open(lambda data, source: None))
+        await asyncio.sleep(0)
+        end.close()
+        with pytest.raises(TransportError):
+            await opening
+        assert end.address is None and end.transport is None
+
+    play(scene)
+
+
 def test_parts_that_share_a_transport_hear_their_own_and_no_foreign_cluster() -> None:
     network = Network()
     heard: dict[str, list[bytes]] = {"own": [], "part": [], "twin": [], "raw": []}
