Audit: an own discovery that was passed by once is not waited for again, told old or not

Seen in a swarm: a node whose agent repeats an old list for ever answers all the time, so each change waited its whole time for it, while one whose agent was silent did not. What counts now is whether it has told a newer list since. Lines merged from peers are kept apart from its own, so what was merged once is not merged again.

--- a/brackenladder/audit/mend.py
+++ b/brackenladder/audit/mend.py
@@ -108,8 +108,8 @@
         self.random = Random(seed)
         self.effort: Effort | None = None
         self.clock = 0  # when the own clock of silence runs out for the present target
-        self.known_silent = False  # brought up by others, and the own discovery has said nothing since
-        self.last_answer = 0
+        self.passed_by = False  # brought up by others, and the own discovery has told nothing newer since
+        self.last_told: Held | None = None
         self.started = 0
         self.asleep = False
         self.service = Service.IN
@@ -143,13 +143,13 @@
 
     def bring_up(self, now: int, picture: Picture, own: Own) -> list[Deed]:
         r, standing = self.rules, picture.standings[self.name]
-        if own.answered > self.last_answer:
-            self.last_answer = own.answered
-            self.known_silent = False
+        if own.list != self.last_told:
+            self.last_told = own.list
+            self.passed_by = False
         target = standing.target
         if not standing.behind or target is None:
             if self.effort is not None and own.taken is not None and own.taken == self.effort.target:
-                self.known_silent = True
+                self.passed_by = True
             self.effort = None
             return []
         effort = self.effort
@@ -190,7 +190,7 @@
     def runs_out(self, effort: Effort, own: Own) -> int:
         """The own clock of silence: until then the own discovery's word is waited for."""
         r = self.rules
-        if self.known_silent:
+        if self.passed_by:
             return effort.began + r.ask
         if own.answered >= effort.began:
             return effort.began + r.lag  # it answers, and not with what the others hold
--- a/brackenladder/net/audit.py
+++ b/brackenladder/net/audit.py
@@ -53,7 +53,7 @@
         self.own = Own()
         self.lines: dict[str, Line] = {}  # by the own discovery's word
         self.coming: dict[str, Line] | None = None  # a whole list of which more is to come
-        self.extra: dict[str, Line] = {}  # servers that peers have told, and the own discovery has not
+        self.merged: dict[str, Line] = {}  # by peers' word, until the own discovery names the server
         self.lists: tuple[Held, ...] = ()
         self.versions: dict[Source, Version] = {}
         self.words: dict[str, tuple[int, Word | None]] = {}  # by owner: the record's version, decoded
@@ -140,19 +140,22 @@
         """The own discovery has spoken, if only to say that there is nothing new."""
         self.own.answered = self.host.now()
         whole = news.kind != ListKind.CHANGES
+        newer = self.own.list is None or news.version.number > self.own.list.number
         if whole and self.coming is None:
             self.coming = {}
         for into in (self.lines, self.coming) if not whole else (self.coming,):
             for line in news.lines if into is not None else ():
                 assert into is not None
+                if newer:
+                    self.merged.pop(line.id, None)
                 if line.state == ServerState.GONE:
                     into.pop(line.id, None)
                 else:
                     into[line.id] = line
         if whole and not news.more and self.coming is not None:
             self.lines, self.coming = self.coming, None
-            if self.own.list is None or news.version.number > self.own.list.number:
-                self.extra.clear()
+            if newer:
+                self.merged.clear()
 
     def version(self, version: Version) -> None:
         """The node acts on another version of something."""
@@ -395,12 +398,16 @@
         if effort is None or effort.target != target or not target.digest:
             return
         theirs = {line.id for line in found}
-        here = self.extra | self.lines
-        gone = [replace(line, state=ServerState.GONE) for name, line in here.items() if name not in theirs]
-        drains = [line for line in found if line.state != ServerState.READY]
-        fresh = [line for line in found if line.state == ServerState.READY and line.id not in self.lines]
+        here = {n: line for n, line in (self.lines | self.merged).items() if line.state != ServerState.GONE}
+        gone = [replace(line, state=ServerState.GONE) for n, line in here.items() if n not in theirs]
+        drains = [
+            line
+            for line in found
+            if line.state != ServerState.READY and (line.id not in here or here[line.id].state != line.state)
+        ]
+        fresh = [line for line in found if line.state == ServerState.READY and line.id not in here]
         if gone or drains:
-            self.host.merge_list(tuple(gone + drains))
+            self.merge(gone + drains)
         clock = self.mender.clock
 
         def granted(answer: Answer) -> None:
@@ -411,10 +418,7 @@
                 self.host.say("audit waits", what="bring-up", why=answer.why)
                 return
             if fresh:
-                self.host.merge_list(tuple(fresh))
-            for line in gone:
-                self.extra.pop(line.id, None)
-            self.extra |= {line.id: line for line in fresh}
+                self.merge(fresh)
             at = self.host.now()
             self.own.taken = target
             self.counts["brought_up"] += 1
@@ -434,6 +438,10 @@
             self.granting = True
             self.host.may(Change.BRING_UP, self.host.name, granted)
 
+    def merge(self, safe: list[Line]) -> None:
+        self.merged |= {line.id: line for line in safe}
+        self.host.merge_list(tuple(safe))
+
     # ---- people ---------------------------------------------------------------------------------------
 
     def figures(self) -> dict[str, Any]:
--- a/brackenladder/net/ledger.py
+++ b/brackenladder/net/ledger.py
@@ -52,11 +52,10 @@
         self.store, self.broken = store, ""
         book = reading.book
         if book.life:
-            unclosed = not book.closed
+            self.restored = {"lives": book.life, "entries": book.entries, "killed": not book.closed}
+            if reading.gaps:
+                self.restored["gaps"] = reading.gaps
             self.ledger = self.ledger.follow(book)
-            self.restored = {
-                "lives": book.life, "entries": book.entries, "killed": unclosed, "gaps": reading.gaps,
-            }  # fmt: skip
 
     def read_log(self, store: Store) -> Reading:
         """The newest log that can be read. A broken one stays as it is, and the next number begins.
@@ -134,4 +133,4 @@
                 at = row.pop(key)
                 here = at and row["life"] == table["life"]
                 row[key.replace("_us", "_s_ago")] = round((now - at) / 1e6, 3) if here else None
-        return table | {"log": self.log, "restored": self.restored, "wrong": self.broken}
+        return table | {"now_us": now, "log": self.log, "restored": self.restored, "wrong": self.broken}
--- a/tests/test_audit_fleet.py
+++ b/tests/test_audit_fleet.py
@@ -169,6 +169,9 @@
     assert world.did("n2", Do.ASK_OWN)  # first it asks its own
     assert world.nodes["n2"].own.taken == Held("d", 2, "c2")
     assert world.nodes["n2"].own.list == Held("d", 1, "c1")  # what it was told stays told
+    world.tell(Held("d", 3, "c3"))  # and it is not waited for again
+    world.run(2.5)
+    assert world.nodes["n2"].own.taken == Held("d", 3, "c3")
 
 
 def test_other_agents_are_asked_before_peers() -> None:
