Swarms: an agent of discovery for each node, lists that change, and the audit's figures

Need: the audit's claims are about agents that fall silent, freeze, repeat an old list or tell it in halves, and about each attempt under the right version; the harness had one agent for all, whose list never changed.

lab/swarm/agents.py gives each node an agent; faults agent-silent, agent-frozen, agent-old and list, tables [audit] and [store]. lab/swarm/audits.py compares the ledgers with what the stand-in servers counted, and the standings with what the harness did. Without [audit] the same world goes on calling servers that have left (a test shows it).

--- a/brackenladder/lab/swarm/audits.py
+++ b/brackenladder/lab/swarm/audits.py
@@ -40,15 +40,25 @@
     standings: list[tuple[float, str, str, str]] = field(default_factory=list)  # observer, member, state
     ups: dict[str, list[tuple[float, int, float]]] = field(default_factory=dict)  # number, after the clock
     outs: list[tuple[float, str, bool]] = field(default_factory=list)
+    drained: dict[int, float] = field(default_factory=dict)  # servers, and since when nothing may go there
 
     # ---- what happens ---------------------------------------------------------------------------------
 
     def agent(self, name: str, at: float, mode: str) -> None:
         self.modes.setdefault(name, []).append((at, mode))
 
-    def listed(self, version: int, at: float, halves: bool) -> None:
+    def listed(self, version: int, at: float, halves: bool, drained: Iterable[str]) -> None:
+        """The list has changed, and so drains or leaves out these servers."""
         if not halves:
             self.lists.append((version, at))
+        for server in drained:
+            self.drained.setdefault(int(server[1:]), at)
+
+    def to_drained(self, arrivals: Mapping[str, Sequence[tuple[float, int]]]) -> int:
+        """Calls that came at servers long after the list had drained them."""
+        late = {server: at + ENOUGH for server, at in self.drained.items()}
+        never = float("inf")
+        return sum(1 for calls in arrivals.values() for at, server in calls if at >= late.get(server, never))
 
     def line(self, node: str, record: dict[str, Any], at: float) -> None:
         """A line of one node's log."""
--- a/brackenladder/lab/swarm/load.py
+++ b/brackenladder/lab/swarm/load.py
@@ -29,8 +29,9 @@
 
     def __init__(self, wish: dict[str, Any]) -> None:
         self.random = Random(wish["seed"])
-        self.pools = [Pool((host, port)) for host, port, _ in wish["nodes"]]
-        self.weights = list(accumulate(weight for _, _, weight in wish["nodes"]))
+        self.pools = [Pool((host, port)) for host, port, *_ in wish["nodes"]]
+        self.weights = list(accumulate(weight for _, _, weight, _ in wish["nodes"]))
+        self.names = {pool: node[3] for pool, node in zip(self.pools, wish["nodes"], strict=True)}
         self.rate: float = wish["rate"]
         self.seconds: float = wish["seconds"]
         self.sends: float = wish["sends"]
@@ -56,13 +57,14 @@
 
     async def ask(self, number: int, unsafe: bool, pool: Pool) -> None:
         method, path = ("POST", "send") if unsafe else ("GET", "look")
-        data = (
-            f"{method} /{path} HTTP/1.1\r\nHost: app\r\nX-Call-Id: {number:016x}\r\n"
-            f"X-Budget-Ms: {int(BUDGET * 1000)}\r\n" + ("Content-Length: 0\r\n" if unsafe else "") + "\r\n"
-        ).encode()
+        length = "Content-Length: 0\r\n" if unsafe else ""
         began = monotonic()
         status = 0
         for _ in range(CONNECT_TRIES):
+            data = (  # the servers count by X-Node who has sent what
+                f"{method} /{path} HTTP/1.1\r\nHost: app\r\nX-Call-Id: {number:016x}\r\n"
+                f"X-Node: {self.names[pool]}\r\nX-Budget-Ms: {int(BUDGET * 1000)}\r\n{length}\r\n"
+            ).encode()
             try:
                 async with asyncio.timeout(BUDGET + 0.5):
                     status = (await pool.ask(data, repeatable=not unsafe)).status
--- a/brackenladder/lab/swarm/nodes.py
+++ b/brackenladder/lab/swarm/nodes.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -19,12 +20,10 @@
 
 from brackenladder.errors import BrackenladderError
 from brackenladder.fault.switch import Address
-from brackenladder.lab.live.wire import Incoming
 
 PACKAGES = Path(__file__).parents[3]
 START_TIME = 60.0  # seconds for a process to say that it has begun
 END_TIME = 10.0
-WATCH = 55.0  # seconds that discovery holds a watch without news
 SETTINGS: dict[str, Any] = {
     "classes": [
         {"name": "look", "effect": "free", "goal_time": 200_000, "hard_limit": 1_000_000, "worth": 1.0},
@@ -83,36 +82,6 @@
         return host, probe.getsockname()[1]
 
 
-class Discovery:
-    """One agent for all nodes: the list never changes, and a watch is held."""
-
-    def __init__(self, listing: dict[str, Any]) -> None:
-        self.body = json.dumps(listing).encode()
-        self.none = json.dumps({**listing, "full": False, "servers": []}).encode()
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> Address:
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: Incoming(self.asked, lambda c: None, lambda c: None), "127.0.0.1", 0, backlog=512
-        )
-        address: Address = self.server.sockets[0].getsockname()[:2]
-        return address
-
-    def asked(
-        self, connection: Incoming, method: str, url: bytes, headers: dict[bytes, bytes], body: bytes
-    ) -> None:
-        kind = b"Content-Type: application/json"
-        if b"since=" not in url:
-            connection.answer(b"200 OK", self.body, kind)
-            return
-        asyncio.get_running_loop().call_later(WATCH, connection.answer, b"200 OK", self.none, kind)
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-
-
 class NodeProcess:
     """One node's name, addresses and process; restarts keep the first two."""
 
@@ -121,6 +90,7 @@
         self.name = name
         self.folder = folder / name
         self.folder.mkdir(parents=True, exist_ok=True)
+        shutil.rmtree(self.folder / "store", ignore_errors=True)  # of an earlier run with the same --logs
         self.heard = heard
         self.members = own_address(socket.SOCK_DGRAM, index)  # where its part in the membership listens
         self.clients = own_address(socket.SOCK_STREAM, index)
@@ -146,6 +116,7 @@
             "LB_OPERATOR": str(self.folder / "operator.toml"),
             "LB_MEMBERSHIP_LISTEN": "{}:{}".format(*self.members),
             "LB_MEMBERSHIP_ADVERTISE": "{}:{}".format(*self.front),
+            "LB_STORE_PATH": str(self.folder / "store"),
             "TMPDIR": str(self.folder),
             "PYTHONPATH": os.pathsep.join(paths),
         }
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -9,7 +9,7 @@
 import statistics
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from time import monotonic
 from typing import Any
@@ -17,13 +17,22 @@
 import msgspec
 import psutil
 
+from brackenladder.audit.ledger import named, read
+from brackenladder.errors import BrackenladderError
 from brackenladder.lab.live.wire import Broken, Pool, Unreached
-from brackenladder.lab.swarm.nodes import END_TIME, PACKAGES, SETTINGS, Discovery, NodeProcess, SwarmError
+from brackenladder.lab.swarm.agents import Agents
+from brackenladder.lab.swarm.audits import AuditObserver, Held, matched
+from brackenladder.lab.swarm.nodes import END_TIME, PACKAGES, SETTINGS, NodeProcess, SwarmError
 from brackenladder.lab.swarm.observe import Observer
 from brackenladder.lab.swarm.script import Expect, Fault, Swarm
+from brackenladder.operation import build
+from brackenladder.stores.factory import open_store
 
 STARTS = 16  # processes that start at a time
 SAMPLE = 1.0  # seconds between two looks at the processes' memory and processor time
+LEDGER_TIME = 1.5  # seconds after the load until all attempts have ended and are written
+KILL_LOSS = 1.0  # seconds before a kill of which a ledger may know nothing
+LONGEST_LINE = 1 << 27  # bytes that a helper process says at a time
 LOOK = 0.25  # seconds between two looks at whether all agree
 
 Tell = Callable[[str, float, float], None]  # what is going on, how far, of how much
@@ -68,7 +77,8 @@
         self.network: asyncio.subprocess.Process | None = None
         self.observer = Observer(swarm.names, swarm.datagrams)
         self.nodes: dict[str, NodeProcess] = {}
-        self.discovery: Discovery | None = None
+        self.agents: Agents | None = None
+        self.audits = AuditObserver(swarm.names)
         self.helpers: list[asyncio.subprocess.Process] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.servers: asyncio.subprocess.Process | None = None
@@ -88,6 +98,7 @@
             f"brackenladder.lab.swarm.{module}",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
+            limit=LONGEST_LINE,
             env={**os.environ, "PYTHONPATH": str(PACKAGES)},
         )
         self.helpers.append(process)
@@ -108,20 +119,17 @@
     async def build(self) -> asyncio.subprocess.Process:
         """Servers, discovery, the switch, and the nodes' files; nothing runs as a node yet."""
         s = self.swarm
-        wish = {"count": s.servers.count, "slots": s.servers.slots, "service_ms": s.servers.service_ms}
+        count = s.servers.count + s.servers.spare
+        wish = {"count": count, "slots": s.servers.slots, "service_ms": s.servers.service_ms}
         servers = await self.helper("servers", wish)
         addresses = await self.said(servers, 30.0)
         zones = s.world.zones
-        listing = {
-            "version": 1,
-            "full": True,
-            "servers": [
-                {"id": f"s{i}", "addr": a, "state": "ready", "zone": zones[i % len(zones)], "kind": "std"}
-                for i, a in enumerate(addresses)
-            ],
-        }
-        self.discovery = Discovery(listing)
-        agent = await self.discovery.start()
+        lines = [
+            {"id": f"s{i}", "addr": a, "state": "ready", "zone": zones[i % len(zones)], "kind": "std"}
+            for i, a in enumerate(addresses)
+        ]
+        self.agents = Agents(s.names, lines, s.servers.spare)
+        await self.agents.start()
         for name in s.names:
             self.nodes[name] = NodeProcess(name, self.folder, self.heard)
         members = {name: node.members for name, node in self.nodes.items()}
@@ -133,8 +141,8 @@
             self.nodes[name].front = (front[0], front[1])
         seeds = ["{}:{}".format(*self.nodes[n].front) for n in s.names[: s.world.seeds]]
         operator = toml_of("membership", {"seeds": seeds} | s.membership)
-        if s.spread is not None:
-            operator += toml_of("spread", s.spread)
+        for table, wish in s.tables.items():
+            operator += toml_of(table, {"numbering": "swarm"} | wish if table == "audit" else wish)
         upgraded = {
             n for f, names in zip(s.faults, s.struck(), strict=True) if f.kind == "upgrade" for n in names
         }
@@ -145,10 +153,10 @@
                 "name": name,
                 "listen": "{}:{}".format(*node.clients),
                 "control": "127.0.0.1:0",
-                "discovery": "{}:{}".format(*agent),
+                "discovery": "{}:{}".format(*self.agents.agents[name].address),
                 "seed": f"{s.world.seed * 1000 + index:x}",
                 "limits": {"memory_mb": 128, "sockets": 512},
-                "known": listing,
+                "known": self.agents.first(),
                 "settings": {**SETTINGS, "dcs": zones, "zone": index % len(zones), **s.place(index)},
             }
             node.configure(config, operator)
@@ -156,6 +164,7 @@
 
     def heard(self, name: str, record: dict[str, Any], at: float) -> None:
         self.observer.line(name, record, at)
+        self.audits.line(name, record, at)
 
     # ---- the nodes ------------------------------------------------------------------------------------
 
@@ -202,7 +211,24 @@
         await asyncio.sleep(max(0.0, self.zero + fault.at_s - monotonic()))
         self.fault(fault, index, names, "begins")
         nodes = [self.nodes[n] for n in names]
-        if fault.kind == "pause":
+        if fault.kind == "list":
+            assert self.agents is not None
+            told = self.agents.change(fault.drain, fault.gone, fault.add, fault.halves)
+            self.faults[-1] |= told
+            self.audits.listed(told["version"], monotonic(), fault.halves, [*fault.drain, *fault.gone])
+            return
+        if fault.kind.startswith("agent-"):
+            assert self.agents is not None
+            for n in names:
+                self.agents.agents[n].turn(fault.kind)
+                self.audits.agent(n, monotonic(), fault.kind)
+            if not fault.for_s:
+                return
+            await asyncio.sleep(fault.for_s)
+            for n in names:
+                self.agents.agents[n].turn("")
+                self.audits.agent(n, monotonic(), "")
+        elif fault.kind == "pause":
             for node in nodes:
                 self.observer.paused(node.name, monotonic(), fault.for_s)
                 node.signal(signal.SIGSTOP)
@@ -241,11 +267,11 @@
 
     # ---- figures --------------------------------------------------------------------------------------
 
-    async def stats(self, node: NodeProcess) -> dict[str, Any] | None:
+    async def stats(self, node: NodeProcess, page: str = "stats") -> dict[str, Any] | None:
         """A node's figures, as an operator gets them; None from one that does not answer."""
         if node.control is None or node.process is None or node.process.returncode is not None:
             return None
-        ask = b"GET /admin/stats HTTP/1.1\r\nHost: node\r\n\r\n"
+        ask = f"GET /admin/{page} HTTP/1.1\r\nHost: node\r\n\r\n".encode()
         try:
             async with asyncio.timeout(5.0):
                 answer = await Pool(node.control).ask(ask)
@@ -343,6 +369,7 @@
             self.over = True
         await self.look()
         watched = monotonic() - self.zero
+        assert self.servers is not None and self.servers.stdin is not None
         after, cpu_after = await self.all_stats(), self.cpu()
         agree = await self.agree()
         figures: dict[str, Any] = self.observer.figures(monotonic())
@@ -363,8 +390,64 @@
             counts = await self.said(load, 30.0)
             figures |= {"load": counts, "failed": counts["failed"]}
             figures["served"] = counts["served"] / max(1, counts["asked"])
+        if s.audit is not None:
+            lives, apart = self.observer.lives, self.observer.apart
+            figures |= self.audits.figures(lives, apart, self.zero, self.zero + watched)
+        if load is not None:
+            await asyncio.sleep(LEDGER_TIME if s.audit is not None else 0.0)
+            self.servers.stdin.write(b"arrivals\n")
+            arrivals = await self.said(self.servers, 30.0)
+            figures["to_drained"] = self.audits.to_drained(arrivals)
+            if s.audit is not None:
+                figures |= await self.ledgers(arrivals)
         return figures
 
+    async def ledgers(self, arrivals: dict[str, list[tuple[float, int]]]) -> dict[str, float | None]:
+        """What the stand-in servers counted, held against the nodes' ledgers."""
+        lived, killed = [0, 0], [0, 0]
+
+        def compare(count: list[int], held: list[Held], times: list[float], until: float) -> None:
+            came, right = matched(held, times, until)
+            count[0] += came
+            count[1] += right
+
+        for name, lives in self.observer.lives.items():
+            if any(x.how in ("leave", "upgrade") for x in lives):
+                continue
+            times = [at for at, _ in arrivals.get(name, ())]
+            page = await self.stats(self.nodes[name], "audit")
+            held = held_by(page["ledger"]) if page is not None else self.stored(name)
+            kills = [x.end for x in lives if x.end is not None]
+            if not kills:
+                compare(lived, held, times, float("inf"))
+                continue
+            last = max((h.life for h in held), default=0) if lives[-1].end is None else float("inf")
+            before = [at for at in times if at < kills[-1]]
+            compare(killed, [h for h in held if h.life < last], before, kills[-1] - KILL_LOSS)
+            if lives[-1].end is None:
+                compare(lived, [h for h in held if h.life == last], times[len(before) :], float("inf"))
+        found = {"in_ledger": lived, "in_ledger_of_killed": killed}
+        return {key: right / came if came else None for key, (came, right) in found.items()}
+
+    def stored(self, name: str) -> list[Held]:
+        """The ledger that a killed node has left in its store."""
+        wish = build({"store": self.swarm.store or {}}, "script").store
+        assert wish is not None
+        folder = replace(wish.wish(), path=str(self.nodes[name].folder / "store"))
+        try:
+            store = open_store(folder, name) if wish.kind != "memory" else None
+            if store is None:
+                return []
+            book = read(store.read("audit"), name).book
+            store.close()
+        except BrackenladderError as e:
+            self.faults.append(
+                {"at_s": 0.0, "fault": "ledger of a killed node", "nodes": [name], "why": e.line()}
+            )
+            return []
+        rows = [r for r in book.rows if r.key.source == "list"]
+        return [Held(r.life, r.taken / 1e6, named(r.counts)) for r in rows]
+
     async def agree(self) -> float | None:
         """From the last fault's end until all agree; None if they do not in time after the watch."""
         ends = [self.zero + r.at_s + r.for_s for r in self.swarm.datagrams if r.for_s is not None]
@@ -382,7 +465,8 @@
         load = self.swarm.load
         assert load is not None
         nodes = [
-            (*node.clients, load.uneven if i % 10 == 0 else 1.0) for i, node in enumerate(self.nodes.values())
+            (*node.clients, load.uneven if i % 10 == 0 else 1.0, name)
+            for i, (name, node) in enumerate(self.nodes.items())
         ]
         wish = {
             "nodes": nodes,
@@ -406,8 +490,18 @@
             if process.returncode is None:
                 process.kill()
         await asyncio.gather(*(p.wait() for p in self.helpers), *(n.end() for n in self.nodes.values()))
-        if self.discovery is not None:
-            self.discovery.close()
+        if self.agents is not None:
+            self.agents.close()
+
+
+def held_by(ledger: dict[str, Any]) -> list[Held]:
+    """The list's versions of `/admin/audit`."""
+    now = ledger["now_us"] / 1e6
+    rows = [r for r in ledger["versions"] if r["source"] == "list"]
+    return [
+        Held(r["life"], now - r["taken_s_ago"] if r["taken_s_ago"] is not None else 0.0, r["attempts"])
+        for r in rows
+    ]
 
 
 def of_servers(looks: list[dict[str, Any]]) -> dict[str, float | None]:
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -18,7 +18,9 @@
 from brackenladder.fault.script import Form, ScriptKey, ScriptValue, invalid, known_keys, read_table
 from brackenladder.operation import OperationError, build
 
-FaultKind = Literal["kill", "restart", "pause", "leave", "upgrade"]
+FaultKind = Literal[
+    "kill", "restart", "pause", "leave", "upgrade", "agent-silent", "agent-frozen", "agent-old", "list"
+]
 Seconds = Annotated[float, Meta(ge=0, le=3_600)]
 MOST_NODES, MOST_SERVERS = 400, 400
 
@@ -40,6 +42,7 @@
     """`[servers]`: stand-ins behind the nodes, spread over the zones in turn."""
 
     count: Annotated[int, Meta(ge=1, le=MOST_SERVERS)] = 1
+    spare: Annotated[int, Meta(ge=0, le=MOST_SERVERS)] = 0  # more, for the list to take in later
     slots: Annotated[int, Meta(ge=1)] = 4  # calls that run at a time; twice as many may wait
     service_ms: Annotated[float, Meta(gt=0, le=10_000)] = 5.0
 
@@ -55,14 +58,18 @@
 
 
 class Fault(Form, frozen=True):
-    """`[[fault]]`: something happens to node processes."""
+    """`[[fault]]`: something happens to node processes, to their agents of discovery, or to the list."""
 
     kind: FaultKind
     at_s: Seconds
     nodes: list[str] = msgspec.field(default_factory=lambda: ["*"])  # names, patterns, or `@zone`
     draw: Annotated[int, Meta(ge=0)] = 0  # so many of them, drawn by the seed; 0: all
     share: Annotated[float, Meta(gt=0, le=1)] = 1.0  # or this part of them
-    for_s: Seconds = 0.0  # a pause's length; the time between a restart's kill and its start
+    for_s: Seconds = 0.0  # a pause's length; between a restart's kill and its start; an agent's, 0: for good
+    drain: list[str] = msgspec.field(default_factory=list)  # of the list: servers that drain,
+    gone: list[str] = msgspec.field(default_factory=list)  # that leave it,
+    add: Annotated[int, Meta(ge=0, le=MOST_SERVERS)] = 0  # and so many of the spare ones that come
+    halves: bool = False  # each half of the agents tells half of it, until the next change
 
 
 class Expect(Form, frozen=True):
@@ -88,12 +95,20 @@
     name: str = ""
     membership: dict[str, Any] = msgspec.field(default_factory=dict)  # as in the operators' file
     spread: dict[str, Any] | None = None  # the same
+    audit: dict[str, Any] | None = None
+    store: dict[str, Any] | None = None
     servers: Servers = Servers()
     load: Load | None = None
     faults: tuple[Fault, ...] = msgspec.field(default=(), name="fault")
     expects: tuple[Expect, ...] = msgspec.field(default=(), name="expect")
     datagrams: tuple[DatagramRule, ...] = ()
 
+    @property
+    def tables(self) -> dict[str, dict[str, Any]]:
+        """Further tables of the operators' file."""
+        found = {"spread": self.spread, "audit": self.audit, "store": self.store}
+        return {name: table for name, table in found.items() if table is not None}
+
     @property
     def names(self) -> list[str]:
         return [f"n{i}" for i in range(self.world.nodes)]
@@ -138,7 +153,10 @@
 
 def read(table: dict[str, Any], where: str) -> Swarm:
     """A Swarm from decoded TOML; a ScriptError otherwise."""
-    known = ("name", "world", "membership", "spread", "servers", "load", "fault", "datagram", "expect")
+    known = (
+        *("name", "world", "membership", "spread", "audit", "store", "servers", "load"),
+        *("fault", "datagram", "expect"),
+    )
     known_keys(table, known, where, "")
     parts = {"world": World, "servers": Servers, "load": Load}
     for key, form in parts.items():
@@ -150,8 +168,7 @@
                 known_keys(entry, many.__struct_fields__, where, f"{key}[{i}].")
     try:
         swarm = msgspec.convert({k: v for k, v in table.items() if k != "datagram"}, Swarm)
-        spread = {} if swarm.spread is None else {"spread": swarm.spread}
-        build({"membership": swarm.membership} | spread, where)
+        build({"membership": swarm.membership} | swarm.tables, where)
     except msgspec.ValidationError as e:
         raise invalid(e, where) from None
     except OperationError as e:
@@ -176,6 +193,12 @@
             )
         if fault.kind in ("pause", "restart") and fault.for_s <= 0:
             raise ScriptKey(f"missing; a {fault.kind} needs it", f"{where}: fault[{i}].for_s")
+        servers = {f"s{n}" for n in range(swarm.servers.count + swarm.servers.spare)}
+        strange = {*fault.drain, *fault.gone} - servers
+        if strange:
+            raise ScriptValue(f"{min(strange)} is none of s0 to s{len(servers) - 1}", f"{where}: fault[{i}]")
+    if sum(f.add for f in swarm.faults) > swarm.servers.spare:
+        raise ScriptValue("fewer than all lists add together", f"{where}: servers.spare")
     for i, expect in enumerate(swarm.expects):
         if expect.figure not in FIGURES:
             raise ScriptValue(
@@ -218,4 +241,20 @@
     "peak_held": "most calls that one server held at a time",
     "tail_peak_held": "the same in the last third",
     "turned_away": "part of the calls that servers turned away, being full",
+    "in_ledger": "part of the attempts at servers that are in the ledgers of nodes that lived, under the "
+    "right node and version of the list",
+    "in_ledger_of_killed": "the same in the ledgers that killed nodes left, of what they had sent until a "
+    "second before",
+    "to_drained": "calls that came at a server five seconds and more after the list had drained it",
+    "known_median_s": "from a list's change until a node holds another, whose agent kept it back, for a "
+    "straggler",
+    "known_p99_s": "the same, 99th percentile of all pairs",
+    "known_missing": "such pairs without, though the straggler stayed behind for five seconds",
+    "up_after_clock_s": "from the end of a straggler's own clock of silence until it holds the list, longest",
+    "not_up": "nodes whose agent keeps the list back, and which nothing has brought up",
+    "wrongly_stragglers": "pairs in which a node whose agent is well was held for a straggler, though it "
+    "was neither paused, killed nor cut off",
+    "wrongly_out": "nodes shut out whose agent was well",
+    "out": "nodes shut out, counting each time",
+    "out_share": "most of the nodes that were out at a time",
 }
--- a/brackenladder/lab/swarm/servers.py
+++ b/brackenladder/lab/swarm/servers.py
@@ -1,8 +1,9 @@
 """Stand-in servers of a swarm, all in one process: `python -m brackenladder.lab.swarm.servers`.
 
 The first line of standard input says what they are like; one line on standard output then names their
-addresses, and one for each further line of input tells what each has done until then. A server runs
-`slots` calls at a time, each for `service_ms`; twice as many wait, and what comes beyond is turned away.
+addresses, and one for each further line of input tells what each has done until then, or for the line
+`arrivals` when each node has sent. A server runs `slots` calls at a time, each for `service_ms`; twice as
+many wait, and what comes beyond is turned away.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import json
 import sys
 from collections import deque
+from time import monotonic
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -29,6 +31,7 @@
         self.address = ("", 0)
         self.requests = self.turned_away = self.peak = self.duplicates = 0
         self.ran: set[bytes] = set()  # ids of calls that must not run twice
+        self.arrivals: dict[str, list[float]] = {}  # moments of the machine's clock, by the node that sent
 
     async def listen(self) -> None:
         loop = asyncio.get_running_loop()
@@ -44,6 +47,7 @@
             connection.answer(b"200 OK", b"")
             return
         self.requests += 1
+        self.arrivals.setdefault(headers.get(b"x-node", b"").decode(), []).append(monotonic())
         if len(self.waiting) >= 2 * self.slots:
             self.turned_away += 1
             connection.answer(b"503 Service Unavailable", b"", b"X-Rejected: 1", self.report())
@@ -88,10 +92,22 @@
         await server.listen()
     print(json.dumps([f"{host}:{port}" for host, port in (s.address for s in servers)]), flush=True)
     loop = asyncio.get_running_loop()
-    while await loop.run_in_executor(None, sys.stdin.readline):  # until nobody needs them
+    while line := await loop.run_in_executor(None, sys.stdin.readline):  # until nobody needs them
+        if line == "arrivals\n":
+            print(json.dumps(arrivals(servers)), flush=True)
+            continue
         print(json.dumps([s.told() for s in servers] + [{"twice": twice(servers)}]), flush=True)
 
 
+def arrivals(servers: list[Server]) -> dict[str, list[tuple[float, int]]]:
+    """When calls came and at which server, by the node that sent them, in order."""
+    found: dict[str, list[tuple[float, int]]] = {}
+    for number, server in enumerate(servers):
+        for name, times in server.arrivals.items():
+            found.setdefault(name, []).extend((at, number) for at in times)
+    return {name: sorted(times) for name, times in found.items()}
+
+
 def twice(servers: list[Server]) -> int:
     """Calls that must not run twice and did, at one server or at two."""
     once: set[bytes] = set()
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -13,6 +13,7 @@
 
 from brackenladder.fault.datagrams import Plan, read_rules
 from brackenladder.fault.script import ScriptError
+from brackenladder.lab.swarm.audits import Held, matched
 from brackenladder.lab.swarm.play import Result, play
 from brackenladder.lab.swarm.script import read
 
@@ -35,6 +36,24 @@
 )
 HERD["world"]["platform"] = "same"
 
+# Two servers drain, and then leave the list. Of six nodes one has an agent that has fallen silent, another
+# one that repeats the old list for ever; a third stands still, and a fourth is killed and comes back.
+CHANGES = world(
+    6,
+    19.0,
+    servers={"count": 6, "spare": 1},
+    load={"requests_per_s": 60.0},
+    store={"kind": "directory"},
+    fault=[
+        {"kind": "agent-silent", "at_s": 0.5, "nodes": ["n1"]},
+        {"kind": "agent-old", "at_s": 0.5, "nodes": ["n4"]},
+        {"kind": "list", "at_s": 2.0, "drain": ["s0", "s1"], "add": 1},
+        {"kind": "restart", "at_s": 4.0, "nodes": ["n5"], "for_s": 0.5},
+        {"kind": "pause", "at_s": 9.0, "nodes": ["n3"], "for_s": 2.0},
+        {"kind": "list", "at_s": 10.0, "gone": ["s0", "s1"]},
+    ],
+)
+
 WORLDS: dict[str, Table] = {
     "death": world(
         5, 8.0, fault=[{"kind": "kill", "at_s": 0.5, "nodes": ["n3"]}], load={"requests_per_s": 40.0}
@@ -51,6 +70,8 @@
     "upgrade": world(4, 8.0, fault=[{"kind": "upgrade", "at_s": 0.5, "nodes": ["n2"]}]),
     "herd": HERD,
     "spread": HERD | {"spread": {"hold_s": 1.0, "apart_s": 1.0}},
+    "audit": CHANGES | {"audit": {}},
+    "no audit": CHANGES,
     "leave": world(4, 4.0, fault=[{"kind": "leave", "at_s": 0.5, "nodes": ["n2"]}]),
 }
 
@@ -144,6 +165,37 @@
     assert figure(result, "duplicates") == 0
 
 
+def test_a_node_whose_agent_keeps_the_list_back_is_known_and_brings_itself_up(
+    results: dict[str, Result],
+) -> None:
+    result = results["audit"]
+    assert figure(result, "known_missing") == 0
+    assert figure(result, "known_p99_s") < 8
+    assert figure(result, "not_up") == 0
+    assert figure(result, "up_after_clock_s") < 4
+    assert figure(result, "to_drained") == 0
+    assert figure(results["no audit"], "to_drained") > 10  # without it they call servers that have left
+    assert figure(result, "out") == figure(result, "wrongly_out") == 0
+    assert figure(result, "duplicates") == 0
+
+
+def test_each_attempt_is_in_the_right_ledger_under_the_right_version(results: dict[str, Result]) -> None:
+    result = results["audit"]
+    assert figure(result, "in_ledger") == 1
+    assert figure(result, "in_ledger_of_killed") == 1  # of what it had sent until a second before
+    assert [line.get("version") for line in result.faults if line["kind"] == "list"] == [2, 3]
+
+
+def test_ledgers_that_do_not_fit_what_came_are_found() -> None:
+    came = [1.0, 2.0, 3.0, 11.0, 12.0]
+    right = [Held(1, 0.5, {"ok": 3}), Held(1, 10.0, {"ok": 1, "timeout": 2, "not_sent": 7})]
+    assert matched(right, came, 99.0) == (5, 5)
+    assert matched([Held(1, 0.5, {"ok": 2}), right[1]], came, 99.0) == (5, 4)  # one is missing
+    assert matched([Held(1, 0.5, {"ok": 4}), right[1]], came, 99.0) == (5, 4)  # one under the wrong version
+    assert matched(right[1:], came, 99.0) == (5, 2)
+    assert matched([Held(1, 0.0, {"ok": 4})], came, 11.5) == (4, 4)
+
+
 def test_each_fault_is_one_line(results: dict[str, Result]) -> None:
     kinds = [(line["kind"], line["fault"]) for line in results["pause"].faults]
     assert kinds == [("pause", "begins"), ("pause", "ends")]
@@ -197,6 +249,9 @@
         ({"world": {"nodes": 3}, "datagram": [{"kind": "los"}]}, "datagram[0].kind"),
         ({"world": {"nodes": 3}, "datagram": [{"kind": "loss"}]}, "datagram[0].rate: missing"),
         ({"world": {"nodes": 3, "zone": ["a"]}}, "world.zone: unknown key; did you mean zones?"),
+        ({"world": {"nodes": 3}, "fault": [{"kind": "list", "at_s": 1, "gone": ["s7"]}]}, "fault[0]: s7"),
+        ({"world": {"nodes": 3}, "fault": [{"kind": "list", "at_s": 1, "add": 1}]}, "servers.spare"),
+        ({"world": {"nodes": 3}, "audit": {"lag": 1.0}}, "audit.lag: unknown key"),
         ({"world": {"nodes": 3}, "membership": {"probe_ms": 100.0}}, "membership.probe_timeout_ms"),
         ({"world": {"nodes": 3}, "membership": {"listen": "127.0.0.1:1"}}, "membership.listen"),
         ({"world": {"nodes": 3}, "expect": [{"figure": "deaths", "at_most": 0}]}, "expect[0].figure"),
