A silent watch is noticed within 1.5 s, and calls not taken have the list asked anew

Ruled out: late news from discovery (the list's changes are on time in the nodes whose watch lives), the pool (nothing is sent to a server that a node knows to drain).

To blame: WAIT_MS_A_NODE, which stretched the wait to 20 s in a tier of 40 nodes and more, and ANSWER_TIME of 2 s after it: the silence showed exactly at its bound. The reason given, to spare discovery, does not hold where an agent on the node's own machine answers at no cost. FETCH_TIME allowed a whole list 6 s of silence, also after SIGHUP, where its content counts 4 s later.

Now: a watch waits 1 s whatever the fleet's size, and a call fails after 0.5 s without a byte beyond its wait (doubling to 2 s while failures follow each other), counted from the last byte, so that long lists get through (one that comes by the byte has a bound). The first call on a new connection asks with no wait: it is answered at once, and a second silence shows in half a second. Empty answers no longer make the module take its members anew. A call turned away by a listed server, or refused by one, has the agent asked at once, about three times a second at most; if that brings news the watch is broken and begins anew. A process that starts with the list of its last end says that it is ready once its agent has answered, or after 1 s of silence.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from random import random
 from time import monotonic
 from typing import cast
 
@@ -13,11 +14,12 @@
 from brackenladder.net.listing import ListError, Listing, LongListing, decode
 from brackenladder.net.log import Log
 
-LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
-WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
-CONNECT_TIMEOUT = 1.0
-ANSWER_TIME = 2.0  # after its wait, a watch that has not been answered has failed
-FETCH_TIME = 6.0
+WAIT_MS = 1_000  # a watch with no news lasts so long: the agent is on this machine, empty answers are free
+SILENCE, SILENCE_MOST = 0.5, 2.0  # a call that brings nothing for so long has failed; doubles each time
+FETCH_TIME = 3.0  # an answer that comes bit by bit has so long...
+LEAST_RATE = 200_000  # ...and a second more for so many bytes
+SETTLE = 1.0  # a process whose agent has not answered for so long goes by the list that it was started with
+POLL_GAP = 0.3  # seconds between two polls, on average, of an agent whose list looks old
 LARGEST_ANSWER = 20 << 20  # a list of 100,000 servers
 LONG_ANSWER = 64 << 10  # beyond this it is read in parts
 PART = 50  # servers in a part: a millisecond or two of work
@@ -39,19 +41,21 @@
         self.told = told
         self.transport: asyncio.Transport | None = None
         self.over = False
+        self.asks = 0
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
-    def ask(self, path: str, time: float) -> None:
-        """Makes a call, which must be answered within `time` seconds."""
+    def ask(self, path: str, wait: float, silence: float) -> None:
+        """Makes a call that may wait `wait` seconds, and from then on be silent for `silence` at a time."""
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
-        self.time = time
+        self.asks += 1
+        self.wait, self.silence = wait, silence
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.complete = False
         if self.transport is None:
-            self.limit(CONNECT_TIMEOUT)
+            self.limit(silence)
             self.task = self.loop.create_task(self.connect())
         else:
             self.write()
@@ -70,15 +74,19 @@
             self.write()
 
     def write(self) -> None:
-        self.limit(self.time)
         assert self.transport is not None
+        self.ends = self.loop.time() + self.wait + FETCH_TIME
+        self.limit(self.wait + self.silence)
         self.transport.write(self.request)
 
     def limit(self, time: float) -> None:
         """The step that begins now has so many seconds."""
+        self.unlimit()
+        self.timer = self.loop.call_later(time, self.fail)
+
+    def unlimit(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(time, self.fail)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -89,12 +97,18 @@
         if len(self.body) > LARGEST_ANSWER:
             self.fail()
         elif self.complete and not self.over:
+            self.unlimit()  # however long the list takes to read
             if self.parser.get_status_code() != 200:
                 self.fail()
                 return
             if not self.keep:
                 self.hang_up()
             self.told(self, self.body)
+        elif not self.over:
+            # Failure prevented: a list that takes long to come is given up, or one that stops half-way is
+            # waited for, or one that comes by the byte.
+            left = self.ends + len(self.body) / LEAST_RATE - self.loop.time()
+            self.limit(max(0.0, min(self.silence, left)))
 
     def on_body(self, body: bytes) -> None:
         if len(self.body) <= LARGEST_ANSWER:
@@ -123,8 +137,7 @@
     def end(self) -> None:
         """No more calls, and nothing more is told."""
         self.over = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.unlimit()
         if self.task is not None:
             self.task.cancel()
         self.hang_up()
@@ -134,6 +147,12 @@
     """The list in hand is of `version`; news goes to `told` before the watch is renewed.
 
     With no version, nothing has been heard from this address: the watch begins with the whole list.
+
+    Failure prevented: an agent's connection stays open and says nothing more, and requests go to servers
+    that have left. What it has counts as told; of what a silent call missed, what came up to 6 s before (4 s
+    after a move). The answer is in hand before that: a watch is renewed each second, so silence shows within
+    one and a half; whoever asks on a new connection is answered at once, and the next silence shows in half a
+    second. Silence is counted from the last byte, so a long list gets through.
     """
 
     def __init__(
@@ -141,20 +160,21 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         version: int | None,
-        nodes: int,
         told: Told,
         log: Log,
     ) -> None:
         self.loop = loop
         self.address = address
         self.version = version
-        # Failure prevented: discovery says nothing more on a connection that stays open, and until the wait
-        # is over requests go to servers that have left.
-        self.wait = min(MOST_WAIT_MS, max(LEAST_WAIT_MS, WAIT_MS_A_NODE * nodes))
         self.told = told
         self.log = log
         self.watching: Call | None = None
         self.fetching: Call | None = None
+        self.polling: Call | None = None
+        self.next_poll = 0.0
+        self.failures = 0  # calls in a row that brought nothing of use
+        self.began: float | None = None  # when this address was first asked
+        self.heard = False  # it has answered since
         self.reading: set[asyncio.Task[None]] = set()  # of long lists
         self.turn = asyncio.Lock()
         self.dropped = 0  # answers in a row that could not be used...
@@ -163,6 +183,8 @@
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
         if on and self.watching is None:
+            if self.began is None:
+                self.began = self.loop.time()
             self.watching = Call(self.loop, self.address, self.watched)
             self.renew(self.watching)
         elif not on and self.watching is not None:
@@ -178,13 +200,55 @@
         self.close()
         self.address = address
         self.version = None
+        self.failures = 0
         self.watch(True)
 
+    def settled(self) -> bool:
+        """Whether the list in hand is what the agent has, or the agent has been silent for SETTLE seconds.
+
+        Failure prevented: a process begins with the list that it held at its last end, and sends its first
+        requests to servers that have drained in the meantime.
+        """
+        return self.heard or self.began is not None and self.loop.time() >= self.began + SETTLE
+
+    def silence(self) -> float:
+        """Seconds without a byte after which a call has failed: longer where the last ones have."""
+        return min(SILENCE_MOST, SILENCE * 2.0 ** min(self.failures, 8))
+
     def renew(self, call: Call) -> None:
         if self.version is None:
-            call.ask("/v1/endpoints", FETCH_TIME)
+            call.ask("/v1/endpoints", 0.0, self.silence())
+            return
+        wait = WAIT_MS if call.asks else 0
+        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000, self.silence())
+
+    def doubt(self) -> None:
+        """A listed server turned a call away or was not there: asks at once whether the list has changed.
+
+        If so, the watch ought to have told: it is broken, and begins anew. Failure prevented: a watch has
+        fallen silent, and until that shows each request is tried at servers that drain.
+        """
+        now = self.loop.time()
+        if self.version is None or self.polling is not None or now < self.next_poll:
+            return
+        self.next_poll = now + POLL_GAP * (0.5 + random())
+        self.polling = Call(self.loop, self.address, self.polled)
+        self.polling.ask(f"/v1/endpoints?since={self.version}&timeout_ms=0", 0.0, self.silence())
+
+    def polled(self, call: Call, body: bytearray | None) -> None:
+        call.end()
+        self.polling = None
+        if body is None:
+            self.next_poll = 0.0  # a silent poll is broken as well: the next doubt asks again
             return
-        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={self.wait}", self.wait / 1000 + ANSWER_TIME)
+        before = self.version
+        self.read(body, lambda usable: self.after_poll(usable and self.version != before))
+
+    def after_poll(self, news: bool) -> None:
+        if news and self.watching is not None:
+            self.watching.end()
+            self.watching = None
+            self.watch(True)
 
     def watched(self, call: Call, body: bytearray | None) -> None:
         self.read(body, lambda usable: self.after_watch(call, usable))
@@ -197,20 +261,25 @@
             # Ended before the failure is told, since the module may answer it with a new watch.
             call.end()
             self.watching = None
-            self.told(None, False)
+            self.fail()
         else:
             self.renew(call)
 
+    def fail(self) -> None:
+        """Tells that a call brought nothing of use."""
+        self.failures += 1
+        self.told(None, False)
+
     def fetch(self) -> None:
         """Asks for the whole list, unless such a call is out already."""
         if self.fetching is None:
             self.fetching = Call(self.loop, self.address, self.fetched)
-            self.fetching.ask("/v1/endpoints", FETCH_TIME)
+            self.fetching.ask("/v1/endpoints", 0.0, self.silence())
 
     def fetched(self, call: Call, body: bytearray | None) -> None:
         call.end()
         self.fetching = None
-        self.read(body, lambda usable: None if usable else self.told(None, False))
+        self.read(body, lambda usable: None if usable else self.fail())
 
     def read(self, body: bytearray | None, then: Callable[[bool], None]) -> None:
         """Tells what an answer says, and `then` whether it could be used. A long one is told bit by bit."""
@@ -221,8 +290,10 @@
             self.reading.add(task)
             task.add_done_callback(self.reading.discard)
         else:
+            before, failures = self.version, self.failures
             listing = self.short(body)
-            if listing is not None:
+            # An empty answer is no news, but for the first after a failure.
+            if listing is not None and (listing.lines or failures or self.version != before):
                 self.told(listing, False)
             then(listing is not None)
 
@@ -247,6 +318,8 @@
             # Failure prevented: an old answer that was overtaken brings drained servers back.
             return False
         self.version = version
+        self.heard = True
+        self.failures = 0
         if self.dropped > 1:
             self.log.line(f"discovery: readable again after {self.dropped} dropped answers")
         self.dropped, self.reason = 0, ""
@@ -298,10 +371,10 @@
 
     def close(self) -> None:
         """Ends all calls."""
-        for call in (self.watching, self.fetching):
+        for call in (self.watching, self.fetching, self.polling):
             if call is not None:
                 call.end()
-        self.watching = self.fetching = None
+        self.watching = self.fetching = self.polling = None
 
     def stop(self) -> None:
         """Nothing is heard any more."""
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -131,9 +131,7 @@
         self.callers = Callers(loop, config.connections - half, config.most_held, self)
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time, self.callers.budget)
         version = config.known.version if config.known else None
-        self.discovery = Discovery(
-            loop, config.discovery, version, config.settings.instances, self.told, strays
-        )
+        self.discovery = Discovery(loop, config.discovery, version, self.told, strays)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.operation = operation
         self.parts: Hosting | None = None  # what runs the parts, where there is an operators' file...
@@ -192,7 +190,7 @@
     def ready(self) -> bool:
         """Whether the front may send clients here."""
         out = self.callers.draining or self.parts is not None and self.parts.out
-        return self.listed is not None and not out
+        return self.listed is not None and self.discovery.settled() and not out
 
     # ---- sharing with a process that takes over -------------------------------------------------------
 
@@ -672,6 +670,9 @@
         final = r.caller is None
         if final:
             self.requests.pop(r.id, None)
+        endpoint = self.pool.endpoints.get(server)
+        if outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED) and endpoint is not None and endpoint.ready:
+            self.discovery.doubt()
         latency = max(0, self.now() - self.since(r, began))
         self.post(self.balancer.outcome, r.id, number, server, outcome, latency, final, report)
 
--- a/brackenladder/net/takeover.py
+++ b/brackenladder/net/takeover.py
@@ -124,7 +124,7 @@
                 task.add_done_callback(self.tasks.discard)
 
         self.call = Call(self.host.loop, agent, told)
-        self.call.ask("/v1/endpoints", AGENT_TIME)
+        self.call.ask("/v1/endpoints", 0.0, AGENT_TIME)
 
     async def read_agent(self, body: bytes, target: Held, agent: Address) -> None:
         """Reads another agent's list in parts, so that requests are served in between."""
