--- a/brackenladder/forecast/model.py
+++ b/brackenladder/forecast/model.py
@@ -24,6 +24,7 @@
 
 NORMAL = NormalDist()
 NEVER_CHANGED = inf
+OCTAVES = 3  # the parts of shards that a server gets are told apart by so many and one for the rest
 STEPS = (0.0, 1 / 64, 1 / 16, 1 / 8, 1 / 4, 1 / 2, 3 / 4, 1.0, 1.5)  # of the characteristic time
 HORIZON = 1_800.0  # seconds: what has not come about by then is not waited for
 RECOVERED = 0.1  # of the gap to the new steady state, at its largest: so much may be left
@@ -120,6 +121,8 @@
     worst_high: float  # the same at the interval's far end
     misses_now: float  # a second, of the fleet
     misses_most: float
+    worst_now: float = 0.0  # as `worst`, before the change
+    bears_known: bool = False  # what servers bear is known, of those that are used after the change
     servers: tuple[ServerForecast, ...] = field(repr=False, default=())
     unknown: str = ""  # why nothing can be said, if so
 
@@ -149,7 +152,7 @@
 
 def unknown(why: str) -> Forecast:
     """A forecast that says nothing; `rules` never lets a change through on it."""
-    return Forecast((), (), 0.0, 0.0, 1.0, inf, inf, inf, 0.0, inf, (), why)
+    return Forecast((), (), 0.0, 0.0, 1.0, inf, inf, inf, 0.0, inf, unknown=why)
 
 
 def between(times: Sequence[float], values: Sequence[float], t: float, last: float) -> float:
@@ -283,9 +286,16 @@
     earlier = q.earlier.parts[place] if q.earlier is not None else before
     groups: dict[tuple[int, int, int], list[float]] = {}
     shards = set(before) | set(after) | set(earlier)
+    top = max((frexp(max(one.values()))[1] for one in (before, after) if one), default=0)
+    least = top - OCTAVES  # what is far below the largest parts makes little of the requests
     for shard in shards:
         a, b, c = earlier.get(shard, 0.0), before.get(shard, 0.0), after.get(shard, 0.0)
-        line = groups.setdefault((step(a), step(b), step(c)), [0.0, 0.0, 0.0, 0.0])
+        which = (
+            max(least, frexp(a)[1]) if a else -1000,
+            max(least, frexp(b)[1]) if b else -1000,
+            max(least, frexp(c)[1]) if c else -1000,
+        )
+        line = groups.setdefault(which, [0.0, 0.0, 0.0, 0.0])
         line[0] += 1
         line[1] += a
         line[2] += b
@@ -310,7 +320,7 @@
 def step(part: float) -> int:
     """Half octaves."""
     mantissa, exponent = frexp(part)
-    return 2 * exponent + (mantissa > 0.7071) if part > 1e-9 else -1000
+    return 2 * exponent + (mantissa > 0.7071)
 
 
 def per_shard(pop: Popularity, shards: int) -> Popularity:
@@ -504,13 +514,14 @@
         + off
     )
     servers = []
-    worst = worst_high = 0.0
+    worst = worst_high = worst_now = 0.0
     for (b, a, n, hits), end, server in zip(found, ends, q.servers, strict=True):
         low = min((*hits, end))
         misses = rate * a * (1 - low)
         load = misses / server.bears if server.bears > 0 else 0.0
         worst = max(worst, load)
         if server.bears > 0:
+            worst_now = max(worst_now, rate * b * (1 - n) / server.bears)
             worst_high = max(worst_high, rate * a * (1 - max(0.0, low - half)) / server.bears)
         servers.append(ServerForecast(b, a, tuple(hits), n, end, misses, load))
     lowest = min((*fleet, steady))
@@ -525,6 +536,8 @@
         worst_high=worst_high,
         misses_now=rate * (1 - now),
         misses_most=rate * (1 - lowest),
+        worst_now=worst_now,
+        bears_known=all(s.bears > 0 for s, (_, a, _, _) in zip(q.servers, found, strict=True) if a > 0),
         servers=tuple(servers),
     )
 
--- a/brackenladder/lab/caches.py
+++ b/brackenladder/lab/caches.py
@@ -109,7 +109,7 @@
         self.all = [ServerEntry(i, zone=n % s.zones) for n, i in enumerate(ids)]
         self.place = {e.server: n for n, e in enumerate(self.all)}
         self.caches: list[LRUCache[int, float]] = [LRUCache(s.entries) for _ in self.all]
-        self.began = [-1e9] * s.servers  # when each cache was empty last
+        self.began = [0.0] * s.servers  # when each cache was empty last
         self.now = self.placed(Placed(list(self.all), self.nodes_of(range(s.nodes), s.size), s.homes))
         first = s.changes[0]
         if first in ("join", "zone_back"):  # what joins later is not there yet
@@ -203,7 +203,7 @@
         servers = [
             ServerNow(
                 Cache(float(s.entries), s.ttl),
-                0.0 if e.server in joining else at - self.began[n] if self.began[n] >= 0 else np.inf,
+                0.0 if e.server in joining else at - self.began[n],
             )
             for n, e in enumerate(self.all)
         ]
