Forecast: a key's position by xxhash; servers' numbers stay as they are, with the figure

Need: the position of a key is hashed at each request where [shards] is on.

Measured: 0.42 -> 0.09 us a key; chi-square over 4,096 shards 1.04 of its degrees of freedom (BLAKE2b 1.02).

--- a/brackenladder/forecast/placement.py
+++ b/brackenladder/forecast/placement.py
@@ -16,10 +16,12 @@
 from array import array
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
-from hashlib import blake2b, shake_128
+from hashlib import shake_128
 from heapq import nsmallest
 from math import log
 
+from xxhash import xxh3_64_intdigest
+
 POSITIONS = 1 << 32  # a key's hash is below this
 SCORE_TOP = float(1 << 32)
 LEAST_WEIGHT = 1e-3
@@ -29,7 +31,7 @@
 
 def position(key: bytes) -> int:
     """The 32 bits by which a key is known. Of 10**6 keys some hundred share theirs with another one."""
-    return int.from_bytes(blake2b(key, digest_size=4).digest(), "little")
+    return xxh3_64_intdigest(key) & (POSITIONS - 1)
 
 
 def shard_of(position: int, shards: int) -> int:
