--- a/brackenladder/freeze/machine.py
+++ b/brackenladder/freeze/machine.py
@@ -53,14 +53,22 @@
 class Freeze:
     """One node. `record` is what its store holds under `election.RECORD`; only electors have a use for it."""
 
-    def __init__(self, name: str, rules: Rules, seed: int, now: int, record: bytes | None) -> None:
+    def __init__(
+        self,
+        name: str,
+        rules: Rules,
+        seed: int,
+        now: int,
+        record: bytes | None,
+        make: type[Elector] = Elector,
+    ) -> None:
         self.name, self.rules = name, rules
         self.holder = Holder(name, rules.holder, rules.regions)
         self.elector: Elector | None = None
         self.coordinator: Coordinator | None = None
         if name in rules.election.electors:
             state = State()
-            self.elector = Elector(name, rules.election, state, seed, now, record)
+            self.elector = make(name, rules.election, state, seed, now, record)
             self.coordinator = Coordinator(self.elector, state, rules.holder.shared, rules.regions)
         self.counters = Counters()
 
