--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,8 +6,9 @@
 import json
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import wraps
 from pathlib import Path
 from typing import Any
 
@@ -23,10 +24,8 @@
 from brackenladder.net.node import Node, number_of
 from brackenladder.net.parts import (
     Answer,
-    AttemptEnd,
     Change,
     Host,
-    ListNews,
     Part,
     PartError,
     Source,
@@ -71,35 +70,17 @@
         self.host = host
         self.note("start")
 
-    def stop(self, farewell: bool) -> None:
-        self.note("stop", farewell)
-
-    def reload(self, operation: Operation) -> None:
-        self.note("reload")
-
-    def version(self, version: Version) -> None:
-        self.note("version", version)
-
-    def list_news(self, news: ListNews) -> None:
-        self.note("list", news)
-
-    def attempt_ended(self, end: AttemptEnd) -> None:
-        self.note("attempt", end)
-
     def asked(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         self.note("asked", change, scope)
         then(Answer(not self.no, self.no, 0.1, (3, 7)))
 
-    def made(self, change: Change, scope: str, grant: tuple[int, int] | None) -> None:
-        self.note("made", change, grant)
-
     def figures(self) -> dict[str, Any]:
         return {"seen": len(self.seen)}
 
-    def pages(self) -> dict[str, Callable[[], tuple[bool, dict[str, Any]]]]:
+    def pages(self) -> Any:
         return {"/admin/dummy": lambda: (True, {"calls": len(self.seen)})}
 
-    def calls(self) -> dict[str, Callable[[dict[str, str]], tuple[int, dict[str, Any]]]]:
+    def calls(self) -> Any:
         def act(values: dict[str, str]) -> tuple[int, dict[str, Any]]:
             if "bad" in values:
                 raise PartError("no such thing", "dummy.bad")
@@ -108,6 +89,11 @@
         return {"/admin/dummy": act}
 
 
+NOTED = ("stop", "reload", "version", "list_news", "attempt_ended", "made")
+for name in NOTED:
+    setattr(Dummy, name, lambda self, *what, name=name: self.note(name, *what))
+
+
 class Other(Part):
     """A part with no say and no ears."""
 
@@ -123,15 +109,25 @@
     Dummy.made_ones.clear()
 
 
+def played(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Runs a test on the node's event loop."""
+
+    @wraps(test)
+    def run(**given: Any) -> None:
+        play(lambda: test(**given))
+
+    return run
+
+
 async def bench_with(operation: Operation | None, *servers: Server, **config: Any) -> Bench:
     """A node whose operators' file was there from the start."""
     bench = Bench(*servers, config={"control": "127.0.0.1:0"} | config)
     node_of = Node.__init__
     try:
-        Node.__init__ = lambda node, config, loop, _=None: node_of(node, config, loop, operation)  # type: ignore[method-assign, assignment, misc]
+        Node.__init__ = lambda node, config, loop, _=None: node_of(node, config, loop, operation)
         return await bench.start()
     finally:
-        Node.__init__ = node_of  # type: ignore[method-assign]
+        Node.__init__ = node_of
 
 
 async def asked(node: Node, head: str) -> tuple[int, Any]:
@@ -154,61 +150,58 @@
     return [what[0] for what in seen]
 
 
-def test_a_part_sees_every_call_in_order() -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish()), Server())
-        node, (part,) = bench.node, Dummy.made_ones
-        # The list is told before the first attempt under it, and the version with it.
-        assert names(part.seen) == ["start", "version", "version", "version", "list", "version"]
-        assert [v.source for v in versions(part)] == [
-            Source.PROGRAM,
-            Source.SETTINGS,
-            Source.OPERATION,
-            Source.LIST,
-        ]
-        news = part.seen[4][1]
-        assert news.version.number == 41 and [x.id for x in news.lines] == ["s0"] and not news.more
-        assert news.version.origin == f"127.0.0.1:{bench.discovery.port}" and len(news.version.digest) == 16
-        before = part.host.now()
-        assert (await bench.once(call()))[0] == 200
-        end = part.seen[-1][1]
-        assert (end.server, end.klass, end.outcome) == ("s0", "view", Outcome.OK)
-        assert before <= end.began + 1 and end.began <= end.ended <= part.host.now()
-        del part.seen[:]
-        node.reload(node.config, Wide(dummy=Wish(number=1), other=Wish()))
-        assert names(part.seen) == ["asked", "reload", "version", "made"]
-        assert part.seen[-1] == ("made", Change.OPERATION, (3, 7))
-        part.host.may(Change.SHUT_OUT, "n0", lambda answer: part.seen.append(("answer", answer)))
-        assert part.seen[-2:] == [
-            ("asked", Change.SHUT_OUT, "tier=0,zone=here"),
-            ("answer", Answer(True, grant=(3, 7))),
-        ]
-        node.reload(node.config, None)
-        assert part.seen[-1] == ("stop", True) and node.on_ended is None
-        assert (await asked(node, "GET /admin/dummy"))[0] == 404
-
-    play(scene)
-
-
-def test_figures_pages_and_calls_stand_at_the_control_listener() -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish()))
-        node = bench.node
-        assert (await asked(node, "GET /admin/stats"))[1]["dummy"]["seen"] > 0
-        assert (await asked(node, "GET /admin/dummy"))[0] == 200
-        assert await asked(node, "POST /admin/dummy?zone=a%20b&n=") == (200, {"zone": "a b", "n": ""})
-        status, table = await asked(node, "POST /admin/dummy?bad=1")
-        assert status == 409 and table["where"] == "dummy.bad" and table["do"] == PartError.remedy
-        assert (await asked(node, "POST /admin/dummy?n=1&n=2"))[0] == 400
-        assert (await asked(node, "POST /admin/dummy?%ff=1"))[0] == 400
-        assert (await asked(node, "POST /admin/stats"))[0] == 405
-        assert (await asked(node, "PUT /admin/dummy"))[0] == 405
-
-    play(scene)
-
-
-@pytest.mark.parametrize("where", ["start", "version", "list", "attempt", "reload", "asked", "made", "stop"])
-def test_a_part_that_raises_is_stopped_and_the_node_serves_on(
+@played
+async def test_a_part_sees_every_call_in_order() -> None:
+    bench = await bench_with(Wide(dummy=Wish()), Server())
+    node, (part,) = bench.node, Dummy.made_ones
+    # The list is told before the first attempt under it, and the version with it.
+    assert names(part.seen) == ["start", "version", "version", "version", "list_news", "version"]
+    assert [v.source for v in versions(part)] == [
+        Source.PROGRAM,
+        Source.SETTINGS,
+        Source.OPERATION,
+        Source.LIST,
+    ]
+    news = part.seen[4][1]
+    assert news.version.number == 41 and [x.id for x in news.lines] == ["s0"] and not news.more
+    assert news.version.origin == f"127.0.0.1:{bench.discovery.port}" and len(news.version.digest) == 16
+    before = part.host.now()
+    assert (await bench.once(call()))[0] == 200
+    end = part.seen[-1][1]
+    assert (end.server, end.klass, end.outcome) == ("s0", "view", Outcome.OK)
+    assert before <= end.began + 1 and end.began <= end.ended <= part.host.now()
+    del part.seen[:]
+    node.reload(node.config, Wide(dummy=Wish(number=1), other=Wish()))
+    assert names(part.seen) == ["asked", "reload", "version", "made"]
+    assert part.seen[-1] == ("made", Change.OPERATION, "tier=0,zone=here", (3, 7))
+    part.host.may(Change.SHUT_OUT, "n0", lambda answer: part.seen.append(("answer", answer)))
+    assert part.seen[-2:] == [
+        ("asked", Change.SHUT_OUT, "tier=0,zone=here"),
+        ("answer", Answer(True, grant=(3, 7))),
+    ]
+    node.reload(node.config, None)
+    assert part.seen[-1] == ("stop", True) and node.on_ended is None
+    assert (await asked(node, "GET /admin/dummy"))[0] == 404
+
+
+@played
+async def test_figures_pages_and_calls_stand_at_the_control_listener() -> None:
+    bench = await bench_with(Wide(dummy=Wish()))
+    node = bench.node
+    assert (await asked(node, "GET /admin/stats"))[1]["dummy"]["seen"] > 0
+    assert (await asked(node, "GET /admin/dummy"))[0] == 200
+    assert await asked(node, "POST /admin/dummy?zone=a%20b&n=") == (200, {"zone": "a b", "n": ""})
+    status, table = await asked(node, "POST /admin/dummy?bad=1")
+    assert status == 409 and table["where"] == "dummy.bad" and table["do"] == PartError.remedy
+    assert (await asked(node, "POST /admin/dummy?n=1&n=2"))[0] == 400
+    assert (await asked(node, "POST /admin/dummy?%ff=1"))[0] == 400
+    assert (await asked(node, "POST /admin/stats"))[0] == 405
+    assert (await asked(node, "PUT /admin/dummy"))[0] == 405
+
+
+@pytest.mark.parametrize("where", [*NOTED, "start", "asked"])
+@played
+async def test_a_part_that_raises_is_stopped_and_the_node_serves_on(
     where: str, capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     plain = Dummy.__init__
@@ -217,39 +210,38 @@
         plain(self)
         self.raises = where
 
-    async def scene() -> None:
-        monkeypatch.setattr(Dummy, "__init__", broken)
-        bench = await bench_with(Wide(dummy=Wish()), Server())
-        node = bench.node
-        assert (await bench.once(call()))[0] == 200
-        wish = Wide(dummy=Wish(number=1)) if where != "stop" else Wide()
-        monkeypatch.setattr(Dummy, "__init__", plain)
-        node.reload(node.config, wish)
-        assert node.operation == wish  # what it raised at has held up nothing
-        assert (await bench.once(call()))[0] == 200
-        node.reload(node.config, node.operation)
-        assert node.parts is not None
-        assert len(node.parts.parts) == (where != "stop")  # SIGHUP has started it again
-
-    play(scene)
+    monkeypatch.setattr(Dummy, "__init__", broken)
+    bench = await bench_with(Wide(dummy=Wish()), Server())
+    node = bench.node
+    assert (await bench.once(call()))[0] == 200
+    wish = Wide(dummy=Wish(number=1)) if where != "stop" else Wide()
+    monkeypatch.setattr(Dummy, "__init__", plain)
+    node.reload(node.config, wish)
+    assert node.operation == wish  # what it raised at has held up nothing
+    assert (await bench.once(call()))[0] == 200
+    node.reload(node.config, node.operation)
+    assert node.parts is not None
+    assert len(node.parts.parts) == (where != "stop")  # SIGHUP has started it again
     said = capfd.readouterr().err
     assert "part dummy: " in said and "ValueError: a mistake" in said
 
 
-def test_a_part_that_cannot_be_had_is_named_and_nothing_of_it_is_made(
-    capfd: pytest.CaptureFixture[str],
+@played
+async def test_a_part_that_cannot_be_had_is_named_with_what_to_do(
+    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(other=Wish()))
-        assert bench.node.parts is not None and not bench.node.parts.parts
-        closed = await Bench(policy_limits={"peers": False}).start()
-        closed.node.reload(closed.node.config, Wide(dummy=Wish()))
-        assert not Dummy.made_ones
-
-    play(scene)
+    bench = await bench_with(Wide(other=Wish()))
+    assert not bench.node.parts.parts and bench.node.ready()
+    closed = await Bench(policy_limits={"peers": False}).start()
+    closed.node.reload(closed.node.config, Wide(dummy=Wish()))
+    assert not Dummy.made_ones
+    monkeypatch.setattr(registry, "PARTS", [registry.Entry("other", f"{__name__}:Talker")])
+    bench = await bench_with(Wide(other=Wish()))
+    assert not bench.node.parts.parts and bench.node.ready()
     said = capfd.readouterr().err
     assert "other: off, since it needs [dummy], which is off" in said
     assert "dummy: off, since the platform's policy_limits.peers is false" in said
+    assert "there is no membership -- give the operators' file the table" in said
 
 
 def test_without_parts_nothing_of_them_is_imported() -> None:
@@ -271,141 +263,105 @@
 # ---- changes that wait ------------------------------------------------------------------------------------
 
 
-def test_a_reload_waits_until_all_let_it_and_a_later_one_takes_its_place(
+@played
+async def test_a_reload_waits_until_all_let_it_and_a_later_takes_its_place(
     capfd: pytest.CaptureFixture[str],
 ) -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish()), Server())
-        node, (part,) = bench.node, Dummy.made_ones
-        part.no = "the change freeze holds, for incident 4; close it"
-        first = replace(node.config, idle_time=node.config.idle_time + 1)
-        last = replace(node.config, idle_time=node.config.idle_time + 2)
-        node.reload(first, node.operation)
-        assert node.config.idle_time == first.idle_time - 1 and node.metrics.sighup_applied == 0
-        waiting = (await asked(node, "GET /admin/stats"))[1]["waiting"]
-        assert [w["why"] for w in waiting] == [part.no]
-        node.reload(last, node.operation)
-        part.no = ""
-        await until(lambda: node.config.idle_time == last.idle_time)
-        assert node.metrics.sighup_applied == 1 and part.seen[-1] == ("made", Change.SETTINGS, (3, 7))
-        assert "waiting" not in (await asked(node, "GET /admin/stats"))[1]
-
-    play(scene)
+    bench = await bench_with(Wide(dummy=Wish()), Server())
+    node, (part,) = bench.node, Dummy.made_ones
+    part.no = "the change freeze holds, for incident 4; close it"
+    first = replace(node.config, idle_time=node.config.idle_time + 1)
+    last = replace(node.config, idle_time=node.config.idle_time + 2)
+    node.reload(first, node.operation)
+    assert node.config.idle_time == first.idle_time - 1 and node.metrics.sighup_applied == 0
+    waiting = (await asked(node, "GET /admin/stats"))[1]["waiting"]
+    assert [w["why"] for w in waiting] == [part.no]
+    node.reload(last, node.operation)
+    part.no = ""
+    await until(lambda: node.config.idle_time == last.idle_time)
+    assert node.metrics.sighup_applied == 1 and part.seen[-1] == (
+        "made",
+        Change.SETTINGS,
+        "tier=0,zone=here",
+        (3, 7),
+    )
+    assert "waiting" not in (await asked(node, "GET /admin/stats"))[1]
+    part.no = "no"  # what the platform forbids waits for nobody
+    node.reload(replace(node.config, settings=replace(node.config.settings, peers=False)), node.operation)
+    assert part.seen[-1] == ("stop", False) and not node.settings.peers
     said = capfd.readouterr().err
     assert "reload: waits: the change freeze holds, for incident 4; close it; the old configuration" in said
     assert "reload: goes ahead after " in said
 
 
-def test_the_return_of_a_zone_waits_until_all_let_it(capfd: pytest.CaptureFixture[str]) -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish(), zones=Zones()))
-        (part,), judge = Dummy.made_ones, bench.node.balancer.judge
-        assert isinstance(judge, Judge) and judge.asks
-        part.no = "the change freeze holds"
-        judge.back[1] = 2.0
-        asked = ("asked", Change.ZONE_RETURN, "zone=there")
-        await until(lambda: asked in part.seen)
-        assert not judge.let
-        part.no = ""
-        await until(lambda: judge.let == {1})
-        bench.node.reload(bench.node.config, Wide(zones=Zones()))
-        assert not judge.asks  # nobody is left who has a say
-
-    play(scene)
+@played
+async def test_the_return_of_a_zone_waits_until_all_let_it(capfd: pytest.CaptureFixture[str]) -> None:
+    bench = await bench_with(Wide(dummy=Wish(), zones=Zones()))
+    (part,), judge = Dummy.made_ones, bench.node.balancer.judge
+    assert isinstance(judge, Judge) and judge.asks
+    part.no = "the change freeze holds"
+    judge.back[1] = 2.0
+    asked = ("asked", Change.ZONE_RETURN, "zone=there")
+    await until(lambda: asked in part.seen)
+    assert not judge.let
+    part.no = ""
+    await until(lambda: judge.let == {1})
+    bench.node.reload(bench.node.config, Wide(zones=Zones()))
+    assert not judge.asks  # nobody is left who has a say
     assert "return of zone there: waits: the change freeze holds; its calls stay" in capfd.readouterr().err
 
 
-def test_what_the_platform_forbids_waits_for_nobody() -> None:
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish()), Server())
-        node, (part,) = bench.node, Dummy.made_ones
-        part.no = "no"
-        off = replace(node.config, settings=replace(node.config.settings, peers=False))
-        node.reload(off, node.operation)
-        assert part.seen[-1] == ("stop", False) and not node.settings.peers
-
-    play(scene)
-
-
-def test_a_part_that_never_answers_is_stopped_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
+@played
+async def test_a_part_that_never_answers_is_stopped_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
     from brackenladder.net import changes
 
     monkeypatch.setattr(changes, "ASK_TIME", 0.02)
     monkeypatch.setattr(changes, "MOST_AGAIN", 0.02)
     monkeypatch.setattr(Dummy, "asked", lambda *_: None)
 
-    async def scene() -> None:
-        bench = await bench_with(Wide(dummy=Wish()))
-        node = bench.node
-        node.reload(node.config, Wide(dummy=Wish(number=2)))
-        assert node.operation == Wide(dummy=Wish())
-        await until(lambda: node.operation == Wide(dummy=Wish(number=2)))
-        assert Dummy.made_ones[0].seen[-1] == ("stop", False)
-
-    play(scene)
+    bench = await bench_with(Wide(dummy=Wish()))
+    node = bench.node
+    node.reload(node.config, Wide(dummy=Wish(number=2)))
+    assert node.operation == Wide(dummy=Wish())
+    await until(lambda: node.operation == Wide(dummy=Wish(number=2)))
+    assert Dummy.made_ones[0].seen[-1] == ("stop", False)
 
 
 # ---- the list of servers ----------------------------------------------------------------------------------
 
 
-async def with_list(*servers: dict[str, Any], version: int = 50) -> tuple[Bench, Dummy]:
+async def with_list(*servers: dict[str, Any]) -> tuple[Bench, Dummy]:
     bench = await bench_with(Wide(dummy=Wish()))
     part = Dummy.made_ones[-1]
-    bench.discovery.say(version, True, *servers)
-    await until(lambda: part.seen[-1][0] == "version" and part.seen[-1][1].number == version)
+    bench.discovery.say(50, True, *servers)
+    await until(lambda: part.seen[-1][0] == "version" and part.seen[-1][1].number == 50)
     return bench, part
 
 
-def digest(part: Dummy) -> str:
-    return versions(part)[-1].digest
-
-
-def test_one_content_has_one_digest_whatever_the_order_the_way_and_the_addresses() -> None:
-    async def scene() -> None:
-        server = await Server().start()
-        a, b, c = (server.entry(name) for name in "abc")
-        one, part = await with_list(a, b, c)
-        other, second = await with_list(
-            {**c, "addr": "127.0.0.1:9"}, b, {**a, "state": "draining"}, version=7
-        )
-        assert digest(part) != digest(second)
-        other.discovery.say(8, False, a)
-        await until(lambda: second.seen[-1][1].number == 8)
-        assert digest(part) == digest(second)
-        other.discovery.say(9, False, {**b, "state": "gone"})
-        one.discovery.say(51, True, a, c)
-        await until(lambda: second.seen[-1][1].number == 9 and part.seen[-1][1].number == 51)
-        assert digest(part) == digest(second)
-
-    play(scene)
-
-
 def usable(bench: Bench, name: str) -> int | None:
     """The port where a server takes something new, if it does."""
     endpoint = bench.node.pool.endpoints.get(number_of(name))
     return endpoint.port if endpoint is not None and endpoint.ready else None
 
 
-def test_peers_bring_drains_at_once_and_new_servers_as_cold() -> None:
-    async def scene() -> None:
-        server = await Server().start()
-        bench, part = await with_list(server.entry("a"), server.entry("b", started_ms=5))
-        earlier = line("b", "draining", started=4999)  # of a process before the one that serves
-        part.host.merge_list((line("a", "draining"), line("new", port=server.port), earlier))
-        assert not usable(bench, "a") and usable(bench, "b") and usable(bench, "new")
-        started = bench.node.pool.endpoints[number_of("new")].started
-        assert abs(started - bench.node.now()) < 60_000_000
-        # What the agent repeats of the old version undoes nothing...
-        count = len(part.seen)
-        bench.discovery.say(50, True, server.entry("a"), server.entry("b"))
-        await until(lambda: len(part.seen) > count)
-        assert not usable(bench, "a") and usable(bench, "new")
-        # ...and its next version is what holds.
-        bench.discovery.say(51, True, server.entry("a"), server.entry("b"))
-        await until(lambda: usable(bench, "a") is not None)
-        assert not usable(bench, "new")
-
-    play(scene)
+@played
+async def test_peers_bring_drains_at_once_and_new_servers_as_cold() -> None:
+    server = await Server().start()
+    bench, part = await with_list(server.entry("a"), server.entry("b", started_ms=5))
+    earlier = line("b", "draining", started=4999)  # of a process before the one that serves
+    part.host.merge_list((line("a", "draining"), line("new", port=server.port), earlier))
+    assert not usable(bench, "a") and usable(bench, "b") and usable(bench, "new")
+    started = bench.node.pool.endpoints[number_of("new")].started
+    assert abs(started - bench.node.now()) < 60_000_000
+    # What the agent repeats of the old version undoes nothing...
+    count = len(part.seen)
+    bench.discovery.say(50, True, server.entry("a"), server.entry("b"))
+    await until(lambda: len(part.seen) > count)
+    assert not usable(bench, "a") and usable(bench, "new")
+    # ...and its next version is what holds.
+    bench.discovery.say(51, True, server.entry("a"), server.entry("b"))
+    await until(lambda: usable(bench, "a") is not None)
+    assert not usable(bench, "new")
 
 
 LINES = st.builds(
@@ -470,34 +426,36 @@
         assert not usable & drained
     if held.digest():
         again = Holdings()
-        again.take(Listing(ListKind.FULL, 1, tuple(reversed(own.values()))), "elsewhere", False)
+        rest = [replace(x, host="behind.a.relay") for x in reversed(own.values())]
+        again.take(Listing(ListKind.FULL, 1, tuple(rest)), "elsewhere", False)
         assert again.digest() == held.digest()
-
-
-def test_a_node_that_is_shut_out_says_so_and_finishes_what_it_has_taken() -> None:
-    async def scene() -> None:
-        gate = asyncio.Event()
-
-        async def slow(request: Any, writer: Any) -> bytes:
-            await gate.wait()
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
-        bench = await bench_with(Wide(dummy=Wish()), Server(slow))
-        (part,) = Dummy.made_ones
-        ready = b"GET /ready HTTP/1.1\r\n\r\n"
-        kept = await bench.client()
-        kept.send(call())
-        await until(lambda: bench.servers[0].requests != [])
-        part.host.shut_out(True, "behind the frontier")
-        assert (await bench.once(ready))[0] == 503
-        gate.set()
-        status, headers, _ = await kept.receive()
-        assert status == 200 and headers["connection"] == "close"
-        part.host.shut_out(False, "")
-        assert (await bench.once(ready))[0] == 200
-        assert "connection" not in (await bench.once(call()))[1]
-
-    play(scene)
+        other = [replace(x, state=State.DRAINING) for x in rest if x.state == State.READY]
+        again.take(Listing(ListKind.CHANGES, 2, tuple(other)), "elsewhere", False)
+        assert (again.digest() == held.digest()) == (not other)
+
+
+@played
+async def test_a_node_that_is_shut_out_says_so_and_finishes_what_it_has_taken() -> None:
+    gate = asyncio.Event()
+
+    async def slow(request: Any, writer: Any) -> bytes:
+        await gate.wait()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+    bench = await bench_with(Wide(dummy=Wish()), Server(slow))
+    (part,) = Dummy.made_ones
+    ready = b"GET /ready HTTP/1.1\r\n\r\n"
+    kept = await bench.client()
+    kept.send(call())
+    await until(lambda: bench.servers[0].requests != [])
+    part.host.shut_out(True, "behind the frontier")
+    assert (await bench.once(ready))[0] == 503
+    gate.set()
+    status, headers, _ = await kept.receive()
+    assert status == 200 and headers["connection"] == "close"
+    part.host.shut_out(False, "")
+    assert (await bench.once(ready))[0] == 200
+    assert "connection" not in (await bench.once(call()))[1]
 
 
 # ---- what parts build on ----------------------------------------------------------------------------------
@@ -514,7 +472,8 @@
         self.store = host.store()
 
 
-def test_channels_and_the_store_are_had_anew_when_their_table_changes(
+@played
+async def test_channels_and_the_store_are_had_anew_when_their_table_changes(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
     monkeypatch.setattr(hosting, "STORE_AGAIN", 0.02)
@@ -529,47 +488,26 @@
         return Wide(membership=plain.membership, store=plain.store, other=Wish())
 
     def talker(bench: Bench) -> Talker | None:
-        part = bench.node.parts.parts.get("other")  # type: ignore[union-attr]
+        part = bench.node.parts.parts.get("other")
         return part if isinstance(part, Talker) else None
 
-    async def scene() -> None:
-        one = await bench_with(wish(kind="directory"), name="n1")
-        first = talker(one)
-        assert first is not None and first.store.lasting
-        await until(lambda: first.channel.address is not None)
-        seed = "{}:{}".format(*(first.channel.address or ()))
-        two = await bench_with(wish(seed), name="n2")
-        # The membership begins anew, and with it whoever has a channel on its port.
-        two.node.reload(two.node.config, wish(seed, probe_ms=400.0))
-        second = talker(two)
-        assert second is not None
-        await until(lambda: second.host.member_address("n1") is not None)
-        assert second.channel.send(b"hello", second.host.member_address("n1") or ("", 0))
-        await until(lambda: first.heard == [b"hello"])
-        assert second.host.live() == ["n2", "n1"] or second.host.live() == ["n1", "n2"]
-        # A store that another process has is waited for, while the node serves.
-        heir = await bench_with(wish(kind="directory"), name="n1")
-        assert talker(heir) is None and (await bench_ready(heir))
-        one.node.parts.stop(farewell=False)  # type: ignore[union-attr]
-        await until(lambda: talker(heir) is not None)
-
-    play(scene)
+    one = await bench_with(wish(kind="directory"), name="n1")
+    first = talker(one)
+    assert first is not None and first.store.lasting
+    await until(lambda: first.channel.address is not None)
+    seed = "{}:{}".format(*(first.channel.address or ()))
+    two = await bench_with(wish(seed), name="n2")
+    # The membership begins anew, and with it whoever has a channel on its port.
+    two.node.reload(two.node.config, wish(seed, probe_ms=400.0))
+    second = talker(two)
+    assert second is not None
+    await until(lambda: second.host.member_address("n1") is not None)
+    assert second.channel.send(b"hello", second.host.member_address("n1") or ("", 0))
+    await until(lambda: first.heard == [b"hello"])
+    assert second.host.live() == ["n2", "n1"] or second.host.live() == ["n1", "n2"]
+    # A store that another process has is waited for, while the node serves.
+    heir = await bench_with(wish(kind="directory"), name="n1")
+    assert talker(heir) is None and heir.node.ready()
+    one.node.parts.stop(farewell=False)
+    await until(lambda: talker(heir) is not None)
     assert "part other: waits: " in capfd.readouterr().err
-
-
-async def bench_ready(bench: Bench) -> bool:
-    return (await bench.once(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
-
-
-def test_what_a_part_needs_and_the_node_has_not_is_said_with_a_remedy(
-    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
-) -> None:
-    entry = registry.Entry("other", f"{__name__}:Talker")
-    monkeypatch.setattr(registry, "PARTS", [entry])
-
-    async def scene() -> None:
-        bench = await bench_with(Wide(other=Wish()))
-        assert bench.node.parts is not None and not bench.node.parts.parts and await bench_ready(bench)
-
-    play(scene)
-    assert "there is no membership -- give the operators' file the table" in capfd.readouterr().err
