--- a/brackenladder/lab/freeze_check.py
+++ b/brackenladder/lab/freeze_check.py
@@ -395,8 +395,8 @@
         return replace(self.follow(replace(sight, net=()), free, lost=True), net=())
 
     def search(self, root: Sight, depth: int, most: int = 10**9) -> tuple[list[str], list[Step], int]:
-        """All worlds up to `depth` steps from `root`, or about `most`: what is wrong in the first that is, the
-        steps that lead there, and how many different worlds were seen."""
+        """All worlds up to `depth` steps from `root`, or about `most`: what is wrong in the first that is,
+        the steps that lead there, and how many different worlds were seen."""
         seen: dict[Sight, tuple[Sight, Step] | None] = {root: None}
         layer = [root]
         for _ in range(depth):
