--- a/tests/contracts/test_transports.py
+++ b/tests/contracts/test_transports.py
@@ -88,6 +88,7 @@
         return self.network.end(port=at[1] if at else 0)
 
     async def settle(self) -> None:
+        await asyncio.sleep(0)  # lets the patience run out
         self.schedule.run(self.schedule.now + SECOND)
 
     def still(self, end: Any, still: bool) -> None:
