Freeze: hosted as a part of the node, with [freeze], operators' calls and evidence

The operators' file gets [freeze]: who elects, the lease and its drift, what goes without a coordinator and after how long, and when the members' reports make an incident. Nothing of it is imported without the table.

--- a/brackenladder/freeze/coordinator.py
+++ b/brackenladder/freeze/coordinator.py
@@ -20,6 +20,8 @@
 
 from brackenladder.freeze.changes import Change
 from brackenladder.freeze.election import NOTHING, Elector, Event, Send
+from brackenladder.freeze.evidence import KIND as EVIDENCE
+from brackenladder.freeze.evidence import Verdict
 from brackenladder.freeze.state import (
     MOST_GRANTS,
     MOST_INCIDENTS,
@@ -36,6 +38,7 @@
     Stop,
     collide,
     command,
+    read_scope,
     say_scope,
     stops,
 )
@@ -58,7 +61,7 @@
 
 AGAIN = "~"  # a request whose grant could not be begun is made again as `id~1`, `id~2`, ...
 KINDS = frozenset(c.value for c in Change)
-TOLD_IN_ONE = 4  # incidents in one datagram
+TOLD_IN_ONE = 2  # incidents in one datagram
 
 
 @dataclass(frozen=True)
@@ -338,6 +341,16 @@
         own.calls[call.id] = (sender, held, text[:160])
         return []
 
+    def by_evidence(self, now: int, verdict: Verdict, severity: int) -> None:
+        """Opens or closes an incident that the members' reports show; goes out at the next `tick`."""
+        own = self.mine(now)
+        if own is None:
+            return
+        if verdict.open:
+            self.open(own, verdict.incident, read_scope(verdict.scope), severity, verdict.why[:160], EVIDENCE)
+        elif verdict.incident in self.state.incidents:
+            self.close(own, verdict.incident, EVIDENCE)
+
     def open(
         self, own: Terms, name: str, scope: Scope, severity: int, why: str, by: str
     ) -> tuple[bool, str, Held | None]:
--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -35,6 +35,7 @@
 
 import msgspec
 
+from brackenladder.freeze.errors import FreezeRecord
 from brackenladder.freeze.wire import (
     MOST_COMMAND,
     MOST_PARTS,
@@ -70,7 +71,9 @@
 
     def __post_init__(self) -> None:
         if len(self.electors) not in (3, 5, 7) or len(set(self.electors)) < len(self.electors):
-            raise ValueError("freeze: 3, 5 or 7 electors, each once")
+            raise ValueError(
+                "freeze: 3, 5 or 7 electors, each once"
+            )  # the operators' file has said it before
         if not 0 <= self.drift < 0.5 or self.lease <= 0:
             raise ValueError("freeze: lease must be positive, and drift at least 0 and below 0.5")
 
@@ -182,7 +185,7 @@
     def __init__(
         self, name: str, rules: ElectionRules, state: Replicated, seed: int, now: int, record: bytes | None
     ) -> None:
-        """`record` is what the store holds under RECORD, None if nothing. A ValueError if it is not ours."""
+        """`record` is what the store holds under RECORD, None if nothing. A FreezeRecord if it is none."""
         self.name, self.rules, self.state = name, rules, state
         self.others = tuple(n for n in rules.electors if n != name)
         self.seed = seed
@@ -196,9 +199,9 @@
             try:
                 stored = msgspec.msgpack.decode(record, type=Stored)
             except msgspec.DecodeError as e:
-                raise ValueError(f"not an elector's record: {e}") from None
+                raise FreezeRecord(f"not an elector's record: {e}", RECORD) from None
             if stored.format != FORMAT:
-                raise ValueError(f"an elector's record of format {stored.format}; this program has {FORMAT}")
+                raise FreezeRecord(f"format {stored.format}; this program has {FORMAT}", RECORD)
             self.term, self.voted, self.held, self.floor = (
                 stored.term,
                 stored.voted,
@@ -333,6 +336,8 @@
         self.now = max(self.now, now)
         if self.role is Role.LEADER and self.now >= self.leased():
             self.step_down("the lease was not renewed by a majority")
+        elif self.role is Role.LEADER and self.barred:
+            self.step_down("a straggler does not coordinate")
         return []
 
     def draw(self, below: int) -> int:
--- a/brackenladder/freeze/holder.py
+++ b/brackenladder/freeze/holder.py
@@ -19,7 +19,7 @@
 from brackenladder.freeze.changes import Change
 from brackenladder.freeze.coordinator import AGAIN, FreezeRules
 from brackenladder.freeze.election import NOTHING, Send
-from brackenladder.freeze.state import Grant, say_scope, stops
+from brackenladder.freeze.state import Grant, stops
 from brackenladder.freeze.wire import (
     Ask,
     Call,
@@ -45,23 +45,23 @@
 
 @dataclass(frozen=True)
 class Alone:
-    """What happens to a kind of change while no coordinator answers."""
+    """What happens to a kind of change while no coordinator answers. Microseconds."""
 
-    go: bool  # goes ahead, without a grant; else it is refused, and may be asked for again
-    after: int  # microseconds since it was asked for
+    after: int  # it is answered so long after it was asked for
+    most: int | None  # it goes without a grant once none has been heard for so long; None: never
 
 
-# Reloads are deliberate acts of a person on this machine, and may be what mends the coordinator itself;
-# bringing a straggler up moves in the safe direction. What takes capacity away or moves it waits for somebody
-# who can say.
+# Reloads are deliberate acts of a person on this machine, and may be what mends the electors themselves;
+# bringing a straggler up moves in the safe direction. What moves traffic waits longer for somebody who can
+# say; what takes nodes or servers away waits till there is one, or for an operator's emergency.
 ALONE = {
-    Change.SETTINGS.value: Alone(True, 10_000_000),
-    Change.OPERATION.value: Alone(True, 10_000_000),
-    Change.UPGRADE.value: Alone(False, 30_000_000),
-    Change.PLACEMENT.value: Alone(False, 5_000_000),
-    Change.ZONE_RETURN.value: Alone(False, 30_000_000),
-    Change.BRING_UP.value: Alone(True, 5_000_000),
-    Change.SHUT_OUT.value: Alone(False, 5_000_000),
+    Change.SETTINGS.value: Alone(8_000_000, 8_000_000),
+    Change.OPERATION.value: Alone(8_000_000, 8_000_000),
+    Change.BRING_UP.value: Alone(5_000_000, 5_000_000),
+    Change.PLACEMENT.value: Alone(5_000_000, 60_000_000),
+    Change.ZONE_RETURN.value: Alone(8_000_000, 120_000_000),
+    Change.SHUT_OUT.value: Alone(5_000_000, None),
+    Change.UPGRADE.value: Alone(8_000_000, None),
 }
 
 
@@ -166,6 +166,7 @@
         self.news: Held = NOTHING  # since when the incidents are as they are
         self.parts: dict[int, list[Told]] = {}
         self.heard = 0  # when a coordinator last said anything
+        self.begun = 0  # when this node first did anything
         self.term = 0  # the highest that a coordinator has named
         self.fences: dict[Scope, Held] = {}  # the highest token that was accepted or halted
         self.coordinator = ""
@@ -394,6 +395,7 @@
 
     def at(self, now: int) -> None:
         self.now = max(self.now, now)
+        self.begun = self.begun or self.now
 
     def tell(self, outcome: Outcome) -> None:
         self.outcomes.append(outcome)
@@ -445,17 +447,16 @@
     def answer_alone(self, want: Want) -> bool:
         """Answers a request that no coordinator has answered for the time that the rule for its kind says."""
         rule = self.rules.alone[want.kind]
-        since = max(want.began, want.answered)
-        if self.now < since + rule.after:
+        if self.now < max(want.began, want.answered) + rule.after:
             return False
         del self.wants[want.id]
-        held = next((i for i in self.known() if stops(i, want.grant(), self.regions)), None)
-        scope = say_scope(want.scope)
-        if held is not None:
-            why = f"no coordinator answers, and incident {held.id} was open in {scope} when one last did"
+        incident = next((i for i in self.known() if stops(i, want.grant(), self.regions)), None)
+        silent = self.now - max(self.heard, self.begun)
+        if incident is not None:
+            why = f"no coordinator answers, and incident {incident.id} was open when one last did"
             self.tell(Outcome(want.id, "wait", why, rule.after))
-        elif rule.go:
-            why = f"no coordinator has answered for {rule.after / 1e6:g} s: {want.kind} goes without a grant"
+        elif rule.most is not None and silent >= rule.most:
+            why = f"no coordinator has been heard for {silent / 1e6:.0f} s: it goes without a grant"
             self.tell(Outcome(want.id, "go", why))
         else:
             why = (
--- a/brackenladder/freeze/machine.py
+++ b/brackenladder/freeze/machine.py
@@ -11,6 +11,7 @@
 from brackenladder.freeze.changes import Change
 from brackenladder.freeze.coordinator import Coordinator
 from brackenladder.freeze.election import Action, ElectionRules, Elector, Event, Save, Send
+from brackenladder.freeze.errors import FreezeMalformed
 from brackenladder.freeze.holder import Holder, HolderRules, Outcome
 from brackenladder.freeze.state import State
 from brackenladder.freeze.wire import (
@@ -19,7 +20,6 @@
     BeatAck,
     Call,
     Done,
-    FreezeWireError,
     HaltAck,
     Hello,
     Message,
@@ -85,7 +85,7 @@
         `tick`: what all of them lead to costs one write of the store and one round."""
         try:
             envelope = decode(data)
-        except FreezeWireError:
+        except FreezeMalformed:
             self.counters.malformed += 1
             return []
         if envelope.sender == self.name:
--- a/brackenladder/freeze/state.py
+++ b/brackenladder/freeze/state.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from brackenladder.freeze.changes import Change
+from brackenladder.freeze.errors import FreezeRecord, FreezeScope
 from brackenladder.freeze.wire import Held, Scope, Told, Version
 
 MOST_INCIDENTS = 32  # open at a time
@@ -160,24 +161,24 @@
         return _encode(Dump([*self.incidents.values()], [*self.grants.values()], [*self.ended]))
 
     def load(self, data: bytes) -> None:
-        """What `dump` gave. A ValueError if it is nothing of the kind."""
+        """What `dump` gave. A FreezeRecord if it is nothing of the kind."""
         try:
             found = _dump.decode(data)
         except msgspec.DecodeError as e:
-            raise ValueError(f"not a state of the change freeze: {e}") from None
+            raise FreezeRecord(f"not a state of the change freeze: {e}") from None
         self.incidents = {i.id: i for i in found.incidents}
         self.grants = {g.id: g for g in found.grants}
         self.ended = dict.fromkeys(found.ended)
 
 
 def read_scope(text: str) -> Scope:
-    """`zone=a,class=look`, or `*` for all. A ValueError names the part that is wrong."""
+    """`zone=a,class=look`, or `*` for all. A FreezeScope names the part that is wrong."""
     found: dict[str, str] = {}
     for part in text.split(",") if text not in ("", "*") else ():
         key, mark, value = part.strip().partition("=")
         if not mark or key not in SCOPE_KEYS or not 0 < len(value) <= 64:
             known = ", ".join(f"{k}=..." for k in SCOPE_KEYS)
-            raise ValueError(f"{part.strip()!r}: a scope is * or some of {known}")
+            raise FreezeScope(f"{part.strip()!r}: a scope is * or some of {known}")
         found[SCOPE_KEYS[key]] = value
     return Scope(**found)
 
--- a/brackenladder/freeze/wire.py
+++ b/brackenladder/freeze/wire.py
@@ -1,7 +1,7 @@
 """The datagrams of the change freeze: bounded, versioned, MessagePack by msgspec.
 
 Every datagram is one `Envelope`: the version, who sends it, and one message. The transport below says who
-belongs to the cluster; what does not decode, is too large or out of range is a `FreezeWireError`.
+belongs to the cluster; what does not decode, is too large or out of range is a `FreezeMalformed`.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Meta
 
+from brackenladder.freeze.errors import FreezeMalformed
 from brackenladder.transports.interface import LARGEST
 
 VERSION = 1
@@ -230,10 +231,6 @@
     message: Message
 
 
-class FreezeWireError(ValueError):
-    """A datagram that is not ours or not well formed; counted and dropped, never shown to an operator."""
-
-
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Envelope)
 
@@ -244,13 +241,13 @@
 
 
 def decode(data: bytes) -> Envelope:
-    """The envelope in `data`; a FreezeWireError otherwise."""
+    """The envelope in `data`; a FreezeMalformed otherwise."""
     if len(data) > LARGEST:
-        raise FreezeWireError(f"datagram of {len(data)} bytes, more than {LARGEST}")
+        raise FreezeMalformed(f"datagram of {len(data)} bytes, more than {LARGEST}")
     try:
         envelope = _decoder.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
-        raise FreezeWireError(f"malformed datagram: {error}") from None
+        raise FreezeMalformed(f"malformed datagram: {error}") from None
     if envelope.version != VERSION:
-        raise FreezeWireError(f"version {envelope.version}, this node speaks {VERSION}")
+        raise FreezeMalformed(f"version {envelope.version}, this node speaks {VERSION}")
     return envelope
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -47,4 +47,5 @@
     # Shards: which server is a key's home.
     # Forecast: what a change of placement would cost.
     # Freeze: who may change what during an incident. Last: it is told what the others know.
+    Entry("freeze", "brackenladder.net.freeze:FreezePart", needs_peers=True, needs="membership"),
 ]
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -8,9 +8,10 @@
 
 import tomllib
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from difflib import get_close_matches
 from ipaddress import ip_address
-from typing import Annotated, Any, ClassVar
+from typing import TYPE_CHECKING, Annotated, Any, ClassVar
 
 import msgspec
 from msgspec import Meta
@@ -22,6 +23,10 @@
 from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
 
+if TYPE_CHECKING:
+    from brackenladder.freeze.evidence import EvidenceRules
+    from brackenladder.freeze.machine import Rules as FreezeRules
+
 Percent = Annotated[float, Meta(ge=0, le=100)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 Address = tuple[str, int]
@@ -205,6 +210,64 @@
         return tuple(address(a, f"audit.agents[{i}]") for i, a in enumerate(self.agents))
 
 
+class FreezeTable(Table, frozen=True):
+    """`[freeze]`: who may change what during an incident (docs/freeze.md). Its presence switches it on, where
+    `[membership]` is on. All nodes must have the same."""
+
+    electors: list[Annotated[str, Meta(min_length=1, max_length=64)]]
+    lease_s: Annotated[float, Meta(ge=0.2, le=60)] = 2.0
+    drift_percent: Annotated[float, Meta(ge=0, le=10)] = 1.0
+    begin_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
+    most_life_s: Seconds = 3600.0
+    keep_incidents_s: Seconds = 600.0
+    alone_s: dict[str, float] = msgspec.field(default_factory=dict)
+    never_alone: list[str] = msgspec.field(default_factory=list)
+    evidence: bool = True
+    zone_fails_percent: Percent = 50.0
+    refused_percent: Percent = 50.0
+    evidence_hold_s: Seconds = 2.0
+    evidence_quiet_s: Seconds = 30.0
+    evidence_severity: Annotated[int, Meta(ge=1, le=3)] = 2
+
+    def rules(self, regions: Mapping[str, str]) -> FreezeRules:
+        """What the deciders go by; `regions` has each zone's."""
+        # Here: a node without such a wish does not need the deciders.
+        from brackenladder.freeze.coordinator import FreezeRules as CoordinatorRules
+        from brackenladder.freeze.election import ElectionRules
+        from brackenladder.freeze.holder import ALONE, HolderRules
+        from brackenladder.freeze.machine import Rules as FreezeRules
+
+        if len(self.electors) not in (3, 5, 7) or len(set(self.electors)) < len(self.electors):
+            raise OperationValue("names 3, 5 or 7 nodes, each once", "freeze.electors")
+        us = 1_000_000
+        names = tuple(self.electors)
+        alone = dict(ALONE)
+        for key, kinds in (("alone_s", self.alone_s), ("never_alone", self.never_alone)):
+            for kind in kinds:
+                if kind not in alone:
+                    raise OperationValue(f"one of {', '.join(alone)}", f"freeze.{key}.{kind}")
+                most = int(self.alone_s[kind] * us) if key == "alone_s" else None
+                if most is not None and not 0 < most <= 86_400 * us:
+                    raise OperationValue("seconds, above 0 and up to 86400", f"freeze.alone_s.{kind}")
+                alone[kind] = replace(alone[kind], most=most)
+        shared = CoordinatorRules(begin=int(self.begin_s * us), most_life=int(self.most_life_s * us))
+        drift = self.drift_percent / 100
+        holder = HolderRules(names, shared, drift, keep=int(self.keep_incidents_s * us), alone=alone)
+        return FreezeRules(ElectionRules(names, int(self.lease_s * us), drift), holder, regions)
+
+    def witness(self) -> EvidenceRules:
+        """When what nodes report makes an incident."""
+        from brackenladder.freeze.evidence import EvidenceRules
+
+        return EvidenceRules(
+            servers=self.zone_fails_percent / 100,
+            refusals=self.refused_percent / 100,
+            hold=int(self.evidence_hold_s * 1e6),
+            quiet=int(self.evidence_quiet_s * 1e6),
+            severity=self.evidence_severity,
+        )
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
@@ -214,6 +277,7 @@
     spread: SpreadTable | None = None
     store: StoreTable | None = None
     audit: AuditTable | None = None
+    freeze: FreezeTable | None = None
 
 
 NOTHING = Operation()
@@ -253,6 +317,8 @@
         unknown(table["store"], StoreTable, where, "store.")
     if isinstance(table.get("audit"), dict):
         unknown(table["audit"], AuditTable, where, "audit.")
+    if isinstance(table.get("freeze"), dict):
+        unknown(table["freeze"], FreezeTable, where, "freeze.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
@@ -272,6 +338,13 @@
             found.audit.others()
         except OperationError as e:
             raise e.within(where) from None
+    if found.freeze is not None:
+        if found.membership is None:
+            raise OperationConflict("goes by the members; [membership] is missing", f"{where}: freeze")
+        try:
+            found.freeze.rules({})
+        except OperationError as e:
+            raise e.within(where) from None
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
