Tests of the parts wait until the node is ready

Cause: since a process says that it is ready once its agent has answered or been silent for a second, a test that asks at once is too early. Change: they wait for it.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -231,13 +231,15 @@
     capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     bench = await bench_with(Wide(other=Wish()))
-    assert not bench.node.parts.parts and bench.node.ready()
+    await until(bench.node.ready)
+    assert not bench.node.parts.parts
     closed = await Bench(policy_limits={"peers": False}).start()
     closed.node.reload(closed.node.config, Wide(dummy=Wish()))
     assert not Dummy.made_ones
     monkeypatch.setattr(registry, "PARTS", [registry.Entry("other", f"{__name__}:Talker")])
     bench = await bench_with(Wide(other=Wish()))
-    assert not bench.node.parts.parts and bench.node.ready()
+    await until(bench.node.ready)
+    assert not bench.node.parts.parts
     said = capfd.readouterr().err
     assert "other: off, since it needs [dummy], which is off" in said
     assert "dummy: off, since the platform's policy_limits.peers is false" in said
@@ -507,7 +509,8 @@
     assert second.host.live() == ["n2", "n1"] or second.host.live() == ["n1", "n2"]
     # A store that another process has is waited for, while the node serves.
     heir = await bench_with(wish(kind="directory"), name="n1")
-    assert talker(heir) is None and heir.node.ready()
+    await until(heir.node.ready)
+    assert talker(heir) is None
     one.node.parts.stop(farewell=False)
     await until(lambda: talker(heir) is not None)
     assert "part other: waits: " in capfd.readouterr().err
