A part that shut the node out and ends lets it in again; fifteen seconds to answer

Need: with the part that shut it out gone, a node would have said not ready for ever; a freeze that answers in ten seconds raced with the bound of ten in which a part must answer; a part that has the list asked anew missed that the watch has fallen silent. Change: /ready is let go with any part but the node's own, and stays as it is while the process ends; a part has 15 s to answer; Host.ask_list asks for the whole list and whether the watch ought to have told.

--- a/brackenladder/net/changes.py
+++ b/brackenladder/net/changes.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from brackenladder.net.hosting import Hosting
 
-ASK_TIME = 10.0  # seconds in which a part must answer...
+ASK_TIME = 15.0  # seconds in which a part must answer...
 MOST_SILENCE = 3  # ...or it counts as failed after so many times in a row
 LEAST_AGAIN, MOST_AGAIN = 0.1, 60.0  # seconds until a change that waits is asked for again
 
--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -40,6 +40,7 @@
 # Of the settings: what stands for this node alone, and differs though nodes act on the same.
 OWN_SETTINGS = frozenset(("self_index", "zone"))
 STORE_AGAIN = 0.5  # seconds until a store that another process has is tried again
+OWN_PARTS = ("membership", "spread", "zones", "storms")  # the node's own, which shut it out never
 SHARED = ("settings", "limits")  # and of the file what is for all
 OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
 
@@ -183,6 +184,9 @@
             return
         self.leaning.pop(table, None)
         channels = self.channels.pop(table, [])
+        if self.out and table not in OWN_PARTS:
+            # Failure prevented: who shut the node out has failed, and nobody is left to let it in again.
+            self.shut_out(False, "")
         self.changes.gone(part)
         control = self.node.control
         try:
@@ -238,8 +242,6 @@
         if self.on_voices is not None:
             self.on_voices()
         self.node.on_ended = self.ended if self.ended_for else None
-        if not running:
-            self.shut_out(False, "")
         if begins:
             self.holdings = Holdings(midway=self.node.named is not None)
             self.versions.clear()
@@ -463,10 +465,8 @@
     def lean(self, table: str) -> None:
         """Notes what the part that starts just now builds on; who asks later is not known, so any but the
         node's own may."""
-        from brackenladder.net.inner import Inner  # here: it builds on this module
-
-        for user, part in self.parts.items():
-            if user == self.beginning or not self.beginning and not isinstance(part, Inner):
+        for user in self.parts:
+            if user == self.beginning or not self.beginning and user not in OWN_PARTS:
                 self.leaning.setdefault(user, set()).add(table)
 
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
@@ -479,8 +479,10 @@
         return f"tier={self.node.settings.tier}" + (f",zone={zone}" if zone else "")
 
     def ask_list(self) -> None:
-        """Has this node ask its discovery anew, at once."""
+        """Has this node ask its discovery anew, at once: for the whole list, since content may differ under
+        one number, and whether the watch ought to have told."""
         self.node.discovery.fetch()
+        self.node.discovery.doubt()
 
     def merge_list(self, lines: tuple[Line, ...]) -> None:
         """Applies lines that peers hold, in the safe direction."""
@@ -491,7 +493,7 @@
     def shut_out(self, out: bool, why: str) -> None:
         """Whether `/ready` says no on a part's word; what is taken is finished, and no connection outlives
         its answer, so that clients which keep one go elsewhere."""
-        if out != bool(self.out):
+        if out != bool(self.out) and not self.ending:
             self.out = (why or "a part's word") if out else ""
             self.line(f"ready: no, {self.out}" if out else "ready: again")
             if not self.node.callers.draining:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -450,6 +450,7 @@
     kept = await bench.client()
     kept.send(call())
     await until(lambda: bench.servers[0].requests != [])
+    await until(bench.node.ready)
     part.host.shut_out(True, "behind the frontier")
     assert (await bench.once(ready))[0] == 503
     gate.set()
@@ -458,6 +459,9 @@
     part.host.shut_out(False, "")
     assert (await bench.once(ready))[0] == 200
     assert "connection" not in (await bench.once(call()))[1]
+    part.host.shut_out(True, "behind the frontier")
+    bench.node.reload(bench.node.config, None)  # nobody is left to let it in again
+    assert (await bench.once(ready))[0] == 200
 
 
 # ---- what parts build on ----------------------------------------------------------------------------------
