A part that waits for its store holds the changes that it has a say in, for two minutes

Need: in an upgrade the heir of an elector cannot open the store until the process before it has ended; until then it would have made changes that the freeze holds back. A store that cannot be opened at a start took the part out until the next SIGHUP. Change: any error of the store at a part's start is waited out, tried twice a second and said once; while such a part has a say, the node's changes wait for it, 120 s at most.

--- a/brackenladder/net/changes.py
+++ b/brackenladder/net/changes.py
@@ -112,6 +112,10 @@
 
     def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
         """Asks all parts that have a say; `then` is called once, with the first no or a yes."""
+        unheard = self.host.unheard()
+        if unheard:
+            then(Answer(False, f"part {unheard} waits for its store, which the log names; see there", 1.0))
+            return
         asking = Asking(self, change, scope, self.with_a_say(), then)
         self.open.add(asking)
         asking.next()
--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -27,7 +27,7 @@
 from brackenladder.operation import NOTHING, Operation
 from brackenladder.records.interface import Records
 from brackenladder.stores.factory import open_store
-from brackenladder.stores.interface import Store, StoreError, StoreHeld
+from brackenladder.stores.interface import Store, StoreError
 from brackenladder.transports.interface import Received, Transport
 
 if TYPE_CHECKING:
@@ -39,7 +39,8 @@
 
 # Of the settings: what stands for this node alone, and differs though nodes act on the same.
 OWN_SETTINGS = frozenset(("self_index", "zone"))
-STORE_AGAIN = 0.5  # seconds until a store that another process has is tried again
+STORE_AGAIN = 0.5  # seconds until a store that cannot be had is tried again
+HELD_TIME = 120_000_000  # microseconds for which such a part holds changes: an upgrade is over by then
 OWN_PARTS = ("membership", "spread", "zones", "storms")  # the node's own, which shut it out never
 SHARED = ("settings", "limits")  # and of the file what is for all
 OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
@@ -65,7 +66,7 @@
         self.beginning = ""  # the table of the part that starts just now
         self.leaning: dict[str, set[str]] = {}  # what parts build on: the membership's port, the store
         self.channels: dict[str, list[Transport]] = {}  # by their part's table
-        self.held: set[str] = set()  # tables of parts that wait for a store another process has
+        self.held: dict[str, tuple[int, bool]] = {}  # parts that wait for the store: since when, with a say
         self.again: asyncio.TimerHandle | None = None
         self.changes = Changes(self)
         self.holdings = Holdings()
@@ -88,7 +89,7 @@
             if entry.asked_for(operation) and not self.lacks(entry, allowed, operation, wanted):
                 wanted.append(entry)
         tables = {entry.table for entry in wanted} - self.outdated(operation)
-        self.held.clear()
+        self.held = {table: wait for table, wait in self.held.items() if table in tables}
         for table in reversed(list(self.parts)):
             if table not in tables:
                 self.end(table, farewell=allowed)
@@ -139,23 +140,24 @@
         self.beginning = entry.table
         try:
             part.start(self)
-        except StoreHeld as e:
-            self.wait_for_store(entry.table, e)
+        except StoreError as e:
+            self.wait_for_store(entry.table, part, e)
         except Exception as e:
             self.fail(part, told(e))
         finally:
             self.beginning = ""
         if self.parts.get(entry.table) is part:
+            self.held.pop(entry.table, None)
             self.tell(part, self.answer_for, part)
             for version in self.versions.values():
                 self.tell(part, part.version, version)
 
-    def wait_for_store(self, table: str, e: StoreHeld) -> None:
-        """Another process has the store: in an upgrade the one before this, until its SIGTERM. The part
-        begins when it can be had; nothing else waits."""
+    def wait_for_store(self, table: str, part: Part, e: StoreError) -> None:
+        """Another process has the store (in an upgrade the one before this, until its SIGTERM), or it cannot
+        be opened. The part begins when it can be had; the node serves meanwhile."""
         if table not in self.held:
             self.line(f"part {table}: waits: {e.line()}")
-        self.held.add(table)
+            self.held[table] = (self.now(), overrides(part, "asked"))
         self.end(table, farewell=False)
         if self.again is None:
             self.again = self.loop.call_later(STORE_AGAIN, self.try_again)
@@ -165,9 +167,16 @@
         for entry in registry.PARTS:
             if entry.table in self.held:
                 self.begin(entry)
-        self.held -= self.parts.keys()
         self.listen_in()
 
+    def unheard(self) -> str:
+        """A part that has a say and waits for the store: no change is made behind its back, for a while.
+
+        Failure prevented: in an upgrade the heir of an elector makes the changes that the freeze holds back.
+        """
+        since = self.now() - HELD_TIME
+        return next((t for t, (at, say) in self.held.items() if say and at > since), "")
+
     def answer_for(self, part: Part) -> None:
         """Has the control listener answer a part's pages and calls."""
         control = self.node.control
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -23,6 +23,7 @@
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.node import Node, number_of
 from brackenladder.net.parts import (
+    GO,
     Answer,
     Change,
     Host,
@@ -477,6 +478,9 @@
         self.channel = host.channel(self.tag, lambda data, source: self.heard.append(data))
         self.store = host.store()
 
+    def asked(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        then(GO)
+
 
 @played
 async def test_channels_and_the_store_are_had_anew_when_their_table_changes(
@@ -515,6 +519,8 @@
     heir = await bench_with(wish(kind="directory"), name="n1")
     await until(heir.node.ready)
     assert talker(heir) is None
+    heir.node.reload(heir.node.config, wish(kind="directory", probe_ms=400.0))
+    assert heir.node.parts.changes.waiting  # whoever has a say in it cannot be asked yet
     one.node.parts.stop(farewell=False)
-    await until(lambda: talker(heir) is not None)
+    await until(lambda: talker(heir) is not None and not heir.node.parts.changes.waiting)
     assert "part other: waits: " in capfd.readouterr().err
