--- a/brackenladder/freeze/evidence.py
+++ b/brackenladder/freeze/evidence.py
@@ -130,7 +130,9 @@
         """What is to be opened and closed now."""
         heard = {n: r for n, r in reports.items() if n in live}
         if 2 * len(heard) <= len(live):
-            return []  # too few can be heard to say that something is, or that it is over
+            for matter in self.matters.values():  # too few to say that something is, or is over
+                matter.since = matter.gone = 0
+            return []
         found = self.found(heard)
         out: list[Verdict] = []
         for name, (share, scope, why) in found.items():
--- a/brackenladder/lab/swarm/freezes.py
+++ b/brackenladder/lab/swarm/freezes.py
@@ -72,7 +72,7 @@
         what = event.removeprefix("freeze ")
         if what == "coordinates":
             self.coordinates.append((at, node, int(record["term"])))
-        elif what == "ended":
+        elif what == "ended" and node == self.coordinator(at):  # one that wakes may say so late
             self.ended.append((at, node))
         elif what == "change begins":
             self.begins(node, record, at)
@@ -108,9 +108,9 @@
         self.made[node, str(record["id"])] = Made(grant, at, int(record["token"][0]), until)
         self.made[node, str(record["id"])].term = int(record["coordinator_term"])
 
-    def coordinator(self) -> str | None:
-        """Who coordinates, as far as the nodes have said."""
-        return max(self.coordinates)[1] if self.coordinates else None
+    def coordinator(self, at: float = float("inf")) -> str | None:
+        """Who coordinated last before a moment, as far as the nodes have said."""
+        return max(((t, who) for t, who, _ in self.coordinates if t < at), default=(0.0, None))[1]
 
     def stopped(self, node: str, at: float, killed: bool) -> None:
         """The harness has killed or stopped a process."""
