--- a/brackenladder/freeze/evidence.py
+++ b/brackenladder/freeze/evidence.py
@@ -130,8 +130,8 @@
         """What is to be opened and closed now."""
         heard = {n: r for n, r in reports.items() if n in live}
         if 2 * len(heard) <= len(live):
-            for matter in self.matters.values():  # too few to say that something is, or is over
-                matter.since = matter.gone = 0
+            for known in self.matters.values():  # too few to say that something is, or is over
+                known.since = known.gone = 0
             return []
         found = self.found(heard)
         out: list[Verdict] = []
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -219,9 +219,12 @@
         await asyncio.sleep(max(0.0, self.zero + fault.at_s - monotonic()))
         if fault.coordinator:
             names = [n for n in [self.freezes.coordinator()] if n in self.observer.living()]
+        writing: dict[str, Any] = {}
         if fault.writing:
-            await asyncio.gather(*(self.writes(self.nodes[n]) for n in names))
+            found = await asyncio.gather(*(self.writes(self.nodes[n]) for n in names))
+            writing = {"writing": [n for n, one in zip(names, found, strict=True) if one]}
         self.fault(fault, index, names, "begins")
+        self.faults[-1] |= writing
         nodes = [self.nodes[n] for n in names]
         if fault.kind == "list":
             assert self.agents is not None
@@ -264,11 +267,14 @@
             await asyncio.gather(*(self.start(n) for n in names))
         self.fault(fault, index, names, "ends")
 
-    async def writes(self, node: NodeProcess) -> None:
-        """Waits until a file stands half written in the node's store."""
+    async def writes(self, node: NodeProcess) -> bool:
+        """Waits until a file stands half written in the node's store; False if none does in time."""
         until = monotonic() + WRITE_WAIT
-        while monotonic() < until and not any((node.folder / "store").rglob("*.tmp")):
+        while monotonic() < until:
+            if any((node.folder / "store").rglob("*.tmp")):
+                return True
             await asyncio.sleep(0)
+        return False
 
     # ---- operators ------------------------------------------------------------------------------------
 
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -54,6 +54,31 @@
     ],
 )
 
+
+def call(
+    path: str, at_s: float, node: str = "any", times: int = 1, every_s: float = 0.0, **values: Any
+) -> Table:
+    known: Table = {"path": f"freeze/{path}", "at_s": at_s, "node": node, "values": values}
+    return known | {"times": times, "every_s": every_s}
+
+
+# A change is being made when an incident opens in its zone; then the coordinator is killed while it writes.
+FREEZE = world(
+    5,
+    12.0,
+    store={"kind": "directory"},
+    freeze={"electors": ["n0", "n1", "n2"], "lease_s": 1.5, "begin_s": 0.5, "evidence": False},
+    call=[
+        call("request", 3.0, "n3", id="up", scope="zone=a", life_s=30),
+        call("open", 4.0, id="fire", scope="zone=a"),
+        call("request", 4.5, "any", 10, 0.5, id="no-{n}", kind="settings", scope="zone=a"),
+        call(
+            "request", 5.0, "any", 40, 0.05, id="go-{n}", kind="settings", scope="zone=b", life_s=5, wait_s=5
+        ),
+    ],
+    fault=[{"kind": "restart", "at_s": 5.2, "for_s": 0.5, "coordinator": True, "writing": True}],
+)
+
 WORLDS: dict[str, Table] = {
     "death": world(
         5, 8.0, fault=[{"kind": "kill", "at_s": 0.5, "nodes": ["n3"]}], load={"requests_per_s": 40.0}
@@ -72,6 +97,7 @@
     "spread": HERD | {"spread": {"hold_s": 1.0, "apart_s": 1.0}},
     "audit": CHANGES | {"audit": {}},
     "no audit": CHANGES,
+    "freeze": FREEZE,
     "leave": world(4, 4.0, fault=[{"kind": "leave", "at_s": 0.5, "nodes": ["n2"]}]),
 }
 
@@ -196,6 +222,19 @@
     assert matched([Held(1, 0.0, {"ok": 4})], came, 11.5) == (4, 4)
 
 
+def test_a_coordinator_killed_while_it_writes_is_followed_and_its_incident_holds(
+    results: dict[str, Result],
+) -> None:
+    result = results["freeze"]
+    assert figure(result, "coordinator_s") < 4
+    assert figure(result, "incidents_frozen") >= 1
+    for wrong in ("coordinators_mixed", "begun_frozen", "begun_beside", "changes_alone"):
+        assert figure(result, wrong) == 0, wrong
+    assert figure(result, "changes_begun") >= 30  # those in the other zone...
+    assert figure(result, "calls_unanswered") >= 10  # ...and all in the incident's own wait
+    assert "coordinator_s" not in results["audit"].figures  # nothing of it without its table
+
+
 def test_each_fault_is_one_line(results: dict[str, Result]) -> None:
     kinds = [(line["kind"], line["fault"]) for line in results["pause"].faults]
     assert kinds == [("pause", "begins"), ("pause", "ends")]
