Tests: the fleet's budget of a cold server, with all copies together; indented lists

Seen in the review of the standing test's rules: the slow start was tested for one copy only, and no test had a list that comes indented. 24 copies, 24 servers, a third of them restarted, calls quick or late: no server gets more than N + 3 sqrt(N) + 3 calls in the time that the settings name. The test fails without the slow start, and with COLD_PART of 2 where calls are late.

--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -869,3 +869,58 @@
     node.server_list(SEC + 10_000, ListKind.CHANGES, [ServerEntry(i, state=State.GONE) for i in range(2, 7)])
     node.each_window(SEC + 200_000)
     assert node.controller.capacity == 4.0
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_all_copies_together_keep_a_cold_server_within_what_pushes_it_over(late):
+    """Failure prevented: each of many copies sends a restarted server little, and all together push it over.
+
+    The bound is N + 3 sqrt(N) + 3 calls in the time that the settings name, N being what they allow by then.
+    """
+    copies, servers, rate, gap = (
+        24,
+        24,
+        12,
+        10_000,
+    )  # calls a second that a warm server gets; a burst each 10 ms
+    rng = Random(7)
+    changes = {"cold_share": 0.12, "cold_time": 22 * SEC, "fall_time": 3 * SEC, "instances": copies}
+    nodes = [balancer(servers, seed=i, ring=(i, copies), **changes) for i in range(copies)]
+    rules = nodes[0][0].settings
+    due: list[tuple[int, int, int, int]] = []  # calls out: time, copy, request, server
+    cold, sent, last = set(range(1, 9)), Counter(), Counter()
+    times: dict[int, list[int]] = {server: [] for server in cold}
+    began, until = 8 * SEC, 18 * SEC
+    for now in range(0, until, gap):
+        if now == began:
+            for node, _ in nodes:
+                node.server_list(
+                    now, ListKind.CHANGES, [ServerEntry(server, ready_at=now) for server in cold]
+                )
+        for at, copy, request, server in [call for call in due if call[0] <= now]:
+            end(
+                *nodes[copy],
+                now,
+                request,
+                0,
+                server,
+                Outcome.OK,
+                at and 20_000 + 2 * SEC * (late and now > began),
+            )
+        due = [call for call in due if call[0] > now]
+        for _ in range(servers * rate * gap // SEC + (rng.random() < 0.88)):
+            copy = rng.randrange(copies)
+            last[copy] += 1
+            action = ask(*nodes[copy], now, last[copy], klass=0)
+            if action[0] == "send":
+                sent[action[2]] += 1
+                due.append((now + 20_000, copy, last[copy], action[2]))
+                if now >= began and action[2] in cold:
+                    times[action[2]].append(now)
+    for seen in times.values():
+        assert seen  # each gets its part
+        for start in range(began, until - rules.fall_time, rules.fall_time // 10):
+            count = sum(start <= at < start + rules.fall_time for at in seen)
+            warmth = rules.cold_share + (1 - rules.cold_share) * (start - began) / rules.cold_time
+            allowed = rules.fall_multiple * warmth * rate * rules.fall_time / SEC
+            assert count <= allowed + 3 * allowed**0.5 + 3
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -174,3 +174,18 @@
         assert len(told) == 1 and discovery.failures == 0
 
     play(scene)
+
+
+@pytest.mark.parametrize("lines", [1, 800])
+def test_an_indented_list_is_read_like_any_other(lines):
+    """Failure prevented: a list that comes indented, long or short, is dropped, and nobody is known."""
+
+    async def scene():
+        bench = await Bench(config={"known": None}).start()
+        await (server := Server()).start()
+        entries = [server.entry(f"s{i}") for i in range(lines)]
+        bench.discovery.answers.put_nowait(whole(42, *entries, indent="\t \r\n"))
+        await until(lambda: bench.node.listed is not None and len(bench.node.listed) == lines)
+        assert (await bench.once(call()))[0] == 200
+
+    play(scene)
