Records: repair by a check over each of 32 buckets of owners, not by telling all in turn

Cause: what pushes had missed waited until its owner came up in the turns of exchanges: 200 members agreed 6 s after a partition healed, with the last three of 6,400 pairs taking most of it. An exchange now carries 128 bytes of checks over 32 buckets, and is answered with the heads of those that differ; heads that are overdue are asked for by naming them. An answer that does not come is asked for elsewhere after 0.15 s.

--- a/brackenladder/records/table.py
+++ b/brackenladder/records/table.py
@@ -7,8 +7,9 @@
 
 * A head whose check differs from what is held is asked for, from who told it, and taken up once it agrees.
 * A new head is told on to a few members drawn at random, a bounded number of times (rumour mongering).
-* Twice a second one member is told the heads of the latest beats and, in turn, of all owners, and answers
-  with what it knows newer: repair after losses and partitions, and what a newcomer asks for at once.
+* Twice a second one member is told the heads of the latest beats and a check over each of 32 buckets of
+  owners, and answers with what it knows newer and with its heads of buckets that differ: repair after losses
+  and partitions. A newcomer asks for all heads at once.
 * An owner's count also rises without news, as a beat. Records whose owner's count has not risen for a stated
   age are stale.
 * Nothing is taken from or about who is not live, and the records of who was not for a stated time are
@@ -34,6 +35,7 @@
 
 from brackenladder.records.interface import MOST_BODY, Record
 from brackenladder.records.wire import (
+    BUCKETS,
     HEAD,
     KEY,
     KIND_LIMIT,
@@ -60,10 +62,11 @@
 Address = tuple[str, int]
 Part = TypeVar("Part")
 LARGEST = 1_300  # bytes of a datagram: what a shared transport leaves of 1,400, and some more
-FULL = (LARGEST - 20) // HEAD.size  # heads in one datagram
+BUCKETED = 32  # as `wire.BUCKETS` has them
+MOST_BUCKETS = 8  # of those that differ, answered at a time: what is on its way makes many differ
+FULL = (LARGEST - 20 - BUCKETS.size) // HEAD.size  # heads in one datagram
+LEAST = 10  # of them for owners that are overdue
 MOST_KINDS = 16  # of one owner
-TURNS = 4  # exchanges that it takes to tell of all owners, unless a datagram is full before ...
-LEAST_TURN = 10  # ... and so many owners each time
 ASKS = 2  # exchanges of a newcomer that ask for all heads
 BURST = 2  # seconds of the budget that may be spent at once
 FRAME = 32  # bytes around a message's content
@@ -85,7 +88,7 @@
     beat_a_member: int = 25_000  # ... or, among many, so often for each member
     stale_beats: int = 4  # and a silence of so many is stale
     stale_least: int = 15_000_000
-    again: int = 250_000  # without an answer another member is asked
+    again: int = 150_000  # without an answer another member is asked
     drop_after: int = 60_000_000  # records of who is not live are kept so long
     withdraw_after: int = 30_000_000  # what an earlier life wrote and this one does not
     rate: int = 8_000  # bytes a second, ...
@@ -157,6 +160,11 @@
     def reach(self, head: Head) -> None:
         self.head, self.raw = head, pack(self.key, head)
 
+    @property
+    def mix(self) -> int:
+        """What it adds to its bucket's check; nothing without records, as views of who lives differ."""
+        return check_of(self.key + self.checked.to_bytes(4, "big")) if self.records else 0
+
     def hold(self, kind: str, entry: Entry) -> None:
         """Puts a record in place of what was there."""
         self.records[kind] = entry
@@ -183,7 +191,7 @@
         self.warm: dict[bytes, int] = {}  # the same of beats alone, which go with the exchanges
         self.wanting: dict[bytes, Owner] = {}  # owners with a wanted head
         self.asking: dict[Address, list[Owner]] = {}  # whom this call asks, for what
-        self.turn: list[bytes] = []  # keys that are still to be told in this round of exchanges
+        self.buckets = [0] * BUCKETED  # over the records of the owners in each
         self.asks = 0  # exchanges that still ask for all
         self.tokens = float(BURST * self.rate)  # bytes that may go out now
         self.next_push = self.next_exchange = now
@@ -312,7 +320,7 @@
     # ---- what others say -------------------------------------------------------------------------------
 
     def _heads(self, message: Heads, source: Address, out: list[Send]) -> None:
-        newer: list[bytes] = []
+        newer: list[bytes] = []  # in hand, of those named and of buckets that differ
         named: set[bytes] = set()
         for raw in split(message.packed):
             key = raw[:KEY]
@@ -333,8 +341,16 @@
         if message.ask == Ask.ALL:
             newer += [k for k in self.keys if k not in named]
         if message.ask != Ask.NOTHING:
-            for i in range(0, len(newer), FULL):
-                self._post(Heads(self._packed(newer[i : i + FULL])), source, out)
+            self._tell(newer, Ask.NOTHING, source, out)
+        if message.buckets:
+            theirs = BUCKETS.unpack(message.buckets)
+            differ = [i for i, mine in enumerate(self.buckets) if mine != theirs[i]]
+            chosen = set(self.random.sample(differ, min(MOST_BUCKETS, len(differ))))
+            self._tell([k for k in self.keys if bucket(k) in chosen], Ask.NEWER, source, out)
+
+    def _tell(self, keys: list[bytes], ask: Ask, source: Address, out: list[Send]) -> None:
+        for i in range(0, len(keys), FULL):
+            self._post(Heads(self._packed(keys[i : i + FULL]), ask), source, out)
 
     def _newer(self, owner: Owner, head: Head, source: Address) -> None:
         """Somebody tells a head above the one in hand."""
@@ -424,7 +440,7 @@
             elif entry.beats(owner.records.get(item.kind)) and (
                 item.kind in owner.records or len(owner.records) < MOST_KINDS
             ):
-                owner.hold(item.kind, entry)
+                self._hold(owner, item.kind, entry)
                 self.counters.taken += 1
                 if owner.wanted is not None and owner.wanted.check == owner.checked:
                     self._adopt(owner, owner.wanted)
@@ -438,7 +454,7 @@
     # ---- this node's own -------------------------------------------------------------------------------
 
     def _write(self, kind: str, body: bytes, above: int) -> None:
-        self.me.hold(kind, Entry(min(above + 1, LAST), body, self.now))
+        self._hold(self.me, kind, Entry(min(above + 1, LAST), body, self.now))
         self._speak(news=True)
 
     def _speak(self, news: bool, above: int = 0) -> None:
@@ -463,7 +479,7 @@
             return
         if kind not in self.written and entry.body:
             self.earlier[kind] = self.now + self.rules.withdraw_after
-        self.me.hold(kind, entry)
+        self._hold(self.me, kind, entry)
         self._speak(news=True)
 
     def _held_of_mine(self, held: list[Held], source: Address) -> None:
@@ -502,20 +518,18 @@
                 self.warm[key] = self.rules.pushes  # who missed all of that hears it with the exchanges
 
     def _exchange(self, out: list[Send]) -> None:
-        """Tells one member of beats and of all owners in turn, and asks what it knows newer."""
-        batch = dict.fromkeys([*self.warm][: FULL * 3 // 4])
-        spoken = list(batch)
-        if not self.turn:
-            self.turn = list(self.keys)
-            self.random.shuffle(self.turn)
-        most = min(FULL, len(batch) + max(LEAST_TURN, len(self.keys) // TURNS))
-        while self.turn and len(batch) < most:
-            key = self.turn.pop()
-            if key in self.keys:
-                batch[key] = None
+        """Tells one member of the latest beats, of some that are overdue, and a check over all."""
+        spoken = list(self.warm)[: FULL - LEAST]
+        overdue = [
+            o.key
+            for o in self.owners.values()
+            if o.gone is None and o.records and self.now - o.renewed > self.beat * 3 // 2
+        ]
+        batch = dict.fromkeys([*spoken, *self.random.sample(overdue, min(LEAST, len(overdue)))])
         ask = Ask.ALL if self.asks else Ask.NEWER
         target = self.random.choice(self.peers)
-        if not self._post(Heads(self._packed(batch), ask), self.addresses[target], out):
+        message = Heads(self._packed(batch), ask, BUCKETS.pack(*self.buckets))
+        if not self._post(message, self.addresses[target], out):
             return
         self.asks = max(0, self.asks - 1)
         for key in spoken:
@@ -554,16 +568,26 @@
         """Spread about a time, so that members do not keep step."""
         return time * 3 // 4 + self.random.randrange(max(1, time // 2))
 
+    def _hold(self, owner: Owner, kind: str, entry: Entry) -> None:
+        before = owner.mix
+        owner.hold(kind, entry)
+        self.buckets[bucket(owner.key)] ^= before ^ owner.mix
+
     def _drop(self) -> None:
         """Forgets who was not live for long."""
         self.next_drop = self.now + self.rules.drop_after // 10
         for owner in [o for o in self.owners.values() if o.gone is not None]:
             if owner.gone is not None and self.now - owner.gone > self.rules.drop_after:
                 del self.owners[owner.name], self.keys[owner.key]
+                self.buckets[bucket(owner.key)] ^= owner.mix
                 for held in (self.hot, self.warm, self.wanting):
                     held.pop(owner.key, None)
 
 
+def bucket(key: bytes) -> int:
+    return key[0] % BUCKETED
+
+
 def sliced(parts: list[Part]) -> Iterator[list[Part]]:
     """The same in as few lists as fit in a datagram each."""
     batch: list[Part] = []
--- a/brackenladder/records/wire.py
+++ b/brackenladder/records/wire.py
@@ -24,6 +24,7 @@
 NAME_LIMIT = 64
 KIND_LIMIT = 32
 HEAD = struct.Struct(">6sHII")  # key, count (48 bits), check
+BUCKETS = struct.Struct(">32I")
 
 
 class Head(msgspec.Struct, frozen=True, order=True):
@@ -42,10 +43,12 @@
 
 
 class Heads(msgspec.Struct, tag=1, array_like=True, frozen=True):
-    """Heads of owners, packed."""
+    """Heads of owners, packed; and, if any, 32 bits over all records in each bucket of owners, for
+    whose difference heads are wanted as well."""
 
     packed: bytes
     ask: Ask = Ask.NOTHING
+    buckets: bytes = b""
 
 
 class Held(msgspec.Struct, array_like=True, frozen=True):
@@ -124,6 +127,8 @@
     )
     if len(heads) % HEAD.size:
         raise RecordsMalformed("heads are cut off")
+    if isinstance(message, Heads) and len(message.buckets) not in (0, BUCKETS.size):
+        raise RecordsMalformed("there are 32 buckets")
     if isinstance(message, Want) and any(len(o.key) != KEY for o in message.owners):
         raise RecordsMalformed("a key has six bytes")
     for item in message.items if isinstance(message, Have) else ():
