--- a/brackenladder/lab/overhead.py
+++ b/brackenladder/lab/overhead.py
@@ -69,13 +69,14 @@
 
     def summary(self) -> dict[str, float]:
         """Medians, and the spread of the ratio."""
+        relay = median(t.per_cpu for t in self.relay)  # 0 where turns are too short for the clock of its time
         return {
             "node_rps": median(t.rate for t in self.node),
             "relay_rps": median(t.rate for t in self.relay),
             "ratio": median(self.ratios),
             "ratio_least": min(self.ratios),
             "ratio_most": max(self.ratios),
-            "ratio_per_cpu": median(t.per_cpu for t in self.node) / median(t.per_cpu for t in self.relay),
+            "ratio_per_cpu": median(t.per_cpu for t in self.node) / relay if relay else 0.0,
             "node_cpu": median(t.cpu / t.seconds for t in self.node),
             "relay_cpu": median(t.cpu / t.seconds for t in self.relay),
             "refused": float(sum(t.refused for t in self.node)),
