Stores: a new log file that failed is taken away before the log goes on

Need: with a failing disk, a log file whose first write failed and that could not be removed stayed, while a smaller entry of the same number still fitted into the file before: the next opening found two files for one number and called it damage. Change: such a file is removed, and the folder synced, before the log's next entry.

--- a/brackenladder/stores/directory.py
+++ b/brackenladder/stores/directory.py
@@ -63,7 +63,8 @@
     marked: int = 0  # bytes of its .cut
     segments: list[Segment] = field(default_factory=list)
     fd: int = -1  # the last segment, open for appending
-    dirty: bool = False  # a failed append may have left bytes after the last entry
+    dirty: bool = False  # a failed append may have left bytes after the last entry...
+    stray: str = ""  # ...or this file
     fault: StoreDamaged | None = None
 
 
@@ -180,8 +181,9 @@
         except OSError:
             if fd >= 0:
                 os.close(fd)
+            there.stray = path
             with suppress(OSError):
-                self.files.unlink(path)
+                self.clean(there)
             raise
         if there.fd >= 0:
             os.close(there.fd)
@@ -206,7 +208,13 @@
         self.used += len(entry)
 
     def clean(self, there: Log) -> None:
-        """Takes away what a failed append has left."""
+        """Takes away what a failed append has left. Failure prevented: the next entry fits into the file
+        before, and the opening after finds two files that claim its number."""
+        if there.stray:
+            with suppress(FileNotFoundError):
+                self.files.unlink(there.stray)
+            self.files.sync(self.folder)
+            there.stray = ""
         if there.dirty:
             self.files.truncate(there.fd, there.segments[-1].size)
             self.files.sync(there.fd)
@@ -437,12 +445,12 @@
     found: list[bytes] = []
     at = LOG_HEAD
     while at + HEAD.size <= len(data):
-        length, check = HEAD.unpack_from(data, at)
-        begin, end = at + HEAD.size, at + HEAD.size + length
-        if check != headed(segment.base + len(found), length) or end + TAIL.size > len(data):
+        length, _ = HEAD.unpack_from(data, at)
+        end = at + HEAD.size + length
+        if end + TAIL.size > len(data):
             break
-        entry = data[begin:end]
-        if TAIL.unpack_from(data, end) != (crc32(entry, check), END):
+        entry = data[at + HEAD.size : end]
+        if TAIL.unpack_from(data, end) != (crc32(entry, headed(segment.base + len(found), length)), END):
             break
         found.append(entry)
         at = end + TAIL.size
--- a/brackenladder/stores/sqlite.py
+++ b/brackenladder/stores/sqlite.py
@@ -2,7 +2,7 @@
 
 Locked for as long as it is open by SQLite's own lock of the file, which ends with the process. Each row has
 a checksum of its name, number and data; a row that is missing is found by what is kept beside: the numbers
-that a log spans, and how many records and logs there are. The file's `user_version` is the format.
+that a log spans, and how many records and logs there are. The file's `user_version` is the format, twice.
 """
 
 from __future__ import annotations
@@ -76,17 +76,19 @@
     def begin(self, db: sqlite3.Connection) -> None:
         """Locks the file, makes what is missing in it and checks the rest."""
         db.execute("PRAGMA locking_mode = EXCLUSIVE")
-        (format,) = db.execute("PRAGMA user_version").fetchone()
-        if format > FORMAT:
-            raise StoreNewer(f"its format is {format}, this program's {FORMAT}", self.where)
+        (version,) = db.execute("PRAGMA user_version").fetchone()
+        fresh = db.execute("SELECT count(*) FROM sqlite_schema").fetchone() == (0,)
+        if version != (0 if fresh else doubled(version & 0xFFFF)):
+            raise StoreDamaged(f"its user_version is {version}", self.where)
+        if version & 0xFFFF > FORMAT:
+            raise StoreNewer(f"its format is {version & 0xFFFF}, this program's {FORMAT}", self.where)
         db.execute("PRAGMA journal_mode = WAL")
         db.execute("PRAGMA synchronous = FULL")
-        fresh = db.execute("SELECT count(*) FROM sqlite_schema").fetchone() == (0,)
-        if fresh or format < FORMAT:
+        if version != doubled(FORMAT):
             with self.change() as db:
                 for statement in TABLES if fresh else ():
                     db.execute(statement)
-                db.execute(f"PRAGMA user_version = {FORMAT}")
+                db.execute(f"PRAGMA user_version = {doubled(FORMAT)}")
         found = db.execute("PRAGMA integrity_check(1)").fetchone()
         if found != ("ok",):
             raise StoreDamaged(str(found[0]).lower(), self.where)
@@ -247,6 +249,11 @@
                 raise
 
 
+def doubled(format: int) -> int:
+    """The format twice, so that a flipped bit does not make it a newer one."""
+    return format << 16 | format
+
+
 def summed(data: bytes, name: str, *numbers: int) -> int:
     """A row's checksum: it counts under its own name and number alone."""
     return crc32(data, crc32(" ".join((name, *map(str, numbers))).encode()))
--- a/tests/contracts/model.py
+++ b/tests/contracts/model.py
@@ -84,6 +84,8 @@
     assert model is not None, (summary(found), [summary(m.contents()) for m in models])
     for log, number in model.next.items():
         assert store.append(log, b"after") == number
+        model = model.after(("append", log, b"after"))
+    assert contents(store) == model.contents()
     assert store.size() <= store.most  # type: ignore[attr-defined]
 
 
