Stores: a thread that makes a store's calls in order, off the loop

Need: an fsync takes milliseconds on a good disk and seconds on a bad one; on the node's loop it holds every request.

--- /dev/null
+++ b/tests/test_store_worker.py
@@ -0,0 +1,84 @@
+"""A store's calls in a thread of their own."""
+
+import asyncio
+from threading import Event
+
+import pytest
+
+from brackenladder.stores.interface import StoreError, StoreFull
+from brackenladder.stores.memory import MemoryStore
+from brackenladder.stores.worker import StoreBusy, StoreWorker
+
+
+class Slow(MemoryStore):
+    """Stands still at each append until the gate opens."""
+
+    def __init__(self) -> None:
+        super().__init__(10_000)
+        self.gate = Event()
+
+    def append(self, log: str, data: bytes) -> int:
+        assert self.gate.wait(10)
+        return super().append(log, data)
+
+
+def play(scene):
+    async def whole():
+        store = Slow()
+        worker = StoreWorker(store, asyncio.get_running_loop(), 5)
+        try:
+            await asyncio.wait_for(scene(store, worker), 10)
+        finally:
+            store.gate.set()
+            await worker.close()
+        assert not store.open
+
+    asyncio.run(whole())
+
+
+def test_calls_are_made_in_order_while_the_loop_goes_on_and_errors_come_back():
+    async def scene(store, worker):
+        asked = [worker.append("a", b"1"), worker.append("a", bytes(20_000)), worker.append("a", b"2")]
+        read = worker.read("a")
+        asked[0].cancel()  # nobody waits for it; it is made all the same
+        await asyncio.sleep(0)
+        assert not read.done()
+        store.gate.set()
+        assert await read == [(1, b"1"), (2, b"2")] and await asked[2] == 2
+        with pytest.raises(StoreFull):
+            await asked[1]
+        with pytest.raises(StoreError):
+            await worker.get("A")
+        assert worker.waiting == 0
+
+    play(scene)
+
+
+def test_no_more_wait_than_the_bound_and_the_end_always_has_room():
+    async def scene(store, worker):
+        asked = [worker.append("a", b"") for _ in range(5)]
+        with pytest.raises(StoreBusy):
+            worker.names()
+        end = worker.close()
+        with pytest.raises(StoreError):
+            worker.names()
+        assert not end.done()
+        store.gate.set()
+        await end
+        assert [await a for a in asked] == [1, 2, 3, 4, 5]
+
+    play(scene)
+
+
+def test_a_loop_that_has_ended_loses_no_write():
+    async def leave():
+        worker = StoreWorker(store, asyncio.get_running_loop())
+        worker.append("a", b"1")
+        return worker
+
+    store = Slow()
+    worker = asyncio.run(leave())
+    store.gate.set()
+    worker.jobs.put(None)
+    worker.thread.join(10)
+    assert [data for _, data in store.read("a")] == [b"1"]
