--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -229,6 +229,7 @@
         self.committed: Held = NOTHING
         self.history: deque[tuple[Held, Held, bytes]] = deque(maxlen=HISTORY)  # from, to, command
         self.taking: Taking | None = None
+        self.snapshot: tuple[Held, bytes] = (NOTHING, b"")  # that is on its way to others
         self.nonce = 0
         self.answers: dict[str, Status] = {}
         self.crowd: tuple[str, ...] = ()  # other nodes, which may remember a term that all electors forgot
@@ -476,6 +477,7 @@
         self.elected = self.now
         self.peers = {n: Peer() for n in self.others}
         self.history.clear()
+        self.snapshot = (NOTHING, b"")
         self.committed = NOTHING
         self.events.append(Event("elected", self.term))
         self.opened = self.held_after(b"")  # Raft 5.4.2: a state of an earlier term counts once this one does
@@ -534,7 +536,7 @@
             commands.append((after, command))
         if commands:
             return [Send(name, Beat(self.term, self.now, peer.held, commands))]
-        data = self.state.dump()
+        held, data = self.whole()
         parts = max(1, -(-len(data) // PART_BYTES))
         if parts > MOST_PARTS:
             return []  # cannot be: the state is bounded far below
@@ -542,12 +544,20 @@
             Send(
                 name,
                 SnapshotPart(
-                    self.term, self.now, self.held, i, parts, data[i * PART_BYTES : (i + 1) * PART_BYTES]
+                    self.term, self.now, held, i, parts, data[i * PART_BYTES : (i + 1) * PART_BYTES]
                 ),
             )
             for i in range(parts)
         ]
 
+    def whole(self) -> tuple[Held, bytes]:
+        """A version of the whole state that the commands at hand follow on. Failure prevented: while changes
+        go on, an elector that loses one part of many never has all parts of one version."""
+        held = self.snapshot[0]
+        if held != self.held and not any(before == held for before, _, _ in self.history):
+            self.snapshot = (self.held, self.state.dump())
+        return self.snapshot
+
     def on_ack(self, sender: str, ack: BeatAck) -> list[Action]:
         if ack.term > self.term:
             return self.take_term(ack.term)
--- a/brackenladder/freeze/evidence.py
+++ b/brackenladder/freeze/evidence.py
@@ -37,8 +37,9 @@
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """A node's record."""
 
-    zones: dict[str, tuple[int, int]] = {}  # servers judged, and failing among them
-    refused: int = -1  # percent of its attempts that servers turned away; -1: too few to say
+    # In tenths, so that a record that says the same is no news.
+    zones: dict[str, int] = {}  # of the servers judged there, how many fail
+    refused: int = -1  # of its attempts, how many servers turned away; -1: too few to say
     lists: tuple[str, int, str] = ("", 0, "")  # the list of servers it acts on: origin, number, digest
 
 
@@ -88,8 +89,8 @@
                     row = zones.setdefault(self.zones[server], [0, 0])
                     row[0] += 1
                     row[1] += failed > well
-            refused = 100 * away // total if total >= 10 * LEAST_ATTEMPTS else -1
-            self.report = Report({z: (n, bad) for z, (n, bad) in zones.items()}, refused)
+            refused = 10 * away // total if total >= 10 * LEAST_ATTEMPTS else -1
+            self.report = Report({z: 10 * bad // n for z, (n, bad) in zones.items()}, refused)
             self.counts.clear()
         return msgspec.structs.replace(self.report, lists=lists)
 
@@ -165,13 +166,13 @@
         found: dict[str, tuple[float, str, str]] = {}
         zones = sorted({z for r in heard.values() for z in r.zones})
         for zone in zones:
-            judging = [r.zones[zone] for r in heard.values() if zone in r.zones and r.zones[zone][0] > 0]
-            failing = sum(bad / n >= self.rules.servers for n, bad in judging)
+            judging = [r.zones[zone] for r in heard.values() if zone in r.zones]
+            failing = sum(tenths >= 10 * self.rules.servers for tenths in judging)
             share = failing / len(judging) if len(judging) > 1 else 0.0
             why = f"{failing} of {len(judging)} nodes find {self.rules.servers:.0%} of its servers failing"
             found[f"zone-{zone}-fails"] = (share, f"zone={zone}", why)
         refused = [r.refused for r in heard.values() if r.refused >= 0]
-        over = sum(r >= 100 * self.rules.refusals for r in refused)
+        over = sum(r >= 10 * self.rules.refusals for r in refused)
         if len(refused) > 1:
             why = f"{over} of {len(refused)} nodes are turned away in {self.rules.refusals:.0%} of attempts"
             found["servers-refuse"] = (over / len(refused), "*", why)
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -9,8 +9,10 @@
 from brackenladder.freeze.changes import Change
 from brackenladder.freeze.election import RECORD, ElectionRules, Elector
 from brackenladder.freeze.errors import FreezeRecord, FreezeScope
+from brackenladder.freeze.holder import Holder
 from brackenladder.freeze.machine import Freeze
 from brackenladder.freeze.state import State, overlap, read_scope
+from brackenladder.freeze.wire import Give, Halt, Held, News, Told
 from brackenladder.lab.freeze import SECOND, World, rules_of
 
 ZONE_A, ZONE_B = "zone=a", "zone=b"
@@ -340,6 +342,54 @@
     well(world)
 
 
+def test_an_elector_that_lost_its_store_gets_a_large_state_in_parts_while_changes_go_on() -> None:
+    world = settled()
+    world.net.loss, world.write = 0.1, 500
+    for i in range(250):
+        world.ask(f"n{3 + i % 3}", f"r{i}", Change.SETTINGS, life=600 * SECOND, patience=30 * SECOND)
+    first = leader(world)
+    lost = next(n for n in world.rules.election.electors if n != first)
+    world.kill(lost, lose=True)
+    world.start(lost)
+    for i in range(250, 500):
+        at = world.now + (i - 250) * SECOND // 40
+        world.at(at, partial(world.ask, f"n{3 + i % 3}", f"r{i}", Change.SETTINGS, life=600 * SECOND))
+    world.run(world.now + 6 * SECOND)  # two of them to come back, and the rest while changes go on
+    machine, other = world.sites[lost].machine, world.sites[first].machine
+    assert machine is not None and machine.elector is not None
+    assert other is not None and other.elector is not None
+    assert len(other.elector.state.dump()) > 10 * 1_100
+    assert machine.elector.held[1] > other.elector.held[1] - 20 > 250
+    world.kill(first)
+    assert world.until(lambda: world.coordinator() is not None, 5 * SECOND)
+    well(world)
+
+
+def test_a_node_takes_no_word_of_a_coordinator_that_is_over_and_no_token_below_one_it_has_seen() -> None:
+    rules = rules_of(["n0", "n1", "n2"]).holder
+    holder = Holder("n5", rules, {})
+    scope = read_scope(ZONE_A)
+
+    def give(id: str, token: Held, asof: Held) -> list[str]:
+        holder.receive(10, "n1" if asof[0] == 2 else "n0", Give(id, token, asof, 5, SECOND))
+        return [o.what for o in holder.drain()]
+
+    for id in "abcde":
+        where = read_scope(ZONE_B) if id == "e" else scope
+        holder.ask(5, id, Change.SETTINGS, where, SECOND, patience=SECOND)
+    holder.receive(6, "n1", News((2, 9), (2, 8), 0, 1, [Told("fire", read_scope(ZONE_B), 3, "")]))
+    assert give("a", (1, 7), (1, 7)) == [] and holder.stale == 1
+    holder.receive(7, "n0", News((1, 20), (1, 19), 0, 1, []))  # it does not know of the incident
+    assert [i.id for i in holder.known()] == ["fire"]
+    assert give("b", (2, 12), (2, 12)) == ["go"]
+    assert give("c", (2, 11), (2, 12)) == []  # given before; asked for anew
+    assert holder.wants["c"].wire == "c~1" and "c" in holder.ending
+    assert give("c~1", (2, 14), (2, 14)) == ["go"]
+    holder.receive(12, "n1", Halt("d", (2, 16), (2, 17), "incident"))
+    assert give("d", (2, 16), (2, 17)) == [] and "d" not in holder.held  # its halt came first
+    assert give("e", (2, 20), (2, 20)) == [] and holder.wants["e"].why == "an incident has opened"
+
+
 def test_scopes_overlap_unless_something_that_both_name_differs() -> None:
     regions = {"a": "north", "c": "south"}
 
