Freeze: a new coordinator gives at once, since no inherited grant can still begin

Whoever held a grant had promised a lease after it was asked for, and a grant begins within begin_s, which is at most a lease: the second that a new coordinator waited was needless.

--- a/brackenladder/freeze/coordinator.py
+++ b/brackenladder/freeze/coordinator.py
@@ -8,8 +8,9 @@
 nothing granted before can begin any more: each conflicting change has ended or acknowledged its halt, or the
 time in which a grant may be begun (`begin`, counted by the node from its request) is over.
 
-Pure, and volatile: a new coordinator starts with the replicated state alone. It gives nothing for the time
-`begin` after its election, so that no grant of the one before is begun beside one of its own.
+Pure, and volatile: a new coordinator starts with the replicated state alone. No grant that it inherits can
+still be begun: whoever held it before the election had promised a lease after it was asked for, and `begin`
+is no longer than a lease. So it may give at once, and no grant of the one before begins beside its own.
 """
 
 from __future__ import annotations
@@ -69,7 +70,7 @@
 class FreezeRules:
     """Times in microseconds, by whoever's clock measures them; the same in all nodes."""
 
-    begin: int = 1_000_000  # a grant must be begun so soon after it was asked for
+    begin: int = 1_000_000  # a grant must be begun so soon after it was asked for; a lease at most
     most_life: int = 3_600_000_000  # a change may take so long at most
     tell: int = 1_000_000  # members are told of the incidents so often
     halt: int = 200_000  # a halt is repeated so often until it is acknowledged
@@ -102,8 +103,8 @@
     """What one coordinator knows beside the replicated state; gone with its term."""
 
     term: int
-    elected: int
-    since: dict[str, int] = field(default_factory=dict)  # by grant, when it was given by this one's clock
+    since: dict[str, int] = field(default_factory=dict)  # by grant, when it was given at the latest
+    given: dict[str, int] = field(default_factory=dict)  # the same for those given in this term
     pending: dict[str, Held] = field(default_factory=dict)  # grants not yet held by a majority
     ending: dict[str, Held] = field(default_factory=dict)
     acked: set[str] = field(default_factory=set)  # halts that have been acknowledged
@@ -137,7 +138,7 @@
             self.own = None
             return None
         if self.own is None or self.own.term != self.elector.term:
-            self.own = Terms(self.elector.term, now, changed=self.elector.opened)
+            self.own = Terms(self.elector.term, changed=self.elector.opened)
             self.own.since = dict.fromkeys(self.state.grants, now)  # as late as they can have been given
             self.say("coordinates", f"{len(self.state.incidents)} incidents, {len(self.state.grants)} grants")
         return self.own
@@ -180,7 +181,7 @@
         ]
         if len(own.forcing) < sum(not i.force for i in self.state.incidents.values()):
             times += [
-                at + self.rules.begin for at in own.since.values() if at + self.rules.begin > self.elector.now
+                at + self.rules.begin for at in own.given.values() if at + self.rules.begin > self.elector.now
             ]
         return max(self.elector.now, min(times))
 
@@ -201,6 +202,7 @@
         for name in [n for n, held in own.ending.items() if held <= committed]:
             del own.ending[name]
             own.since.pop(name, None)
+            own.given.pop(name, None)
             own.halts.pop(name, None)
             own.acked.discard(name)
         for name in [n for n, held in own.forcing.items() if held <= committed]:
@@ -246,9 +248,6 @@
             return [self.wait(sender, ask, "this change is over; ask under another id", final=True)]
         if ask.kind not in KINDS or not 0 < ask.life <= self.rules.most_life:
             return [self.wait(sender, ask, "no such kind of change, or it may not take so long", final=True)]
-        if now < own.elected + self.rules.begin:
-            left = own.elected + self.rules.begin - now
-            return [self.wait(sender, ask, "the coordinator is new", again=left)]
         grant = Grant(
             ask.id, sender, ask.kind, ask.scope, ask.life, ask.sent, ask.reason, ask.mends, ask.plan
         )
@@ -278,7 +277,7 @@
         if held is None:
             return [self.wait(sender, ask, "this request is too large", final=True)]
         own.waiting.pop(ask.id, None)
-        own.pending[ask.id], own.since[ask.id] = held, now
+        own.pending[ask.id], own.since[ask.id], own.given[ask.id] = held, now, now
         if ask.reason:
             self.say_grant("emergency", grant, ask.reason)
         return []
@@ -402,8 +401,6 @@
 
     def enforce(self, own: Terms, now: int) -> None:
         """An incident is in force once nothing that conflicts with it can still begin."""
-        if now < own.elected + self.rules.begin:
-            return
         for incident in list(self.state.incidents.values()):
             if incident.force or incident.id in own.forcing:
                 continue
@@ -412,7 +409,7 @@
                 for g in self.state.grants.values()
                 if stops(incident, g, self.regions)
                 and g.id not in own.acked
-                and now < own.since[g.id] + self.rules.begin
+                and now < own.given.get(g.id, now - self.rules.begin) + self.rules.begin
             ]
             if not open_yet:
                 held = self.propose(Force(incident.id))
--- a/brackenladder/lab/freeze.py
+++ b/brackenladder/lab/freeze.py
@@ -42,6 +42,7 @@
     jitter: int = 500
     duplicate: float = 0.0
     cut: set[tuple[str, str]] = field(default_factory=set)  # (from, to)
+    slow: dict[tuple[str, str], int] = field(default_factory=dict)  # so much later
 
 
 @dataclass
@@ -217,7 +218,8 @@
         if self.random.random() < self.net.loss:
             return
         for _ in range(2 if self.random.random() < self.net.duplicate else 1):
-            delay = self.net.delay + self.random.randrange(self.net.jitter + 1)
+            late = self.net.slow.get((sender, send.to), 0)
+            delay = late + self.net.delay + self.random.randrange(self.net.jitter + 1)
             self.at(self.now + delay, partial(self.arrive, sender, send.to, data))
 
     def arrive(self, sender: str, to: str, data: bytes) -> None:
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -239,6 +239,8 @@
 
         if len(self.electors) not in (3, 5, 7) or len(set(self.electors)) < len(self.electors):
             raise OperationValue("names 3, 5 or 7 nodes, each once", "freeze.electors")
+        if self.begin_s > self.lease_s:
+            raise OperationConflict("is longer than lease_s; a grant begins within a lease", "freeze.begin_s")
         us = 1_000_000
         names = tuple(self.electors)
         alone = dict(ALONE)
