The settings' digest leaves the machine's limits out

Need: two machines with other limits of sockets act on the same settings, and would have been shown as diverged.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -42,7 +42,6 @@
 STORE_AGAIN = 0.5  # seconds until a store that cannot be had is tried again
 HELD_TIME = 120_000_000  # microseconds for which such a part holds changes: an upgrade is over by then
 OWN_PARTS = ("membership", "spread", "zones", "storms")  # the node's own, which shut it out never
-SHARED = ("settings", "limits")  # and of the file what is for all
 OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
 
 
@@ -386,10 +385,8 @@
     def told_settings(self, config: Config) -> None:
         """The platform's file in force."""
         if self.tracks:
-            shared = {key: config.filed.get(key) for key in SHARED}
-            settings = shared["settings"]
-            if isinstance(settings, dict):
-                shared["settings"] = {k: v for k, v in settings.items() if k not in OWN_SETTINGS}
+            settings = config.filed.get("settings") or {}
+            shared = {k: v for k, v in settings.items() if k not in OWN_SETTINGS}
             self.counted(Source.SETTINGS, "platform", json.dumps(shared, sort_keys=True))
 
     def told_operation(self, operation: Operation | None) -> None:
