Lab: servers with a real LRU, keys, nodes that send them to their homes, changes in steps

Late answers after a change of placement need queues, which the caches alone lack. The emulator's servers get an LRU each (cachetools) and cheaper hits, scenarios get keys (Zipf with drift, a shift, scans, flashes) and a way to make changes: at once, in fixed steps, as is forecast. Sharded, a Balancer in a module of its own, draws a request's first attempt among its homes while one has room, else as ever, and counts that; balance.py is not touched. Placer moves shards in steps, the same ones in all nodes. [shards] and [forecast] in the operators' file, off by default.

--- a/brackenladder/forecast/account.py
+++ b/brackenladder/forecast/account.py
@@ -33,6 +33,7 @@
     at: int  # microseconds, monotonic
     expected: Forecast
     believed: bool  # whether it was given out, or "unknown" in its place
+    offset: float = 0.0  # what those who are watched had more than the fleet before the change
     spans: list[tuple[float, float, float, int]] = field(
         default_factory=list
     )  # from, until, hit rate, answers
@@ -105,7 +106,7 @@
             f" {GOOD_AGAIN - known.good} more have to be right"
         )
 
-    def made(self, now: int, kind: str, found: Forecast) -> int:
+    def made(self, now: int, kind: str, found: Forecast, offset: float = 0.0) -> int:
         """A change is being made of which this was forecast. What is watched still ends here."""
         for entry in self.open:
             self.close(entry, "overtaken")
@@ -113,7 +114,7 @@
         self.numbers += 1
         if found.unknown:
             return self.numbers
-        self.open.append(Entry(self.numbers, kind, now, found, self.believed(kind)))
+        self.open.append(Entry(self.numbers, kind, now, found, self.believed(kind), offset))
         return self.numbers
 
     # ---- after it -------------------------------------------------------------------------------------
@@ -141,7 +142,7 @@
         squares = outside = 0.0
         for first, last, hit, answers in entry.spans:
             points = [entry.expected.at(first + (last - first) * (i + 0.5) / 8) for i in range(8)]
-            off = abs(sum(points) / 8 - hit)
+            off = abs(sum(points) / 8 + entry.offset - hit)
             chance = sqrt(hit * (1 - hit) / answers)
             squares += max(0.0, off * off - chance * chance)
             outside += off > entry.expected.half + 2 * chance
--- a/brackenladder/forecast/rules.py
+++ b/brackenladder/forecast/rules.py
@@ -12,23 +12,12 @@
 
 from brackenladder.forecast.model import Forecast
 from brackenladder.forecast.placement import Shares
+from brackenladder.forecast.wishes import Rules
 from brackenladder.order import mix
 
 URGENT = frozenset(("drain", "leave", "failed", "zone_out"))  # kinds of change that never wait
 
 
-@dataclass(frozen=True)
-class Rules:
-    """From the operators' file. Times in seconds."""
-
-    misses: float = 1.0  # of what a server bears: a change may bring so many
-    most_steps: int = 16
-    pause: float = 5.0  # between two steps, at the least; else until caches have recovered
-    longest_pause: float = 60.0
-    again: float = 5.0  # a change that waits is looked at again after so long
-    longest_wait: float = 300.0  # then it is made in `most_steps`, whatever is forecast
-
-
 @dataclass(frozen=True)
 class Plan:
     """What is to be done: in so many steps (1: at once, 0: not now)."""
--- a/brackenladder/lab/claims.py
+++ b/brackenladder/lab/claims.py
@@ -64,7 +64,7 @@
         return
     from brackenladder.lab.measures import BY_ROWS
 
-    if base.rpartition(".")[2] not in (*BY_ROWS, "crossed") or base.startswith("rule."):
+    if base.rpartition(".")[2] not in (*BY_ROWS, "crossed", "hit_rate") or base.startswith("rule."):
         raise MetricError(f"{base!r} is of the whole day and takes no @A:B")
     start, colon, end = span.partition(":")
     try:
--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -4,7 +4,7 @@
 
 import gc
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.balance import Balancer
 from brackenladder.interface import Actions, Settings
@@ -21,6 +21,9 @@
 from brackenladder.lab.streams import Stream
 from brackenladder.lab.world import SECOND, TierWorld, World, build_world
 
+if TYPE_CHECKING:
+    from brackenladder.lab.keys import Sharding
+
 Module = Callable[[Settings, int, Actions], Any]
 Progress = Callable[[float, float], None]
 
@@ -52,6 +55,15 @@
         self.max_open = s.platform.max_open
         self.second_copies = s.platform.second_copies
         self.ids = 0
+        self.sharding: Sharding | None = None
+        if s.keys is not None:
+            from brackenladder.lab.keys import Sharding  # here: few scenarios have keys
+
+            self.sharding = Sharding(self)
+            if s.operator.shards is not None and module is Balancer:
+                from brackenladder.forecast.sharded import Sharded
+
+                self.module = Sharded
         self.useful_work = 0.0
         self.events = 0
         seed = world.seed
@@ -178,6 +190,8 @@
 
     def each_second(self) -> None:
         self.measures.sample(self)
+        if self.sharding is not None:
+            self.sharding.each_second()
         if self.kernel.now < self.epoch + self.world.length:
             self.kernel.after(SECOND, self.each_second)
 
@@ -221,6 +235,7 @@
             events=self.events,
             marks=self.script.marks,
             crossed=self.crossed,
+            hits=self.sharding.hits if self.sharding is not None else {},
         )
 
 
--- a/brackenladder/lab/faults.py
+++ b/brackenladder/lab/faults.py
@@ -283,3 +283,10 @@
 
     def surge(self, f: Fault, name: str, stream: Stream, end: int) -> int:
         return 1  # the arrivals are drawn with it
+
+    def shards(self, f: Fault, name: str, stream: Stream, end: int) -> int:
+        """Operators change the number of shards, in all nodes."""
+        sharding = getattr(self.stage, "sharding", None)
+        if sharding is not None:
+            sharding.replace(f.size)
+        return 0
--- a/brackenladder/lab/fleet.py
+++ b/brackenladder/lab/fleet.py
@@ -7,7 +7,7 @@
 
 from brackenladder.interface import Effect, Outcome
 from brackenladder.lab.machine import NEVER, Build, Job, Machine
-from brackenladder.lab.nodes import Attempt, Call, Lineage, Node, same_group
+from brackenladder.lab.nodes import NO_KEY, Attempt, Call, Lineage, Node, same_group
 
 if TYPE_CHECKING:
     from brackenladder.lab.emulator import Emulator
@@ -93,6 +93,11 @@
             attempt.left = emu.calls_stream.count(emu.tiers[self.tier + 1].world.calls)
             if attempt.left:
                 work /= 2  # the other half follows the calls
+        if emu.sharding is not None and call.key != NO_KEY and self.tier == 0:
+            attempt.hit = emu.sharding.found(self, call.key)
+            if attempt.hit:
+                work *= emu.sharding.wish.hit_work
+                attempt.left = 0  # what is kept needs nothing of the tiers below
         errors = m.errors or m.build.error_rate
         if errors and emu.error_stream.random() < m.fails_fast():
             self.failed += 1
@@ -144,11 +149,14 @@
         self.armed = NEVER
         now = self.emu.kernel.now
         m = self.machine
+        emu_keys = self.emu.sharding
         for job in m.finished(now):
             attempt: Attempt = job.owner
             attempt.spent += job.work
             self.emu.spent_work += job.work
             self.began(attempt)
+            if emu_keys is not None and not attempt.hit and attempt.call.key != NO_KEY and self.tier == 0:
+                emu_keys.keep(self, attempt.call.key)
             if attempt.stage == 0 and attempt.left:
                 attempt.stage = 1
                 self.away[attempt] = None
@@ -291,6 +299,8 @@
                 attempt.child.open = False
                 attempt.child = None
         self.away.clear()
+        if emu.sharding is not None:
+            emu.sharding.ended(self)
         self.generation += 1
         self.samples.clear()
         for node in emu.tiers[self.tier].nodes:
--- a/brackenladder/lab/live/load.py
+++ b/brackenladder/lab/live/load.py
@@ -102,7 +102,7 @@
             await asyncio.wait(self.out)
 
     def arrive(self, row: Arrival) -> None:
-        at, klass, tenant, zone, work, leaves, moment = row
+        at, klass, tenant, zone, work, leaves, moment, _ = row  # stand-in processes keep no answers yet
         behind = self.now() - at
         self.latest_send = max(self.latest_send, behind)
         self.late_sends += behind > LATE_SEND
--- a/brackenladder/lab/measures.py
+++ b/brackenladder/lab/measures.py
@@ -209,6 +209,22 @@
         came = sum(n for (at, z), n in self.tally.crossed.items() if z == zone and first <= at < last)
         return came / max(last - first, 1e-9) / bears if bears else 0.0
 
+    def hit_rate(self, first: float, last: float) -> float:
+        """The part of the requests with a key that found it, over some seconds of the day."""
+        lines = [line for second, line in self.tally.hits.items() if first <= second < last]
+        asked = sum(line[0] for line in lines)
+        return sum(line[1] for line in lines) / asked if asked else 0.0
+
+    def late_peak(self) -> float:
+        """The largest part of a second's wishes that were not served in time."""
+        seconds = self.at.astype(np.int64)
+        parts = [
+            1 - self.share(rows, IN_TIME)
+            for second in range(int(self.tally.world.scenario.seconds))
+            if (rows := (seconds == second) & self.counted).sum() >= 50
+        ]
+        return max(parts, default=0.0)
+
     def value(self, name: str) -> float:
         """A figure by its name; a ValueError for one that is not known. `@A:B` keeps seconds A to B."""
         base, at, span = name.partition("@")
@@ -223,6 +239,9 @@
             "zone": [x.name for x in s.zones],
         }
         group, dot, rest = base.partition(".")
+        if base == "hit_rate":
+            first, last = (float(x) for x in span.split(":")) if at else (s.warm_s, s.seconds)
+            return self.hit_rate(first, last)
         if group == "zone" and base.endswith(".crossed"):
             first, last = (float(x) for x in span.split(":")) if at else (s.warm_s, s.seconds)
             return self.crossed([z.name for z in s.zones].index(rest.removesuffix(".crossed")), first, last)
@@ -340,6 +359,8 @@
     "evenness": Figures.evenness,
     "fell": lambda f: float(f.tally.measures.fell),
     "rules": lambda f: float(f.tally.ledger.total()),
+    "late_peak": Figures.late_peak,
+    "hit_rate": lambda f: f.value("hit_rate"),
     "p50_ms": lambda f: f.percentile(0.5),
     "p90_ms": lambda f: f.percentile(0.9),
     "p99_ms": lambda f: f.percentile(0.99),
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -19,6 +19,7 @@
     from brackenladder.lab.emulator import Emulator
     from brackenladder.lab.fleet import Server
 
+NO_KEY = -1  # of a request that asks for none
 TIMER_MOST = 4_260_000_000  # longer timers are cut to this, as on the simulator's wire
 
 
@@ -34,7 +35,7 @@
 
     __slots__ = (
         "id", "node", "caller", "klass", "tenant", "work", "deadline", "open", "attempts", "out", "runs",
-        "ran_at", "ran_on", "lineage", "spent",
+        "ran_at", "ran_on", "lineage", "spent", "key",
     )  # fmt: skip
 
     def __init__(
@@ -54,6 +55,7 @@
         self.ran_on: Server | None = None
         self.lineage: Lineage | None = None
         self.spent = 0.0  # work at all tiers that went into the answer
+        self.key = NO_KEY
 
 
 class Lineage:
@@ -83,6 +85,7 @@
         "extra",
         "child",
         "ran",
+        "hit",
     )
 
     def __init__(self, call: Call, number: int, server: Server, now: int) -> None:
@@ -98,6 +101,7 @@
         self.extra = 0.0
         self.child: Call | None = None
         self.ran = False
+        self.hit = False  # the server had what was asked for
 
 
 class Node:
@@ -137,6 +141,8 @@
         settings = emu.world.settings(self.tier, self.zone, self.index, len(emu.tiers[self.tier].nodes))
         self.balancer = emu.module(settings, seed, self)
         now = emu.kernel.now
+        if emu.sharding is not None and emu.sharding.shards is not None and self.tier == 0:
+            self.balancer.least = emu.sharding.shards.members
         self.guard("start", now)
         zones = emu.world.scenario.operator.zones
         if zones is not None and hasattr(self.balancer, "new_zones"):
@@ -218,7 +224,13 @@
         if len(self.calls) > emu.max_open:
             self.finish(call, "refused", 0)
             return
-        self.guard("request", now, call.id, call.klass, call.tenant, max(1, left), repeat)
+        told = (now, call.id, call.klass, call.tenant, max(1, left), repeat)
+        if emu.sharding is not None and call.key != NO_KEY and self.tier == 0:
+            homes = emu.sharding.homes_of(self, call)
+            if homes and hasattr(self.balancer, "request_at"):
+                self.guard("request_at", *told, True, homes)
+                return
+        self.guard("request", *told)
 
     def expire(self, call: Call, generation: int) -> None:
         """The request's time and the slack are over: it is lost if a living node still owes an answer."""
--- a/brackenladder/lab/scenario.py
+++ b/brackenladder/lab/scenario.py
@@ -291,6 +291,7 @@
     "report_late",
     "discovery_down",
     "surge",
+    "shards",
 ]
 
 
@@ -320,10 +321,35 @@
             raise ValueError(f"`size` of {self.kind} is a share: at most 1")
         if self.kind == "slow" and self.size < 1:
             raise ValueError("`size` of slow is a factor: at least 1")
+        if self.kind == "shards" and (self.size < 2 or self.size != int(self.size)):
+            raise ValueError("`size` of shards is how many times as many there are: a whole number from 2 on")
         if self.kind == "zone_loss" and self.zone is None:
             raise ValueError("`zone_loss` needs a `zone`")
 
 
+class Keys(Table, frozen=True):
+    """Requests for keys, and servers that keep answers: a least-recently-used cache each."""
+
+    count: Annotated[int, Meta(ge=1)] = 100_000
+    alpha: Annotated[float, Meta(ge=0)] = 0.9  # of the Zipf distribution
+    classes: list[str] = field(
+        default_factory=list
+    )  # whose requests have keys; all safe ones if none is named
+    entries: Annotated[int, Meta(ge=1)] = 1_000  # of a server's cache
+    ttl_s: Annotated[float, Meta(ge=0)] = 0.0
+    hit_work: Share = 0.2  # part of a request's work that a hit takes
+    drift: Share = 0.0  # part of the keys that change places with others each second
+    shift_at: Annotated[float, Meta(ge=0)] = 0.0  # all places are dealt out anew at this second; 0 = never
+    scans: list[tuple[float, float, float]] = field(
+        default_factory=list
+    )  # from, until, part: keys asked once
+    flashes: list[tuple[float, float, float]] = field(default_factory=list)  # the same: all for one key
+    moves: Literal["at_once", "steps", "forecast"] = "at_once"  # how a change of placement is made
+    fixed_steps: Annotated[int, Meta(ge=1)] = 4  # of `steps`...
+    fixed_pause_s: Positive = 5.0  # ...and between them
+    bears: Annotated[float, Meta(ge=0)] = 0.0  # misses a second of a server, as the forecast is told
+
+
 class Claim(Table, frozen=True):
     """What the scenario says will be measured. `known_gap` says why it does not hold yet."""
 
@@ -354,6 +380,7 @@
     platform: Platform = field(default_factory=Platform)
     rules: Rules = field(default_factory=Rules)
     goal: Goal = field(default_factory=Goal)
+    keys: Keys | None = None
     operator: Operation = NOTHING  # as in the operators' file
     faults: list[Fault] = field(name="fault", default_factory=list)
     claims: list[Claim] = field(name="claim", default_factory=list)
@@ -509,6 +536,9 @@
             raise ScenarioValue(f"a join needs `reserve` servers in tier {tier.name!r}", at)
         if f.at >= s.seconds:
             raise ScenarioValue(f"the day is over after {s.seconds:g} seconds", f"{at}.at")
+    if s.keys is not None:
+        for i, name in enumerate(s.keys.classes):
+            known(name, [c.name for c in s.classes], f"{where}: keys.classes[{i}]", "class")
     for i, c in enumerate(s.claims):
         try:
             check_metric(c.metric, s)
--- a/brackenladder/lab/stage.py
+++ b/brackenladder/lab/stage.py
@@ -179,6 +179,7 @@
     useful_work: float
     events: int = 0
     crossed: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts from other zones
+    hits: dict[int, list[int]] = field(default_factory=dict)  # by second: asked for with a key, found
     marks: list[dict[str, object]] = field(default_factory=list)
 
 
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -17,6 +17,7 @@
 from msgspec import Meta
 
 from brackenladder.errors import BrackenladderError
+from brackenladder.forecast.wishes import Rules as ChangeRules
 from brackenladder.membership.swim import SwimSettings
 from brackenladder.spread import SpreadRules
 from brackenladder.stores.factory import Kind, StoreWish
@@ -270,6 +271,65 @@
         )
 
 
+class ShardsTable(Table, frozen=True):
+    """`[shards]`: requests for a key go to its homes first. Its presence switches it on, from a process's
+    start on. `keys` says by class which part of a request is its key: `path 2` or `header x-item`."""
+
+    count: Annotated[int, Meta(ge=1, le=16_384)] = 1_024
+    homes: Annotated[int, Meta(ge=1, le=8)] = 2
+    members: Annotated[int, Meta(ge=1, le=128)] = 16
+    keys: dict[str, str] = msgspec.field(default_factory=dict)
+
+    def places(self) -> dict[str, tuple[int, bytes]]:
+        """By class the part of the path, from 1 on, or 0 and the header's name in lower case."""
+        found = {}
+        for name, text in self.keys.items():
+            kind, _, which = text.strip().partition(" ")
+            which = which.strip()
+            if kind == "path" and which.isascii() and which.isdigit() and 0 < int(which) < 100:
+                found[name] = int(which), b""
+            elif kind == "header" and which.isascii() and which.replace("-", "").isalnum():
+                found[name] = 0, which.lower().encode()
+            else:
+                raise OperationValue(
+                    f"{text!r} names no part of a request; write `path 2` or `header x-item`",
+                    f"shards.keys.{name}",
+                )
+        return found
+
+
+class ForecastTable(Table, frozen=True):
+    """`[forecast]`: what a change of placement does to cache hits. Its presence switches it on, where
+    `[shards]` is on; `decide` lets it hold changes up."""
+
+    hit_header: str = ""
+    hit_value: str = "hit"
+    entries: Annotated[float, Meta(ge=0)] = 0.0
+    ttl_s: Annotated[float, Meta(ge=0)] = 0.0
+    cacheable_percent: Percent = 100.0
+    server_misses_per_s: Annotated[float, Meta(ge=0)] = 0.0
+    window_s: Annotated[float, Meta(ge=1, le=3_600)] = 60.0
+    records: Annotated[int, Meta(ge=1, le=8)] = 2
+    decide: bool = False
+    misses_percent: Annotated[float, Meta(gt=0, le=1_000)] = 100.0
+    most_steps: Annotated[int, Meta(ge=1, le=64)] = 16
+    pause_s: Seconds = 5.0
+    longest_pause_s: Seconds = 60.0
+    again_s: Seconds = 5.0
+    longest_wait_s: Annotated[float, Meta(ge=0, le=86_400)] = 300.0
+
+    def rules(self) -> ChangeRules:
+        """How changes are made."""
+        return ChangeRules(
+            misses=self.misses_percent / 100,
+            most_steps=self.most_steps,
+            pause=self.pause_s,
+            longest_pause=max(self.pause_s, self.longest_pause_s),
+            again=self.again_s,
+            longest_wait=self.longest_wait_s,
+        )
+
+
 class Operation(Table, frozen=True):
     """The whole file."""
 
@@ -280,6 +340,8 @@
     store: StoreTable | None = None
     audit: AuditTable | None = None
     freeze: FreezeTable | None = None
+    shards: ShardsTable | None = None
+    forecast: ForecastTable | None = None
 
 
 NOTHING = Operation()
@@ -321,6 +383,10 @@
         unknown(table["audit"], AuditTable, where, "audit.")
     if isinstance(table.get("freeze"), dict):
         unknown(table["freeze"], FreezeTable, where, "freeze.")
+    if isinstance(table.get("shards"), dict):
+        unknown(table["shards"], ShardsTable, where, "shards.")
+    if isinstance(table.get("forecast"), dict):
+        unknown(table["forecast"], ForecastTable, where, "forecast.")
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
@@ -347,6 +413,13 @@
             found.freeze.rules({})
         except OperationError as e:
             raise e.within(where) from None
+    if found.shards is not None:
+        try:
+            found.shards.places()
+        except OperationError as e:
+            raise e.within(where) from None
+    elif found.forecast is not None:
+        raise OperationConflict("tells of shards; [shards] is missing", f"{where}: forecast")
     zones = found.zones
     if zones is not None:
         if zones.panic_until_percent < zones.panic_below_percent:
