Stores: damage says which files have to be moved away together

Need: a log lies in several files, and without one of them the rest is damage too; an SQLite log beside a new file is not its own. Change: the remedy names them.

--- a/brackenladder/stores/directory.py
+++ b/brackenladder/stores/directory.py
@@ -103,7 +103,7 @@
         prefix(data, RECORD, path)
         body = data[PREFIX.size + SUM.size :]
         if len(data) < PREFIX.size + SUM.size or summed(name, body) != SUM.unpack_from(data, PREFIX.size)[0]:
-            raise StoreDamaged("its checksum is wrong", path)
+            raise damage("its checksum is wrong", path)
         return body
 
     def replace(self, name: str, data: bytes | None) -> None:
@@ -234,7 +234,7 @@
                 continue
             found = parsed(log, segment, self.load(segment.path)[: segment.size])
             if len(found) != segment.count:
-                raise StoreDamaged(f"has {len(found)} whole entries of {segment.count}", segment.path)
+                raise damage(f"has {len(found)} whole entries of {segment.count}", segment.path)
             for number, data in enumerate(found, segment.base):
                 if number >= begin:
                     yield number, data
@@ -336,10 +336,10 @@
             path = self.file(f"{name}.cut")
             prefix(mark, CUT, path)
             if len(mark) != PREFIX.size + MARK.size:
-                raise StoreDamaged(f"is {len(mark)} bytes long", path)
+                raise damage(f"is {len(mark)} bytes long", path)
             first, following, check = MARK.unpack_from(mark, PREFIX.size)
             if check != marked(name, first, following):
-                raise StoreDamaged("its checksum is wrong", path)
+                raise damage("its checksum is wrong", path)
             log.first, log.next = first, following
             if first == following:  # all dropped; of the files, any may have come back after a loss of power
                 gone = [segment for segment in log.segments if segment.base < first]
@@ -357,7 +357,7 @@
         if log.segments:
             log.next = log.segments[-1].base + log.segments[-1].count
         if log.next < following or (log.segments[0].base if log.segments else log.next) > log.first:
-            raise StoreDamaged(
+            raise damage(
                 f"has entries {log.segments[0].base if log.segments else log.next} to {log.next - 1}"
                 f" instead of {log.first} to {following - 1} at least",
                 self.file(f"{name}.*.log"),
@@ -387,7 +387,7 @@
             else:
                 torn = not any(rest[HEAD.size :])
             if not torn:
-                raise StoreDamaged(f"the bytes from {size} on are not what was written", last.path)
+                raise damage(f"the bytes from {size} on are not what was written", last.path)
         fd = self.files.open(last.path, os.O_WRONLY)
         try:
             self.files.truncate(fd, size)
@@ -416,6 +416,15 @@
             return file.read(most)
 
 
+def damage(what: str, path: str) -> StoreDamaged:
+    """With the files that have to go together: the rest of a log without one of them is damage too."""
+    name, _, kind = os.path.basename(path).partition(".")
+    if kind == "record":
+        return StoreDamaged(what, path)
+    advice = f"check the disk; then move {name}.cut and all {name}.*.log away: the log begins anew at 1"
+    return StoreDamaged(what, path, advice)
+
+
 def begun(kind: bytes) -> bytes:
     """What each file begins with."""
     checksum = crc32(kind + FORMAT.to_bytes(2, "little") + bytes(2))
@@ -425,10 +434,10 @@
 def prefix(data: bytes, kind: bytes, path: str) -> int:
     """The format of a file that begins with `data`."""
     if len(data) < PREFIX.size or crc32(data[: PREFIX.size - 4]) != PREFIX.unpack_from(data)[3]:
-        raise StoreDamaged("does not begin as a store's file does", path)
+        raise damage("does not begin as a store's file does", path)
     found, format, _, _ = PREFIX.unpack_from(data)
     if found != kind:
-        raise StoreDamaged("is a file of another kind", path)
+        raise damage("is a file of another kind", path)
     if format > FORMAT:
         raise StoreNewer(f"its format is {format}, this program's {FORMAT}", path)
     return int(format)
@@ -441,7 +450,7 @@
         segment.base,
         based(name, segment.base),
     ):
-        raise StoreDamaged("does not begin as its name says", segment.path)
+        raise damage("does not begin as its name says", segment.path)
     found: list[bytes] = []
     at = LOG_HEAD
     while at + HEAD.size <= len(data):
--- a/brackenladder/stores/sqlite.py
+++ b/brackenladder/stores/sqlite.py
@@ -79,7 +79,7 @@
         (version,) = db.execute("PRAGMA user_version").fetchone()
         fresh = db.execute("SELECT count(*) FROM sqlite_schema").fetchone() == (0,)
         if version != (0 if fresh else doubled(version & 0xFFFF)):
-            raise StoreDamaged(f"its user_version is {version}", self.where)
+            raise self.damage(f"its user_version is {version}")
         if version & 0xFFFF > FORMAT:
             raise StoreNewer(f"its format is {version & 0xFFFF}, this program's {FORMAT}", self.where)
         db.execute("PRAGMA journal_mode = WAL")
@@ -91,14 +91,14 @@
                 db.execute(f"PRAGMA user_version = {doubled(FORMAT)}")
         found = db.execute("PRAGMA integrity_check(1)").fetchone()
         if found != ("ok",):
-            raise StoreDamaged(str(found[0]).lower(), self.where)
+            raise self.damage(str(found[0]).lower())
         for name, data, check in db.execute("SELECT name, data, sum FROM records"):
             self.records[name] = len(self.verified(data, check, name))
         for name, first, following, check in db.execute("SELECT * FROM logs"):
             self.verified(b"", check, name, first, following)
             self.logs[name] = Log(first, following)
         if db.execute("SELECT * FROM counts").fetchall() != [(len(self.records), len(self.logs))]:
-            raise StoreDamaged("records or logs are missing", self.where)
+            raise self.damage("records or logs are missing")
         count, size = db.execute("SELECT count(*), total(length(data)) FROM entries").fetchone()
         self.used = sum(self.records.values()) + int(size)
         self.used += COST * (count + len(self.records) + len(self.logs))
@@ -110,7 +110,7 @@
         with self.telling() as db:
             row = db.execute("SELECT data, sum FROM records WHERE name = ?", (name,)).fetchone()
         if row is None:
-            raise StoreDamaged(f"record {name} is missing", self.where)
+            raise self.damage(f"record {name} is missing")
         data, check = row
         return self.verified(data, check, name)
 
@@ -172,7 +172,7 @@
                 ).fetchall()
             for number, data, check in rows or [(0, b"", 0)]:
                 if number != begin:
-                    raise StoreDamaged(f"entry {begin} of log {log} is missing", self.where)
+                    raise self.damage(f"entry {begin} of log {log} is missing")
                 yield number, self.verified(data, check, log, number)
                 begin += 1
 
@@ -223,9 +223,16 @@
     def verified(self, data: object, check: object, name: str, *numbers: int) -> bytes:
         """A row's data, if it is what was written."""
         if not isinstance(data, bytes) or summed(data, name, *numbers) != check:
-            raise StoreDamaged(f"the checksum of {name} {' '.join(map(str, numbers))} is wrong", self.where)
+            raise self.damage(f"the checksum of {name} {' '.join(map(str, numbers))} is wrong")
         return data
 
+    def damage(self, what: str) -> StoreDamaged:
+        """With what has to go together: a log beside a file that is not its own."""
+        advice = (
+            f"check the disk; then move {FILE} and {FILE}-wal away together: the store begins anew, empty"
+        )
+        return StoreDamaged(what, self.where, advice)
+
     @contextmanager
     def telling(self) -> Iterator[sqlite3.Connection]:
         """SQLite's errors as a store's."""
@@ -233,7 +240,8 @@
             yield self.db  # type: ignore[misc]
         except (sqlite3.Error, UnicodeError, OverflowError) as e:
             code = getattr(e, "sqlite_errorcode", sqlite3.SQLITE_ERROR) & 0xFF
-            raise KINDS.get(code, StoreError)(str(e), self.where) from e
+            kind = KINDS.get(code, StoreError)
+            raise (self.damage(str(e)) if kind is StoreDamaged else kind(str(e), self.where)) from e
 
     @contextmanager
     def change(self) -> Iterator[sqlite3.Connection]:
