Shards and the forecast as parts of the node

The pure parts had no host. [shards]: the key of a request by a part of its path or a header, for classes that are safe to repeat; first attempts go to the key's homes (Sharded in place of Balancer, from a process's start on); members that come get their shards in steps, those that go lose theirs at once. [forecast]: the sample, three records a node (MOST_BODY each) to the members, a forecast in slices of 2 ms on the loop, the account over restarts, /admin/forecast; with decide = true moves of places, other shards and joins go at once, in steps or wait, and what cannot be forecast waits like the worst.

Two errors with remedies.

--- a/brackenladder/forecast/model.py
+++ b/brackenladder/forecast/model.py
@@ -415,12 +415,12 @@
 
 def forecast(q: Question, shards: int) -> Iterator[Forecast | None]:
     """Works a change out. Yields None every few milliseconds, the result last."""
-    if not q.popularity.known:
-        yield unknown("too few requests with keys have been counted")
-        return
     if q.silent > MOST_SILENT:
         yield unknown(f"{q.silent:.0%} of the requests are of nodes that are not heard")
         return
+    if not q.popularity.known:
+        yield unknown("too few requests with keys have been counted")
+        return
     if all(s.cache.entries <= 0 for s in q.servers):
         yield unknown("the size of the servers' caches is not known, and no answer tells of hits")
         return
--- a/brackenladder/forecast/popularity.py
+++ b/brackenladder/forecast/popularity.py
@@ -38,7 +38,7 @@
     @property
     def known(self) -> bool:
         """Whether there is enough to say anything."""
-        return self.rate > 0 and (self.sampled >= 20 or len(self.top) >= 20)
+        return self.rate > 0 and (self.sampled >= 50 or len(self.top) >= 50)
 
 
 def popularity(digest: Digest, shards: int) -> Iterator[Popularity | None]:
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -138,6 +138,7 @@
         self.on_ended: Callable[[Open, int, int, Outcome, Answer | None], None] | None = (
             None  # ...and listens
         )
+        self.on_request: Callable[[Open, int, int, bool, bool], bool] | None = None  # who knows its homes
         self.ring: tuple[int, int] | None = None  # the place that is in force, if not the platform's
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self)
@@ -342,7 +343,7 @@
                     event(self.now(), *args)
                 except Exception as e:  # one event's failure must not end the node or other requests
                     self.log_lines.line(f"{event.__name__}: {type(e).__name__}: {e}")
-                    if event in (self.balancer.request, self.balancer.outcome):
+                    if event.__name__ in ("request", "request_at", "outcome"):
                         self.conclude(args[0], 500)
         finally:
             self.busy = False
@@ -497,7 +498,8 @@
             message.upload.on_spent = lambda: self.post(self.balancer.not_repeatable, request.id)
         repeat = message.headers.get(b"x-again") == b"1"
         number = self.tenants.get(tenant or b"", len(self.tenants))
-        self.post(self.balancer.request, request.id, klass, number, left, repeat, whole)
+        if self.on_request is None or not self.on_request(request, number, left, repeat, whole):
+            self.post(self.balancer.request, request.id, klass, number, left, repeat, whole)
 
     def capped(self, budget: int) -> int:
         """The time for a request that came whole now: while the node ends, no more than it has itself."""
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -45,7 +45,9 @@
     # Audit: who acted on which version.
     Entry("audit", "brackenladder.net.audit:Audit"),
     # Shards: which server is a key's home.
+    Entry("shards", "brackenladder.net.shards:ShardsPart"),
     # Forecast: what a change of placement would cost.
+    Entry("forecast", "brackenladder.net.forecast:ForecastPart", needs="shards"),
     # Freeze: who may change what during an incident. Last: it is told what the others know.
     Entry("freeze", "brackenladder.net.freeze:FreezePart", needs_peers=True, needs="membership"),
 ]
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -49,6 +49,7 @@
     rejected: bool
     report: bytes
     length: int | None = None  # of one that flows, where the head says it
+    hit: bytes = b""  # the value of the header that tells of a cache's hits, where operators name one
 
 
 class Sink(Protocol):
@@ -140,7 +141,7 @@
         self.pieces: list[bytes] = []
         self.content_type = b""
         self.rejected = False
-        self.report = b""
+        self.report = self.hit = b""
         self.complete = self.stray = self.keep = False
         self.headed = False  # the final answer's head has come whole
         self.length: int | None = None
@@ -232,12 +233,12 @@
             self.pause()
 
     def answer(self, body: bytes) -> Answer:
-        return Answer(self.status, body, self.content_type, self.rejected, self.report, self.length)
+        return Answer(self.status, body, self.content_type, self.rejected, self.report, self.length, self.hit)
 
     def on_message_begin(self) -> None:
         self.stray = self.complete
         if not self.complete:  # what an interim answer said is not the final one's
-            self.content_type = self.report = b""
+            self.content_type = self.report = self.hit = b""
             self.rejected = False
             self.length = None
             self.chunked = False
@@ -262,6 +263,8 @@
             self.length = int(value)
             if self.length > LARGEST_BODY:
                 raise Spoilt  # here, not when so much has come
+        elif key == self.pool.hit_header:
+            self.hit = value
         elif key == b"transfer-encoding":
             self.chunked = True
             if value.strip().lower() != b"chunked":
@@ -527,6 +530,7 @@
         self.most = most
         self.budget = budget
         self.idle_time = inf
+        self.hit_header = b""  # of answers, in lower case; empty: none is looked at
         self.renew(connect_timeout, idle_time)
         self.open = 0
         self.endpoints: dict[int, Endpoint] = {}
--- /dev/null
+++ b/brackenladder/net/shards.py
@@ -0,0 +1,221 @@
+"""`[shards]`: requests for a key go to its homes first, as a part of the node.
+
+`forecast.placer` says which servers those are and `forecast.sharded` sends to them; here is what a key is in
+a request, and when the members have changed. Homes are by the servers' numbers, which are hashes of their
+names and so the same in all nodes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import ClassVar
+
+from brackenladder.errors import BrackenladderError
+from brackenladder.forecast.placement import Scores, position
+from brackenladder.forecast.placer import Placer
+from brackenladder.forecast.rules import Plan, Steps
+from brackenladder.forecast.sharded import Sharded
+from brackenladder.interface import Effect
+from brackenladder.net.callers import Message
+from brackenladder.net.inner import Inner
+from brackenladder.net.node import Open, number_of
+from brackenladder.net.parts import Change, ListNews, PartError
+from brackenladder.operation import Operation, ShardsTable
+
+LOOK = 0.25  # seconds between two looks at a change that goes in steps
+NOTHING: tuple[int, ...] = ()
+
+
+class ShardsUnsafe(BrackenladderError):
+    """A class has a shard key and is not safe to repeat, or is not a class; its requests go as ever."""
+
+    remedy: ClassVar[str] = (
+        "take the class out of [shards] keys, or correct its name; only classes whose effect is `safe` in the"
+        " platform's settings may have a key"
+    )
+
+
+class ShardsPart(Inner):
+    """The part."""
+
+    name = "shards"
+
+    def begin(self) -> None:
+        node = self.node
+        if node.started and not isinstance(node.balancer, Sharded):
+            raise PartError(
+                "needs a new process: its decisions begin with the process", "shards",
+                "start the node anew, or have a new process take over, and leave [shards] in the file",
+            )  # fmt: skip
+        if not node.started:
+            node.balancer = Sharded(node.settings, node.config.seed, node, node.balancer.judge)
+        self.wish = self.wished()
+        self.table = Scores(self.wish.count)
+        self.placer = Placer(self.table, self.wish.homes)
+        self.drawn: object = None  # the balancer's members, as the placer knows them
+        self.fresh: frozenset[int] = frozenset()  # members that came last, in steps or at once
+        self.weights: dict[int, float] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.take_wish()
+        self.key_of = self.key
+        node.on_request = self.request
+
+    def wished(self) -> ShardsTable:
+        wish = self.hosting.operation().shards
+        assert wish is not None
+        return wish
+
+    def take_wish(self) -> None:
+        """Which part of a request is its key, by the class's name in its path."""
+        table, settings = self.node.table, self.node.settings
+        effects = {name: c.effect for name, c in zip(table.names, settings.classes, strict=False)}
+        self.places: dict[bytes, tuple[int, bytes]] = {}
+        for name, place in self.wish.places().items():
+            if effects.get(name) != Effect.SAFE:
+                error = ShardsUnsafe(f"class {name} has no shards", f"shards.keys.{name}")
+                self.hosting.say("shards: a class is left out", **error.table())
+                continue
+            self.places[name.encode()] = place
+        self.balancer.least = self.wish.members
+
+    @property
+    def balancer(self) -> Sharded:
+        assert isinstance(self.node.balancer, Sharded)
+        return self.node.balancer
+
+    def reload(self, operation: Operation) -> None:
+        """Keys hold at once; other shards or homes are a change of placement, which may have to wait."""
+        before, self.wish = self.wish, self.wished()
+        self.take_wish()
+        if (before.count, before.homes) != (self.wish.count, self.wish.homes):
+            self.hosting.changes.make(
+                "shards",
+                (Change.PLACEMENT,),
+                self.adopt,
+                f"{self.hosting.scope()},shards",
+                "the old shards stay",
+            )
+
+    def stop(self, farewell: bool) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.node.on_request = None
+        if not self.hosting.ending and isinstance(self.node.balancer, Sharded):
+            self.hosting.changes.forget("shards")
+            self.balancer.least = 0
+
+    def list_news(self, news: ListNews) -> None:
+        """Servers' weights, where they can be compared."""
+        if self.node.settings.list_weights:
+            self.weights.update((number_of(line.id), line.weight) for line in news.lines)
+
+    # ---- a request ------------------------------------------------------------------------------------
+
+    def key(self, message: Message) -> bytes | None:
+        """A request's key; None: it has none."""
+        path = message.target.partition(b"?")[0].split(b"/")
+        place = self.places.get(path[1]) if len(path) > 1 else None
+        if place is None:
+            return None
+        part, header = place
+        if header:
+            return message.headers.get(header)
+        return path[part] if part < len(path) else None
+
+    def request(self, request: Open, tenant: int, left: int, repeat: bool, whole: bool) -> bool:
+        """Hands a request to the module with its homes; whether it has any."""
+        key = self.key(request.message)
+        if not key:
+            return False
+        homes = self.homes(position(key))
+        if homes:
+            node = self.node
+            node.post(self.balancer.request_at, request.id, request.klass, tenant, left, repeat, whole, homes)
+        return bool(homes)
+
+    def homes(self, position: int) -> tuple[int, ...]:
+        """The numbers of the servers that a key goes to now."""
+        drawn = self.balancer.drawn
+        if drawn is not self.drawn:
+            self.members_moved()
+        return tuple(drawn[place].id for place in self.placer.of(position) if place < len(drawn))
+
+    def members_moved(self) -> None:
+        """The subset has changed: what is gone loses its shards at once, what is new gets them as planned."""
+        drawn = self.drawn = self.balancer.drawn
+        known = {int(name) for name, _ in self.placer.members}
+        members = [(str(listed.id), self.weights.get(listed.id, 1.0)) for listed in drawn]
+        fresh = frozenset(listed.id for listed in drawn) - known
+        steps = None
+        if fresh and known and self.planner is not None:
+            steps = self.planner.joining(fresh, self.go)
+        self.placer.renew(members, steps)
+        if steps is not None:
+            self.watch()
+
+    @property
+    def planner(self) -> Planner | None:
+        """The part that says how changes are made, while there is one that decides."""
+        part = self.hosting.parts.get("forecast")
+        return part if isinstance(part, Planner) and part.decides else None
+
+    # ---- changes in steps -----------------------------------------------------------------------------
+
+    def adopt(self) -> None:
+        """Other shards or homes are let: at once or in steps."""
+        plan = self.planner.planned("shards") if self.planner is not None else None
+        self.table = Scores(self.wish.count)
+        steps = None
+        if plan is not None and plan.steps > 1:
+            steps = Steps(plan.steps, plan.pause, self.node.now())
+        self.placer.renew(self.placer.members, steps, self.table, self.wish.homes)
+        done = steps.steps if steps is not None else 1
+        self.hosting.say("shards", count=self.wish.count, homes=self.wish.homes, steps=done)
+        if steps is not None:
+            self.watch()
+
+    def go(self, steps: Steps, plan: Plan) -> bool:
+        """A change that has waited goes ahead in so many steps; False if another one has taken its place."""
+        if self.placer.steps is not steps:
+            return False
+        done = 1 if plan.steps else 0
+        self.placer.steps = Steps(max(1, plan.steps or steps.steps), plan.pause, self.node.now(), done)
+        if done:
+            self.hosting.say("shards: servers join", steps=plan.steps, pause_s=plan.pause, why=plan.why)
+        return True
+
+    def watch(self) -> None:
+        """Makes steps as they are due."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None
+        steps = self.placer.steps
+        if steps is not None and self.placer.going():
+            if steps.done and steps.advance(self.node.now()):
+                self.hosting.say("shards: a step", done=steps.done, of=steps.steps)
+            self.timer = self.node.loop.call_later(LOOK, self.watch)
+
+    def figures(self) -> dict[str, object]:
+        steps, balancer = self.placer.steps, self.balancer
+        return {
+            "count": self.placer.new.table.shards,
+            "homes": self.placer.new.homes,
+            "members": len(self.placer.members),
+            "at_home": balancer.at_home,
+            "beyond_homes": balancer.beyond,
+            "steps": [steps.done, steps.steps] if steps is not None else None,
+        }
+
+
+class Planner:
+    """What the part that forecasts offers to this one; it is `net.forecast.ForecastPart`."""
+
+    decides = False
+
+    def joining(self, fresh: frozenset[int], go: object) -> Steps | None:
+        """Members have come: the steps to begin with, while it is worked out; None: at once."""
+        raise NotImplementedError
+
+    def planned(self, kind: str) -> Plan | None:
+        """How a change that was let is to be made."""
+        raise NotImplementedError
--- /dev/null
+++ b/tests/test_forecast_part.py
@@ -0,0 +1,273 @@
+"""Shards and the forecast as parts of a real node on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import Bench, Client, Request, Server, call, play, until
+
+from brackenladder.forecast.placement import POSITIONS
+from brackenladder.forecast.sample import Sample, pack
+from brackenladder.net.forecast import ForecastPart, kinds
+from brackenladder.net.node import Node
+from brackenladder.net.parts import Answer, Change
+from brackenladder.net.shards import ShardsPart
+from brackenladder.operation import Operation, build
+from brackenladder.records.interface import MOST_BODY, Record
+
+ROOT = Path(__file__).parent.parent
+KEYS = {"view": "header x-item", "invite": "header x-item"}
+
+
+class Keeper(Server):
+    """A server that keeps what it has answered, and tells of hits."""
+
+    def __init__(self) -> None:
+        super().__init__(self.answer)
+        self.keys: list[str] = []
+        self.kept: set[str] = set()
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> bytes | None:
+        key = request.headers.get("x-item", "")
+        self.keys.append(key)
+        how = b"HIT" if key in self.kept else b"MISS"
+        self.kept.add(key)
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Cache: %b from cache\r\n\r\nok" % how
+
+
+def operation(count: int = 64, homes: int = 1, **wishes: Any) -> Operation:
+    shards = {"count": count, "homes": homes, "members": 8, "keys": KEYS}
+    table: dict[str, Any] = {"shards": shards}
+    if wishes:
+        table["forecast"] = {"hit_header": "X-Cache", **wishes}
+    return build(table, "operator.toml")
+
+
+async def started(wish: Operation | None, *servers: Server) -> Bench:
+    bench = Bench(*servers, config={"control": "127.0.0.1:0"})
+    node_of = Node.__init__
+    try:
+        Node.__init__ = lambda node, config, loop, _=None: node_of(node, config, loop, wish)  # type: ignore[method-assign, assignment, misc]
+        return await bench.start()
+    finally:
+        Node.__init__ = node_of  # type: ignore[method-assign]
+
+
+def parts(bench: Bench) -> tuple[ShardsPart, ForecastPart | None]:
+    assert bench.node.parts is not None
+    shards, forecast = (bench.node.parts.parts.get(t) for t in ("shards", "forecast"))
+    assert isinstance(shards, ShardsPart)
+    return shards, forecast if isinstance(forecast, ForecastPart) else None
+
+
+async def ask(bench: Bench, client: Client, number: int, klass: str = "view") -> None:
+    status, _, _ = await client.ask(call(klass, extra=b"X-Item: k%d\r\n" % number))
+    assert status == 200
+
+
+def where(servers: list[Keeper]) -> dict[str, set[int]]:
+    found: dict[str, set[int]] = {}
+    for i, server in enumerate(servers):
+        for key in server.keys:
+            found.setdefault(key, set()).add(i)
+    return found
+
+
+def test_each_key_goes_to_its_home_and_hits_are_seen() -> None:
+    async def scene() -> None:
+        servers = [Keeper() for _ in range(4)]
+        bench = await started(operation(decide=False), *servers)
+        client = await bench.client()
+        for n in [*range(40)] * 3:
+            await ask(bench, client, n)
+        assert all(len(at) == 1 for at in where(servers).values())
+        assert sum(bool(s.keys) for s in servers) == 4
+        shards, forecast = parts(bench)
+        assert forecast is not None and shards.figures()["at_home"] == 120
+        figures = forecast.figures()
+        assert figures["requests"] == 120 and figures["sampled"] == 40
+        assert figures["hit_rate"] == pytest.approx(80 / 120, abs=1e-4)
+
+    play(scene)
+
+
+def test_a_class_that_is_not_safe_to_repeat_has_no_key(capfd: pytest.CaptureFixture[str]) -> None:
+    async def scene() -> None:
+        servers = [Keeper() for _ in range(4)]
+        bench = await started(operation(), *servers)
+        client = await bench.client()
+        for _ in range(30):
+            await ask(bench, client, 1, "invite")
+        assert len(where(servers)["k1"]) > 1
+        assert parts(bench)[0].figures()["at_home"] == 0
+
+    play(scene)
+    said = capfd.readouterr().err
+    assert "ShardsUnsafe" in said and "shards.keys.invite" in said
+
+
+def test_other_shards_are_taken_up_at_once_where_the_forecast_decides_nothing() -> None:
+    async def scene() -> None:
+        bench = await started(operation(decide=False), Keeper(), Keeper())
+        bench.node.reload(bench.node.config, operation(count=128, decide=False))
+        await until(lambda: parts(bench)[0].figures()["count"] == 128)
+
+    play(scene)
+
+
+def test_an_unknown_holds_a_change_of_shards_up_and_the_longest_wait_ends_it(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    rules = {"decide": True, "again_s": 0.05, "pause_s": 0.05, "longest_pause_s": 0.05, "most_steps": 4}
+
+    async def scene() -> None:
+        bench = await started(operation(longest_wait_s=1.0, **rules), Keeper(), Keeper(), Keeper())
+        shards, forecast = parts(bench)
+        assert forecast is not None
+        client = await bench.client()
+        for n in range(20):
+            await ask(bench, client, n)
+        bench.node.reload(bench.node.config, operation(count=128, longest_wait_s=1.0, **rules))
+        await until(lambda: "shards" in forecast.plans)
+        assert forecast.plans["shards"][1].steps == 0 and shards.figures()["count"] == 64
+        assert bench.node.parts is not None and bench.node.parts.changes.waiting["shards"].why
+        await until(lambda: shards.figures()["count"] == 128)
+        assert shards.figures()["steps"] is not None
+        await until(lambda: not shards.placer.going())
+
+    play(scene)
+    said = capfd.readouterr().err
+    assert "ForecastUnknown" in said and "too few requests" in said
+
+
+def test_servers_that_join_get_their_shards_in_steps_and_one_that_drains_loses_them_at_once() -> None:
+    rules = {"decide": True, "again_s": 0.05, "pause_s": 0.2, "longest_pause_s": 0.2, "most_steps": 3}
+
+    async def scene() -> None:
+        servers = [Keeper() for _ in range(6)]
+        bench = await started(operation(longest_wait_s=0.5, **rules), *servers[:4])
+        shards, _ = parts(bench)
+        client = await bench.client()
+        for n in range(40):
+            await ask(bench, client, n)
+        before = where(servers)
+        for late in servers[4:]:
+            await late.start()
+        lines = [s.entry(f"s{i}") for i, s in enumerate(servers)]
+        lines[0]["state"] = "draining"
+        bench.discovery.say(42, True, *lines)
+        await until(lambda: len(bench.node.balancer.members) == 5)
+        told = {i: len(s.keys) for i, s in enumerate(servers)}
+        for n in range(40):
+            await ask(bench, client, n)
+        # Nothing waits for the one that drains; what the others had stays, as nothing is known yet.
+        assert len(servers[0].keys) == told[0]
+        moved = [
+            n for n in range(40) if before[f"k{n}"] != {0} and f"k{n}" in servers[4].keys + servers[5].keys
+        ]
+        assert not moved
+        await until(lambda: not shards.placer.going())
+        for n in range(40):
+            await ask(bench, client, n)
+        assert servers[4].keys and servers[5].keys
+
+    play(scene)
+
+
+def test_other_nodes_records_are_heard_and_silent_ones_are_counted() -> None:
+    class Table:
+        """Records of others, as the membership would hold them."""
+
+        def __init__(self) -> None:
+            self.lines: dict[tuple[str, str], Record] = {}
+
+        def put(self, kind: str, body: bytes) -> None:
+            self.lines["n0", kind] = Record("n0", kind, 1, body)
+
+        def get(self, owner: str, kind: str) -> Record | None:
+            return self.lines.get((owner, kind))
+
+        def of(self, kind: str) -> list[Record]:
+            return [r for (_, k), r in sorted(self.lines.items()) if k == kind]
+
+    def tell(table: Table, owner: str, base: int, version: int = 1) -> None:
+        sample = Sample(10**9, 0)
+        for n in range(500):
+            sample.add((base + n * 7_919_317) % POSITIONS)
+        for kind, body in zip(kinds(2), pack(sample.digest(1_000_000), 9, 2, MOST_BODY), strict=True):
+            table.lines[owner, kind] = Record(owner, kind, version, body)
+
+    async def scene() -> None:
+        bench = await started(operation(decide=True, entries=50, server_misses_per_s=1e6), Keeper(), Keeper())
+        _, forecast = parts(bench)
+        assert forecast is not None
+        table = Table()
+        forecast.records = table  # type: ignore[assignment]
+        live = ["n0", "n1", "n2", "n3"]
+        bench.node.parts.live = lambda: live  # type: ignore[method-assign, union-attr]
+        for owner in ("n1", "n2", "n9"):  # n3 says nothing, n9 is dead
+            tell(table, owner, 5)
+        heard = forecast.hear()
+        assert set(heard) == {"n0", "n1", "n2"} and heard["n1"].members == 9
+        table.lines["n1", "keys.0"] = Record("n1", "keys.0", 2, b"nonsense")
+        assert forecast.hear()["n1"].digest.requests == 500  # what was heard before holds
+        answers: list[Answer] = []
+        forecast.asked(Change.PLACEMENT, "tier=0", answers.append)
+        await until(lambda: bool(answers))
+        assert forecast.last is not None and not forecast.last.unknown and answers[0].go
+        assert forecast.last.half > 0.08  # a quarter of the nodes is silent
+        del table.lines["n1", "keys"], table.lines["n2", "keys"]
+        forecast.plans.clear()
+        forecast.asked(Change.PLACEMENT, "tier=0", answers.append)
+        await until(lambda: len(answers) == 2)
+        assert not answers[1].go and "not heard" in answers[1].why
+
+    play(scene)
+
+
+def test_the_account_is_shown_and_kept(capfd: pytest.CaptureFixture[str]) -> None:
+    async def scene() -> None:
+        bench = await started(operation(decide=False), Keeper())
+        _, forecast = parts(bench)
+        assert forecast is not None and bench.node.control is not None
+        forecast.account.restore({"place": [[0.3], True, 0, 1, 1]})
+        client = await Client(bench.node.control.port).open()
+        status, _, body = await client.ask(b"GET /admin/forecast HTTP/1.1\r\n\r\n")
+        table = json.loads(body)
+        assert status == 200 and table["account"]["kinds"]["place"]["believed"] is False
+        forecast.keep()
+        forecast.account.kinds.clear()
+        forecast.restore()
+        assert not forecast.account.believed("place")
+        bench.node.reload(bench.node.config, None)
+        assert bench.node.on_request is None and bench.node.pool.hit_header == b""
+
+    play(scene)
+
+
+def test_a_running_node_is_told_that_shards_need_a_new_process(capfd: pytest.CaptureFixture[str]) -> None:
+    async def scene() -> None:
+        bench = await started(build({}, "f"), Keeper())
+        bench.node.reload(bench.node.config, operation())
+        assert bench.node.parts is not None and "shards" not in bench.node.parts.parts
+        client = await bench.client()
+        await ask(bench, client, 1)
+
+    play(scene)
+    assert "needs a new process" in capfd.readouterr().err
+
+
+def test_without_shards_nothing_of_them_is_imported() -> None:
+    code = (
+        "import sys, brackenladder.net.node, brackenladder.net.hosting, brackenladder.operation\n"
+        "brackenladder.operation.build({'zones': {}}, 'f')\n"
+        "found = [m for m in sys.modules if m.startswith('brackenladder.forecast.')]\n"
+        "assert found == ['brackenladder.forecast.wishes'], found\n"
+    )
+    subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True)
