Stores: a flipped bit in the log that a kill leaves an SQLite file is damage

Need: SQLite takes a frame with a wrong checksum for its log's end. After a kill, a flipped bit there undid every change since the last checkpoint without a word. Change: before the file is opened, the log is read through; where more than one commit follows the first wrong frame the store is refused as damaged, untouched (one is what a loss of power may tear). Arguments that are not bytes are refused before anything is counted.

--- a/brackenladder/stores/memory.py
+++ b/brackenladder/stores/memory.py
@@ -41,16 +41,18 @@
             self.records.pop(name, None)
             self.used -= before
         else:
+            data = bytes(data)
             self.room(COST + len(data) - before)
-            self.records[name] = bytes(data)
+            self.records[name] = data
 
     def append(self, log: str, data: bytes) -> int:
         """Adds an entry at a log's end; returns its number."""
         there = self.logs.get(self.checked(log))
+        data = bytes(data)
         self.room(COST + len(data) + (0 if there else COST))
         if there is None:
             there = self.logs[log] = Log()
-        there.entries.append(bytes(data))
+        there.entries.append(data)
         return there.first + len(there.entries) - 1
 
     def read(self, log: str, since: int = 0) -> Iterator[tuple[int, bytes]]:
--- a/brackenladder/stores/sqlite.py
+++ b/brackenladder/stores/sqlite.py
@@ -9,9 +9,12 @@
 
 import os
 import sqlite3
+import sys
+from array import array
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
+from struct import Struct
 from zlib import crc32
 
 from brackenladder.stores.common import COST, MOST, closed, full, named
@@ -21,6 +24,9 @@
 FORMAT = 1
 FILE = "store.db"
 AT_ONCE = 256  # entries read by one query
+PAGE = 4096  # bytes of a page
+WAL_HEAD = Struct(">IIIIIIII")  # magic, format, bytes of a page, round, two salts, two checksums
+FRAME = Struct(">IIIIII")  # page, pages of the file after a commit or 0, two salts, two checksums
 TABLES = (
     "CREATE TABLE records (name TEXT PRIMARY KEY, data BLOB, sum INTEGER) WITHOUT ROWID",
     "CREATE TABLE logs (name TEXT PRIMARY KEY, first INTEGER, next INTEGER, sum INTEGER) WITHOUT ROWID",
@@ -63,6 +69,12 @@
         with told(path):
             make(path)
         try:
+            with told(self.where):
+                left = commits_left(f"{self.where}-wal")
+            if left > 1:  # one may be what a loss of power has torn
+                raise self.damage(
+                    f"{left} changes in {FILE}-wal come after bytes that are not what was written"
+                )
             with self.telling():
                 # Its caller may be a worker's thread, but never two at a time.
                 self.db = sqlite3.connect(
@@ -76,6 +88,7 @@
     def begin(self, db: sqlite3.Connection) -> None:
         """Locks the file, makes what is missing in it and checks the rest."""
         db.execute("PRAGMA locking_mode = EXCLUSIVE")
+        db.execute(f"PRAGMA page_size = {PAGE}")
         (version,) = db.execute("PRAGMA user_version").fetchone()
         fresh = db.execute("SELECT count(*) FROM sqlite_schema").fetchone() == (0,)
         if version != (0 if fresh else doubled(version & 0xFFFF)):
@@ -257,6 +270,51 @@
                 raise
 
 
+def commits_left(path: str) -> int:
+    """How many commits stand in a write-ahead log after the first frame whose checksum is wrong.
+
+    Failure prevented: SQLite takes that frame for the log's end, and a flipped bit in it undoes without a
+    word all that was written and synced since. Source: the WAL format in SQLite's "Database File Format".
+    """
+    if not os.path.exists(path):
+        return 0
+    with open(path, "rb") as file:
+        data = file.read()
+    if len(data) < WAL_HEAD.size + FRAME.size:
+        return 0
+    magic, _, page, _, *salts, sum0, sum1 = WAL_HEAD.unpack_from(data)
+    swap = (magic & 1) == (sys.byteorder == "little")
+    state = fletched(data[:24], swap, (0, 0))
+    sound = state == (sum0, sum1)
+    if not sound:  # its other fields mean nothing either; this store's pages are SQLite's usual ones
+        page, salts = PAGE, list(FRAME.unpack_from(data, WAL_HEAD.size)[2:4])
+    left = 0
+    for at in range(WAL_HEAD.size, len(data) - FRAME.size - page + 1, FRAME.size + page):
+        _, commit, salt0, salt1, *sums = FRAME.unpack_from(data, at)
+        if [salt0, salt1] != salts:  # of the log's earlier round, as all that follow, or changed
+            sound = False
+            continue
+        if sound:
+            state = fletched(data[at : at + 8], swap, state)
+            state = fletched(data[at + FRAME.size : at + FRAME.size + page], swap, state)
+            sound = [*state] == sums
+        if not sound and commit:
+            left += 1
+    return left
+
+
+def fletched(data: bytes, swap: bool, state: tuple[int, int]) -> tuple[int, int]:
+    """SQLite's running checksum of a log, over some more of it."""
+    words = array("I", data)
+    if swap:
+        words.byteswap()
+    sum0, sum1 = state
+    for word0, word1 in zip(words[::2], words[1::2], strict=True):
+        sum0 = (sum0 + word0 + sum1) & 0xFFFFFFFF
+        sum1 = (sum1 + word1 + sum0) & 0xFFFFFFFF
+    return sum0, sum1
+
+
 def doubled(format: int) -> int:
     """The format twice, so that a flipped bit does not make it a newer one."""
     return format << 16 | format
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -48,6 +48,18 @@
     assert store.names() == ([], [])
 
 
+@every
+def test_what_is_not_bytes_is_refused_and_costs_nothing(kind, place):
+    store = kind.open(place, MOST)
+    store.replace("vote", b"1")
+    size = store.size()
+    for call in (lambda: store.replace("vote", "text"), lambda: store.append("log", "text")):
+        with pytest.raises(TypeError):
+            call()
+    assert store.get("vote") == b"1" and store.names() == (["vote"], []) and store.size() == size
+    assert store.append("log", b"") == 1
+
+
 @every
 def test_a_closed_store_answers_with_an_error(kind, place):
     store = kind.open(place, MOST)
