Shards keep the judge of storms that the operators' file asks for

Need: [shards] puts a module of its own in place of the plain one at a node's start, and took over the judge of zones but not that of storms, which begins before it: with both tables [storms] was off, and nothing said so. Change: both are taken over. Result: a test with zones, storms and shards in one file, which fails without the change.

--- a/brackenladder/net/shards.py
+++ b/brackenladder/net/shards.py
@@ -48,7 +48,9 @@
                 "start the node anew, or have a new process take over, and leave [shards] in the file",
             )  # fmt: skip
         if not node.started:
-            node.balancer = Sharded(node.settings, node.config.seed, node, node.balancer.judge)
+            judges = node.balancer.judge, node.balancer.storms  # as the parts before this one gave them
+            node.balancer = Sharded(node.settings, node.config.seed, node, judges[0])
+            node.balancer.storms = judges[1]
         self.wish = self.wished()
         self.table = Scores(self.wish.count)
         self.placer = Placer(self.table, self.wish.homes)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -263,6 +263,14 @@
     assert done.stdout.strip() == "[]"
 
 
+@played
+async def test_parts_that_stand_in_the_module_do_not_push_each_other_out() -> None:
+    keys = {"shards": {"keys": {"view": "path 2"}}, "zones": {}, "storms": {}}
+    bench = await bench_with(build(keys, "operator.toml"), Server())
+    balancer = bench.node.balancer
+    assert type(balancer).__name__ == "Sharded" and balancer.judge is not None and balancer.storms is not None
+
+
 # ---- changes that wait ------------------------------------------------------------------------------------
 
 
