Module: the controller is an ordinary object

Change: the list of the controller's attributes, kept twice, goes: there is one controller a node, so slots save nothing.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -154,41 +154,6 @@
     has its full worth.
     """
 
-    __slots__ = (
-        "allowance",
-        "min_rtt",
-        "target",
-        "limit",
-        "in_flight",
-        "level",
-        "level_at",
-        "flight_sum",
-        "usual",
-        "best",
-        "lost",
-        "samples",
-        "sample_rtt",
-        "gradient",
-        "at_min",
-        "in_pass",
-        "pass_samples",
-        "pass_count",
-        "pass_until",
-        "next_pass",
-        "floor",
-        "members",
-        "copies",
-        "shared",
-        "pass_limit",
-        "ceiling",
-        "rng",
-        "passes",
-        "window_start",
-        "ramping",
-        "latency_sum",
-        "capacity",
-    )
-
     def __init__(self, allowance: Sequence[int], ceiling: int, rng: Random, now: int) -> None:
         self.allowance = allowance
         self.min_rtt = [0.0] * len(allowance)
