A request's homes are drawn among in the module; shards need no new process

Cause: the choice among a shard's homes stood in a class of its own beside the module, which decides about servers alone; it began with the process, replaced a module that a judge of storms had already been given to, and so lost that judge. Change: a request comes with its homes, and the module draws its first attempt among those that are members and have room; settings say the least size of the subset. The class is gone. Result: the same tests of shards green; a running node takes [shards] on at SIGHUP and lets them go.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -62,6 +62,8 @@
 SUBSET_BOUND = 128  # more where it has, or where copies are so few that servers would be left out
 SUBSET_FORMER = 64  # what was learned of so many former members is kept
 REPEAT_CHOICE = 24  # servers looked at for a keyed repeat where the subset has none of its group
+HOME_SHARE = 2.0  # a home of a request's shard takes so many times a member's part of the limit...
+HOME_LEAST = 2  # ...and so many calls of this copy at the least
 SUBSET_FLIGHT = 2  # in between: so many for each call in flight
 SMOOTH_FLIGHT = 0.05  # weight of the newest sample in the mean number of calls in flight
 RETRY_RATIO = 0.1  # further attempts allowed for each first attempt
@@ -472,6 +474,7 @@
         self.warm_size, self.all_cold = 0.0, False  # of so many members; hardly any is warm now
         self.warm_sent = 0
         self.list_failures = self.blocked = 0
+        self.at_home = self.beyond = 0  # first attempts at a home; those for which no home had room
         self.apart: set[int] = set()  # requests that are out and count nowhere: coming still, or flowing back
         self.rank_classes()
 
@@ -580,6 +583,7 @@
         time_left: int,
         repeat: bool,
         whole: bool = True,
+        homes: Sequence[int] = (),
     ) -> None:
         s = self.settings
         # Failure prevented: a request of an unknown class gets the retry rights of some other class.
@@ -594,6 +598,7 @@
         if self.judge is not None and now - self.judged_at >= WINDOW:
             self.ask_judge(now, self.judge)
         r: Request[Server] = Request(request, s, klass, c.effect if known else Effect.UNSAFE, now + useful)
+        r.homes = homes
         if not whole:
             r.coming = max(1, useful)
         self.requests[request] = r
@@ -739,6 +744,8 @@
             "min_rtt_calculation_active": float(c.in_pass),
             "in_flight": c.in_flight,
             "members": len(self.members),
+            "at_home": self.at_home,
+            "beyond_homes": self.beyond,
             "ejected": len(self.ejected),
             "spill": self.spill,
             "shed": self.shed,
@@ -1021,7 +1028,10 @@
         # member, and refuses the rest. Were all to widen in a shortage, servers would have more such calls.
         others = self.mean_held * len(self.roster) / self.settings.instances or inf  # copies carry on average
         most = min(SUBSET_BOUND, int(SUBSET_MOST * max(1.0, self.flight / others)))
-        return min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+        # Failure prevented: four members of an idle copy are the homes of few keys, and half of all are cold.
+        return max(
+            self.settings.least_members, min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+        )
 
     def known(self, now: int, entry: Listed) -> Server:
         """What this copy knows of a listed server; from now on it learns."""
@@ -1123,6 +1133,17 @@
                     trial.trial_out = True
                     trial.trial_at = now + EJECT_TIME
                     return trial
+        if r.homes and r.attempts == 0:
+            # Failure prevented: all that ask for one key wait at two servers while the others stand idle.
+            most = max(HOME_LEAST, HOME_SHARE * self.controller.allowed() / max(1, len(self.able)))
+            zones = {zone for zone, share in self.verdict.shares if share > 0}
+            known = [self.servers[n] for n in r.homes if n in self.servers]
+            homes = [m for m in known if m.member and not m.aside and m.in_flight < most]
+            srv = self.draw_two(now, [m for m in homes if not zones or m.zone in zones])
+            if srv is not None:
+                self.at_home += 1
+                return srv
+            self.beyond += 1
         if self.verdict.shares:
             return self.draw_by_zone(now, self.verdict)
         if self.zoned and self.near and self.rng.random() >= self.spill:
--- a/brackenladder/interface.py
+++ b/brackenladder/interface.py
@@ -105,6 +105,7 @@
     instances: int = 1  # instances that send to this tier, this one included
     index: int = 0
     ring: tuple[int, int] | None = None  # the place among those that live, where it is known
+    least_members: int = 0  # the subset is no smaller, while there are as many servers
     tick: int = 1000  # least time between two batches of events
     max_attempts: int = 1
     cancel: bool = False
@@ -314,12 +315,16 @@
         time_left: int,
         repeat: bool,
         whole: bool = True,
+        homes: Sequence[int] = (),
     ) -> None:
         """A request with a fresh id. One final answer is owed within `time_left`.
 
         Of one that is not `whole` more is to come: its server begins, and its time runs, only from the
         `request_whole` that follows. An attempt asked for before has its time-out counted from there.
 
+        `homes` are the servers whose caches may hold what is asked for, where operators have shards: while
+        one of them is a member and has room the first attempt is drawn among them, else as ever.
+
         That is `refuse`, `fail` or an outcome that is final. A class that the settings lack gets no right
         to a repeat, a tenant that they lack has no quota.
         """
--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -60,10 +60,6 @@
             from brackenladder.lab.keys import Sharding  # here: few scenarios have keys
 
             self.sharding = Sharding(self)
-            if s.operator.shards is not None and module is Balancer:
-                from brackenladder.forecast.sharded import Sharded
-
-                self.module = Sharded
         self.useful_work = 0.0
         self.events = 0
         seed = world.seed
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from brackenladder.interface import NEVER_RAN, Effect, Group, ListKind, Outcome, State
@@ -139,10 +140,10 @@
         self.calls = {}
         self.pools = {}
         settings = emu.world.settings(self.tier, self.zone, self.index, len(emu.tiers[self.tier].nodes))
+        if emu.sharding is not None and emu.sharding.shards is not None and self.tier == 0:
+            settings = replace(settings, least_members=emu.sharding.shards.members)
         self.balancer = emu.module(settings, seed, self)
         now = emu.kernel.now
-        if emu.sharding is not None and emu.sharding.shards is not None and self.tier == 0:
-            self.balancer.least = emu.sharding.shards.members
         self.guard("start", now)
         zones = emu.world.scenario.operator.zones
         if zones is not None and hasattr(self.balancer, "new_zones"):
@@ -227,8 +228,8 @@
         told = (now, call.id, call.klass, call.tenant, max(1, left), repeat)
         if emu.sharding is not None and call.key != NO_KEY and self.tier == 0:
             homes = emu.sharding.homes_of(self, call)
-            if homes and hasattr(self.balancer, "request_at"):
-                self.guard("request_at", *told, True, homes)
+            if homes and hasattr(self.balancer, "at_home"):  # not every module knows of homes
+                self.guard("request", *told, True, homes)
                 return
         self.guard("request", *told)
 
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -140,6 +140,7 @@
         )
         self.on_request: Callable[[Open, int, int, bool, bool], bool] | None = None  # who knows its homes
         self.ring: tuple[int, int] | None = None  # the place that is in force, if not the platform's
+        self.least_members = 0  # servers that a part wants in the subset at the least
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed: set[int] | None = None  # the servers in the list, once there is one
@@ -235,6 +236,8 @@
         if self.ring is not None:
             # What all nodes must not do together goes by the larger count: members may be cut off, not dead.
             settings = replace(settings, ring=self.ring, instances=max(settings.instances, self.ring[1]))
+        if self.least_members:
+            settings = replace(settings, least_members=self.least_members)
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
@@ -343,7 +346,7 @@
                     event(self.now(), *args)
                 except Exception as e:  # one event's failure must not end the node or other requests
                     self.log_lines.line(f"{event.__name__}: {type(e).__name__}: {e}")
-                    if event.__name__ in ("request", "request_at", "outcome"):
+                    if event in (self.balancer.request, self.balancer.outcome):
                         self.conclude(args[0], 500)
         finally:
             self.busy = False
--- a/brackenladder/net/shards.py
+++ b/brackenladder/net/shards.py
@@ -1,8 +1,8 @@
 """`[shards]`: requests for a key go to its homes first, as a part of the node.
 
-`forecast.placer` says which servers those are and `forecast.sharded` sends to them; here is what a key is in
-a request, and when the members have changed. Homes are by the servers' numbers, which are hashes of their
-names and so the same in all nodes.
+`forecast.placer` says which servers those are and the decision module draws among them; here is what a key
+is in a request, and when the members have changed. Homes are by the servers' numbers, which are hashes of
+their names and so the same in all nodes.
 """
 
 from __future__ import annotations
@@ -14,12 +14,11 @@
 from brackenladder.forecast.placement import Scores, position
 from brackenladder.forecast.placer import Placer
 from brackenladder.forecast.rules import Plan, Steps
-from brackenladder.forecast.sharded import Sharded
 from brackenladder.interface import Effect
 from brackenladder.net.callers import Message
 from brackenladder.net.inner import Inner
 from brackenladder.net.node import Open, number_of
-from brackenladder.net.parts import Change, ListNews, PartError
+from brackenladder.net.parts import Change, ListNews
 from brackenladder.operation import Operation, ShardsTable
 
 LOOK = 0.25  # seconds between two looks at a change that goes in steps
@@ -42,15 +41,6 @@
 
     def begin(self) -> None:
         node = self.node
-        if node.started and not isinstance(node.balancer, Sharded):
-            raise PartError(
-                "needs a new process: its decisions begin with the process", "shards",
-                "start the node anew, or have a new process take over, and leave [shards] in the file",
-            )  # fmt: skip
-        if not node.started:
-            judges = node.balancer.judge, node.balancer.storms  # as the parts before this one gave them
-            node.balancer = Sharded(node.settings, node.config.seed, node, judges[0])
-            node.balancer.storms = judges[1]
         self.wish = self.wished()
         self.table = Scores(self.wish.count)
         self.placer = Placer(self.table, self.wish.homes)
@@ -78,12 +68,13 @@
                 self.hosting.say("shards: a class is left out", **error.table())
                 continue
             self.places[name.encode()] = place
-        self.balancer.least = self.wish.members
+        self.members(self.wish.members)
 
-    @property
-    def balancer(self) -> Sharded:
-        assert isinstance(self.node.balancer, Sharded)
-        return self.node.balancer
+    def members(self, least: int) -> None:
+        """The subset is to be no smaller than that."""
+        if self.node.least_members != least:
+            self.node.least_members = least
+            self.node.renew(self.node.table.settings)
 
     def reload(self, operation: Operation) -> None:
         """Keys hold at once; other shards or homes are a change of placement, which may have to wait."""
@@ -102,9 +93,9 @@
         if self.timer is not None:
             self.timer.cancel()
         self.node.on_request = None
-        if not self.hosting.ending and isinstance(self.node.balancer, Sharded):
+        if not self.hosting.ending:
             self.hosting.changes.forget("shards")
-            self.balancer.least = 0
+            self.members(0)
 
     def list_news(self, news: ListNews) -> None:
         """Servers' weights, where they can be compared."""
@@ -132,19 +123,19 @@
         homes = self.homes(position(key))
         if homes:
             node = self.node
-            node.post(self.balancer.request_at, request.id, request.klass, tenant, left, repeat, whole, homes)
+            node.post(node.balancer.request, request.id, request.klass, tenant, left, repeat, whole, homes)
         return bool(homes)
 
     def homes(self, position: int) -> tuple[int, ...]:
         """The numbers of the servers that a key goes to now."""
-        drawn = self.balancer.drawn
+        drawn = self.node.balancer.drawn
         if drawn is not self.drawn:
             self.members_moved()
         return tuple(drawn[place].id for place in self.placer.of(position) if place < len(drawn))
 
     def members_moved(self) -> None:
         """The subset has changed: what is gone loses its shards at once, what is new gets them as planned."""
-        drawn = self.drawn = self.balancer.drawn
+        drawn = self.drawn = self.node.balancer.drawn
         known = {int(name) for name, _ in self.placer.members}
         members = [(str(listed.id), self.weights.get(listed.id, 1.0)) for listed in drawn]
         fresh = frozenset(listed.id for listed in drawn) - known
@@ -198,7 +189,7 @@
             self.timer = self.node.loop.call_later(LOOK, self.watch)
 
     def figures(self) -> dict[str, object]:
-        steps, balancer = self.placer.steps, self.balancer
+        steps, balancer = self.placer.steps, self.node.balancer
         return {
             "count": self.placer.new.table.shards,
             "homes": self.placer.new.homes,
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -272,8 +272,8 @@
 
 
 class ShardsTable(Table, frozen=True):
-    """`[shards]`: requests for a key go to its homes first. Its presence switches it on, from a process's
-    start on. `keys` says by class which part of a request is its key: `path 2` or `header x-item`."""
+    """`[shards]`: requests for a key go to its homes first. Its presence switches it on.
+    `keys` says by class which part of a request is its key: `path 2` or `header x-item`."""
 
     count: Annotated[int, Meta(ge=1, le=16_384)] = 1_024
     homes: Annotated[int, Meta(ge=1, le=8)] = 2
--- a/brackenladder/request.py
+++ b/brackenladder/request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Generic, TypeVar
 
 from brackenladder.interface import Effect, Settings
@@ -27,6 +28,7 @@
         "sent_at",
         "coming",
         "once",
+        "homes",
     )
 
     def __init__(self, request: int, settings: Settings, klass: int, effect: Effect, until: int) -> None:
@@ -44,3 +46,4 @@
         self.sent_at = 0
         self.coming = 0  # more of it is to come: the time that it then has
         self.once = False  # it cannot be sent again
+        self.homes: Sequence[int] = ()  # the servers that its first attempt goes to, if they have room
--- a/tests/test_forecast_part.py
+++ b/tests/test_forecast_part.py
@@ -251,16 +251,20 @@
     play(scene)
 
 
-def test_a_running_node_is_told_that_shards_need_a_new_process(capfd: pytest.CaptureFixture[str]) -> None:
+def test_a_running_node_takes_shards_on_and_lets_them_go() -> None:
     async def scene() -> None:
         bench = await started(build({}, "f"), Keeper())
-        bench.node.reload(bench.node.config, operation())
-        assert bench.node.parts is not None and "shards" not in bench.node.parts.parts
         client = await bench.client()
         await ask(bench, client, 1)
+        assert bench.node.balancer.at_home == 0
+        bench.node.reload(bench.node.config, operation())
+        await ask(bench, client, 2)
+        assert bench.node.balancer.at_home == 1 and bench.node.settings.least_members > 0
+        bench.node.reload(bench.node.config, build({}, "f"))
+        await ask(bench, client, 3)
+        assert bench.node.balancer.at_home == 1 and bench.node.settings.least_members == 0
 
     play(scene)
-    assert "needs a new process" in capfd.readouterr().err
 
 
 def test_without_shards_nothing_of_them_is_imported() -> None:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -329,6 +329,9 @@
     assert result.stdout.startswith(b"send 1 to")
 
 
+OTHERS = {"eject", "readmit", "fail_rate", "stopped_parts", "waiting"}  # of log lines, and of parts
+
+
 def test_the_on_call_page_names_what_exists():
     page = (ROOT / "docs" / "on-call.md").read_text()
     page = re.sub(r"\n## Errors\n.*?(?=\n## )", "", page, flags=re.S)  # tests/test_errors.py has those
@@ -342,7 +345,7 @@
     figures = set(figures) - {"results"} | set(figures["results"]["any"])
     assert figures <= named  # every figure is explained
     named -= figures - set(stats)
-    unknown = {n for n in named if n not in stats and n not in {"eject", "readmit", "fail_rate"}}
+    unknown = {n for n in named if n not in stats and n not in OTHERS}
     assert len(named & set(stats)) >= 10 and not unknown
     logged = re.findall(r'log\(\s*f"(\w+) ([a-z]+)=', source)
     assert set(logged) == {("eject", "server"), ("readmit", "server")}
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -8,10 +8,10 @@
 import pytest
 from support import BASE, SEC, Recorder, end
 
+from brackenladder.balance import Balancer
 from brackenladder.forecast.placement import Scores
 from brackenladder.forecast.placer import Placer
 from brackenladder.forecast.rules import Steps, moved
-from brackenladder.forecast.sharded import Sharded
 from brackenladder.interface import ListKind, Outcome, ServerEntry, State
 from brackenladder.lab.emulator import run
 from brackenladder.lab.scenario import load
@@ -20,18 +20,17 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def sharded(servers: int = 8, **changes: object) -> tuple[Sharded, Recorder]:
+def sharded(servers: int = 8, **changes: object) -> tuple[Balancer, Recorder]:
     recorder = Recorder()
-    node = Sharded(replace(BASE, **changes), 1, recorder)  # type: ignore[arg-type]
-    node.least = servers
+    node = Balancer(replace(BASE, least_members=servers, **changes), 1, recorder)  # type: ignore[arg-type]
     node.start(0)
     node.server_list(0, ListKind.CACHED, [ServerEntry(i + 1) for i in range(servers)])
     recorder.take()
     return node, recorder
 
 
-def ask(node: Sharded, recorder: Recorder, now: int, request: int, homes: tuple[int, ...]) -> tuple:
-    node.request_at(now, request, 0, 0, 3 * SEC, False, True, homes)
+def ask(node: Balancer, recorder: Recorder, now: int, request: int, homes: tuple[int, ...]) -> tuple:
+    node.request(now, request, 0, 0, 3 * SEC, False, True, homes)
     (action,) = recorder.take("send", "refuse", "fail")
     return action
 
@@ -106,8 +105,7 @@
 def test_a_subset_is_no_smaller_than_asked_for() -> None:
     node, _ = sharded(40, instances=10, index=3)
     assert len(node.members) == 40
-    node.least = 16
-    node.refill(0)
+    node.new_settings(0, replace(node.settings, least_members=16))
     assert 16 <= len(node.members) < 40
 
 
