What a part says of a request or an answer cannot fail the request

Need: a mistake in key_of or hit_of went through the end of an attempt, so that the module never heard of it; one in who knows a key's homes answered 500. A part that stopped the membership by a mistake left those that build on it with dead channels after the next SIGHUP; a part that is no longer asked for was listed as stopped for ever. Change: such calls are guarded: the part is stopped and named, the request goes on without. Parts that build on one that was stopped begin anew with it. Result: two more cases of the test of parts that raise; both fail without the guard.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from hashlib import blake2b
 from time import monotonic_ns, time_ns
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, ParamSpec, TypeVar
 
 import msgspec
 
@@ -45,6 +45,10 @@
 OWN_MEMBERSHIP = {"listen": "", "advertise": ""}  # the environment overrides them
 
 
+P = ParamSpec("P")
+R = TypeVar("R")
+
+
 class Hosting:
     """The parts of one node, and their `Host`."""
 
@@ -89,6 +93,7 @@
             if entry.asked_for(operation) and not self.lacks(entry, allowed, operation, wanted):
                 wanted.append(entry)
         tables = {entry.table for entry in wanted} - self.outdated(operation)
+        self.failed &= {entry.table for entry in registry.PARTS if entry.asked_for(operation)}
         self.held = {table: wait for table, wait in self.held.items() if table in tables}
         self.tending = True  # what parts that begin anew have been told holds for those that follow them
         for table in reversed(list(self.parts)):
@@ -128,6 +133,7 @@
         membership's port or the store while that is another one from now on."""
         anew = {entry.table for entry in registry.PARTS if entry.anew} | {"store"}
         changed = {t for t in anew if getattr(operation, t, None) != getattr(self.asked_before, t, None)}
+        changed |= {t for t in anew - {"store"} if t not in self.parts}  # it was stopped for what it did
         return changed | {t for t, builds in self.leaning.items() if builds & changed}
 
     def begin(self, entry: registry.Entry) -> None:
@@ -234,6 +240,18 @@
         except Exception as e:
             self.fail(part, told(e))
 
+    def guarded(self, part: Part, call: Callable[P, R], instead: R) -> Callable[P, R]:
+        """A part's call for the ordinary path. One that raises stops the part; `instead` is the answer."""
+
+        def guard(*args: P.args, **kwargs: P.kwargs) -> R:
+            try:
+                return call(*args, **kwargs)
+            except Exception as e:
+                self.fail(part, told(e))
+                return instead
+
+        return guard
+
     def fail(self, part: Part, why: str) -> None:
         """Stops a part for what it did; the next SIGHUP starts it again."""
         table = next((t for t, p in self.parts.items() if p is part), None)
@@ -252,8 +270,8 @@
             overrides(p, name) for p in running for name in ("version", "list_news", "attempt_ended")
         )
         begins, self.tracks = tracks and not self.tracks, tracks
-        self.key_of = next((p.key_of for p in running if p.key_of is not None), None)
-        self.hit_of = next((p.hit_of for p in running if p.hit_of is not None), None)
+        self.key_of = next((self.guarded(p, p.key_of, None) for p in running if p.key_of is not None), None)
+        self.hit_of = next((self.guarded(p, p.hit_of, None) for p in running if p.hit_of is not None), None)
         if self.on_voices is not None:
             self.on_voices()
         self.node.on_ended = self.ended if self.ended_for else None
--- a/brackenladder/net/shards.py
+++ b/brackenladder/net/shards.py
@@ -50,7 +50,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.take_wish()
         self.key_of = self.key
-        node.on_request = self.request
+        node.on_request = self.hosting.guarded(self, self.request, False)
 
     def wished(self) -> ShardsTable:
         wish = self.hosting.operation().shards
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -200,7 +200,7 @@
     assert (await asked(node, "PUT /admin/dummy"))[0] == 405
 
 
-@pytest.mark.parametrize("where", [*NOTED, "start", "asked"])
+@pytest.mark.parametrize("where", [*NOTED, "start", "asked", "key_of", "hit_of"])
 @played
 async def test_a_part_that_raises_is_stopped_and_the_node_serves_on(
     where: str, capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
@@ -210,6 +210,8 @@
     def broken(self: Dummy) -> None:
         plain(self)
         self.raises = where
+        self.key_of = lambda message: self.note("key_of")
+        self.hit_of = lambda answer: self.note("hit_of")
 
     monkeypatch.setattr(Dummy, "__init__", broken)
     bench = await bench_with(Wide(dummy=Wish()), Server())
