Tests: an elector without a store is looked at while it says so

Cause: the host tries again each second, and says nothing of its store between that and the next write; on a busy machine the test looked just then. Change: it waits for the word.

--- a/tests/test_freeze_host.py
+++ b/tests/test_freeze_host.py
@@ -210,7 +210,8 @@
         assert answer.go
         await world.until(lambda: world.coordinator() not in ("", victim))
         assert any(event == "freeze store" for event, _ in host.lines)
-        assert world.parts[victim].broken and "no room" in world.parts[victim].page()[1]["store"]
+        await world.until(lambda: bool(world.parts[victim].broken))  # it begins anew now and then
+        assert "no room" in world.parts[victim].page()[1]["store"]
         host.kept.replace = good
         await world.until(lambda: not world.parts[victim].broken)
         assert world.parts[victim].machine.elector is not None
