--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -9,6 +9,7 @@
 import signal
 import statistics
 import sys
+from bisect import bisect_left
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -479,6 +480,11 @@
 
         def compare(count: list[int], held: list[Held], times: list[float], until: float) -> None:
             came, right = matched(held, times, until)
+            if came != right:  # for whoever looks into it
+                near = [(round(h.taken, 3), dict(h.attempts), count_at(times, h.taken)) for h in held]
+                self.faults.append(
+                    {"fault": "ledger", "nodes": [name], "came": came, "right": right, "held": near}
+                )
             count[0] += came
             count[1] += right
 
@@ -565,6 +571,11 @@
             self.agents.close()
 
 
+def count_at(times: list[float], at: float) -> int:
+    """Calls that had come until a moment."""
+    return bisect_left(times, at)
+
+
 def held_by(ledger: dict[str, Any]) -> list[Held]:
     """The list's versions of `/admin/audit`."""
     now = ledger["now_us"] / 1e6
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -276,6 +276,7 @@
     "was neither paused, killed nor cut off",
     "wrongly_out": "nodes shut out whose agent was well",
     "out": "nodes shut out, counting each time",
+    "out_at_end": "nodes that are out at the end",
     "out_share": "most of the nodes that were out at a time",
     "coordinator_s": "from a kill of the coordinator of changes until another coordinates, longest",
     "coordinator_p99_s": "the same, 99th percentile",
--- a/brackenladder/net/audit.py
+++ b/brackenladder/net/audit.py
@@ -100,6 +100,7 @@
             lag=int(wish.lag_s * us),
             silence=int(wish.silence_s * us),
             agents=len(wish.agents),
+            peers=3 if wish.from_peers else 0,
             out_after=int(wish.out_after_s * us),
             share=wish.out_share_percent / 100,
             in_after=int(wish.in_after_s * us),
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -196,6 +196,7 @@
 
     numbering: str = ""
     agents: list[str] = msgspec.field(default_factory=list)
+    from_peers: bool = True
     flush_s: Annotated[float, Meta(ge=0.05, le=60)] = 0.5
     lag_s: Seconds = 2.5
     silence_s: Seconds = 6.0
