--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -43,6 +43,9 @@
         [c.strip() for c in line.strip("|").split("|")] for line in part.splitlines() if line[:3] == "| `"
     ]
     assert all(len(c) == 3 for c in cells), f"a row of {TABLE.name} has not three cells"
+    names = [c[0] for c in cells]
+    twice = sorted({n for n in names if names.count(n) > 1})
+    assert not twice, f"{TABLE.name}: two rows for {', '.join(twice)}; take one out"
     return {name.strip("`"): (meaning, do) for name, meaning, do in cells}
 
 
