Operators' file: nan or inf under freeze.alone_s is refused by type, like all that is odd

Need: TOML has nan and inf; under [freeze] alone_s they ended a start with a bare ValueError or OverflowError.

Cause: the seconds were made a whole number of microseconds before their range was looked at.

Change: the range first. A test puts 18 odd values at every place of a file with all tables, and takes nothing but an OperationError with a place and a remedy; it asks for a table that is new.

--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -250,9 +250,10 @@
             for kind in kinds:
                 if kind not in alone:
                     raise OperationValue(f"one of {', '.join(alone)}", f"freeze.{key}.{kind}")
-                most = int(self.alone_s[kind] * us) if key == "alone_s" else None
-                if most is not None and not 0 < most <= 86_400 * us:
+                # TOML has nan and inf, which no whole number of microseconds is.
+                if key == "alone_s" and not 1 / us <= self.alone_s[kind] <= 86_400:
                     raise OperationValue("seconds, above 0 and up to 86400", f"freeze.alone_s.{kind}")
+                most = int(self.alone_s[kind] * us) if key == "alone_s" else None
                 alone[kind] = replace(alone[kind], most=most)
         shared = CoordinatorRules(begin=int(self.begin_s * us), most_life=int(self.most_life_s * us))
         drift = self.drift_percent / 100
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -1,5 +1,6 @@
 """Every error that an operator may see: a remedy of its own, a row in the on-call table, shown in full."""
 
+import copy
 import errno
 import importlib
 import json
@@ -8,8 +9,11 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
+from math import inf, nan
 from pathlib import Path
 
+import msgspec
 import pytest
 from test_node import node_table, settings
 
@@ -17,6 +21,7 @@
 from brackenladder.errors import BrackenladderError
 from brackenladder.net.bind import AddressForbidden, AddressForeign, ListenError, SocketUnusable, listening
 from brackenladder.net.config import read
+from brackenladder.operation import OperationError, build
 
 ROOT = Path(__file__).parent.parent
 TABLE = ROOT / "docs" / "on-call.md"
@@ -251,3 +256,65 @@
     assert found.settings.tenants == () and found.settings.over_share_worth == 1.0
     only = found.settings.classes[0]
     assert (only.effect.name, only.group.name, only.window, only.stream) == ("UNSAFE", "CELL", 0, False)
+
+
+OPERATION = {
+    "zones": {"near": {"a": ["b"]}},
+    "storms": {},
+    "membership": {"advertise": "127.0.0.1:8", "seeds": ["127.0.0.1:7"], "regions": {"r": ["a", "b"]}},
+    "spread": {},
+    "store": {"kind": "directory", "path": "state"},
+    "audit": {"agents": ["127.0.0.1:9"]},
+    "freeze": {"electors": ["a", "b", "c"], "alone_s": {"placement": 1.0}, "never_alone": ["upgrade"]},
+    "shards": {"keys": {"view": "path 2", "offer": "header x-item"}},
+    "forecast": {},
+}
+ODD = (
+    None,
+    True,
+    0,
+    -1,
+    2.7,
+    1e5,
+    nan,
+    inf,
+    -inf,
+    10**400,
+    "",
+    "x",
+    "0.0.0.0:0",
+    [],
+    {},
+    [1],
+    ["a", "a"],
+    {"a": 1},
+)
+
+
+def spots(value: object, path: tuple[str | int, ...] = ()) -> Iterator[tuple[str | int, ...]]:
+    """The paths of all that stands in tables and lists."""
+    if path:
+        yield path
+    pairs = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, inner in pairs:
+        yield from spots(inner, (*path, key))
+
+
+def test_an_operators_file_with_anything_odd_in_it_is_refused_by_type_with_its_place():
+    """Failure prevented: a value that slips through a check ends the node, or the reload, by a bare error."""
+    whole = msgspec.to_builtins(build(OPERATION, "f.toml"))
+    assert all(whole.values())  # a table that is new belongs into OPERATION
+    refused = 0
+    for *way, last in spots(whole):
+        for odd in ODD:
+            table = copy.deepcopy(whole)
+            inner = table
+            for step in way:
+                inner = inner[step]
+            inner[last] = copy.deepcopy(odd)
+            try:
+                build(table, "f.toml")
+            except OperationError as e:
+                assert e.where.startswith("f.toml") and e.what and e.advice, (way, last, odd)
+                refused += 1
+    assert refused > 1000
