Operators' file: a key that lacks is named, paths are read as in the settings

Need: two functions turned msgspec's words into a path and a reason; the one of the operators' file put a key that is missing into the reason, and the table alone into the place.

Change: operation.py uses settings.located.

--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -19,6 +19,7 @@
 from brackenladder.errors import BrackenladderError
 from brackenladder.forecast.wishes import Rules as ChangeRules
 from brackenladder.membership.swim import SwimSettings
+from brackenladder.settings import located
 from brackenladder.spread import SpreadRules
 from brackenladder.stores.factory import Kind, StoreWish
 from brackenladder.storms import StormRules
@@ -392,7 +393,7 @@
     try:
         found = msgspec.convert(table, Operation)
     except msgspec.ValidationError as e:
-        key, what = plain(str(e))
+        key, what = located(e)
         raise OperationValue(what, key).within(where) from None
     if found.membership is not None:
         check_membership(found.membership, where)
@@ -478,11 +479,3 @@
             near = get_close_matches(key, form.__struct_fields__, 1)
             hint = f"did you mean {near[0]}?" if near else f"known are {', '.join(form.__struct_fields__)}"
             raise OperationUnknownKey(f"unknown key; {hint}", f"{where}: {path}{key}")
-
-
-def plain(text: str) -> tuple[str, str]:
-    """msgspec's words as the path of a key and what is wrong there: `zones.return_s`, `expected ...`."""
-    what, mark, path = text.rpartition(" - at `")
-    if not mark:
-        return "", text
-    return path.rstrip("`").removeprefix("$").lstrip("."), what[0].lower() + what[1:]
