--- a/benchmarks/forecast.py
+++ b/benchmarks/forecast.py
@@ -1,10 +1,12 @@
 """How well the forecast of cache hits does: against real LRUs, beside simpler guesses; and what it costs.
 
-    python -m benchmarks.forecast accuracy [--seeds 101:121] [--nodes 200] [--jobs 4]
+    python -m benchmarks.forecast accuracy [--seeds 201:221] [--nodes 200] [--jobs 4]
+    python -m benchmarks.forecast late [--seeds 301:321] [--scenario scenarios/cache-shards.toml]
     python -m benchmarks.forecast placement
     python -m benchmarks.forecast cost
 
 `accuracy` plays two changes a seed on caches alone (brackenladder/lab/caches.py), drawn from the seed.
+`late` plays a scenario in the emulator with the change made at once, in fixed steps and as is forecast.
 `placement` compares ways to give shards to the servers of nodes' subsets. `cost` measures the sample's time
 and memory and a forecast's time at 300 nodes, 300 servers and 10,000 sampled keys.
 """
@@ -19,6 +21,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from math import inf
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -31,6 +34,8 @@
 from brackenladder.forecast.sample import Sample
 from brackenladder.interface import ServerEntry
 from brackenladder.lab.caches import Caches, Kind, Site, Told
+from brackenladder.lab.emulator import run
+from brackenladder.lab.scenario import load
 from brackenladder.order import mix
 
 PAIRS: tuple[tuple[Kind, Kind], ...] = (
@@ -159,6 +164,42 @@
     print(f", median error {np.median(ratios):.2f}")
 
 
+# ---- late answers -------------------------------------------------------------------------------------
+
+WAYS_TO_CHANGE = ("at_once", "steps", "forecast")
+
+
+def late_of(given: tuple[str, int, str]) -> tuple[float, float, float, int, float]:
+    """The worst second's part that is late, the same over the time after the change, and how it was made."""
+    path, seed, way = given
+    emulator, figures, _ = run(load(Path(path), (f"keys.moves={way}",)), seed)
+    assert emulator.sharding is not None
+    begun = [line for line in emulator.sharding.made if line[2].steps]
+    steps = begun[-1][2].steps if begun else 0
+    waited = begun[0][0] - emulator.sharding.made[0][0] if begun else inf
+    return figures.late_peak(), 1 - figures.value("in_time@45:75"), figures.value("rules"), steps, waited
+
+
+def late(seeds: range, path: str, jobs: int) -> None:
+    asked = [(path, seed, way) for seed in seeds for way in WAYS_TO_CHANGE]
+    found: dict[str, list[tuple[float, float, float, int, float]]] = {way: [] for way in WAYS_TO_CHANGE}
+    with ProcessPoolExecutor(jobs) as pool:
+        for (_, seed, way), line in zip(asked, pool.map(late_of, asked), strict=True):
+            found[way].append(line)
+            print(
+                f"seed {seed} {way:8} worst second {line[0]:.4f} after {line[1]:.4f}"
+                f" rules {line[2]:g} steps {line[3]} waited {line[4]:.1f} s",
+                flush=True,
+            )
+    for way, lines in found.items():
+        peaks = [line[0] for line in lines]
+        print(
+            f"{way}: worst second mean {np.mean(peaks):.4f} largest {max(peaks):.4f}; late after the change"
+            f" {np.mean([line[1] for line in lines]):.4f}; rules {sum(line[2] for line in lines):g};"
+            f" steps {Counter(line[3] for line in lines)}"
+        )
+
+
 # ---- ways to place shards -----------------------------------------------------------------------------
 
 Way = Callable[[list[int], int, int], dict[int, tuple[int, ...]]]
@@ -337,16 +378,20 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=("accuracy", "placement", "cost"))
-    parser.add_argument("--seeds", default="101:121")
+    parser.add_argument("what", choices=("accuracy", "late", "placement", "cost"))
+    parser.add_argument("--seeds", default="201:221")
+    parser.add_argument("--scenario", default="scenarios/cache-shards.toml")
     parser.add_argument("--nodes", type=int, default=200)
     parser.add_argument("--servers", type=int, default=100)
     parser.add_argument("--rate", type=float, default=20_000.0)
     parser.add_argument("--jobs", type=int, default=4)
     given = parser.parse_args()
+    first, _, until = given.seeds.partition(":")
+    seeds = range(int(first), int(until))
     if given.what == "accuracy":
-        first, _, until = given.seeds.partition(":")
-        accuracy(range(int(first), int(until)), given.nodes, given.servers, given.rate, given.jobs)
+        accuracy(seeds, given.nodes, given.servers, given.rate, given.jobs)
+    elif given.what == "late":
+        late(seeds, given.scenario, given.jobs)
     elif given.what == "placement":
         placement()
     else:
