Freeze: a coordinator that hears no answers lets others follow, and candidates ask again

A coordinator whose beats arrive and whose answers are lost held all others back for two leases: after half a lease without a majority's answers its beats ask for no promise. Candidates ask those again, each tenth of a second, that have not said yes.

--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -90,6 +90,11 @@
     def beat(self) -> int:
         return max(1, self.lease // 8)
 
+    @property
+    def deaf(self) -> int:
+        """A coordinator that a majority has not answered for so long asks for no more promises."""
+        return self.own_lease // 2
+
     @property
     def resend(self) -> int:
         """A beat with commands that is not answered for so long is sent again."""
@@ -155,7 +160,8 @@
     """What a coordinator knows of another elector, in its own term."""
 
     held: Held | None = None  # what its store holds; None until it has said so
-    sent: int = -1  # when the newest beat was sent that it has answered
+    sent: int = -1  # when the newest beat was sent that it has answered with its promise
+    heard: int = -1  # the same with or without
     out: int = -1  # a beat with commands that is out, since when
     beat: int = -1  # when the last beat went out
 
@@ -222,6 +228,7 @@
         self.barred = False  # a straggler holds no vote
         self.next_try = self.abstain + self.draw(rules.spread)
         self.asked = 0  # when the present (pre-)candidacy began
+        self.ask_at = 0  # when those are asked again that have not said yes
         self.votes: frozenset[str] = frozenset()
         self.peers: dict[str, Peer] = {}
         self.elected = 0
@@ -273,6 +280,8 @@
             self.role, self.votes = Role.FOLLOWER, frozenset()
         if self.role is Role.FOLLOWER and self.now >= self.due():
             return out + self.ask_votes(pre=True)
+        if self.role is not Role.FOLLOWER and self.now >= self.ask_at:
+            return out + self.ask_again()
         return out
 
     def stored(self, now: int, number: int) -> list[Action]:
@@ -311,7 +320,7 @@
             return min(self.leased(), *beats)
         if self.role is Role.FOLLOWER:
             return self.due()
-        return self.next_try
+        return min(self.next_try, self.ask_at)
 
     def leading(self, now: int) -> bool:
         """Whether this one coordinates at this moment: it has its lease, and a majority holds the state that
@@ -427,13 +436,18 @@
         self.asked, self.votes = self.now, frozenset((self.name,))
         if pre:
             self.role = Role.ASKING
-            asked = VoteAsk(self.term + 1, self.now, self.held, True)
-            return [Send(n, asked) for n in self.others]
+            return self.ask_again()
         self.role, self.coordinator = Role.CANDIDATE, ""
         self.term, self.voted = self.term + 1, self.name
         self.events.append(Event("candidate", self.term))
-        ask = VoteAsk(self.term, self.now, self.held, False)
-        return [self.save(), *(Send(n, ask) for n in self.others)]
+        return [self.save(), *self.ask_again()]
+
+    def ask_again(self) -> list[Action]:
+        """Asks those that have not said yes: it was lost, or their promises end a little later."""
+        self.ask_at = self.now + self.rules.resend
+        pre = self.role is Role.ASKING
+        ask = VoteAsk(self.term + pre, self.asked, self.held, pre)
+        return [Send(n, ask) for n in self.others if n not in self.votes]
 
     def free(self, candidate: str) -> bool:
         """Whether nothing keeps this elector from voting for somebody: no promise, no forgotten one."""
@@ -498,6 +512,15 @@
         sent = sorted((p.sent for p in self.peers.values()), reverse=True)
         return max(sent[self.rules.majority - 2], self.elected) + self.rules.own_lease
 
+    def hears(self) -> bool:
+        """Whether a majority has answered lately. A coordinator that hears none asks for no more promises.
+
+        Failure prevented: a coordinator whose beats arrive and whose answers do not keeps all others from
+        following it for two leases.
+        """
+        heard = sorted((p.heard for p in self.peers.values()), reverse=True)[self.rules.majority - 2]
+        return self.now < max(heard, self.elected) + self.rules.deaf
+
     def beat(self) -> list[Action]:
         """To those whose time it is."""
         out: list[Action] = []
@@ -523,7 +546,7 @@
     def beats(self, name: str, peer: Peer) -> list[Action]:
         peer.beat = self.now
         if peer.held is None or peer.held == self.held:
-            return [Send(name, Beat(self.term, self.now, self.held))]
+            return [Send(name, Beat(self.term, self.now, self.held, [], self.hears()))]
         peer.out = self.now
         commands: list[tuple[Held, bytes]] = []
         size = 0
@@ -535,7 +558,7 @@
                 break
             commands.append((after, command))
         if commands:
-            return [Send(name, Beat(self.term, self.now, peer.held, commands))]
+            return [Send(name, Beat(self.term, self.now, peer.held, commands, self.hears()))]
         held, data = self.whole()
         parts = max(1, -(-len(data) // PART_BYTES))
         if parts > MOST_PARTS:
@@ -544,7 +567,13 @@
             Send(
                 name,
                 SnapshotPart(
-                    self.term, self.now, held, i, parts, data[i * PART_BYTES : (i + 1) * PART_BYTES]
+                    self.term,
+                    self.now,
+                    held,
+                    i,
+                    parts,
+                    data[i * PART_BYTES : (i + 1) * PART_BYTES],
+                    self.hears(),
                 ),
             )
             for i in range(parts)
@@ -564,8 +593,10 @@
         if self.role is not Role.LEADER or ack.term < self.term or ack.sent > self.now:
             return []
         peer = self.peers[sender]
-        if ack.sent >= peer.sent:
-            peer.sent, peer.held = ack.sent, ack.held
+        if ack.promise:
+            peer.sent = max(peer.sent, ack.sent)
+        if ack.sent >= peer.heard:
+            peer.heard, peer.held = ack.sent, ack.held
             if ack.sent >= peer.out:
                 peer.out = -1
         self.settle()
@@ -588,18 +619,19 @@
 
     def on_beat(self, sender: str, beat: Beat | SnapshotPart) -> list[Action]:
         if beat.term < self.term:
-            return [Send(sender, BeatAck(self.term, beat.sent, self.durable))]
+            return [Send(sender, BeatAck(self.term, beat.sent, self.durable, False))]
         out = self.take_term(beat.term)
         if self.role is not Role.FOLLOWER:
             self.step_down("another has been elected")
         self.coordinator = sender
-        self.promised = self.now + self.rules.lease
-        self.next_try = self.promised + self.draw(self.rules.spread)
+        if beat.promise:
+            self.promised = self.now + self.rules.lease
+            self.next_try = self.promised + self.draw(self.rules.spread)
         changed = self.take_part(beat) if isinstance(beat, SnapshotPart) else self.take_commands(beat)
         if changed:
             out = [self.save()]
         if changed or isinstance(beat, Beat):
-            out.append(Send(sender, BeatAck(self.term, beat.sent, self.held)))
+            out.append(Send(sender, BeatAck(self.term, beat.sent, self.held, beat.promise)))
         return out
 
     def take_commands(self, beat: Beat) -> bool:
--- a/brackenladder/freeze/wire.py
+++ b/brackenladder/freeze/wire.py
@@ -49,6 +49,7 @@
     sent: Number
     prev: Version
     commands: list[tuple[Version, bytes]] = []
+    promise: bool = True  # whether it asks for the elector's promise of a lease
 
 
 class SnapshotPart(msgspec.Struct, tag=4, array_like=True, frozen=True):
@@ -60,14 +61,16 @@
     part: Annotated[int, Meta(ge=0, lt=MOST_PARTS)]
     parts: Annotated[int, Meta(ge=1, le=MOST_PARTS)]
     data: bytes
+    promise: bool = True
 
 
 class BeatAck(msgspec.Struct, tag=5, array_like=True, frozen=True):
-    """What the elector holds in its store; at its term the coordinator has its promise for a lease."""
+    """What the elector holds in its store, and whether it has promised a lease from `sent` on."""
 
     term: Number
     sent: Number
     held: Version
+    promise: bool = True
 
 
 class Hello(msgspec.Struct, tag=6, array_like=True, frozen=True):
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -7,12 +7,12 @@
 import pytest
 
 from brackenladder.freeze.changes import Change
-from brackenladder.freeze.election import RECORD, ElectionRules, Elector
+from brackenladder.freeze.election import RECORD, ElectionRules, Elector, Send
 from brackenladder.freeze.errors import FreezeRecord, FreezeScope
 from brackenladder.freeze.holder import Holder
 from brackenladder.freeze.machine import Freeze
 from brackenladder.freeze.state import State, overlap, read_scope
-from brackenladder.freeze.wire import Give, Halt, Held, News, Told
+from brackenladder.freeze.wire import BeatAck, Give, Halt, Held, Hello, News, Status, Told, VoteAsk, VoteReply
 from brackenladder.lab.freeze import SECOND, World, rules_of
 
 ZONE_A, ZONE_B = "zone=a", "zone=b"
@@ -438,6 +438,50 @@
             read_scope(bad)
 
 
+def test_an_elector_that_recovered_votes_for_nobody_with_less_than_it_heard_of() -> None:
+    rules = rules_of(["n0", "n1", "n2"]).election
+    elector = Elector("n1", rules, State(), 1, 0, None)
+    now = rules.lease + rules.spread
+    hello = next(a.message for a in elector.tick(now) if isinstance(a, Send))
+    assert isinstance(hello, Hello)
+    elector.receive(now, "n0", Status(hello.nonce - 1, 9, (9, 9), False, False))  # to an earlier question
+    elector.receive(now, "n0", Status(hello.nonce, 5, (5, 9), False, False))
+    assert elector.lost
+    elector.receive(now, "n2", Status(hello.nonce, 5, (5, 8), False, False))
+    assert not elector.lost and elector.term == 5
+
+    def vote(term: int, held: Held) -> list[bool]:
+        out = elector.receive(now, "n2", VoteAsk(term, now, held, False))
+        return [a.message.yes for a in out if isinstance(a, Send) and isinstance(a.message, VoteReply)]
+
+    assert vote(5, (5, 9)) == [False]  # it may have voted in this term
+    assert vote(6, (5, 8)) == [False]
+    assert vote(7, (5, 9)) == [True]
+
+
+def test_an_answer_from_before_a_lease_makes_no_majority() -> None:
+    rules = rules_of([f"n{i}" for i in range(5)]).election
+    elector = Elector("n0", rules, State(), 1, 0, None)
+    elector.lost, elector.abstain, elector.next_try = False, 0, 0
+    for pre in (True, False):
+        elector.tick(1)
+        for voter in ("n1", "n2"):
+            elector.receive(1, voter, VoteReply(1, 1, True, pre))
+    elector.stored(1, elector.saves)
+    held = elector.propose(2, b"")
+    assert held is not None
+    elector.flush(2)
+    elector.stored(2, elector.saves)
+    elector.receive(3, "n1", BeatAck(1, 2, held))
+    later = 2 + rules.own_lease
+    for name, at in (("n2", 3), ("n3", 3), ("n2", later - 1), ("n3", later - 1)):
+        elector.receive(at, name, BeatAck(1, at, (0, 0)))
+    elector.receive(later, "n2", BeatAck(1, later, held))
+    assert elector.committed < held  # n1 may have been restarted since, without its store
+    elector.receive(later, "n3", BeatAck(1, later, held))
+    assert elector.committed == held
+
+
 def test_a_broken_record_is_said_and_a_broken_datagram_counted() -> None:
     rules = rules_of(["n0", "n1", "n2"])
     with pytest.raises(FreezeRecord, match="not an elector's record"):
