Stores: the cases for failing disks also lose the power

Change: failing disks are recorded, and after each failure a loss of power is laid out; a log file that was written and not synced does not come back; the worker's cases look at the loop's complaints.

--- a/tests/contracts/disk.py
+++ b/tests/contracts/disk.py
@@ -55,9 +55,10 @@
     """A file of which a part that was not synced is on the disk; its new length may be there without its
     bytes."""
     data, safe = bytes(inode.data), len(inode.durable)
-    if data == inode.durable or rng.random() < 0.3:
+    share = rng.random()
+    if share < 0.3:
         return inode.durable
-    if not data.startswith(inode.durable):  # cut off at its end
+    if share < 0.6 or not data.startswith(inode.durable):  # the latter: it was cut off
         return data
     kept = rng.randint(safe, len(data))
     if rng.random() < 0.5:
--- a/tests/contracts/test_store_bytes.py
+++ b/tests/contracts/test_store_bytes.py
@@ -7,10 +7,9 @@
 
 import pytest
 from contracts.disk import Disk, Inode, State, play
-from contracts.model import apply, contents, drawn, holds
+from contracts.model import Model, apply, contents, drawn, holds
 
 from brackenladder.stores.directory import DirectoryStore
-from brackenladder.stores.files import Files
 from brackenladder.stores.interface import StoreDamaged, StoreError, StoreFull
 from brackenladder.stores.sqlite import SqliteStore
 
@@ -86,10 +85,11 @@
     return True
 
 
-class Failing(Files):
-    """Fails from the operation `at` on for `times` of them; of a write it does a part."""
+class Failing(Disk):
+    """Fails from the operation `at` on for `times` of them, a write after a part of it."""
 
     def __init__(self, at: int, times: int, number: int, rng: Random) -> None:
+        super().__init__()
         self.at, self.times, self.number, self.rng = at, times, number, rng
         self.count = 0
 
@@ -114,6 +114,7 @@
     def sync(self, fd):
         if self.number == errno.EIO and self.fails():
             raise OSError(self.number, "injected")
+        super().sync(fd)
 
     def truncate(self, fd, size):
         self.may()
@@ -130,7 +131,8 @@
 
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EROFS, errno.EIO])
 def test_a_directory_whose_disk_fails_for_a_while_holds_the_old_or_the_new(number, place):
-    """With an error of an fsync nobody can say which; with any other it is the old."""
+    """With an error of an fsync nobody can say which; with any other it is the old, also after a loss of
+    power."""
     rng = Random(13)
     failed = 0
     for run in range(200):
@@ -141,7 +143,7 @@
             store = DirectoryStore(path, MOST, files=files)
         except StoreError:
             continue
-        model = models[0]
+        model, checks = models[0], 0
         for call in calls:
             after = model.after(call)
             try:
@@ -156,6 +158,16 @@
                 if number == errno.EIO and held == after.contents():
                     model = after
                 assert held == model.contents()
+                checks = 4
+            if checks and number != errno.EIO:
+                checks -= 1
+                state = State()
+                for event in files.events:
+                    play(state, event)
+                lay(place / "lost", state.left("some", rng))
+                lost = DirectoryStore(str(place / "lost"), MOST)
+                holds(lost, [model])
+                lost.close()
         store.close()
         store = DirectoryStore(path, MOST)
         holds(store, [model])
@@ -163,6 +175,28 @@
     assert failed > 50
 
 
+def test_a_log_file_that_could_not_be_begun_does_not_come_back_with_the_power(place):
+    rng = Random(17)
+    files = Failing(1_000, 1, errno.EIO, rng)
+    store = DirectoryStore(str(place / "first"), MOST, files=files)
+    model = Model()
+    for size in (1000, 10):
+        data = bytes(size)
+        assert store.append("a", data) == model.append("a", data)
+        files.at = files.count + 2  # written, then not synced
+        with pytest.raises(StoreError):
+            store.append("a", bytes(3500))
+    assert store.append("a", b"fits") == model.append("a", b"fits")
+    state = State()
+    for event in files.events:
+        play(state, event)
+    for _ in range(100):
+        lay(place / "lost", state.left("some", rng))
+        lost = DirectoryStore(str(place / "lost"), MOST)
+        holds(lost, [model])
+        lost.close()
+
+
 def test_an_sqlite_file_is_whole_after_an_end_at_any_byte_of_its_log(place):
     calls, models = drawn(14, 20, 1500)
     store = SqliteStore(str(place / "first"), MOST)
--- a/tests/test_store_worker.py
+++ b/tests/test_store_worker.py
@@ -26,12 +26,14 @@
     async def whole():
         store = Slow()
         worker = StoreWorker(store, asyncio.get_running_loop(), 5)
+        wrong = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: wrong.append(context))
         try:
             await asyncio.wait_for(scene(store, worker), 10)
         finally:
             store.gate.set()
-            await worker.close()
-        assert not store.open
+            await asyncio.wait_for(worker.close(), 10)
+        assert not store.open and not wrong
 
     asyncio.run(whole())
 
@@ -60,7 +62,7 @@
         with pytest.raises(StoreBusy):
             worker.names()
         end = worker.close()
-        with pytest.raises(StoreError):
+        with pytest.raises(StoreError, match="closed"):
             worker.names()
         assert not end.done()
         store.gate.set()
@@ -74,6 +76,7 @@
     async def leave():
         worker = StoreWorker(store, asyncio.get_running_loop())
         worker.append("a", b"1")
+        worker.append("a", b"2")
         return worker
 
     store = Slow()
@@ -81,4 +84,4 @@
     store.gate.set()
     worker.jobs.put(None)
     worker.thread.join(10)
-    assert [data for _, data in store.read("a")] == [b"1"]
+    assert [data for _, data in store.read("a")] == [b"1", b"2"]
