Locality: a pure decider of zones' common state, and a judge that goes by it

Each node's zone judge decides alone when to spill and when to come back: a zone that fails is left by some, one that is slow for half of its nodes by half, and each comes back by its own clock.

brackenladder/locality: a witness of attempts by zone with a record in coarse steps; a common state (healthy, degraded, failed, returning) that moves when most of the nodes that see a zone find it so and most of those that report hold the change for due; a plan of shares by Envoy's overprovisioning (1.4), the region first; a judge under today's that goes by it, and is today's to the byte without a common state. In a minority each node takes the part of the room that it would have if all known nodes spilled. Operators' table [locality], off by default.

In a world of 12 nodes in virtual time: a failed zone is held failed by all within 3 s and 1 s of each other, a zone that flaps every 2 s changes state at most 4 times a minute, two sides of a partition spill at most (1 + the smaller side's part) of a zone's room.

--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from brackenladder.freeze.evidence import EvidenceRules
     from brackenladder.freeze.machine import Rules as FreezeRules
+    from brackenladder.locality.common import CommonRules
 
 Percent = Annotated[float, Meta(ge=0, le=100)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
@@ -104,6 +105,30 @@
         )
 
 
+class LocalityTable(Table, frozen=True):
+    """`[locality]`: the state of zones and regions is held in common. Its presence switches it on, where
+    `[zones]` and `[membership]` are on."""
+
+    zone_requests_per_s: dict[str, Annotated[float, Meta(gt=0)]] = msgspec.field(default_factory=dict)
+    zone_spill_percent: dict[str, Percent] = msgspec.field(default_factory=dict)
+    fails_percent: Annotated[float, Meta(ge=1, le=100)] = 50.0
+    hold_s: Annotated[float, Meta(ge=0, le=60)] = 0.5
+    quiet_s: Seconds = 3.0
+    trial_percent: Annotated[float, Meta(ge=0, le=50)] = 5.0
+
+    def rules(self, zones: Zones) -> CommonRules:
+        """What the common state goes by."""
+        from brackenladder.locality.common import STEPS, CommonRules  # a node without it does not need it
+
+        return CommonRules(
+            failing=self.fails_percent / 100,
+            hold=int(self.hold_s * 1e6),
+            quiet=int(self.quiet_s * 1e6),
+            step=int(zones.return_s * 1e6) // len(STEPS),
+            calm=int(zones.calm_s * 1e6),
+        )
+
+
 class Storms(Table, frozen=True):
     """`[storms]`: who is let in while clients return at once. Its presence switches it on."""
 
@@ -337,6 +362,7 @@
     """The whole file."""
 
     zones: Zones | None = None
+    locality: LocalityTable | None = None
     storms: Storms | None = None
     membership: Membership | None = None
     spread: SpreadTable | None = None
@@ -374,6 +400,8 @@
     unknown(table, Operation, where, "")
     if isinstance(table.get("zones"), dict):
         unknown(table["zones"], Zones, where, "zones.")
+    if isinstance(table.get("locality"), dict):
+        unknown(table["locality"], LocalityTable, where, "locality.")
     if isinstance(table.get("storms"), dict):
         unknown(table["storms"], Storms, where, "storms.")
     if isinstance(table.get("membership"), dict):
@@ -438,9 +466,34 @@
                 )
             if len(set(near)) < len(near):
                 raise OperationValue("names a zone twice", f"{where}: zones.near.{zone}")
+    if found.locality is not None:
+        check_locality(found, found.locality, where)
     return found
 
 
+def check_locality(found: Operation, locality: LocalityTable, where: str) -> None:
+    """An OperationError where the zones, their regions and what they bear contradict each other."""
+    if found.membership is None or found.zones is None:
+        lacks = "[membership]" if found.membership is None else "[zones]"
+        raise OperationConflict(
+            f"is held in common by zones' judges; {lacks} is missing", f"{where}: locality"
+        )
+    regions = {z: r for r, zones in found.membership.regions.items() for z in zones}
+    for key in ("zone_requests_per_s", "zone_spill_percent"):
+        for zone in getattr(locality, key):
+            if regions and zone not in regions:
+                raise OperationConflict(
+                    "is in no region of membership.regions", f"{where}: locality.{key}.{zone}"
+                )
+    for zone, near in found.zones.near.items():
+        for other in near:
+            if regions.get(zone) != regions.get(other):
+                raise OperationConflict(
+                    f"{other} lies in another region by membership.regions; a region's own zones come first",
+                    f"{where}: zones.near.{zone}",
+                )
+
+
 def check_membership(membership: Membership, where: str) -> None:
     """An OperationError for what the form of a key cannot say."""
     try:
--- /dev/null
+++ b/tests/test_locality.py
@@ -0,0 +1,335 @@
+"""The common state of zones in worlds of nodes without sockets, in virtual time; and the operators' keys."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from support import SEC
+
+from brackenladder.interface import Outcome, ZoneState
+from brackenladder.locality.common import Changed, Common, CommonRules, State
+from brackenladder.locality.evidence import Report, Witness, Word, decode, encode
+from brackenladder.locality.judge import CommonJudge, View
+from brackenladder.locality.shares import Site, plan
+from brackenladder.operation import OperationConflict, OperationValue, build
+from brackenladder.zones import Judge, ZoneRules
+
+LOOK = SEC // 4
+ZONES = {"a": "north", "b": "north", "c": "south"}
+NUMBERS = {"a": 0, "b": 1, "c": 2}
+SERVERS, RATE = 10, 25.0  # of a zone, and calls a second that each bears
+BEARS = SERVERS * RATE
+Truth = Callable[[float, str, str], tuple[float, float]]  # time, node, zone: parts lost and slow
+Linked = Callable[[float, str, str], bool]
+
+
+class Node:
+    def __init__(self, name: str, zone: str, load: float) -> None:
+        self.name, self.zone, self.load = name, zone, load
+        self.judge = CommonJudge(ZoneRules(server_rate=RATE, spill_limit=0.4), NUMBERS[zone])
+        self.common = Common(name, CommonRules())
+        self.witness = Witness()
+        self.body = b""
+        self.shares: dict[str, float] = {}
+        self.refused = 0.0
+        self.owed: dict[tuple[str, str], float] = {}
+        self.changes: list[tuple[float, Changed]] = []
+
+
+class World:
+    """Nodes of three zones in two regions. Records arrive a look later, along what is linked."""
+
+    def __init__(self, each: int = 4, use: float = 0.6) -> None:
+        self.nodes = [Node(f"{z}{i}", z, use * BEARS / each) for z in ZONES for i in range(each)]
+        self.now = 0
+        self.truth: Truth = lambda at, node, zone: (0.0, 0.0)
+        self.linked: Linked = lambda at, source, to: True
+        self.run(3)
+
+    @property
+    def at(self) -> float:
+        return self.now / SEC
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * SEC / LOOK)):
+            self.now += LOOK
+            bodies = {n.name: found for n in self.nodes if (found := decode(n.body))}
+            for node in self.nodes:
+                self.turn(node, bodies)
+
+    def turn(self, node: Node, bodies: dict[str, Report]) -> None:
+        state = ZoneState(
+            ready=dict.fromkeys(NUMBERS.values(), SERVERS),
+            warm=dict.fromkeys(NUMBERS.values(), float(SERVERS)),
+            unwell={},
+            asked=(round(node.load * LOOK / SEC),),
+            sent={},
+            cost=(1.0,),
+            worth=(1.0,),
+            copies=1,  # as spread would tell a node that is alone
+            well=True,
+        )
+        verdict = node.judge.judge(self.now, state)
+        names = {v: k for k, v in NUMBERS.items()}
+        served = 1 - sum(verdict.refuse)
+        node.refused = 1 - served
+        node.shares = {names[z]: s * served for z, s in verdict.shares} or {node.zone: 1.0}
+        for zone, share in node.shares.items():
+            self.attempts(node, zone, share * node.load * LOOK / SEC)
+        live = {n.name for n in self.nodes if n is node or self.linked(self.at, n.name, node.name)}
+        heard = {n: bodies[n] for n in live if n != node.name and n in bodies}
+        seen = node.witness.look(self.now, {}, node.load)
+        mine = Report(node.zone, node.load, {z: Word(*w) for z, w in seen.items()})
+        told, changes = node.common.tick(self.now, mine, heard, {n.name for n in self.nodes}, live)
+        node.body = encode(told)
+        node.changes += [(self.at, c) for c in changes]
+        common = node.common
+        node.judge.common = View(
+            health={n: common.zones[z].applied / 8 for z, n in NUMBERS.items() if z in common.zones},
+            asked={NUMBERS[z]: r for z, r in common.demand().items()},
+            regions={n: ZONES[z] for z, n in NUMBERS.items()},
+            nodes=len(self.nodes),
+            outside={n: common.outside(z) for z, n in NUMBERS.items()} if common.minority else None,
+        )
+
+    def attempts(self, node: Node, zone: str, calls: float) -> None:
+        lost, slow = self.truth(self.at, node.name, zone)
+        for kind, part in (("lost", lost), ("slow", slow), ("well", 1 - lost - slow)):
+            owed = node.owed.get((zone, kind), 0.0) + part * calls
+            for _ in range(int(owed)):
+                outcome = Outcome.TIMEOUT if kind == "lost" else Outcome.OK
+                node.witness.attempt(zone, outcome, kind == "slow")
+            node.owed[zone, kind] = owed - int(owed)
+
+    def states(self, zone: str) -> set[State]:
+        return {n.common.zones[zone].state for n in self.nodes}
+
+    def until(self, zone: str, state: State, most: float) -> float:
+        """Seconds until all nodes hold it."""
+        began = self.at
+        while self.states(zone) != {state}:
+            assert self.at - began < most, (self.at, zone, self.states(zone))
+            self.run(LOOK / SEC)
+        return self.at - began
+
+    def into(self, zone: str) -> float:
+        """Calls a second that nodes of other zones send to a zone, as a part of what it bears."""
+        return sum(n.load * n.shares.get(zone, 0.0) for n in self.nodes if n.zone != zone) / BEARS
+
+    def kept(self) -> float:
+        loads = sum(n.load for n in self.nodes)
+        return sum(n.load * n.shares.get(n.zone, 0.0) for n in self.nodes) / loads
+
+
+def lost(zone: str, since: float, until: float = 1e9, part: float = 1.0) -> Truth:
+    return lambda at, node, z: (part if z == zone and since <= at < until else 0.0, 0.0)
+
+
+def test_in_calm_all_is_kept_near_and_nothing_is_news():
+    world = World()
+    before = [n.body for n in world.nodes]
+    world.run(10)
+    assert world.kept() == 1 and [n.body for n in world.nodes] == before
+    assert not any(n.changes for n in world.nodes)
+
+
+def test_a_zone_silent_for_six_seconds_is_left_by_all_and_comes_back_in_steps():
+    world = World()
+    world.truth = lost("a", world.at, world.at + 6)
+    assert world.until("a", State.FAILED, 3) <= 3
+    firsts = [next(at for at, c in n.changes if c.new == State.FAILED) for n in world.nodes]
+    assert max(firsts) - min(firsts) <= 1.0
+    world.run(1)
+    away = {z: sum(n.load * n.shares.get(z, 0) for n in world.nodes if n.zone == "a") / BEARS for z in ZONES}
+    assert away["a"] == pytest.approx(0.05 * 0.6, rel=0.1)  # trials
+    assert away["b"] == pytest.approx(0.4 * 0.95, rel=0.1)  # all the room of its region
+    assert away["c"] == pytest.approx(0.2 * 0.95, rel=0.1)  # and another only for what is left
+    world.until("a", State.RETURNING, 15)
+    steps = []
+    while world.states("a") != {State.HEALTHY}:
+        world.run(LOOK / SEC)
+        levels = {n.common.zones["a"].level for n in world.nodes}
+        assert max(levels) - min(levels) <= 2  # one step is taken by all within a look or two
+        steps += [x for x in levels if not steps or x > steps[-1]]
+        assert world.at < 60
+    assert [s for s in (1, 2, 4, 6, 8) if s in steps] == [1, 2, 4, 6, 8]
+    world.run(15)
+    assert world.kept() == pytest.approx(1.0)
+
+
+def test_one_nodes_word_moves_nothing():
+    world = World()
+    world.truth = lambda at, node, zone: (1.0 if node == "a0" else 0.0, 0.0)
+    world.run(20)
+    assert not any(n.changes for n in world.nodes)
+
+
+def test_a_zone_slow_for_half_of_its_nodes_is_left_by_all_alike():
+    world = World()
+    world.truth = lambda at, node, zone: (0.0, 1.0 if zone == "a" and node in ("a0", "a1") else 0.0)
+    world.run(6)
+    assert world.states("a") == {State.DEGRADED}
+    kept = {n.shares["a"] for n in world.nodes if n.zone == "a"}
+    assert len(kept) == 1 and 0.5 < kept.pop() <= 1.0
+    world.truth = lambda at, node, zone: (1.0 if zone == "a" and node in ("a0", "a1", "a2") else 0.0, 0.0)
+    assert world.until("a", State.FAILED, 4)
+
+
+def test_a_cut_that_only_other_zones_see_does_not_fail_a_zone_for_its_own():
+    world = World()
+    world.truth = lambda at, node, zone: (
+        1.0 if zone == "a" or zone == "b" and node[0] == "a" else 0.0,
+        0.0,
+    )
+    world.until("a", State.FAILED, 3)  # a is lost; b is well, but cannot be reached from a
+    world.run(8)
+    assert world.states("b") == {State.HEALTHY}
+    assert all(n.shares["b"] == pytest.approx(1) for n in world.nodes if n.zone == "b")
+
+
+def test_a_whole_region_lost_goes_to_the_other_no_further_than_that_bears():
+    world = World()
+    since = world.at
+    world.truth = lambda at, node, zone: (float(zone in "ab" and since <= at < since + 20), 0.0)
+    world.until("a", State.FAILED, 3)
+    world.until("b", State.FAILED, 3)
+    world.run(2)
+    assert world.into("c") <= 0.4 + 1e-6 and world.into("c") > 0.3
+    assert all(n.refused > 0.5 for n in world.nodes if n.zone in "ab")
+    assert all(n.refused == 0 for n in world.nodes if n.zone == "c")
+    world.run(120)
+    assert world.kept() == pytest.approx(1.0)
+
+
+def test_a_zone_that_flaps_does_not_make_the_fleet_oscillate():
+    world = World()
+    began = world.at
+    world.truth = lambda at, node, zone: (float(zone == "a" and int((at - began) / 2) % 2 == 0), 0.0)
+    world.run(60)
+    assert max(len(n.changes) for n in world.nodes) <= 4
+    assert world.states("a") == {State.FAILED}
+
+
+def test_a_zone_that_returns_cold_is_held_at_its_step():
+    world = World()
+    world.truth = lost("a", world.at)
+    world.until("a", State.FAILED, 3)
+    world.truth = lambda at, node, zone: (
+        0.0,
+        0.9 if zone == "a" and sum(n.shares.get("a", 0) for n in world.nodes if n.zone == "a") > 2.0 else 0.0,
+    )
+    world.run(60)
+    assert world.states("a") <= {State.RETURNING, State.DEGRADED}
+    assert all(n.common.zones["a"].level <= 6 for n in world.nodes)
+    world.truth = lambda at, node, zone: (0.0, 0.0)
+    world.run(200)
+    assert world.states("a") == {State.HEALTHY}
+
+
+def test_a_node_that_is_alone_takes_no_more_than_its_part_and_merges_without_a_jump():
+    world = World()
+    began = world.at
+    world.linked = lambda at, x, y: at > began + 20 or "a0" not in (x, y)
+    world.truth = lambda at, node, zone: (float(node == "a0" and zone == "a"), 0.0)
+    world.run(10)
+    alone = world.nodes[0]
+    assert alone.common.minority and alone.common.zones["a"].state == State.FAILED
+    assert not any(n.common.minority or n.changes for n in world.nodes[1:])
+    for zone in "bc":  # of the 0.4 that others may take, a part of one in eight
+        assert alone.load * alone.shares[zone] / BEARS <= 0.4 / 8 + 1e-6
+    world.truth = lambda at, node, zone: (0.0, 0.0)
+    world.run(10)
+    before, jumps = alone.shares.get("a", 0.0), []
+    for _ in range(60):
+        world.run(LOOK / SEC)
+        jumps.append(abs(alone.shares.get("a", 0.0) - before))
+        before = alone.shares.get("a", 0.0)
+    assert max(jumps) <= 0.15 and before == pytest.approx(1.0)
+    assert alone.common.zones["a"].state == State.HEALTHY
+
+
+@pytest.mark.parametrize("small", [2, 5, 6])
+def test_two_sides_of_a_partition_spill_no_more_than_the_stated_bound(small: int):
+    """Both lose zone a and see it; into each zone goes at most (1 + the smaller side's part) of its room."""
+    world = World()
+    began = world.at
+    side = {n.name: i % 12 < small for i, n in enumerate(sorted(world.nodes, key=lambda n: n.name[::-1]))}
+    world.linked = lambda at, x, y: side[x] == side[y] or at > began + 30
+    world.truth = lambda at, node, zone: (float(zone == "a" and at > began + 2), 0.0)
+    for _ in range(100):
+        world.run(LOOK / SEC)
+        for zone in "bc":
+            assert world.into(zone) <= 0.4 * (1 + (small / 12 if small < 6 else 0)) + 1e-6
+    assert world.states("a") <= {State.FAILED, State.RETURNING} and world.into("b") > 0.1
+    world.run(60)
+    assert len({(n.common.zones["a"].state, n.common.zones["a"].level) for n in world.nodes}) == 1
+
+
+def test_membership_lost_in_the_middle_of_a_failover_keeps_what_was_held_within_each_ones_part():
+    world = World()
+    world.truth = lost("a", world.at)
+    world.until("a", State.FAILED, 3)
+    world.linked = lambda at, x, y: False
+    world.run(20)
+    assert all(n.common.minority for n in world.nodes)
+    assert world.states("a") <= {State.FAILED, State.RETURNING, State.HEALTHY}
+    assert all(n.common.zones["a"].state != State.HEALTHY for n in world.nodes if n.zone == "a")
+    assert world.into("b") <= 0.4 + 1e-6 and world.into("c") <= 0.4 + 1e-6 and world.into("b") > 0.15
+
+
+def test_without_a_view_the_judge_is_the_one_of_today_to_the_byte():
+    plain, common = Judge(ZoneRules(server_rate=RATE), 0), CommonJudge(ZoneRules(server_rate=RATE), 0)
+    for i in range(300):
+        state = ZoneState(
+            ready={0: 10 if i < 150 else 3, 1: 10, 2: 9},
+            warm={0: 10.0 if i < 150 else 3.0, 1: 10.0, 2: 9.0},
+            unwell={1: 0.2 if i % 7 else 0.9},
+            asked=(20 + i % 5, 3),
+            sent={0: 20},
+            cost=(1.0, 2.0),
+            worth=(1.0, 10.0),
+            copies=6,
+            well=bool(i % 11),
+        )
+        assert repr(plain.judge(i * SEC // 10, state)) == repr(common.judge(i * SEC // 10, state))
+    assert plain.figures() == common.figures() and plain.spilled > 0
+
+
+def test_a_plan_never_puts_more_into_a_zone_than_its_room_and_fills_the_region_first():
+    sites = {
+        0: Site("north", 100, 0.5, 60, 0.4),
+        1: Site("north", 100, 1.0, 60, 0.1),
+        2: Site("south", 100, 1.0, 70, 0.4),
+    }
+    rates = plan(sites)
+    assert rates[0][0] == pytest.approx(42)  # 1.4 times the half that is well
+    assert rates[0][1] == pytest.approx(10) and rates[0][2] == pytest.approx(8)
+    assert rates[1] == {1: 60} and rates[2] == {2: 70}
+
+
+def test_a_record_that_is_none_is_none():
+    assert decode(b"\xff") is None and decode(encode(Report("a", 1.0, {"a": Word(1, 2)}))) is not None
+
+
+@pytest.mark.parametrize(
+    ("table", "error", "words"),
+    [
+        ({"locality": {}, "zones": {}}, OperationConflict, "[membership] is missing"),
+        ({"locality": {}, "membership": {}}, OperationConflict, "[zones] is missing"),
+        ({"locality": {"zone_spill_percent": {"d": 5}}}, OperationConflict, "in no region"),
+        ({"locality": {"zone_requests_per_s": {"d": 5}}}, OperationConflict, "in no region"),
+        ({"locality": {"zone_spill_percent": {"a": 500}}}, OperationValue, "<= 100"),
+        ({"locality": {}, "zones": {"near": {"a": ["c"]}}}, OperationConflict, "another region"),
+    ],
+)
+def test_contradictions_in_the_operators_file_are_named(table, error, words):
+    regions = {"regions": {"north": ["a", "b"], "south": ["c"]}}
+    whole = (
+        {"zones": {}, "membership": regions} | table
+        if len(table["locality"]) or "near" in str(table)
+        else table
+    )
+    with pytest.raises(error) as failed:
+        build(whole, "operator.toml")
+    assert words in str(failed.value) and failed.value.remedy
