--- a/brackenladder/net/judges.py
+++ b/brackenladder/net/judges.py
@@ -75,11 +75,21 @@
         assert operation.zones is not None
         zones, here = self.node.zones, self.node.settings.zone
         rules = operation.zones.rules(self.hosting.zone(), lambda name: zones.setdefault(name, len(zones)))
-        judge = self.node.balancer.judge
-        if isinstance(judge, Judge) and judge.here == here:
+        judge, kind = self.node.balancer.judge, Judge
+        if operation.locality is not None:
+            # Here: a node without such a wish does not need it.
+            from brackenladder.locality.judge import CommonJudge
+
+            kind = CommonJudge
+        known = isinstance(judge, Judge) and judge.here == here
+        if known and type(judge) is kind:
             judge.renew(rules)
             return judge
-        return Judge(rules, here)
+        made = kind(rules, here)
+        if known:
+            vars(made).update(vars(judge))
+            made.renew(rules)
+        return made
 
     def give(self, judge: Judge | None) -> None:
         """The module asks this judge from now on; one that is told of nothing yet begins with it."""
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -41,6 +41,8 @@
     Entry("membership", "brackenladder.net.places:MembershipPart", needs_peers=True, anew=True),
     Entry("spread", "brackenladder.net.places:SpreadPart", needs="membership"),
     Entry("zones", "brackenladder.net.judges:ZonesPart"),
+    # Locality: the state of zones and regions that all nodes hold in common.
+    Entry("locality", "brackenladder.net.locality:LocalityPart", needs_peers=True, needs="membership"),
     Entry("storms", "brackenladder.net.judges:StormsPart"),
     # Audit: who acted on which version.
     Entry("audit", "brackenladder.net.audit:Audit"),
