Benchmark of a start: its node has an agent that answers

Need: since a start waits up to a second for its first word from discovery, a node without an agent measured that wait, and CPU spent on trying.

Change: an agent that has no news, in the benchmark's own process.

--- a/benchmarks/start_cost.py
+++ b/benchmarks/start_cost.py
@@ -16,25 +16,47 @@
 import subprocess
 import sys
 import tempfile
+import threading
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from statistics import median
 from time import perf_counter, sleep
 from typing import Any
 from urllib.error import URLError
+from urllib.parse import parse_qs, urlsplit
 from urllib.request import urlopen
 
 ROOT = Path(__file__).parent.parent
 READY_TIME = 60.0  # seconds
 
 
-def configuration(port: int, servers: int) -> dict[str, Any]:
-    """A node's file whose servers and discovery do not answer: nothing but the start is measured."""
+class Agent(BaseHTTPRequestHandler):
+    """Discovery that has no news: a watch is held as long as it wishes."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        sleep(int(parse_qs(urlsplit(self.path).query).get("timeout_ms", ["0"])[0]) / 1e3)
+        body = b'{"version": 1, "full": false, "servers": []}'
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        with suppress(ConnectionError):  # the node has been ended
+            self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        pass
+
+
+def configuration(port: int, servers: int, discovery: int) -> dict[str, Any]:
+    """A node's file whose servers do not answer: nothing but the start is measured."""
     lines = [{"id": f"s{i}", "addr": f"127.0.0.1:{10_000 + i}", "state": "ready"} for i in range(servers)]
     view = {"name": "view", "effect": "free", "goal_time": 500_000, "hard_limit": 2_000_000, "worth": 1.0}
     return {
         "name": "n0",
         "listen": f"127.0.0.1:{port}",
-        "discovery": "127.0.0.1:9",
+        "discovery": f"127.0.0.1:{discovery}",
         "seed": "1f",
         "known": {"version": 1, "full": True, "servers": lines},
         "settings": {
@@ -48,12 +70,12 @@
     }
 
 
-def turn(python: str, servers: int, folder: Path) -> dict[str, float]:
+def turn(python: str, servers: int, discovery: int, folder: Path) -> dict[str, float]:
     """One start: wall and CPU milliseconds until it is ready, and kilobytes of memory then."""
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         port = free.getsockname()[1]
-    (folder / "config.json").write_text(json.dumps(configuration(port, servers)))
+    (folder / "config.json").write_text(json.dumps(configuration(port, servers, discovery)))
     environ = {**os.environ, "LB_CONFIG": str(folder / "config.json"), "PYTHONPATH": str(ROOT)}
     began = perf_counter()
     process = subprocess.Popen([python, "-m", "brackenladder"], env=environ, stderr=subprocess.DEVNULL)
@@ -86,8 +108,12 @@
     parser.add_argument("--python", default=sys.executable)
     parser.add_argument("--json", action="store_true")
     given = parser.parse_args()
+    agent = ThreadingHTTPServer(("127.0.0.1", 0), Agent)
+    agent.daemon_threads = True
+    threading.Thread(target=agent.serve_forever, daemon=True).start()
     with tempfile.TemporaryDirectory() as name:
-        turns = [turn(given.python, given.servers, Path(name)) for _ in range(given.turns)]
+        port = agent.server_port
+        turns = [turn(given.python, given.servers, port, Path(name)) for _ in range(given.turns)]
     found = {key: round(median(t[key] for t in turns), 1) for key in turns[0]}
     print(json.dumps(found) if given.json else "  ".join(f"{k} {v:g}" for k, v in found.items()))
 
