Tests: the check of odd values knows [locality], and names a table that it lacks

Need: [locality] landed beside the check, which asks for each new table but did not say which.

Measured: fails before with the table's name, passes now.

--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -260,6 +260,7 @@
 
 OPERATION = {
     "zones": {"near": {"a": ["b"]}},
+    "locality": {"zone_requests_per_s": {"a": 9.0}, "zone_spill_percent": {"a": 9.0}},
     "storms": {},
     "membership": {"advertise": "127.0.0.1:8", "seeds": ["127.0.0.1:7"], "regions": {"r": ["a", "b"]}},
     "spread": {},
@@ -303,7 +304,8 @@
 def test_an_operators_file_with_anything_odd_in_it_is_refused_by_type_with_its_place():
     """Failure prevented: a value that slips through a check ends the node, or the reload, by a bare error."""
     whole = msgspec.to_builtins(build(OPERATION, "f.toml"))
-    assert all(whole.values())  # a table that is new belongs into OPERATION
+    new = [name for name, table in whole.items() if table is None]
+    assert not new, f"tables that this test does not know: add them to OPERATION above: {', '.join(new)}"
     refused = 0
     for *way, last in spots(whole):
         for odd in ODD:
