--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -17,7 +17,7 @@
 from brackenladder.net.members import Members
 from brackenladder.records.interface import MOST_BODY
 from brackenladder.records.table import LARGEST, RecordTable, Rules
-from brackenladder.records.wire import LAST, Have, Item, encode
+from brackenladder.records.wire import LAST, Ask, Have, Heads, Item, Lack, Want, encode
 
 PLACES: dict[str, tuple[str, int]] = {"a": ("emu", 1), "b": ("emu", 2), "c": ("emu", 3)}
 
@@ -92,7 +92,7 @@
 
 
 def test_what_pushes_missed_is_repaired_by_exchanges() -> None:
-    made = world(pushes=1, fanout=1)
+    made = world(pushes=1, fanout=1, beat=60 * SECOND)  # no beat tells of it either
     made.net.cut = {("m0", f"m{i}") for i in range(1, 8)}
     made.put("m0", "state", b"unheard")
     made.run(2)
@@ -224,7 +224,11 @@
         one.receive(3, brought(Item("b", f"kind{i}", 1, b"x"), Item("stranger", "k", 1, b"x")), PLACES["b"])
     assert len(one.owners["b"].records) == 16 and "stranger" not in one.owners
     assert one.receive(4, brought(Item("b", "kind1", LAST + 1, b"x")), PLACES["b"]) == []
-    assert one.counters.malformed == 1
+    one.receive(4, encode(Heads(b"cut off")), PLACES["b"])
+    one.receive(4, encode(Have(b"cut off", [])), PLACES["b"])
+    one.receive(4, encode(Want([Lack(b"no key")] * 2 + [Lack(b"")])), PLACES["b"])
+    one.receive(4, encode(Heads(b"", Ask.NEWER, b"few")), PLACES["b"])
+    assert one.counters.malformed == 5
     many = {f"node-with-a-long-name-{i}": ("emu", i + 1) for i in range(500)}
     big = RecordTable("a", 1)
     big.members(0, many)
