Forecast: what servers bear is learned, and nodes with other keys are seen

With server_misses_per_s at 0 every change counted as unknown: now it follows from the module's limit by Little's law and how long hits and misses took. The part of the requests by which a node's keys differ from all nodes' widens the interval. Records are read, merged and placed with rests in between: 300 nodes' would have held the loop for some 150 ms.

--- a/brackenladder/forecast/fleet.py
+++ b/brackenladder/forecast/fleet.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from brackenladder.balance import SUBSET_BOUND, SUBSET_LEAST, SUBSET_MOST, stretch
@@ -27,10 +27,21 @@
 
 def subsets(entries: Sequence[ServerEntry], nodes: Sequence[NodeNow], zoned: bool = False) -> list[Subset]:
     """Each node's members, by their places in `entries`."""
+    *_, found = placing(entries, nodes, zoned)
+    assert found is not None
+    return found
+
+
+def placing(
+    entries: Sequence[ServerEntry], nodes: Sequence[NodeNow], zoned: bool = False
+) -> Iterator[list[Subset] | None]:
+    """The same, with a rest every few milliseconds: yields None, the result last."""
     roster = Roster(zoned, frozenset())
     roster.begin()
-    for entry in entries:
+    for number, entry in enumerate(entries):
         roster.put(entry)
+        if number % 100 == 99:
+            yield None
     roster.end()
     places = {entry.server: place for place, entry in enumerate(entries)}
     known: dict[tuple[int, int, int], tuple[int, ...]] = {}
@@ -46,8 +57,10 @@
                     places[listed.id] for listed in stretch(roster, kinds, node.index, node.count, size)
                 )
             known[which] = tuple(members)
+            if len(known) % 16 == 0:
+                yield None
         out.append(Subset(known[which], node.rate))
-    return out
+    yield out
 
 
 def size_of(n: int, count: int, wanted: int) -> int:
--- a/brackenladder/forecast/sample.py
+++ b/brackenladder/forecast/sample.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from array import array
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush, nlargest, nsmallest
 from struct import Struct
@@ -25,6 +25,7 @@
 MOST_TOP = 256  # keys asked for most; twice as many are held before the lesser half goes
 LATELY = 5  # parts of a window: hits are of the last two of them
 TOLD_TOP = 150  # of them in a record
+MERGED_AT_ONCE = 8  # parts between two rests
 SKETCH_BITS = 13  # of a position, for the place in a row of the sketch; its two rows go by different bits
 SKETCH_MASK = (1 << SKETCH_BITS) - 1
 
@@ -174,7 +175,15 @@
 
 
 def merged(parts: Iterable[Digest]) -> Digest:
-    """Counts of several nodes over one span: any order gives the same.
+    """Counts of several nodes over one span, as `merging` has them."""
+    *_, found = merging(parts)
+    assert found is not None
+    return found
+
+
+def merging(parts: Iterable[Digest]) -> Iterator[Digest | None]:
+    """Counts of several nodes over one span: any order gives the same. Yields None now and then, the result
+    last.
 
     The least threshold holds for all. A key that a part does not name among the most asked for has been asked
     for there between never and the part's floor: half of it is added. One that parts with less than half of
@@ -184,13 +193,14 @@
     hits, told = sum(p.hits for p in parts), sum(p.told for p in parts)
     parts = [p for p in parts if p.requests]
     if not parts:
-        return Digest()
+        yield Digest()
+        return
     threshold = min(p.threshold for p in parts)
     counts: dict[int, int] = {}
     top: dict[int, int] = {}
     named: dict[int, int] = {}  # the floors of the parts that name it...
     spoken: dict[int, int] = {}  # ...and their requests
-    for part in parts:
+    for number, part in enumerate(parts):
         for position, n in part.counts.items():
             if position < threshold:
                 counts[position] = counts.get(position, 0) + n
@@ -198,9 +208,11 @@
             top[position] = top.get(position, 0) + n
             named[position] = named.get(position, 0) + part.floor
             spoken[position] = spoken.get(position, 0) + part.requests
+        if number % MERGED_AT_ONCE == MERGED_AT_ONCE - 1:
+            yield None
     floors = sum(p.floor for p in parts)
     requests = sum(p.requests for p in parts)
-    return Digest(
+    yield Digest(
         span=sum(p.span for p in parts) // len(parts),
         requests=requests,
         threshold=threshold,
--- a/brackenladder/lab/caches.py
+++ b/brackenladder/lab/caches.py
@@ -182,8 +182,9 @@
 
     # ---- the forecast --------------------------------------------------------------------------------
 
-    def digest(self, at: float) -> tuple[Digest, float]:
-        """What the nodes' records say together, and the part of the requests that nobody tells of."""
+    def digest(self, at: float) -> tuple[Digest, float, float]:
+        """What the nodes' records say together, the part of the requests that nobody tells of, and the part
+        by which nodes' keys differ."""
         s = self.site
         found, silent = [], 0.0
         for n in range(len(self.now.nodes)):
@@ -192,12 +193,14 @@
                 continue
             own = self.samples[n].digest(int(at * SECOND))
             found.append(unpack(pack(own, s.size, TAILS, MOST_BODY)).digest)
-        return merged(found), silent
+        together = merged(found)
+        unlike = sum(moved(together, one) * one.requests for one in found) / max(1, together.requests)
+        return together, silent, unlike
 
     def foresee(self, kind: Kind, at: float, after: Placed) -> Told:
         """Forecasts a change from what the records say alone."""
         s = self.site
-        digest, silent = self.digest(at)
+        digest, silent, unlike = self.digest(at)
         before_shares, after_shares = self.shares(self.now), self.shares(after)
         joining = {e.server for e in after.entries} - {e.server for e in self.now.entries}
         servers = [
@@ -217,6 +220,7 @@
             since=at - self.earlier[1] if self.earlier else np.inf,
             drift=moved(self.digests[-1], digest) / s.window if self.digests else 0.0,
             silent=silent,
+            unlike=unlike,
             told=told,
             rate=s.rate,
         )
--- a/brackenladder/net/forecast.py
+++ b/brackenladder/net/forecast.py
@@ -15,7 +15,7 @@
 
 from brackenladder.errors import BrackenladderError
 from brackenladder.forecast.account import Account
-from brackenladder.forecast.fleet import NodeNow, subsets
+from brackenladder.forecast.fleet import NodeNow, placing
 from brackenladder.forecast.model import (
     Cache,
     Forecast,
@@ -25,10 +25,10 @@
     forecast,
     unknown,
 )
-from brackenladder.forecast.placement import Scores, Shares, position, shares
+from brackenladder.forecast.placement import Scores, Shares, Subset, position, shares
 from brackenladder.forecast.popularity import moved, popularity
 from brackenladder.forecast.rules import Plan, Steps, plan, turn
-from brackenladder.forecast.sample import Digest, Sample, Told, merged, pack, unpack
+from brackenladder.forecast.sample import Digest, Sample, Told, merging, pack, unpack
 from brackenladder.interface import Outcome, ServerEntry
 from brackenladder.net.inner import Inner
 from brackenladder.net.node import number_of
@@ -45,6 +45,8 @@
 FLEET_AGAIN = 1.0  # seconds before a membership that could not be had is looked for again
 KEPT = "forecast"  # the account's record in the store
 KEEP = 30  # ticks between two writes of it
+LENGTHS = 50  # hits and misses each, until their length is known
+SMOOTH_LENGTH = 0.01  # weight of the newest
 SPAN = 200  # answers that told, in a span that the account judges
 
 
@@ -76,6 +78,7 @@
         self.before_at = now
         self.hits = self.answers = 0  # of the span that the account waits for
         self.since = now
+        self.lengths, self.lengths_seen = [0.0, 0.0], [0, 0]  # of hits and of misses, microseconds
         self.last: Forecast | None = None
         self.lasted = 0.0  # processor seconds of the last one
         self.plans: dict[
@@ -129,6 +132,10 @@
                 self.sample.told(end.hit)
                 self.answers += 1
                 self.hits += end.hit
+                place = 0 if end.hit else 1
+                self.lengths_seen[place] += 1
+                part = max(1 / self.lengths_seen[place], SMOOTH_LENGTH)
+                self.lengths[place] += part * (end.ended - end.began - self.lengths[place])
 
     # ---- each second ----------------------------------------------------------------------------------
 
@@ -169,17 +176,19 @@
         ):
             self.records.put(kind, body)
 
-    def hear(self) -> dict[str, Told]:
-        """What the members tell, this one's own counts among them."""
+    def hear(self) -> Iterator[tuple[str, Told]]:
+        """What the members tell, this one's own counts first."""
         now, own = self.node.now(), self.hosting.name
         mine = pack(self.sample.digest(now), self.node.balancer.size, self.wish.records, MOST_BODY)
-        found = {own: unpack(mine)}
+        yield own, unpack(mine)
         live = set(self.hosting.live())
         names = kinds(self.wish.records)
+        for owner in self.heard.keys() - live:
+            del self.heard[owner]
         for record in self.records.of(names[0]) if self.records is not None else ():
-            if record.owner == own or record.owner not in live or record.stale:
+            if record.owner == own or record.owner not in live or record.stale or self.records is None:
                 continue
-            parts = [self.records.get(record.owner, kind) for kind in names] if self.records else []
+            parts = [self.records.get(record.owner, kind) for kind in names]
             versions = tuple(p.version if p is not None else 0 for p in parts)
             known = self.heard.get(record.owner)
             if known is None or known[0] != versions:
@@ -188,10 +197,22 @@
                     heard = unpack([p.body for p in parts if p is not None])
                 known = self.heard[record.owner] = versions, heard
             if known[1] is not None:
-                found[record.owner] = known[1]
-        for owner in self.heard.keys() - live:
-            del self.heard[owner]
-        return found
+                yield record.owner, known[1]
+
+    def learned(self, rate: float, servers: int, hits: float | None) -> float:
+        """Misses a second that a server bears by the limit that the module has learned; 0: not known.
+
+        The limit is of calls in flight, this node's; all nodes together have as much more as they have more
+        requests. By Little's law the calls that hits leave room for are misses, each as long as misses took
+        of late. The limit stays within twice what was usual, so this is what is known to be borne, not the
+        most that could be.
+        """
+        own = self.sample.now.requests / max(1.0, (self.node.now() - self.sample.now.since) / 1e6)
+        if hits is None or min(self.lengths_seen) < LENGTHS or own <= 0 or not servers:
+            return 0.0
+        hit, miss = (length / 1e6 for length in self.lengths)
+        in_flight = self.node.balancer.controller.allowed() * rate / own / servers
+        return max(0.0, in_flight - rate * hits / servers * hit) / max(miss, 1e-6)
 
     # ---- a forecast -----------------------------------------------------------------------------------
 
@@ -236,11 +257,21 @@
         """The work: who is heard, who gets what before and after, the rates of keys, the forecast."""
         shards = self.hosting.parts.get("shards")
         assert isinstance(shards, ShardsPart)
-        heard = self.hear()
-        yield None
+        heard: dict[str, Told] = {}
+        for owner, heard_of in self.hear():
+            heard[owner] = heard_of
+            yield None
         live = sorted(self.hosting.live())
-        together = merged(told.digest for told in heard.values())
-        yield None
+        together = Digest()
+        for merged in merging([told.digest for told in heard.values()]):
+            if merged is None:
+                yield None
+            else:
+                together = merged
+        unlike = 0.0  # the part of the requests by which nodes' keys differ from all nodes' together
+        for one in heard.values():
+            unlike += moved(together, one.digest) * one.digest.requests / max(1, together.requests)
+            yield None
         rate = sum(t.digest.requests / t.digest.span * 1e6 for t in heard.values())
         mean = rate / max(1, len(heard))
         own = self.node.balancer.size
@@ -277,11 +308,12 @@
         yield None
         cache = Cache(size_, self.wish.ttl_s, self.wish.cacheable_percent / 100)
         now = self.node.now()
+        bears = self.wish.server_misses_per_s or self.learned(rate, len(old_entries), told_hits)
         servers = [
             ServerNow(
                 cache,
                 0.0 if e.server in fresh else (now - e.ready_at) / 1e6 if 0 < e.ready_at <= now else inf,
-                self.wish.server_misses_per_s,
+                bears,
             )
             for e in entries
         ]
@@ -296,6 +328,7 @@
             pop,
             drift=drift,
             silent=silent,
+            unlike=unlike,
             told=told_hits,
             past=self.account.past(kind),
             rate=rate + mean * (len(live) - len(heard)),
@@ -316,8 +349,12 @@
         homes: int,
     ) -> Generator[None, None, Shares]:
         """Who gets what, with all servers in their places; the result is returned."""
-        fleet = subsets(used, nodes, self.node.balancer.zoned)
-        yield None
+        fleet: list[Subset] = []
+        for placed in placing(used, nodes, self.node.balancer.zoned):
+            if placed is None:
+                yield None
+            else:
+                fleet = placed
         found: Shares | None = None
         for found in shares(table, [(str(e.server), e.weight) for e in used], fleet, homes):
             if found is None:
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -236,6 +236,14 @@
     assert joined([same, other]).requests == 40_000
 
 
+def test_nodes_that_see_different_keys_are_told_from_those_that_see_the_same() -> None:
+    keys = zipf(2_000, 0.9, 30_000, 9)
+    one, same = counted(keys[:15_000]), counted(keys[15_000:])
+    other = counted([k ^ 0x5A5A5A5A for k in keys[15_000:]])
+    assert moved(merged([one, same]), one) < 0.05
+    assert moved(merged([one, other]), one) > 0.3
+
+
 # ---- the model ----------------------------------------------------------------------------------------
 
 SHARDS = 64
--- a/tests/test_forecast_part.py
+++ b/tests/test_forecast_part.py
@@ -213,10 +213,10 @@
         bench.node.parts.live = lambda: live  # type: ignore[method-assign, union-attr]
         for owner in ("n1", "n2", "n9"):  # n3 says nothing, n9 is dead
             tell(table, owner, 5)
-        heard = forecast.hear()
+        heard = dict(forecast.hear())
         assert set(heard) == {"n0", "n1", "n2"} and heard["n1"].members == 9
         table.lines["n1", "keys.0"] = Record("n1", "keys.0", 2, b"nonsense")
-        assert forecast.hear()["n1"].digest.requests == 500  # what was heard before holds
+        assert dict(forecast.hear())["n1"].digest.requests == 500  # what was heard before holds
         answers: list[Answer] = []
         forecast.asked(Change.PLACEMENT, "tier=0", answers.append)
         await until(lambda: bool(answers))
@@ -231,6 +231,25 @@
     play(scene)
 
 
+def test_what_servers_bear_is_learned_from_the_limit() -> None:
+    async def scene() -> None:
+        bench = await started(operation(decide=True, entries=50), Keeper(), Keeper())
+        _, forecast = parts(bench)
+        assert forecast is not None
+        own = 100.0
+        forecast.sample.now.requests = int(own * 10)
+        forecast.sample.now.since = bench.node.now() - 10_000_000
+        assert forecast.learned(own, 10, 0.5) == 0.0  # no hits and misses have been timed yet
+        forecast.lengths, forecast.lengths_seen = [2_000.0, 20_000.0], [100, 100]
+        bench.node.balancer.controller.in_pass = False
+        bench.node.balancer.controller.limit = 30.0
+        # 30 calls in flight at ten servers: three each; hits hold 0.01 of one, misses last 0.02 s
+        assert forecast.learned(own, 10, 0.5) == pytest.approx((3 - 0.01) / 0.02, rel=0.02)
+        assert forecast.learned(2 * own, 10, 0.5) == pytest.approx((6 - 0.02) / 0.02, rel=0.02)
+
+    play(scene)
+
+
 def test_the_account_is_shown_and_kept(capfd: pytest.CaptureFixture[str]) -> None:
     async def scene() -> None:
         bench = await started(operation(decide=False), Keeper())
