--- a/brackenladder/net/places.py
+++ b/brackenladder/net/places.py
@@ -12,7 +12,7 @@
 from brackenladder.net.node import number_of
 from brackenladder.net.parts import Change
 from brackenladder.operation import Operation
-from brackenladder.spread import Spread
+from brackenladder.spread.places import Spread
 
 
 class MembershipPart(Inner):
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -20,7 +20,7 @@
 from brackenladder.forecast.wishes import Rules as ChangeRules
 from brackenladder.membership.swim import SwimSettings
 from brackenladder.settings import located
-from brackenladder.spread import SpreadRules
+from brackenladder.spread.places import SpreadRules
 from brackenladder.stores.factory import Kind, StoreWish
 from brackenladder.storms import StormRules
 from brackenladder.zones import ZoneRules
--- /dev/null
+++ b/brackenladder/spread/__init__.py
@@ -0,0 +1,1 @@
+"""How the members that live share the servers out: places, rates told, and weights that even the load out."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,7 +8,7 @@
 
 from brackenladder.interface import ClassSettings, Effect, Settings
 from brackenladder.order import mix
-from brackenladder.spread import MOST_CHURN, Place, Spread, SpreadRules
+from brackenladder.spread.places import MOST_CHURN, Place, Spread, SpreadRules
 
 RULES = SpreadRules(hold=1_000, apart=500)
 LOOK = settings(derandomize=True, max_examples=100, deadline=None)
