Spread: weights and subset sizes from nodes' rates, and the draw goes by them

Where one node in ten has ten times the others' traffic, its few members get it all, and the busiest server gets 1.5 times the mean. The module draws members by a weight, 1 unless it is told (new_weights): the same decisions as before without.

--- /dev/null
+++ b/benchmarks/evenness.py
@@ -0,0 +1,222 @@
+"""How evenly servers are loaded where one node in ten has ten times the others' traffic.
+
+    python -m benchmarks.evenness decider [--seeds 5]
+    python -m benchmarks.evenness module [--seeds 2] [--seconds 30]
+
+`decider`: what servers get by the deciders alone (`brackenladder.spread.flow`), without chance: the busiest
+over the mean, the variation, members of a node on average and at most, the processor time to work it out.
+`module`: the node's decision modules against stand-in servers on a simulated clock; what the calls of the
+last two thirds were, and of that variation what chance alone would make. No sockets; all is seeded.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import statistics
+import time
+from collections.abc import Callable, Sequence
+from math import sqrt
+from random import Random
+
+from brackenladder.balance import SUBSET_LEAST, Balancer
+from brackenladder.interface import ClassSettings, Effect, ListKind, Outcome, ServerEntry, Settings
+from brackenladder.order import mix
+from brackenladder.roster import Roster
+from brackenladder.spread import flow
+from brackenladder.spread.rate import Told, code_of, rate_of
+
+WAYS = {"as it was": (False, False), "wider": (True, False), "weights": (False, True), "both": (True, True)}
+SHAPES = ((300, 40), (30, 300), (200, 200), (200, 40), (30, 24), (1000, 300), (10_000, 300))
+
+MODULES = ((300, 40, False, 100.0), (30, 300, False, 25.0), (200, 200, False, 25.0), (30, 24, True, 100.0))
+
+
+def uneven(nodes: int, seed: int) -> list[float]:
+    """Rates: one node in ten, wherever it stands, gets ten times the others'."""
+    rng = Random(seed)
+    busy = set(rng.sample(range(nodes), nodes // 10))
+    return [10.0 if n in busy else 1.0 for n in range(nodes)]
+
+
+def listed(servers: int, kinds: int = 1) -> list[ServerEntry]:
+    return [ServerEntry(mix(s, 7), kind=s % kinds) for s in range(servers)]
+
+
+def words(rates: Sequence[float], servers: int, wide: bool) -> list[Told]:
+    """What the nodes tell, in the steps that they tell it in."""
+    known = [rate_of(code_of(r)) for r in rates]
+    mean = sum(known) / len(known)
+    return [
+        Told(
+            r, max(SUBSET_LEAST, flow.widened(r, mean, len(rates), servers) if wide else 0), place, len(rates)
+        )
+        for place, r in enumerate(known)
+    ]
+
+
+def factors(roster: Roster, told: Sequence[Told]) -> tuple[list[int], list[flow.Row], list[float]]:
+    ids: list[int] = []
+    table: list[flow.Row] = []
+    for step in flow.rows(roster, None, told):
+        ids, table = step
+    found: list[float] = []
+    for fit in flow.fitted(len(ids), table):
+        found = fit or found
+    return ids, table, found
+
+
+def of_all(load: Sequence[float]) -> tuple[float, float]:
+    mean = statistics.fmean(load)
+    return max(load) / mean, statistics.pstdev(load) / mean
+
+
+def decider(seeds: int) -> None:
+    print("nodes servers way         max over mean  variation  members  at most  ms")
+    for nodes, servers in SHAPES:
+        roster = Roster(False, frozenset())
+        roster.begin()
+        for entry in listed(servers):
+            roster.put(entry)
+        roster.end()
+        for way, (wide, weighted) in WAYS.items():
+            rows = []
+            for seed in range(seeds):
+                rates = uneven(nodes, seed)
+                told = words(rates, servers, wide)
+                began = time.process_time()
+                ids, table, found = factors(roster, told)
+                took = time.process_time() - began
+                if not weighted:
+                    found = [1.0] * len(ids)
+                load: list[float] = []
+                for step in flow.loads(found, table):
+                    load = step or load
+                sizes = [flow.size_of(servers, nodes, t.size, t.size) for t in told]
+                rows.append((*of_all(load), statistics.fmean(sizes), max(sizes), 1000 * took))
+            worst, mean = max(r[0] for r in rows), [statistics.fmean(c) for c in zip(*rows, strict=True)]
+            print(
+                f"{nodes:>5} {servers:>7} {way:<10} {mean[0]:>6.3f} (to {worst:.3f}) {mean[1]:>8.3f}"
+                f" {mean[2]:>8.1f} {mean[3]:>8.0f} {mean[4]:>5.0f}",
+                flush=True,
+            )
+
+
+class World:
+    """Modules before servers that run a call in a time of their own; time in microseconds."""
+
+    def __init__(self, nodes: int, servers: int, way: str, rate: float, seed: int, speeds: bool) -> None:
+        self.rng = Random(seed)
+        self.now, self.count = 0, 0
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        wide, weighted = WAYS[way]
+        shares = uneven(nodes, seed)
+        self.rates = [rate * s / sum(shares) for s in shares]
+        entries = listed(servers)
+        self.service = {e.server: 8_000 if speeds and i % 2 else 4_000 for i, e in enumerate(entries)}
+        self.calls = dict.fromkeys(self.service, 0)
+        self.free = {s: [0] * 16 for s in self.service}
+        told = words(self.rates, servers, wide)
+        classes = (ClassSettings(Effect.SAFE, aim=200_000, deadline=1_000_000, worth=1.0),)
+        self.nodes: list[Balancer] = []
+        for index in range(nodes):
+            least = told[index].size if wide else 0
+            settings = Settings(classes, instances=nodes, index=index, least_members=least)
+            node = Balancer(settings, seed * nodes + index, Hands(self, index))
+            node.start(0)
+            node.server_list(0, ListKind.FULL, entries)
+            self.nodes.append(node)
+        if weighted:
+            ids, _, found = factors(self.nodes[0].roster, told)
+            by_server = dict(zip(ids, found, strict=True))
+            for node in self.nodes:
+                node.new_weights(0, flow.relative(by_server, [m.id for m in node.members]))
+        for index in range(nodes):
+            self.next_request(index)
+
+    def after(self, delay: int, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (self.now + delay, self.count, what))
+
+    def next_request(self, index: int) -> None:
+        self.after(int(self.rng.expovariate(self.rates[index]) * 1e6), lambda: self.request(index))
+
+    def request(self, index: int) -> None:
+        self.count += 1
+        self.nodes[index].request(self.now, self.count, 0, 0, 1_000_000, False)
+        self.next_request(index)
+
+    def sent(self, index: int, request: int, server: int) -> None:
+        self.calls[server] += 1
+        slots = self.free[server]
+        began = max(self.now, slots[0])
+        took = int(self.service[server] * (0.5 + self.rng.random()))
+        heapq.heapreplace(slots, began + took)
+        latency = began + took - self.now
+        self.after(
+            latency,
+            lambda: self.nodes[index].outcome(self.now, request, 0, server, Outcome.OK, latency, True, ()),
+        )
+
+    def play(self, until: int) -> None:
+        while self.queue[0][0] < until:
+            self.now, _, what = heapq.heappop(self.queue)
+            what()
+
+
+class Hands:
+    """One module's host."""
+
+    def __init__(self, world: World, index: int) -> None:
+        self.world, self.index = world, index
+
+    def send(self, request: int, server: int, timeout: int) -> None:
+        self.world.sent(self.index, request, server)
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *args: None
+
+
+def played(
+    nodes: int, servers: int, way: str, rate: float, seed: int, seconds: float, speeds: bool = False
+) -> tuple[float, float, float, float]:
+    """Busiest over mean, variation, what chance alone makes of that, and members of a node."""
+    world = World(nodes, servers, way, rate, seed, speeds)
+    world.play(int(seconds * 1e6 / 3))
+    before = dict(world.calls)
+    world.play(int(seconds * 1e6))
+    calls = [world.calls[s] - before[s] for s in before]
+    sizes = [len(n.members) for n in world.nodes]
+    return *of_all(calls), 1 / sqrt(statistics.fmean(calls)), statistics.fmean(sizes)
+
+
+def module(seeds: int, seconds: float) -> None:
+    print("nodes servers speeds  way         max over mean  variation  of it chance  members")
+    for nodes, servers, speeds, rate in MODULES:
+        for way in WAYS:
+            rows = [
+                played(nodes, servers, way, rate * servers, seed, seconds, speeds) for seed in range(seeds)
+            ]
+            mean = [statistics.fmean(c) for c in zip(*rows, strict=True)]
+            told = "uneven" if speeds else "same"
+            print(
+                f"{nodes:>5} {servers:>7} {told:<7} {way:<10} {mean[0]:>9.2f} {mean[1]:>14.3f}"
+                f" {mean[2]:>10.3f} {mean[3]:>10.1f}",
+                flush=True,
+            )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=("decider", "module"))
+    parser.add_argument("--seeds", type=int, default=0)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    args = parser.parse_args()
+    if args.what == "decider":
+        decider(args.seeds or 5)
+    else:
+        module(args.seeds or 2, args.seconds)
+
+
+if __name__ == "__main__":
+    main()
--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from math import ceil, inf, sqrt
 from random import Random
@@ -389,6 +389,7 @@
     tokens: float = field(init=False)
     tokens_at: int = field(init=False)
     held: float = field(init=False)  # requests that it holds, of all copies, as far as is known
+    weight: float = 1.0  # the part of its draws that stand
 
     def __post_init__(self) -> None:
         self.renew(self.ready_at)
@@ -434,6 +435,7 @@
         self.held_column = s.report_fields.index("inflight") if "inflight" in s.report_fields else -1
         self.judge = judge  # where operators gave rules for zones
         self.storms: StormJudge | None = None  # the same for storms
+        self.weights: Mapping[int, float] = {}  # by server, where nodes know of each other's traffic
         self.verdict = Verdict(())
         self.judged_at = 0
         self.fair = 0.0  # calls a second that a warm server of this zone bears from this copy
@@ -525,6 +527,11 @@
     def new_storms(self, now: int, storms: StormJudge | None) -> None:
         self.storms = storms
 
+    def new_weights(self, now: int, weights: Mapping[int, float]) -> None:
+        self.weights = weights
+        for srv in self.servers.values():
+            srv.weight = weights.get(srv.id, 1.0)
+
     def server_list(
         self, now: int, kind: ListKind, entries: Sequence[ServerEntry], more: bool = False
     ) -> None:
@@ -1018,7 +1025,7 @@
         part = ceil(n / self.settings.place[1])
         if part > SUBSET_MOST:
             # Failure prevented: where copies are few, most of a large fleet is nobody's and stands idle.
-            return min(SUBSET_BOUND, part)
+            return min(SUBSET_BOUND, max(part, self.settings.least_members))
         # Failure prevented: a copy that starts alone crowds four of ten servers, and refuses what the six
         # others would bear until it has seen how much there is. Its part of all is nobody else's either.
         return n if n < 2 * SUBSET_LEAST else max(self.size, part)
@@ -1040,6 +1047,7 @@
             average = self.kinds.setdefault(entry.kind, Average(1.0, PRIOR, SMOOTH_ALL))
             srv = Server(entry.id, entry.kind, average, entry.cell, entry.zone, entry.ready_at)
             self.servers[entry.id] = srv
+            srv.weight = self.weights.get(entry.id, 1.0)
             self.note_start(now, srv, entry)
             if srv.cold_until == 0:
                 # Failure prevented: a copy that takes in members of which it knows nothing floods them all.
@@ -1212,7 +1220,8 @@
         return None
 
     def pick(self, now: int, pool: list[Server], mean: float, other: Server | None = None) -> Server:
-        """A random member but `other`. One slower than the mean is passed over as often as it is slower.
+        """A random member but `other`. One slower than the mean is passed over as often as it is slower, and
+        one of a lesser weight by what it lacks.
 
         Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
         them gets keeps it crowded. After a few passes whoever comes is taken.
@@ -1220,7 +1229,7 @@
         while True:
             for _ in range(PICK_TRIES):
                 srv = pool[int(self.rng.random() * len(pool))]
-                if srv is not other and self.rng.random() * srv.slowness(now, mean) < 1:
+                if srv is not other and self.rng.random() * max(1.0, srv.slowness(now, mean)) < srv.weight:
                     return srv
             if srv is not other:
                 return srv
--- a/brackenladder/forecast/fleet.py
+++ b/brackenladder/forecast/fleet.py
@@ -63,9 +63,9 @@
     yield out
 
 
-def size_of(n: int, count: int, wanted: int) -> int:
-    """How many of `n` servers a node uses that wants so many: as `Balancer.subset_size` has it."""
+def size_of(n: int, count: int, wanted: int, least: int = 0) -> int:
+    """How many of `n` servers a node uses that wants so many, or has to: as `Balancer.subset_size` has it."""
     part = -(-n // max(1, count))
     if part > SUBSET_MOST:
-        return min(SUBSET_BOUND, part)
+        return min(SUBSET_BOUND, max(part, least))
     return n if n < 2 * SUBSET_LEAST else max(wanted, part)
--- /dev/null
+++ b/tests/test_spread_flow.py
@@ -0,0 +1,150 @@
+"""Weights from rates: the deciders, and what they do to the calls of many modules."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.evenness import factors, listed, of_all, played, uneven, words
+from brackenladder.interface import ClassSettings, Effect, ListKind, Settings
+from brackenladder.roster import Roster
+from brackenladder.spread import flow
+from brackenladder.spread.rate import Rate, Told, decode, rate_of
+
+LOOK = settings(derandomize=True, max_examples=100, deadline=None)
+S = 1_000_000
+
+
+def roster_of(servers: int, kinds: int = 1, zoned: bool = False) -> Roster:
+    roster = Roster(zoned, frozenset())
+    roster.begin()
+    for entry in listed(servers, kinds):
+        roster.put(entry)
+    roster.end()
+    return roster
+
+
+def last(steps):
+    found = None
+    for step in steps:
+        found = step or found
+    return found
+
+
+def evenness(roster: Roster, told: list[Told], weighted: bool = True) -> float:
+    ids, table, found = factors(roster, told)
+    return of_all(last(flow.loads(found if weighted else [1.0] * len(ids), table)))[0]
+
+
+@pytest.mark.parametrize("nodes, servers", [(300, 40), (200, 200), (30, 24), (100, 300)])
+def test_ten_to_one_is_evened_out_by_wider_subsets_and_weights(nodes: int, servers: int) -> None:
+    roster = roster_of(servers, kinds=2)
+    for seed in (11, 12):
+        rates = uneven(nodes, seed)
+        both, narrow = words(rates, servers, True), words(rates, servers, False)
+        assert evenness(roster, both) < 1.1
+        assert evenness(roster, narrow) > evenness(roster, both) + 0.1  # without wider subsets
+        assert evenness(roster, both, weighted=False) > evenness(roster, both) + 0.02  # without weights
+
+
+def test_what_each_node_works_out_is_the_same_and_hangs_on_no_order() -> None:
+    told = words(uneven(60, 3), 50, True)
+    mixed = list(told)
+    Random(1).shuffle(mixed)
+    one = dict(zip(*factors(roster_of(50), told)[::2], strict=True))
+    other = dict(zip(*factors(roster_of(50), mixed)[::2], strict=True))
+    assert one.keys() == other.keys()
+    assert all(abs(one[s] - other[s]) < 1e-9 for s in one)
+
+
+def test_wrong_places_are_told_and_so_evened_out_too() -> None:
+    """A node that believes half of the count, and two that claim one place, say so in their records."""
+    told = words(uneven(100, 5), 40, True)
+    wrong = [Told(t.rate, t.size, t.index // 2, 50) if i % 5 == 0 else t for i, t in enumerate(told)]
+    wrong[7] = wrong[8]
+    assert evenness(roster_of(40), wrong) < 1.05
+
+
+def test_too_few_that_have_told_make_no_weights() -> None:
+    told = {f"n{i}": Told(1.0, 4, i, 10) for i in range(4)}
+    live = [f"n{i}" for i in range(10)]
+    assert flow.filled(live, told, 4) is None
+    found = flow.filled(live, told | {"n9": Told(5.0, 8, 9, 10)}, 4)
+    assert found is not None and found[9].rate == 5.0 and found[6] == Told(1.8, 4, 6, 10)
+
+
+@LOOK
+@given(
+    st.dictionaries(st.integers(0, 20), st.floats(flow.LOW, flow.HIGH)),
+    st.dictionaries(st.integers(0, 20), st.floats(flow.LOW, flow.HIGH)),
+)
+def test_weights_move_without_a_jump_and_arrive(now: dict[int, float], due: dict[int, float]) -> None:
+    for _ in range(60):
+        after = flow.followed(now, due)
+        for server in now.keys() | after.keys():
+            assert 0.5 <= after.get(server, 1.0) / now.get(server, 1.0) <= 2.0
+        now = after
+    assert now == {s: w for s, w in due.items() if w != 1.0}
+    assert all(0 < w < 1 for w in flow.relative(now, range(25)).values())
+
+
+@LOOK
+@given(st.binary(max_size=20))
+def test_a_record_that_is_none_is_told_apart(body: bytes) -> None:
+    try:
+        told = decode(body)
+    except ValueError:
+        return
+    assert 0 <= told.index < told.count and told.rate >= 0
+
+
+def test_a_rate_is_told_in_steps_and_chance_is_no_news() -> None:
+    rng, total = Random(2), 0
+    rate = Rate(0, 0)
+    told = [rate.take(S, 50)]
+    for second in range(2, 300):
+        total += sum(rng.random() < 0.05 for _ in range(1000))  # 50 a second, more or less
+        told.append(rate.take(second * S, total))
+    assert told[0] == -1
+    assert sum(a != b for a, b in zip(told[5:], told[6:], strict=False)) <= 6
+    assert rate_of(told[-1]) == pytest.approx(50, rel=0.2)
+    for second in range(300, 340):
+        total += 500
+        told.append(rate.take(second * S, total))
+    assert rate_of(told[-1]) == pytest.approx(500, rel=0.1)
+
+
+def test_weights_bias_the_draws_and_the_calls_even_out() -> None:
+    before = played(60, 20, "as it was", 2000.0, 4, 8.0)
+    after = played(60, 20, "both", 2000.0, 4, 8.0)
+    assert before[0] > 1.4 and before[1] > 2 * after[1]
+    assert after[0] < 1.25
+
+
+def test_weights_hold_for_members_that_come_later_and_end_when_replaced() -> None:
+    from brackenladder.balance import Balancer
+
+    class Hands:
+        def __init__(self) -> None:
+            self.sent: list[int] = []
+
+        def send(self, request: int, server: int, timeout: int) -> None:
+            self.sent.append(server)
+
+    entries, hands = listed(6), Hands()
+    classes = (ClassSettings(Effect.SAFE, aim=200_000, deadline=S, worth=1.0),)
+    node = Balancer(Settings(classes), 1, hands)  # type: ignore[arg-type]
+    node.start(0)
+    node.new_weights(0, {entries[0].server: 0.05})
+    node.server_list(0, ListKind.FULL, entries)
+
+    def drawn() -> int:
+        picks = [node.pick(0, node.able, 1.0).id for _ in range(600)]
+        return picks.count(entries[0].server)
+
+    assert drawn() < 40
+    node.new_weights(0, {})
+    assert 60 < drawn() < 140
