--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -27,6 +27,7 @@
 from brackenladder.lab.swarm.agents import Agents
 from brackenladder.lab.swarm.audits import AuditObserver, Held, matched
 from brackenladder.lab.swarm.freezes import Called, FreezeObserver
+from brackenladder.lab.swarm.localities import ZoneObserver
 from brackenladder.lab.swarm.nodes import END_TIME, PACKAGES, SETTINGS, NodeProcess, SwarmError
 from brackenladder.lab.swarm.observe import Observer
 from brackenladder.lab.swarm.script import Call, Expect, Fault, Swarm
@@ -87,6 +88,7 @@
         self.agents: Agents | None = None
         self.audits = AuditObserver(swarm.names)
         self.freezes = FreezeObserver(swarm.membership.get("regions", {}))
+        self.localities = ZoneObserver(swarm)
         self.helpers: list[asyncio.subprocess.Process] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.servers: asyncio.subprocess.Process | None = None
@@ -175,6 +177,7 @@
         self.observer.line(name, record, at)
         self.audits.line(name, record, at)
         self.freezes.line(name, record)
+        self.localities.line(name, record, at)
 
     # ---- the nodes ------------------------------------------------------------------------------------
 
@@ -234,7 +237,9 @@
             self.faults[-1] |= told
             self.audits.listed(told["version"], monotonic(), fault.halves, [*fault.drain, *fault.gone])
             return
-        if fault.kind.startswith("agent-"):
+        if fault.kind.startswith("zone-"):
+            await self.strike_zones(fault, names)
+        elif fault.kind.startswith("agent-"):
             assert self.agents is not None
             for n in names:
                 self.agents.agents[n].turn(fault.kind)
@@ -269,6 +274,22 @@
             await asyncio.gather(*(self.start(n) for n in names))
         self.fault(fault, index, names, "ends")
 
+    async def strike_zones(self, fault: Fault, names: list[str]) -> None:
+        """Servers of some zones are in trouble for the calls of some nodes, now and then again."""
+        s = self.swarm
+        zones, count = s.world.zones, s.servers.count + s.servers.spare
+        servers = [i for i in range(count) if zones[i % len(zones)] in fault.zones]
+        nodes = None if len(names) == len(s.names) else names
+        for turn in range(fault.times):
+            await asyncio.sleep(max(0.0, self.zero + fault.at_s + turn * fault.every_s - monotonic()))
+            for kind, lasts in ((fault.kind.removeprefix("zone-"), fault.for_s), ("", 0.0)):
+                wish = {"servers": servers, "fault": kind, "nodes": nodes, "extra": fault.slow_ms / 1000}
+                assert self.servers is not None and self.servers.stdin is not None
+                async with self.looking:
+                    self.servers.stdin.write(json.dumps(wish).encode() + b"\n")
+                self.localities.fault(fault.zones, monotonic(), bool(kind), turn > 0)
+                await asyncio.sleep(lasts)
+
     async def writes(self, node: NodeProcess) -> bool:
         """Waits until a file stands half written in the node's store; False if none does in time."""
         until = monotonic() + WRITE_WAIT
@@ -458,6 +479,7 @@
         }
         if load is not None:
             counts = await self.said(load, 30.0)
+            missed = counts.pop("missed")
             figures |= {"load": counts, "failed": counts["failed"]}
             figures["served"] = counts["served"] / max(1, counts["asked"])
         if s.forecast is not None:
@@ -474,6 +496,7 @@
             self.servers.stdin.write(b"arrivals\n")
             arrivals = await self.said(self.servers, 30.0)
             figures["to_drained"] = self.audits.to_drained(arrivals)
+            figures |= self.localities.figures(arrivals, missed, self.zero, self.zero + watched)
             if s.audit is not None:
                 figures |= await self.ledgers(arrivals)
         return figures
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -19,7 +19,18 @@
 from brackenladder.operation import OperationError, build
 
 FaultKind = Literal[
-    "kill", "restart", "pause", "leave", "upgrade", "agent-silent", "agent-frozen", "agent-old", "list"
+    "kill",
+    "restart",
+    "pause",
+    "leave",
+    "upgrade",
+    "agent-silent",
+    "agent-frozen",
+    "agent-old",
+    "list",
+    "zone-refuse",
+    "zone-silent",
+    "zone-slow",
 ]
 Seconds = Annotated[float, Meta(ge=0, le=3_600)]
 MOST_NODES, MOST_SERVERS = 400, 400
@@ -77,6 +88,10 @@
     coordinator: bool = False  # in place of `nodes`: the one that coordinates changes at that moment
     writing: bool = False  # a kill waits, for two seconds at most, until the node writes to its store
     lose: bool = False  # of a restart: the store is gone
+    zones: list[str] = msgspec.field(default_factory=list)  # of `zone-`: whose servers, for calls of `nodes`
+    slow_ms: Annotated[float, Meta(gt=0, le=60_000)] = 500.0  # of `zone-slow`: answers come so much later
+    times: Annotated[int, Meta(ge=1, le=1_000)] = 1  # of `zone-`: so often,
+    every_s: Seconds = 0.0  # from begin to begin
 
 
 class Call(Form, frozen=True):
@@ -119,6 +134,8 @@
     freeze: dict[str, Any] | None = None
     shards: dict[str, Any] | None = None
     forecast: dict[str, Any] | None = None
+    zones: dict[str, Any] | None = None
+    locality: dict[str, Any] | None = None
     servers: Servers = Servers()
     load: Load | None = None
     faults: tuple[Fault, ...] = msgspec.field(default=(), name="fault")
@@ -129,8 +146,8 @@
     @property
     def tables(self) -> dict[str, dict[str, Any]]:
         """Further tables of the operators' file."""
-        found = {"spread": self.spread, "audit": self.audit, "store": self.store, "freeze": self.freeze}
-        found |= {"shards": self.shards, "forecast": self.forecast}
+        names = ("spread", "audit", "store", "freeze", "shards", "forecast", "zones", "locality")
+        found = {name: getattr(self, name) for name in names}
         return {name: table for name, table in found.items() if table is not None}
 
     @property
@@ -178,8 +195,8 @@
 def read(table: dict[str, Any], where: str) -> Swarm:
     """A Swarm from decoded TOML; a ScriptError otherwise."""
     known = (
-        *("name", "world", "membership", "spread", "audit", "store", "freeze", "servers", "load"),
-        *("shards", "forecast"),
+        *("name", "world", "membership", "spread", "audit", "store", "freeze", "zones", "locality"),
+        *("shards", "forecast", "servers", "load"),
         *("fault", "datagram", "call", "expect"),
     )
     known_keys(table, known, where, "")
@@ -218,6 +235,11 @@
             )
         if fault.kind in ("pause", "restart") and fault.for_s <= 0:
             raise ScriptKey(f"missing; a {fault.kind} needs it", f"{where}: fault[{i}].for_s")
+        if fault.kind.startswith("zone-"):
+            if not fault.zones or set(fault.zones) - set(swarm.world.zones):
+                raise ScriptValue("some of world.zones", f"{where}: fault[{i}].zones")
+            if fault.for_s <= 0 or fault.times > 1 and fault.every_s <= fault.for_s:
+                raise ScriptKey("needs for_s, and every_s above it", f"{where}: fault[{i}].for_s")
         servers = {f"s{n}" for n in range(swarm.servers.count + swarm.servers.spare)}
         strange = {*fault.drain, *fault.gone} - servers
         if strange:
@@ -302,6 +324,21 @@
     "changes_alone": "changes begun without one, since no coordinator was heard for the stated time",
     "changes_per_s": "changes begun in one second, most",
     "incidents_frozen": "incidents that came into force",
+    "zone_failed_median_s": "from the begin of a zone's fault until a node holds the zone for failed, median",
+    "zone_failed_p99_s": "the same, 99th percentile of all pairs of a fault and a node",
+    "zone_failed_missing": "such pairs without, while the fault lasted",
+    "zone_failed_requests": "requests that failed from the begin of a zone's fault until all nodes held it "
+    "for failed, or its end",
+    "zone_refused_requests": "the same, refused",
+    "zone_failed_in_all": "requests that failed from the first fault of a zone on",
+    "zone_refused_in_all": "the same, refused",
+    "zone_changes": "changes of state of one zone that one node told of, most",
+    "zone_apart": "pairs of a node and a zone at the end that differ from what most nodes hold",
+    "zone_near_calm": "part of the calls that came at servers of their node's zone, until the first fault",
+    "zone_crossed": "part of the calls that came at other zones' servers, while a zone's fault lasted",
+    "zone_crossed_most": "the same as a part of what the zone that took them bears, worst second and zone",
+    "zone_kept_apart": "part of its calls that a node of a struck zone kept near, most less least of its "
+    "nodes, from 3 s after the fault's begin to its end, worst fault",
     "calls_unanswered": "operators' calls that were not answered for good in time",
     "call_s": "until an operators' call was answered, longest",
 }
--- a/brackenladder/locality/evidence.py
+++ b/brackenladder/locality/evidence.py
@@ -14,7 +14,8 @@
 
 KIND = "zones"  # the records'
 MOST_ZONES = 24
-WINDOW = 1_000_000  # attempts are judged over this window and the one before
+WINDOW = 500_000  # attempts are judged over as few of the latest windows as hold enough of them,
+MOST_WINDOWS = 4  # and no more than these
 LEAST_ATTEMPTS = 4  # in a zone, before anything is said of it
 QUARTERS = 4  # shares are told in quarters
 PLAY = 0.65  # of a step, by which a share must have moved to be told anew
@@ -63,8 +64,9 @@
     """What one node's attempts show of each zone."""
 
     def __init__(self) -> None:
-        self.counts: dict[str, list[int]] = {}  # by zone, of this window: well, slow or turned away, lost
-        self.before: dict[str, list[int]] = {}
+        # By zone: well, slow or turned away, lost. Of this window, and of those before it, latest first.
+        self.counts: dict[str, list[int]] = {}
+        self.before: list[dict[str, list[int]]] = []
         self.ends = 0
         self.told: dict[str, tuple[int, int]] = {}
         self.load = 0.0
@@ -85,9 +87,13 @@
         """By zone that this node sees: quarters that are lost, and that are slow. `unwell` is the part of its
         servers there that the module avoids, which holds where too few attempts say anything."""
         seen: dict[str, tuple[int, int]] = {}
-        for zone in self.counts.keys() | self.before.keys() | unwell.keys():
-            rows = (self.counts.get(zone, (0, 0, 0)), self.before.get(zone, (0, 0, 0)))
-            well, slow, lost = (a + b for a, b in zip(*rows, strict=True))
+        windows = [self.counts, *self.before]
+        for zone in {z for window in windows for z in window} | unwell.keys():
+            well = slow = lost = 0
+            for window in windows:
+                if well + slow + lost < LEAST_ATTEMPTS and zone in window:
+                    row = window[zone]
+                    well, slow, lost = well + row[0], slow + row[1], lost + row[2]
             total, avoided = well + slow + lost, unwell.get(zone, 0.0)
             if total < LEAST_ATTEMPTS and not avoided:
                 continue
@@ -101,5 +107,6 @@
         if abs(load - self.load) > LOAD_PLAY * self.load:
             self.load = float(f"{load:.3g}")
         if now >= self.ends:
-            self.ends, self.before, self.counts = now + WINDOW, self.counts, {}
+            self.ends, self.before = now + WINDOW, windows[:MOST_WINDOWS]
+            self.counts = {}
         return seen
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -93,6 +93,17 @@
     | {"server_misses_per_s": 1000, "again_s": 1, "longest_wait_s": 5},
 }
 
+# Two thirds of a zone's nodes get no answer from its servers.
+LOST = world(
+    6,
+    13.0,
+    servers={"count": 6, "slots": 4, "service_ms": 20.0},
+    load={"requests_per_s": 150.0},
+    zones={"server_requests_per_s": 100.0, "spill_limit_percent": 80.0, "return_s": 2.0},
+    locality={"quiet_s": 1.0},
+    fault=[{"kind": "zone-silent", "zones": ["a"], "nodes": ["n0", "n2"], "at_s": 1.0, "for_s": 6.0}],
+)
+
 WORLDS: dict[str, Table] = {
     "keys": KEYS,
     "forecast": KEYS | SHARDED,
@@ -114,6 +125,8 @@
     "audit": CHANGES | {"audit": {}},
     "no audit": CHANGES,
     "freeze": FREEZE,
+    "zones": LOST,
+    "zones, each alone": {k: v for k, v in LOST.items() if k != "locality"},
     "leave": world(4, 4.0, fault=[{"kind": "leave", "at_s": 0.5, "nodes": ["n2"]}]),
 }
 
@@ -251,6 +264,17 @@
     assert "coordinator_s" not in results["audit"].figures  # nothing of it without its table
 
 
+def test_a_zone_that_most_of_its_nodes_have_lost_is_left_by_all_of_them(results: dict[str, Result]) -> None:
+    result = results["zones"]
+    assert figure(result, "zone_failed_missing") == figure(result, "zone_apart") == 0
+    assert figure(result, "zone_failed_p99_s") < 4
+    assert figure(result, "zone_near_calm") > 0.95
+    assert figure(result, "zone_crossed") > 0.2  # of all calls, half of which are the struck zone's
+    assert figure(results["zones, each alone"], "zone_crossed") < 0.1
+    assert figure(result, "served") > figure(results["zones, each alone"], "served")
+    assert figure(result, "duplicates") == 0
+
+
 def test_each_fault_is_one_line(results: dict[str, Result]) -> None:
     kinds = [(line["kind"], line["fault"]) for line in results["pause"].faults]
     assert kinds == [("pause", "begins"), ("pause", "ends")]
@@ -306,6 +330,7 @@
         ({"world": {"nodes": 3, "zone": ["a"]}}, "world.zone: unknown key; did you mean zones?"),
         ({"world": {"nodes": 3}, "fault": [{"kind": "list", "at_s": 1, "gone": ["s7"]}]}, "fault[0]: s7"),
         ({"world": {"nodes": 3}, "fault": [{"kind": "list", "at_s": 1, "add": 1}]}, "servers.spare"),
+        ({"world": {"nodes": 3}, "fault": [{"kind": "zone-slow", "at_s": 1}]}, "fault[0].zones"),
         ({"world": {"nodes": 3}, "audit": {"lag": 1.0}}, "audit.lag: unknown key"),
         ({"world": {"nodes": 3}, "membership": {"probe_ms": 100.0}}, "membership.probe_timeout_ms"),
         ({"world": {"nodes": 3}, "membership": {"listen": "127.0.0.1:1"}}, "membership.listen"),
