Stores: one store may be used on the loop and by a worker of another part

The freeze must not hold the event loop for an fsync, while the audit writes on the loop to the same store. The node hands out a store that takes one call at a time; a worker may leave without closing a store that it does not own.

--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -28,6 +28,7 @@
 from brackenladder.records.interface import Records
 from brackenladder.stores.factory import open_store
 from brackenladder.stores.interface import Store, StoreError
+from brackenladder.stores.shared import SharedStore
 from brackenladder.transports.interface import Received, Transport
 
 if TYPE_CHECKING:
@@ -490,7 +491,7 @@
         self.lean("store")
         if self.kept is None:
             table = self.operation().store
-            self.kept = open_store(table.wish() if table is not None else None, self.name)
+            self.kept = SharedStore(open_store(table.wish() if table is not None else None, self.name))
         return self.kept
 
     def lean(self, table: str) -> None:
--- a/brackenladder/stores/worker.py
+++ b/brackenladder/stores/worker.py
@@ -76,6 +76,13 @@
             self.jobs.put(None)
         return self.closing
 
+    def leave(self) -> None:
+        """Ends the thread after the calls that wait, and leaves the store open to whoever owns it."""
+        if self.closing is None:
+            self.closing = self.loop.create_future()
+            self.closing.set_result(None)
+            self.jobs.put(None)
+
     def ask(self, call: Callable[[], T]) -> asyncio.Future[T]:
         """A StoreBusy at once if too many wait already."""
         if self.closing is not None:
