Freeze: an elector's writes are off the loop, and beats do not wait for them

Where a write took 150 ms a burst of a thousand requests cost the coordinator its lease: each beat waited behind the writes before it. Now a message names the write that it must not precede (votes, what a restarted elector is told), acknowledgements say what the store holds and what is merely taken, one write stands for all that are due, and up to eight datagrams of commands go out before an answer. Requests that nobody answers are repeated more and more seldom, and at once when a new coordinator is heard.

--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -22,8 +22,9 @@
 nobody with an older state than it heard of; or all others say that they hold nothing either: a first start,
 or the loss of everything, which an operator may also declare with a majority (`begin`).
 
-Pure: messages and monotonic times in microseconds in, actions out. `Save` must be in the store before any
-`Send` after it goes out, and is answered by `stored`.
+Pure: messages and monotonic times in microseconds in, actions out. A `Save` is answered by `stored`; a `Send`
+whose `after` names a save goes out once that one is in the store. The others need not wait for a disk: beats
+and promises are no better for being written, and what is acknowledged is what the store holds.
 """
 
 from __future__ import annotations
@@ -56,7 +57,8 @@
 NOBODY = "-"  # stands for a vote that may have been given and is forgotten
 FORMAT = 1
 HISTORY = 512  # commands kept for electors that lag; beyond that they get the whole state
-BEAT_BYTES = 1_000  # of commands in one datagram
+BEAT_BYTES = 1_000  # of commands in one datagram...
+WINDOW = 8  # ...and so many datagrams before an answer
 MASK = (1 << 64) - 1
 RECORD = "freeze-elector"  # the store's record
 
@@ -121,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Save:
-    """Put `data` in the store's record, then call `stored(number)`; no later Send may go out before."""
+    """Put `data` in the store's record, then call `stored(number)`. One may stand for all before it."""
 
     number: int
     data: bytes
@@ -133,6 +135,7 @@
 
     to: str
     message: AnyMessage
+    after: int = 0  # the save that has to be in the store before
 
 
 Action = Save | Send
@@ -160,6 +163,7 @@
     """What a coordinator knows of another elector, in its own term."""
 
     held: Held | None = None  # what its store holds; None until it has said so
+    taken: Held | None = None  # what it has taken
     sent: int = -1  # when the newest beat was sent that it has answered with its promise
     heard: int = -1  # the same with or without
     out: int = -1  # a beat with commands that is out, since when
@@ -220,7 +224,9 @@
         self.durable: Held = self.held
         self.flushed: Held = self.held
         self.saves = 0
-        self.saving: dict[int, Held] = {}
+        self.saving: dict[int, tuple[int, Held]] = {}  # by save: the term and version in it
+        self.durable_term = self.term
+        self.owed: tuple[str, int, bool] | None = None  # the last beat, to be answered once all is stored
         self.role = Role.FOLLOWER
         self.coordinator = ""
         self.promised = now  # no vote before that
@@ -254,7 +260,7 @@
             return out
         if isinstance(message, Hello):
             reply = Status(message.nonce, self.term, max(self.held, self.floor), self.lost, self.begin)
-            out.append(Send(sender, reply))
+            out.append(Send(sender, reply, self.unsaved()))
         elif isinstance(message, Status):
             out += self.on_status(sender, message)
         elif self.lost:
@@ -288,11 +294,22 @@
         """The store holds what `Save(number)` gave, and all before it."""
         out = self.at(now)
         for n in [n for n in self.saving if n <= number]:
-            self.durable = self.saving.pop(n)
+            self.durable_term, self.durable = self.saving.pop(n)
         if self.role is Role.LEADER:
             self.settle()
+        elif self.owed is not None and self.durable_term == self.term and self.owed[0] == self.coordinator:
+            out.append(self.ack(*self.owed))
+            if self.durable == self.held:
+                self.owed = None
         return out
 
+    def unsaved(self) -> int:
+        """The last save, if it is not in the store yet; else 0."""
+        return self.saves if self.saving else 0
+
+    def ack(self, to: str, sent: int, promise: bool) -> Send:
+        return Send(to, BeatAck(self.term, sent, self.durable, self.held, promise))
+
     def propose(self, now: int, command: bytes) -> Held | None:
         """A coordinator's next command: the version it leads to; None from who does not coordinate, or for a
         command that is too large. It goes out at `flush`, and counts once `committed` has reached it."""
@@ -373,7 +390,8 @@
 
     def save(self) -> Save:
         self.saves += 1
-        self.saving[self.saves] = self.flushed = self.held
+        self.flushed = self.held
+        self.saving[self.saves] = (self.term, self.held)
         record = Stored(FORMAT, self.term, self.voted, self.held, self.floor, self.state.dump())
         return Save(self.saves, msgspec.msgpack.encode(record))
 
@@ -447,7 +465,8 @@
         self.ask_at = self.now + self.rules.resend
         pre = self.role is Role.ASKING
         ask = VoteAsk(self.term + pre, self.asked, self.held, pre)
-        return [Send(n, ask) for n in self.others if n not in self.votes]
+        after = 0 if pre else self.unsaved()
+        return [Send(n, ask, after) for n in self.others if n not in self.votes]
 
     def free(self, candidate: str) -> bool:
         """Whether nothing keeps this elector from voting for somebody: no promise, no forgotten one."""
@@ -469,7 +488,7 @@
             self.voted = sender
             self.next_try = self.now + self.rules.spread + self.draw(self.rules.spread)
             out = [self.save()]
-        return [*out, Send(sender, VoteReply(self.term, ask.sent, yes, False))]
+        return [*out, Send(sender, VoteReply(self.term, ask.sent, yes, False), self.unsaved())]
 
     def on_vote(self, sender: str, reply: VoteReply) -> list[Action]:
         if not reply.yes:
@@ -541,24 +560,16 @@
         ]
 
     def lags(self, peer: Peer) -> bool:
-        return peer.held is not None and peer.held != self.held
+        return peer.taken is not None and peer.taken != self.held
 
     def beats(self, name: str, peer: Peer) -> list[Action]:
         peer.beat = self.now
-        if peer.held is None or peer.held == self.held:
+        if peer.taken is None or peer.taken == self.held:
             return [Send(name, Beat(self.term, self.now, self.held, [], self.hears()))]
         peer.out = self.now
-        commands: list[tuple[Held, bytes]] = []
-        size = 0
-        for before, after, command in self.history:
-            if not commands and before != peer.held:
-                continue
-            size += len(command) + 24
-            if commands and size > BEAT_BYTES:
-                break
-            commands.append((after, command))
-        if commands:
-            return [Send(name, Beat(self.term, self.now, peer.held, commands, self.hears()))]
+        follow = [(after, command) for before, after, command in self.from_version(peer.taken)]
+        if follow:
+            return [Send(name, beat) for beat in self.packed(peer.taken, follow)]
         held, data = self.whole()
         parts = max(1, -(-len(data) // PART_BYTES))
         if parts > MOST_PARTS:
@@ -579,11 +590,32 @@
             for i in range(parts)
         ]
 
+    def from_version(self, held: Held) -> list[tuple[Held, Held, bytes]]:
+        """The commands at hand that lead on from a version; none if that is not among theirs."""
+        known = list(self.history)
+        start = next((i for i, (before, _, _) in enumerate(known) if before == held), len(known))
+        return known[start:]
+
+    def packed(self, prev: Held, commands: list[tuple[Held, bytes]]) -> list[Beat]:
+        """Commands in datagrams that follow on each other, up to a window."""
+        beats: list[Beat] = []
+        now: list[tuple[Held, bytes]] = []
+        size = 0
+        for after, command in [*commands, (NOTHING, b"")]:
+            size += len(command) + 24
+            if now and (after == NOTHING or size > BEAT_BYTES):
+                beats.append(Beat(self.term, self.now, prev, now, self.hears()))
+                if len(beats) == WINDOW:
+                    break
+                prev, now, size = now[-1][0], [], len(command) + 24
+            now.append((after, command))
+        return beats
+
     def whole(self) -> tuple[Held, bytes]:
         """A version of the whole state that the commands at hand follow on. Failure prevented: while changes
         go on, an elector that loses one part of many never has all parts of one version."""
         held = self.snapshot[0]
-        if held != self.held and not any(before == held for before, _, _ in self.history):
+        if held != self.held and not self.from_version(held):
             self.snapshot = (self.held, self.state.dump())
         return self.snapshot
 
@@ -596,7 +628,8 @@
         if ack.promise:
             peer.sent = max(peer.sent, ack.sent)
         if ack.sent >= peer.heard:
-            peer.heard, peer.held = ack.sent, ack.held
+            peer.heard, peer.taken = ack.sent, ack.taken
+            peer.held = ack.held
             if ack.sent >= peer.out:
                 peer.out = -1
         self.settle()
@@ -619,7 +652,7 @@
 
     def on_beat(self, sender: str, beat: Beat | SnapshotPart) -> list[Action]:
         if beat.term < self.term:
-            return [Send(sender, BeatAck(self.term, beat.sent, self.durable, False))]
+            return [self.ack(sender, beat.sent, False)]
         out = self.take_term(beat.term)
         if self.role is not Role.FOLLOWER:
             self.step_down("another has been elected")
@@ -631,7 +664,11 @@
         if changed:
             out = [self.save()]
         if changed or isinstance(beat, Beat):
-            out.append(Send(sender, BeatAck(self.term, beat.sent, self.held, beat.promise)))
+            self.owed = (sender, beat.sent, beat.promise)
+            if self.durable_term == self.term:
+                out.append(self.ack(*self.owed))
+            if self.durable_term == self.term and self.durable == self.held:
+                self.owed = None
         return out
 
     def take_commands(self, beat: Beat) -> bool:
--- a/brackenladder/freeze/holder.py
+++ b/brackenladder/freeze/holder.py
@@ -38,6 +38,7 @@
 )
 
 MOST_WANTS = 256  # changes that one node asks for at a time
+MOST_DOUBLED = 3  # times
 MOST_RESULTS = 256  # of calls and changes that are over, for who asks twice
 MOST_FENCES = 1_024
 DONE_TRIES = 20  # the grant runs out by itself
@@ -72,7 +73,7 @@
     electors: tuple[str, ...]
     shared: FreezeRules = FreezeRules()
     drift: float = 0.01
-    retry: int = 250_000  # without an answer it asks again
+    retry: int = 250_000  # without an answer it asks again, and after twice as long each time
     keep: int = 600_000_000  # an incident holds so long after the last news of any coordinator
     alone: Mapping[str, Alone] = field(default_factory=lambda: dict(ALONE))
 
@@ -262,7 +263,7 @@
     def next_deadline(self) -> int | None:
         """When `tick` should next be called; None while nothing is on its way."""
         times = [h.until for h in self.held.values()]
-        times += [w.due for w in self.wants.values()]
+        times += [min(w.due, self.alone_at(w)) for w in self.wants.values()]
         times += [e.due for e in self.ending.values()]
         times += [c.due for c in self.calls.values()]
         return min(times, default=None)
@@ -294,6 +295,9 @@
         if message.asof[0] < self.term:
             self.stale += 1  # a coordinator that is over, and does not know it
             return []
+        if message.asof[0] > self.term:
+            for want in self.wants.values():  # there is somebody to ask again
+                want.due, want.tries = min(want.due, self.now), 0
         self.term, self.coordinator, self.heard = message.asof[0], sender, self.now
         if isinstance(message, Give):
             return self.on_give(message)
@@ -413,15 +417,15 @@
             del self.fences[next(iter(self.fences))]
 
     def target(self, tries: int) -> str:
-        """The coordinator, if one is known and answers; else one elector after the other."""
-        if self.coordinator and tries <= 2:
+        """The coordinator, if one is known; each third time one elector after the other."""
+        if self.coordinator and (tries == 0 or tries % 3):
             return self.coordinator
         self.turn += 1
         return self.rules.electors[self.turn % len(self.rules.electors)]
 
     def send(self, want: Want) -> list[Send]:
         want.tries += 1
-        want.sent, want.due = self.now, self.now + self.rules.retry
+        want.sent, want.due = self.now, self.now + (self.rules.retry << min(want.tries - 1, MOST_DOUBLED))
         ask = Ask(want.wire, want.kind, want.scope, want.life, self.now, want.reason, want.mends, want.plan)
         return [Send(self.target(want.tries), ask)]
 
@@ -444,10 +448,14 @@
             del self.ending[next(iter(self.ending))]
         return [Send(self.target(0), Done(wire, token, how))]
 
+    def alone_at(self, want: Want) -> int:
+        """When a request is answered without a coordinator."""
+        return max(want.began, want.answered) + self.rules.alone[want.kind].after
+
     def answer_alone(self, want: Want) -> bool:
         """Answers a request that no coordinator has answered for the time that the rule for its kind says."""
         rule = self.rules.alone[want.kind]
-        if self.now < max(want.began, want.answered) + rule.after:
+        if self.now < self.alone_at(want):
             return False
         del self.wants[want.id]
         incident = next((i for i in self.known() if stops(i, want.grant(), self.regions)), None)
--- a/brackenladder/freeze/wire.py
+++ b/brackenladder/freeze/wire.py
@@ -65,11 +65,13 @@
 
 
 class BeatAck(msgspec.Struct, tag=5, array_like=True, frozen=True):
-    """What the elector holds in its store, and whether it has promised a lease from `sent` on."""
+    """What the elector holds in its store, what it has taken (and may still write), and whether it has
+    promised a lease from `sent` on."""
 
     term: Number
     sent: Number
     held: Version
+    taken: Version
     promise: bool = True
 
 
