--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -10,6 +10,7 @@
 from brackenladder.stores.directory import DirectoryStore
 from brackenladder.stores.interface import Store
 from brackenladder.stores.memory import MemoryStore
+from brackenladder.stores.shared import SharedStore
 from brackenladder.stores.sqlite import SqliteStore
 
 
@@ -23,6 +24,7 @@
 KINDS = [
     Kind("memory", lambda place, most: MemoryStore(most), lasting=False),
     Kind("directory", lambda place, most: DirectoryStore(str(place), most)),
+    Kind("shared", lambda place, most: SharedStore(DirectoryStore(str(place), most))),
     Kind("sqlite", lambda place, most: SqliteStore(str(place), most)),
 ]
 
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -326,6 +326,24 @@
     well(world)
 
 
+def test_the_turn_goes_by_the_first_request_and_what_is_over_stays_over() -> None:
+    world = settled()
+    world.ask("n5", "up", life=3 * SECOND)
+    world.run(world.now + SECOND // 2)
+    world.ask("n3", "first", patience=20 * SECOND, life=SECOND)
+    world.run(world.now + SECOND // 2)
+    for i in range(20):  # somebody who asks all the time, in between
+        world.at(world.now + i * SECOND // 5, partial(world.ask, "n4", f"pushing{i}"))
+    assert world.until(lambda: "go" in world.what("first"), 6 * SECOND)
+    assert not any("go" in world.what(f"pushing{i}") for i in range(20))
+    world.kill("n5")
+    world.start("n5")
+    world.ask("n5", "up")  # a process that knows nothing of its earlier life
+    world.run(world.now + SECOND)
+    assert world.what("up")[-1] == "no" and "under another id" in last(world, "up")
+    well(world)
+
+
 def test_a_node_that_never_hears_of_the_freeze_makes_nothing_that_needs_a_grant() -> None:
     world = settled()
     world.ask("n5", "up", life=4 * SECOND)
@@ -400,11 +418,11 @@
     holder = Holder("n5", rules, {})
     scope = read_scope(ZONE_A)
 
-    def give(id: str, token: Held, asof: Held) -> list[str]:
-        holder.receive(10, "n1" if asof[0] == 2 else "n0", Give(id, token, asof, 5, SECOND))
+    def give(id: str, token: Held, asof: Held, sent: int = 5) -> list[str]:
+        holder.receive(10, "n1" if asof[0] == 2 else "n0", Give(id, token, asof, sent, SECOND))
         return [o.what for o in holder.drain()]
 
-    for id in "abcde":
+    for id in "abcdef":
         where = read_scope(ZONE_B) if id == "e" else scope
         holder.ask(5, id, Change.SETTINGS, where, SECOND, patience=SECOND)
     holder.receive(6, "n1", News((2, 9), (2, 8), 0, 1, [Told("fire", read_scope(ZONE_B), 3, "")]))
@@ -421,6 +439,7 @@
     holder.receive(12, "n1", Halt("d", (2, 16), (2, 17), "incident"))
     assert give("d", (2, 16), (2, 17)) == [] and "d" not in holder.held  # its halt came first
     assert give("e", (2, 20), (2, 20)) == [] and holder.wants["e"].why == "an incident has opened"
+    assert give("f", (2, 30), (2, 30), sent=10**9) == []  # by the clock of an earlier life
 
 
 def test_scopes_overlap_unless_something_that_both_name_differs() -> None:
