--- a/brackenladder/freeze/holder.py
+++ b/brackenladder/freeze/holder.py
@@ -426,7 +426,17 @@
     def send(self, want: Want) -> list[Send]:
         want.tries += 1
         want.sent, want.due = self.now, self.now + (self.rules.retry << min(want.tries - 1, MOST_DOUBLED))
-        ask = Ask(want.wire, want.kind, want.scope, want.life, self.now, want.reason, want.mends, want.plan)
+        ask = Ask(
+            id=want.wire,
+            kind=want.kind,
+            scope=want.scope,
+            life=want.life,
+            sent=self.now,
+            reason=want.reason,
+            mends=want.mends,
+            plan=want.plan,
+            stay=self.now < want.until,
+        )
         return [Send(self.target(want.tries), ask)]
 
     def halt(self, holding: Holding, why: str) -> None:
