--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -141,6 +141,7 @@
         self.on_request: Callable[[Open, int, int, bool, bool], bool] | None = None  # who knows its homes
         self.ring: tuple[int, int] | None = None  # the place that is in force, if not the platform's
         self.least_members = 0  # servers that a part wants in the subset at the least
+        self.spread_members = 0  # the same, of the part that shares servers out
         self.started = False
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed: set[int] | None = None  # the servers in the list, once there is one
@@ -236,8 +237,9 @@
         if self.ring is not None:
             # What all nodes must not do together goes by the larger count: members may be cut off, not dead.
             settings = replace(settings, ring=self.ring, instances=max(settings.instances, self.ring[1]))
-        if self.least_members:
-            settings = replace(settings, least_members=self.least_members)
+        if self.least_members or self.spread_members:
+            least = max(self.least_members, self.spread_members)
+            settings = replace(settings, least_members=least)
         self.settings = settings
         self.post(self.balancer.new_settings, settings)
 
--- a/brackenladder/net/places.py
+++ b/brackenladder/net/places.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brackenladder.membership.swim import Member
 from brackenladder.membership.wire import State
@@ -14,6 +14,9 @@
 from brackenladder.operation import Operation
 from brackenladder.spread.places import Spread
 
+if TYPE_CHECKING:
+    from brackenladder.net.evening import Evening
+
 
 class MembershipPart(Inner):
     """`[membership]`: this node's part in it. Other settings begin it anew."""
@@ -54,7 +57,9 @@
     def begin(self) -> None:
         self.timer: asyncio.TimerHandle | None = None
         self.wanted = self.node.ring  # the place that is due, in force or still to be let
+        self.evening: Evening | None = None
         self.make()
+        self.take_weights()
 
     def make(self) -> None:
         """Begins anew under other rules."""
@@ -67,8 +72,26 @@
     def reload(self, operation: Operation) -> None:
         if operation.spread is not None and operation.spread.rules() != self.spread.rules:
             self.make()
+        self.take_weights()
+
+    def take_weights(self) -> None:
+        """Weights from the members' rates, as the operators wish."""
+        wish = self.hosting.operation().spread
+        assert wish is not None
+        if wish.weights and self.evening is None:
+            from brackenladder.net.evening import Evening  # here: the membership alone needs none of it
+
+            self.evening = Evening(self, self.hosting)
+        elif not wish.weights and self.evening is not None:
+            evening, self.evening = self.evening, None
+            evening.stop()
+
+    def figures(self) -> dict[str, Any] | None:
+        return self.evening.figures() if self.evening is not None else None
 
     def stop(self, farewell: bool) -> None:
+        if self.evening is not None:
+            self.evening.stop()
         if self.timer is not None:
             self.timer.cancel()
         if not self.hosting.ending:
--- a/brackenladder/spread/flow.py
+++ b/brackenladder/spread/flow.py
@@ -147,6 +147,17 @@
     yield factors
 
 
+def work(roster: Roster, zone: int | None, nodes: Sequence[Told]) -> Iterator[dict[int, float] | None]:
+    """Factors by server for what all nodes have told, in steps of some tenths of a millisecond."""
+    ids: list[int] = []
+    table: list[Row] = []
+    for step in rows(roster, zone, nodes):
+        ids, table = step
+        yield None
+    for factors in fitted(len(ids), table):
+        yield None if factors is None else dict(zip(ids, factors, strict=True))
+
+
 def followed(now: Mapping[int, float], due: Mapping[int, float]) -> dict[int, float]:
     """Factors one step nearer to where they should be; who is not named should be, or was, at 1.
 
