Locality: other nodes' records are decoded once

Each look decoded the records of all members again: 1,000 times four times a second in a large fleet.

--- a/brackenladder/net/locality.py
+++ b/brackenladder/net/locality.py
@@ -39,6 +39,7 @@
         self.table: object = None  # the classes' that the aims are of
         self.regions: dict[str, State] = {}
         self.changes = 0
+        self.decoded: dict[str, tuple[bytes, Report | None]] = {}
         self.take(self.hosting.operation())
         self.look()
 
@@ -104,9 +105,13 @@
         )
         reports = {}
         for record in self.records.of(KIND):
-            report = decode(record.body) if not record.stale else None
-            if report is not None:
-                reports[record.owner] = report
+            kept = self.decoded.get(record.owner)
+            if kept is None or kept[0] is not record.body:
+                kept = self.decoded[record.owner] = (record.body, decode(record.body))
+            if kept[1] is not None and not record.stale:
+                reports[record.owner] = kept[1]
+        if len(self.decoded) > 2 * len(reports) + 16:
+            self.decoded.clear()  # of members that have gone
         known = {m.name for m in members.view() if m.state != MemberState.LEFT}
         held_back = self.held_back(judge)
         told, changes = self.common.tick(now, mine, reports, known, set(self.hosting.live()), held_back)
