What is worth most is not refused with the rest where all servers are crowded or cold

At these, latency over target was 0.75 to 0.95 on average, warm members held 4 to 5 for the usual 3, two in three were cold. Ruled out: old lists (refused connections are 0 to 2 in 5 s), the retry budget (tokens at hand at all but none), ejections (none), the tiers behind (35 refusals).

To blame: `crowded`, which tightens from half of the target on for all classes alike, while the trunk reservation holds at the limit only; and `may_send`, which gives cold servers more only once calls are late.

Change: what is worth most for its time is held back at twice the usual, as in good times, where lesser classes stand beside it; with one rank for all, nothing changes. Members crowded on average count like late calls for cold ones: up to COLD_PART of what pushes them over, as before where calls were late; one that says to be crowded is passed over.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -82,7 +82,7 @@
 PICK_TRIES = 10  # so many members may be passed over for being slow
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
-COLD_PART = 0.75  # where calls are late, and some warm, cold ones take up to this of what pushes them over
+COLD_PART = 0.75  # calls late or members crowded, some warm: cold ones take this of what pushes them over
 MANY_COPIES = 4  # where so many share a server, what it says to hold counts...
 AT_REST = 0.5  # ...against what servers usually say while latency over target is within this...
 SMOOTH_HELD = 0.002  # ...smoothed by this weight of the newest report
@@ -471,7 +471,7 @@
         self.retry_tokens = float(MIN_LIMIT)
         self.shed = 1.0
         self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
-        self.rank = [0] * len(allowance)
+        self.rank, self.urgent = [0] * len(allowance), False
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_size, self.all_cold = 0.0, False  # of so many members; hardly any is warm now
         self.warm_sent = 0
@@ -1131,6 +1131,7 @@
     def draw(self, now: int, r: Request[Server]) -> Server | None:
         """Two random members; the one with less in flight takes the call."""
         effect = r.effect
+        self.urgent = self.rank[r.klass] < max(self.rank)
         if r.ran_on is not None and effect == Effect.KEYED:
             return self.draw_in_group(now, r)
         if self.ejected and now >= self.next_trial and effect != Effect.UNSAFE:
@@ -1209,15 +1210,10 @@
             b = self.pick(now, pool, mean, a)
             if b.load(now, mean) < a.load(now, mean):
                 a, b = b, a
-            b_silent = self.is_silent(now, b)
-            if not self.is_silent(now, a) and self.may_send(now, a):
-                return a
-            if not b_silent and self.may_send(now, b):
-                return b
-        for a in pool:
-            if not a.ejected and self.may_send(now, a):
-                return a
-        return None
+            for srv in [srv for srv in (b, a) if not self.is_silent(now, srv)][::-1]:
+                if self.may_send(now, srv):
+                    return srv
+        return next((srv for srv in pool if not srv.ejected and self.may_send(now, srv)), None)
 
     def pick(self, now: int, pool: list[Server], mean: float, other: Server | None = None) -> Server:
         """A random member but `other`. One slower than the mean is passed over as often as it is slower, and
@@ -1278,9 +1274,16 @@
         ctl = self.controller
         if not srv.in_flight or ctl.copies < MANY_COPIES or self.held_column < 0:
             return False
+        return srv.held > self.bearable(self.urgent)
+
+    def bearable(self, urgent: bool) -> float:
+        """So much a server may hold; what is worth most for its time may bring it to twice the usual always.
+
+        Failure prevented: all are crowded or cold, and what is worth most is refused as often as the rest.
+        """
         # Failure prevented: warm servers that well bear what cold ones cannot yet are all taken for crowded.
-        late = min(1.0, max(0.0, (ctl.sample_rtt - AT_REST) / (1 - AT_REST)))
-        return srv.held > max(MIN_LIMIT, self.held) * (USUAL_MOST - late * (USUAL_MOST - 1))
+        late = 0.0 if urgent else min(1.0, max(0.0, (self.controller.sample_rtt - AT_REST) / (1 - AT_REST)))
+        return max(MIN_LIMIT, self.held) * (USUAL_MOST - late * (USUAL_MOST - 1))
 
     def may_send(self, now: int, srv: Server) -> bool:
         """Whether one more call may go there: not to a crowded server, and to a cold one by slow start.
@@ -1297,7 +1300,7 @@
         # Failure prevented: after an outage few members each get what one of many got, and all wait for the
         # last to be warm. All cold, each takes half of what pushes it over; where calls are late, more.
         fewer = min(s.fall_multiple or 1.0, max(1.0, self.warm_size / max(1, len(self.members))))
-        if self.all_cold or self.controller.sample_rtt > 1:
+        if self.all_cold or self.controller.sample_rtt > 1 or self.mean_held > self.bearable(False):
             fewer *= max(1.0, s.fall_multiple * (0.5 if self.all_cold else COLD_PART))
         rate = max(self.warm_rate * fewer, self.fair if srv.zone == s.zone else 0.0)
         srv.tokens = min(1.0, srv.tokens + rate * warmth * (now - srv.tokens_at) / 1e6)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -777,12 +777,51 @@
     node.servers[4].held = 9.0
     for held, pressed, crowded in ((5.0, False, False), (5.0, True, True), (2.0, True, False)):
         node.servers[1].held, node.controller.sample_rtt = held, 2.0 if pressed else 0.5
+        node.urgent = False
         assert node.crowded(node.servers[1]) is (crowded and instances > 1)
     node.servers[1].held = 9.0
     if instances > 1:  # no server may take more: that is said at once
         assert ask(node, rec, SEC, 200)[0] == "refuse"
 
 
+def test_what_is_worth_most_is_not_refused_as_the_rest_where_all_are_crowded():
+    """Failure prevented: half of the worth is in one class, and all are refused alike."""
+    classes = (replace(UNSAFE, worth=10), SAFE)
+    node, rec = balancer(4, instances=40, report_fields=("inflight",), classes=classes)
+    node.controller.end_pass(0)
+    node.controller.limit = 100.0
+    for klass, held, answer in ((1, 5.0, "refuse"), (0, 5.0, "send"), (0, 7.0, "refuse"), (1, 2.0, "send")):
+        for srv in node.servers.values():
+            srv.held, srv.in_flight = held, 1
+        node.controller.sample_rtt = 0.95  # nothing is late as yet
+        assert ask(node, rec, 0, klass * 100 + int(held), klass)[0] == answer
+    alike, rec = balancer(4, instances=40, report_fields=("inflight",), classes=(SAFE, SAFE))
+    alike.controller.end_pass(0)
+    alike.controller.limit, alike.controller.sample_rtt = 100.0, 0.95
+    for srv in alike.servers.values():
+        srv.held, srv.in_flight = 5.0, 1
+    assert ask(alike, rec, 0, 1)[0] == "refuse"  # nobody is worth more than the others
+
+
+def test_cold_members_take_more_while_all_are_crowded_and_calls_not_yet_late():
+    """Failure prevented: warm ones are crowded, cold ones get what they get in quiet times."""
+    entries = [ServerEntry(1), ServerEntry(2, ready_at=10 * SEC), ServerEntry(3)]
+    node, rec = balancer(entries, instances=40, report_fields=("inflight",))
+    node.warm_rate, node.controller.sample_rtt, cold = 10.0, 0.9, node.servers[2]
+    rate = node.warm_rate * (0.4 + 0.6 * 2 / 4)
+
+    def wait(held):
+        node.mean_held = held
+        cold.tokens, cold.tokens_at, delay = 0.0, 12 * SEC, 0
+        while not node.may_send(12 * SEC, cold):
+            delay += 1000
+            cold.tokens, cold.tokens_at = 0.0, 12 * SEC - delay
+        return delay / SEC
+
+    assert wait(3.0) == pytest.approx(1 / rate, rel=0.01)
+    assert wait(6.0) == pytest.approx(1 / (rate * BASE.fall_multiple * COLD_PART), rel=0.01)
+
+
 def test_what_a_copy_sent_since_a_report_counts_as_held_there():
     """A busy copy sent forty calls to the one server whose last report told of two."""
     node, rec = balancer(4, instances=40, report_fields=("inflight",))
