Audit: the ledger names each change that the node makes, with its grant

The node tells parts of the changes that it has made and under which grant; the ledger now keeps them beside the versions, as it did for bringing up and shutting out. A test of the hosted part fails without it.

--- a/brackenladder/net/audit.py
+++ b/brackenladder/net/audit.py
@@ -175,6 +175,10 @@
             return
         self.ledger.taken(Key(version.source.value, origin, version.number, version.digest), now)
 
+    def made(self, change: Change, scope: str, grant: tuple[int, int] | None) -> None:
+        """The node has made a change of its own; the ledger names what it acted under."""
+        self.ledger.act(change.value, scope, self.host.now(), grant)
+
     def recent(self, now: int) -> bool:
         """Members change in swarms; one version of them a second is told apart.
 
