Shards: the parts of a first long list are no servers that join

A long list comes in parts, and the servers of the second one counted as arrived just now: for ten seconds a forecast would have taken them for cold. The test fails without it.

--- a/brackenladder/net/shards.py
+++ b/brackenladder/net/shards.py
@@ -49,6 +49,7 @@
         self.fresh: frozenset[int] = frozenset()  # members that came last, in steps or at once
         self.weights: dict[int, float] = {}
         self.listed: set[int] = set()  # servers that the list has named
+        self.complete = False  # the first list has come whole
         self.arrived: dict[int, int] = {}  # when those came that were not in the first list
         self.timer: asyncio.TimerHandle | None = None
         self.take_wish()
@@ -102,7 +103,7 @@
 
     def list_news(self, news: ListNews) -> None:
         """Who has come, and servers' weights, where they can be compared."""
-        now, first = self.node.now(), not self.listed
+        now = self.node.now()
         for line in news.lines:
             number = number_of(line.id)
             if line.state != State.READY:
@@ -110,8 +111,9 @@
                 self.arrived.pop(number, None)
             elif number not in self.listed:
                 self.listed.add(number)
-                if not first:
+                if self.complete:
                     self.arrived[number] = now
+        self.complete |= not news.more
         if self.node.settings.list_weights:
             self.weights.update((number_of(line.id), line.weight) for line in news.lines)
 
--- a/tests/test_forecast_part.py
+++ b/tests/test_forecast_part.py
@@ -14,9 +14,11 @@
 
 from brackenladder.forecast.placement import POSITIONS
 from brackenladder.forecast.sample import Sample, pack
+from brackenladder.interface import ListKind, State
 from brackenladder.net.forecast import ForecastPart, kinds
-from brackenladder.net.node import Node
-from brackenladder.net.parts import Answer, Change
+from brackenladder.net.listing import Line
+from brackenladder.net.node import Node, number_of
+from brackenladder.net.parts import Answer, Change, ListNews, Source, Version
 from brackenladder.net.shards import ShardsPart
 from brackenladder.operation import Operation, build
 from brackenladder.records.interface import MOST_BODY, Record
@@ -97,6 +99,24 @@
     play(scene)
 
 
+def test_the_parts_of_a_first_long_list_are_no_servers_that_join() -> None:
+    def news(number: int, kind: ListKind, more: bool, *names: str) -> ListNews:
+        lines = tuple(Line(n, "127.0.0.1", 9, "here", "std", 0, State.READY, 1.0, 0) for n in names)
+        return ListNews(Version(Source.LIST, "here", number, ""), kind, lines, more)
+
+    async def scene() -> None:
+        bench = await started(operation(), Keeper())
+        shards, _ = parts(bench)
+        shards.listed, shards.complete = set(), False
+        shards.list_news(news(1, ListKind.FULL, True, "a", "b"))
+        shards.list_news(news(1, ListKind.FULL, False, "c"))
+        assert not shards.arrived
+        shards.list_news(news(2, ListKind.CHANGES, False, "a", "d"))
+        assert set(shards.arrived) == {number_of("d")}
+
+    play(scene)
+
+
 def test_a_class_that_is_not_safe_to_repeat_has_no_key(capfd: pytest.CaptureFixture[str]) -> None:
     async def scene() -> None:
         servers = [Keeper() for _ in range(4)]
