--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -95,7 +95,7 @@
     @property
     def deaf(self) -> int:
         """A coordinator that a majority has not answered for so long asks for no more promises."""
-        return self.own_lease // 2
+        return self.own_lease * 3 // 8
 
     @property
     def resend(self) -> int:
