--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -80,9 +80,7 @@
 LOST_MOST = 0.05  # when more of the whole subset's calls are lost, less is kept in flight
 FAILING = 0.15  # when more of them are lost, failures count as overload
 PICK_TRIES = 10  # so many members may be passed over for being slow
-EVEN = (
-    1.25  # where weights are told, of two drawn members the one with less counts if it has so many times less
-)
+EVEN = 1.25  # where weights are told, of two drawn members less counts as less from so many times on
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
 COLD_PART = 0.75  # calls late or members crowded, some warm: cold ones take this of what pushes them over
