Freeze: with more than a minority of stores lost, what any elector still holds is kept

Two of three electors without their stores blocked for good while the third held everything: no majority of others could tell either. Now an elector takes part again once all others have answered, whatever they hold; operators may declare at a majority that what the rest holds is gone. Found by drawn worlds.

--- a/brackenladder/freeze/election.py
+++ b/brackenladder/freeze/election.py
@@ -19,8 +19,9 @@
 part in votes or majorities until, a lease after its start, either a majority of *other* electors has told it
 their terms and versions (some one of them took part in whatever this one has forgotten; Viewstamped
 Replication Revisited, Liskov, Cowling 2012, recovers so), after which it votes in later terms only and for
-nobody with an older state than it heard of; or all others say that they hold nothing either: a first start,
-or the loss of everything, which an operator may also declare with a majority (`begin`).
+nobody with an older state than it heard of; or all others have answered, whatever they hold: a first start,
+or the loss of more than a minority of stores, after which what any of them still holds is kept. Operators may
+also declare at a majority that what the rest holds is gone (`begin`).
 
 Pure: messages and monotonic times in microseconds in, actions out. A `Save` is answered by `stored`; a `Send`
 whose `after` names a save goes out once that one is in the store. The others need not wait for a disk: beats
@@ -409,20 +410,19 @@
     def ask_others(self) -> list[Action]:
         if self.now < self.next_hello:
             return []
-        if self.empty():
-            return self.regain("begun", "nobody holds anything")
+        if self.all_known():
+            return self.regain("begun", "all others have told what they hold, or an operator has decided")
         self.next_hello = self.now + self.rules.spread
         self.nonce = self.draw(1 << 52)
         self.answers = {}
         return [Send(n, Hello(self.nonce)) for n in (*self.others, *self.crowd)]
 
-    def empty(self) -> bool:
-        """Whether nobody can hold anything: all others say so, or an operator and a majority."""
+    def all_known(self) -> bool:
+        """Whether nothing that is still held anywhere can be missing: all others have answered. Or operators
+        have declared at a majority that what the rest holds is gone."""
         said = self.answers.values()
-        if not said or not all(s.lost or s.held == NOTHING for s in said):
-            return False
-        declared = self.begin or any(s.begin for s in said)
-        return len(said) == len(self.others) or (declared and len(said) + 1 >= self.rules.majority)
+        declared = 1 + sum(s.begin for s in said)
+        return len(said) == len(self.others) or (self.begin and declared >= self.rules.majority)
 
     def on_status(self, sender: str, status: Status) -> list[Action]:
         if not self.lost or status.nonce != self.nonce or self.now < self.abstain:
@@ -432,12 +432,12 @@
             return []
         self.answers[sender] = status
         if sum(not s.lost for s in self.answers.values()) < self.rules.majority:
-            return []  # whether all is lost is judged when the time for answers is over
+            return []  # whether all have answered is judged when the time for answers is over
         return self.regain("recovered", "a majority of others has told what it knows")
 
     def regain(self, what: str, why: str) -> list[Action]:
         """It takes part again, in later terms than any that it may have voted in."""
-        self.lost, self.begin = False, False
+        self.lost = False
         self.term, self.voted = max(self.heard, *(s.term for s in self.answers.values())), NOBODY
         self.floor = max(s.held for s in self.answers.values())
         self.next_try = self.now + self.draw(self.rules.spread)
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -194,17 +194,32 @@
     well(world)
 
 
-def test_an_operator_may_declare_the_state_gone_for_good() -> None:
+def test_operators_at_a_majority_may_declare_gone_what_the_rest_holds() -> None:
     world = World(6, 3)
     world.kill("n2")
     world.run(8 * SECOND)
     assert world.coordinator() is None  # the third might hold something
-    site = world.sites["n0"]
-    assert site.machine is not None
-    world.work(site, site.machine.declare(site.local(world.now)))
+    for name in ("n0", "n1"):
+        world.run(world.now + 3 * SECOND)
+        assert world.coordinator() is None  # one declaration is not enough
+        site = world.sites[name]
+        assert site.machine is not None
+        world.work(site, site.machine.declare(site.local(world.now)))
     assert world.until(lambda: world.coordinator() is not None, 6 * SECOND)
 
 
+def test_with_more_than_a_minority_of_stores_lost_what_any_still_holds_is_kept() -> None:
+    world = settled()
+    world.call("n4", "c", "open", "fire")
+    assert world.until(lambda: "go" in world.what("c"), SECOND)
+    for name in [n for n in world.rules.election.electors if n != leader(world)]:
+        world.kill(name, lose=True)
+        world.start(name)
+    assert world.until(lambda: len(world.elected) > 1 and world.coordinator() is not None, 8 * SECOND)
+    assert world.incident("fire") is not None
+    well(world)
+
+
 def test_a_grant_that_runs_out_while_its_change_is_half_made_halts_it_and_lets_others_go() -> None:
     world = settled()
     world.ask("n5", "slow", life=3 * SECOND)
