--- a/benchmarks/evenness.py
+++ b/benchmarks/evenness.py
@@ -2,11 +2,15 @@
 
     python -m benchmarks.evenness decider [--seeds 5]
     python -m benchmarks.evenness module [--seeds 2] [--seconds 30]
+    python -m benchmarks.evenness events [--seeds 2]
 
 `decider`: what servers get by the deciders alone (`brackenladder.spread.flow`), without chance: the busiest
 over the mean, the variation, members of a node on average and at most, the processor time to work it out.
 `module`: the node's decision modules against stand-in servers on a simulated clock; what the calls of the
-last two thirds were, and of that variation what chance alone would make. No sockets; all is seeded.
+last two thirds were, and of that variation what chance alone would make.
+`events`: the same with the host of rates and weights (`brackenladder.net.evening`) on the simulated clock,
+each node by what it has heard: busiest over mean before, in the worst two seconds after, and ten seconds
+later, and the most calls that one server held. No sockets; all is seeded.
 """
 
 from __future__ import annotations
@@ -16,12 +20,17 @@
 import statistics
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from math import sqrt
 from random import Random
+from types import SimpleNamespace
 
 from brackenladder.balance import SUBSET_LEAST, Balancer
 from brackenladder.interface import ClassSettings, Effect, ListKind, Outcome, ServerEntry, Settings
+from brackenladder.net.evening import Evening
+from brackenladder.net.parts import Part
 from brackenladder.order import mix
+from brackenladder.records.interface import Record
 from brackenladder.roster import Roster
 from brackenladder.spread import flow
 from brackenladder.spread.rate import Told, code_of, rate_of
@@ -115,6 +124,9 @@
         entries = listed(servers)
         self.service = {e.server: 8_000 if speeds and i % 2 else 4_000 for i, e in enumerate(entries)}
         self.calls = dict.fromkeys(self.service, 0)
+        self.held = dict.fromkeys(self.service, 0)
+        self.peak = 0
+        self.entries = entries
         self.free = {s: [0] * 16 for s in self.service}
         told = words(self.rates, servers, wide)
         classes = (ClassSettings(Effect.SAFE, aim=200_000, deadline=1_000_000, worth=1.0),)
@@ -153,10 +165,13 @@
         took = int(self.service[server] * (0.5 + self.rng.random()))
         heapq.heapreplace(slots, began + took)
         latency = began + took - self.now
-        self.after(
-            latency,
-            lambda: self.nodes[index].outcome(self.now, request, 0, server, Outcome.OK, latency, True, ()),
-        )
+        self.held[server] += 1
+        self.peak = max(self.peak, self.held[server])
+        self.after(latency, lambda: self.answered(index, request, server, latency))
+
+    def answered(self, index: int, request: int, server: int, latency: int) -> None:
+        self.held[server] -= 1
+        self.nodes[index].outcome(self.now, request, 0, server, Outcome.OK, latency, True, ())
 
     def play(self, until: int) -> None:
         while self.queue[0][0] < until:
@@ -177,6 +192,164 @@
         return lambda *args: None
 
 
+class Handle:
+    """A timer that may be cancelled."""
+
+    def __init__(self, what: Callable[[], None]) -> None:
+        self.what = what
+
+    def cancel(self) -> None:
+        self.what = lambda: None
+
+
+class Site:
+    """What `Evening` sees of its node, its host and the members, on a world's clock."""
+
+    ending = False
+
+    def __init__(self, fleet: Fleet, index: int) -> None:
+        self.fleet, self.index, self.name = fleet, index, f"n{index:05}"
+        self.balancer = fleet.nodes[index]
+        self.config = SimpleNamespace(seed=index)
+        self.metrics = SimpleNamespace(forwards=0)
+        self.table = SimpleNamespace(settings=self.balancer.settings)
+        self.spread_members = 0
+        self.node = self.members = self.loop = self
+        self.cut = False  # hears nobody any more
+        self.evening = Evening(Part(), self)  # type: ignore[arg-type]
+
+    @property
+    def settings(self) -> Settings:
+        return self.balancer.settings
+
+    def now(self) -> int:
+        return self.fleet.now
+
+    def call_later(self, delay: float, what: Callable[[], None]) -> Handle:
+        handle = Handle(what)
+        self.fleet.after(int(delay * 1e6), lambda: handle.what())
+        return handle
+
+    def post(self, event: Callable[..., None], *args: object) -> None:
+        event(self.fleet.now, *args)
+
+    def renew(self, settings: Settings) -> None:
+        self.post(self.balancer.new_settings, replace(settings, least_members=self.spread_members))
+
+    def tell(self, part: Part, what: Callable[[], None]) -> None:
+        what()
+
+    def live(self) -> list[str]:
+        return [site.name for site in self.fleet.sites]
+
+    def records(self) -> Site:
+        return self
+
+    def put(self, kind: str, body: bytes) -> None:
+        last = self.fleet.records.get(self.name)
+        if last is None or last.body != body:
+            version = last.version + 1 if last is not None else 1
+            self.fleet.records[self.name] = Record(self.name, kind, version, body)
+
+    def of(self, kind: str) -> list[Record]:
+        found = self.fleet.records.values()
+        return [replace(r, stale=True) for r in found] if self.cut else list(found)
+
+
+class Fleet(World):
+    """A world whose nodes tell each other their rates."""
+
+    def __init__(self, nodes: int, servers: int, rate: float, seed: int, weights: bool = True) -> None:
+        self.sites: list[Site] = []
+        self.records: dict[str, Record] = {}
+        super().__init__(nodes, servers, "as it was", rate, seed, False)
+        self.sites = [Site(self, index) for index in range(nodes if weights else 0)]
+
+    def sent(self, index: int, request: int, server: int) -> None:
+        if self.sites:
+            self.sites[index].metrics.forwards += 1
+        super().sent(index, request, server)
+
+    def over(self, seconds: float) -> float:
+        """Busiest over mean, of the servers in the list, in the time to come."""
+        before = dict(self.calls)
+        self.play(self.now + int(seconds * 1e6))
+        return of_all([self.calls[e.server] - before[e.server] for e in self.entries])[0]
+
+    def restart(self, index: int) -> None:
+        """A new process of the same place and name, which knows nothing."""
+        old = self.nodes[index]
+        node = Balancer(replace(old.settings, least_members=0), index + self.now, Hands(self, index))
+        node.start(self.now)
+        node.server_list(self.now, ListKind.FULL, self.entries)
+        self.nodes[index] = node
+        if self.sites:
+            self.sites[index].ending = True
+            self.sites[index].evening.stop()
+            self.sites[index] = Site(self, index)
+
+    def change(self, part: int, entries: list[ServerEntry]) -> None:
+        """News of the list comes to every other node, and half a second later to the rest."""
+        for index, node in enumerate(self.nodes):
+            if index % 2 == part:
+                node.server_list(self.now, ListKind.FULL, entries)
+
+
+def restarts(fleet: Fleet) -> None:
+    for index in range(0, len(fleet.nodes), 10):
+        fleet.restart(index)
+
+
+def changes(fleet: Fleet) -> None:
+    """A tenth of the servers leaves, and comes back within a second."""
+    fewer = fleet.entries[len(fleet.entries) // 10 :]
+    for delay, part, entries in ((0, 0, fewer), (3, 1, fewer), (6, 0, fleet.entries), (9, 1, fleet.entries)):
+        fleet.after(delay * 100_000, lambda part=part, entries=entries: fleet.change(part, entries))
+
+
+def halves(fleet: Fleet) -> None:
+    """One node in five believes that there are half as many, and two nodes claim one place."""
+    for index, node in enumerate(fleet.nodes):
+        place, count = node.settings.place
+        if index % 5 == 0 or index == 7:
+            ring = (place // 2, count // 2) if index != 7 else (8, count)
+            node.new_settings(fleet.now, replace(node.settings, ring=ring))
+            if fleet.sites:
+                fleet.sites[index].table.settings = node.settings
+
+
+def cut(fleet: Fleet) -> None:
+    for site in fleet.sites[::2]:
+        site.cut = True
+
+
+EVENTS = {"a tenth restarts": restarts, "list changes twice": changes, "wrong places": halves, "cut": cut}
+
+
+def told(fleet: Fleet, event: Callable[[Fleet], None]) -> tuple[float, float, float, float]:
+    """Before the event, at its worst, ten seconds later; the most that one server held from it on."""
+    fleet.play(25_000_000)
+    before = fleet.over(5)
+    fleet.peak = 0
+    event(fleet)
+    worst = max(fleet.over(2) for _ in range(5))
+    return before, worst, fleet.over(5), fleet.peak
+
+
+def events(seeds: int) -> None:
+    print("nodes servers way      event               before  worst 2 s  later  most held")
+    for nodes, servers, rate in ((300, 40, 4000.0), (60, 60, 6000.0)):
+        for name, event in EVENTS.items():
+            for way in ("without", "with"):
+                rows = [told(Fleet(nodes, servers, rate, s, way == "with"), event) for s in range(seeds)]
+                mean = [statistics.fmean(c) for c in zip(*rows, strict=True)]
+                print(
+                    f"{nodes:>5} {servers:>7} {way:<8} {name:<18} {mean[0]:>7.2f} {mean[1]:>10.2f}"
+                    f" {mean[2]:>6.2f} {mean[3]:>10.0f}",
+                    flush=True,
+                )
+
+
 def played(
     nodes: int, servers: int, way: str, rate: float, seed: int, seconds: float, speeds: bool = False
 ) -> tuple[float, float, float, float]:
@@ -208,14 +381,16 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=("decider", "module"))
+    parser.add_argument("what", choices=("decider", "module", "events"))
     parser.add_argument("--seeds", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=30.0)
     args = parser.parse_args()
     if args.what == "decider":
         decider(args.seeds or 5)
-    else:
+    elif args.what == "module":
         module(args.seeds or 2, args.seconds)
+    else:
+        events(args.seeds or 2)
 
 
 if __name__ == "__main__":
--- a/tests/test_spread_flow.py
+++ b/tests/test_spread_flow.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from benchmarks.evenness import factors, listed, of_all, played, uneven, words
+from benchmarks.evenness import EVENTS, Fleet, factors, listed, of_all, played, told, uneven, words
 from brackenladder.interface import ClassSettings, Effect, ListKind, Settings
 from brackenladder.roster import Roster
 from brackenladder.spread import flow
@@ -51,10 +51,10 @@
 
 
 def test_what_each_node_works_out_is_the_same_and_hangs_on_no_order() -> None:
-    told = words(uneven(60, 3), 50, True)
-    mixed = list(told)
+    words_ = words(uneven(60, 3), 50, True)
+    mixed = list(words_)
     Random(1).shuffle(mixed)
-    one = dict(zip(*factors(roster_of(50), told)[::2], strict=True))
+    one = dict(zip(*factors(roster_of(50), words_)[::2], strict=True))
     other = dict(zip(*factors(roster_of(50), mixed)[::2], strict=True))
     assert one.keys() == other.keys()
     assert all(abs(one[s] - other[s]) < 1e-9 for s in one)
@@ -148,3 +148,30 @@
     assert drawn() < 40
     node.new_weights(0, {})
     assert 60 < drawn() < 140
+
+
+def test_nodes_that_tell_each_other_their_rates_even_the_load_out_and_events_make_no_herd() -> None:
+    event = EVENTS["list changes twice"]
+    assert told(Fleet(20, 16, 800.0, 3, weights=False), event)[0] > 1.5
+    before, worst, later, most = told(Fleet(20, 16, 800.0, 3), event)
+    assert before < 1.2 and later < 1.2
+    assert worst < 1.6 and most <= 16
+
+
+def test_who_is_cut_off_goes_back_to_equal_weights_step_by_step_and_who_stops_withdraws() -> None:
+    fleet = Fleet(20, 16, 400.0, 3)
+    fleet.play(25_000_000)
+    site = fleet.sites[5]
+    assert site.evening.due and min(site.evening.weights.values()) < 0.9
+    assert sum(s.spread_members == 16 for s in fleet.sites) == 2  # the two busy ones use all servers
+    site.cut = True
+    seen = []
+    for _ in range(15):
+        fleet.play(fleet.now + 1_500_000)
+        seen.append(min(site.evening.weights.values(), default=1.0))
+    assert seen[-1] == 1.0 and seen[0] < seen[3] < 1.0
+    other = fleet.sites[6]
+    other.evening.stop()
+    assert fleet.records[other.name].body == b"" and other.balancer.even == 1.0
+    fleet.play(fleet.now + 2_000_000)
+    assert other.name not in fleet.sites[7].evening.told  # the mean holds for it
