Locality: a test of the hosted part, its page and its table taken out

A node alone finds its zone failing and holds it so; /admin/zones says who saw it and is 503; the table taken out at a reload gives the judge of today back.

--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 import pytest
+from loopback import Server, call, play
 from support import SEC
+from test_parts import asked, bench_with, until
 
 from brackenladder.interface import Outcome, ZoneState
 from brackenladder.locality.common import Changed, Common, CommonRules, State
@@ -333,3 +335,33 @@
     with pytest.raises(error) as failed:
         build(whole, "operator.toml")
     assert words in str(failed.value) and failed.value.remedy
+
+
+def test_a_node_goes_by_the_common_state_while_operators_ask_for_it(capfd: pytest.CaptureFixture[str]):
+    zones = {"zones": {"server_requests_per_s": 50.0}}
+    shared = zones | {"membership": {"listen": "127.0.0.1:0", "regions": {"r": ["here"]}}, "locality": {}}
+
+    async def scene():
+        bench = await bench_with(build(shared, "operator.toml"), Server())
+        node = bench.node
+        for _ in range(8):
+            assert (await bench.once(call()))[0] == 200
+        judge = node.balancer.judge
+        assert type(judge) is CommonJudge
+        await until(lambda: judge.common is not None and node.parts.parts["locality"].common.zones)
+        status, page = await asked(node, "GET /admin/zones")
+        assert status == 200 and page["regions"] == {"r": "healthy"}
+        assert page["zones"]["here"]["state"] == "healthy" and page["heard"] == 1
+        part = node.parts.parts["locality"]
+        for _ in range(50):
+            part.witness.attempt("here", Outcome.RESET, False)
+        await until(lambda: part.common.zones["here"].state == State.FAILED)
+        status, page = await asked(node, "GET /admin/zones")
+        assert status == 503 and page["zones"]["here"]["seen_by"][node.config.name]["lost_quarters"] >= 3
+        assert (await asked(node, "GET /admin/stats"))[1]["locality"]["not_healthy"] == 1
+        node.reload(node.config, build(zones, "operator.toml"))
+        assert type(node.balancer.judge) is Judge and "locality" not in node.parts.parts
+        assert (await bench.once(call()))[0] == 200
+
+    play(scene)
+    assert '"event": "zone state"' in capfd.readouterr().err
