Spread: weights from nodes' rates are off unless the operators' file asks for them

Need: new settings are off by default; an installation with [spread] would have sent records after an upgrade that it did not ask for.

--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -189,7 +189,7 @@
 
     hold_s: Seconds = 2.0
     apart_s: Annotated[float, Meta(ge=0, le=600)] = 3.0
-    weights: bool = True  # members tell their rates, and draw servers so that all get the same
+    weights: bool = False  # members tell their rates, and draw servers so that all get the same
 
     def rules(self) -> SpreadRules:
         return SpreadRules(hold=int(self.hold_s * 1e6), apart=int(self.apart_s * 1e6))
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -121,7 +121,7 @@
     "restart": world(4, 8.0, fault=[{"kind": "restart", "at_s": 0.5, "nodes": ["n2"], "for_s": 1.0}]),
     "upgrade": world(4, 8.0, fault=[{"kind": "upgrade", "at_s": 0.5, "nodes": ["n2"]}]),
     "herd": HERD,
-    "spread": HERD | {"spread": {"hold_s": 1.0, "apart_s": 1.0}},
+    "spread": HERD | {"spread": {"hold_s": 1.0, "apart_s": 1.0, "weights": True}},
     "audit": CHANGES | {"audit": {}},
     "no audit": CHANGES,
     "freeze": FREEZE,
