--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -103,6 +103,16 @@
     assert leader(world) == first and len(world.elected) == 1
 
 
+def test_an_elector_cut_off_from_the_coordinator_alone_does_not_topple_it() -> None:
+    world = settled()
+    first = leader(world)
+    other = next(n for n in world.rules.election.electors if n != first)
+    world.net.cut.add((first, other))
+    world.run(world.now + 20 * SECOND)
+    assert leader(world) == first and len(world.elected) == 1  # the third has promised
+    well(world)
+
+
 def test_of_two_two_and_one_nobody_coordinates_and_each_kind_of_change_is_answered_in_time() -> None:
     world = settled(7, electors=5)
     world.apart(["n0", "n1", "n5"], ["n2", "n3", "n6"], ["n4"])
