Tests: a thousand requests stay within the bound of grants

Need: the bound on grants could be taken out unnoticed. Change: the case of a thousand requests asks for it. Result: green; not tried with the bound taken out.

--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -331,7 +331,8 @@
     answers = [world.what(f"r{i}") for i in range(1_000)]
     assert all(answers)
     assert max(at for i in range(1_000) for at, _ in world.outcomes[f"r{i}"][:1]) - began < SECOND
-    assert sum(a[0] == "go" for a in answers) >= 256
+    assert 256 <= sum(a[0] == "go" for a in answers) <= 512
+    assert any("too many changes" in o.why for i in range(1_000) for _, o in world.outcomes[f"r{i}"])
     assert all(o.again > 0 for i in range(1_000) for _, o in world.outcomes[f"r{i}"] if o.what == "wait")
     well(world)
 
