--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,32 +6,23 @@
 import json
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import replace
-from functools import wraps
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback import Bench, Client, Server, call, play, until
+from loopback import OK, Bench, Client, Server, call, until
 
 from brackenladder.interface import ListKind, Outcome, State
-from brackenladder.net import hosting, registry
+from brackenladder.net import changes, hosting, registry
 from brackenladder.net.holdings import Holdings
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.node import Node, number_of
-from brackenladder.net.parts import (
-    GO,
-    Answer,
-    Change,
-    Host,
-    Part,
-    PartError,
-    Source,
-    Version,
-)
+from brackenladder.net.parts import GO, Answer, Change, Host, Part, PartError, Source, Version
 from brackenladder.operation import Operation, Table, Zones, build
 from brackenladder.zones import Judge
 
@@ -101,34 +92,17 @@
 
 @pytest.fixture(autouse=True)
 def registered(monkeypatch: pytest.MonkeyPatch) -> None:
-    here = __name__
-    entries = [
-        registry.Entry("dummy", f"{here}:Dummy", needs_peers=True),
-        registry.Entry("other", f"{here}:Other", needs="dummy"),
-    ]
-    monkeypatch.setattr(registry, "PARTS", [*registry.PARTS, *entries])
+    dummy = registry.Entry("dummy", f"{__name__}:Dummy", needs_peers=True)
+    other = registry.Entry("other", f"{__name__}:Other", needs="dummy")
+    monkeypatch.setattr(registry, "PARTS", [*registry.PARTS, dummy, other])
     Dummy.made_ones.clear()
 
 
-def played(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
-    """Runs a test on the node's event loop."""
-
-    @wraps(test)
-    def run(**given: Any) -> None:
-        play(lambda: test(**given))
-
-    return run
-
-
 async def bench_with(operation: Operation | None, *servers: Server, **config: Any) -> Bench:
     """A node whose operators' file was there from the start."""
     bench = Bench(*servers, config={"control": "127.0.0.1:0"} | config)
-    node_of = Node.__init__
-    try:
-        Node.__init__ = lambda node, config, loop, _=None: node_of(node, config, loop, operation)
+    with patch("loopback.Node", lambda config, loop: Node(config, loop, operation)):
         return await bench.start()
-    finally:
-        Node.__init__ = node_of
 
 
 async def asked(node: Node, head: str) -> tuple[int, Any]:
@@ -151,7 +125,6 @@
     return [what[0] for what in seen]
 
 
-@played
 async def test_a_part_sees_every_call_in_order(monkeypatch: pytest.MonkeyPatch) -> None:
     bench = await bench_with(Wide(dummy=Wish()), Server())
     node, (part,) = bench.node, Dummy.made_ones
@@ -172,10 +145,8 @@
     assert names(part.seen) == ["asked", "reload", "version", "made"]
     assert part.seen[-1] == ("made", Change.OPERATION, "tier=0,zone=here", (3, 7))
     part.host.may(Change.SHUT_OUT, "n0", lambda answer: part.seen.append(("answer", answer)))
-    assert part.seen[-2:] == [
-        ("asked", Change.SHUT_OUT, "tier=0,zone=here"),
-        ("answer", Answer(True, grant=(3, 7))),
-    ]
+    shut_out = ("asked", Change.SHUT_OUT, "tier=0,zone=here")
+    assert part.seen[-2:] == [shut_out, ("answer", Answer(True, grant=(3, 7)))]
     monkeypatch.setattr(registry, "PARTS", [replace(x, anew=True) for x in registry.PARTS])
     node.reload(node.config, Wide(dummy=Wish(number=2)))  # one that begins anew is told what is in force
     _, part = Dummy.made_ones
@@ -185,7 +156,6 @@
     assert (await asked(node, "GET /admin/dummy"))[0] == 404
 
 
-@played
 async def test_figures_pages_and_calls_stand_at_the_control_listener() -> None:
     bench = await bench_with(Wide(dummy=Wish()))
     node = bench.node
@@ -201,9 +171,8 @@
 
 
 @pytest.mark.parametrize("where", [*NOTED, "start", "asked", "key_of", "hit_of"])
-@played
 async def test_a_part_that_raises_is_stopped_and_the_node_serves_on(
-    where: str, capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+    where: str, capfd: Any, monkeypatch: Any
 ) -> None:
     plain = Dummy.__init__
 
@@ -229,10 +198,7 @@
     assert "part dummy: " in said and "ValueError: a mistake" in said
 
 
-@played
-async def test_a_part_that_cannot_be_had_is_named_with_what_to_do(
-    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
-) -> None:
+async def test_a_part_that_cannot_be_had_is_named_with_what_to_do(capfd: Any, monkeypatch: Any) -> None:
     bench = await bench_with(Wide(other=Wish()))
     await until(bench.node.ready)
     assert not bench.node.parts.parts
@@ -265,7 +231,6 @@
     assert done.stdout.strip() == "[]"
 
 
-@played
 async def test_parts_that_stand_in_the_module_do_not_push_each_other_out() -> None:
     keys = {"shards": {"keys": {"view": "path 2"}}, "zones": {}, "storms": {}}
     bench = await bench_with(build(keys, "operator.toml"), Server())
@@ -276,10 +241,7 @@
 # ---- changes that wait ------------------------------------------------------------------------------------
 
 
-@played
-async def test_a_reload_waits_until_all_let_it_and_a_later_takes_its_place(
-    capfd: pytest.CaptureFixture[str],
-) -> None:
+async def test_a_reload_waits_until_all_let_it_and_a_later_takes_its_place(capfd: Any) -> None:
     bench = await bench_with(Wide(dummy=Wish()), Server())
     node, (part,) = bench.node, Dummy.made_ones
     part.no = "the change freeze holds, for incident 4; close it"
@@ -292,12 +254,8 @@
     node.reload(last, node.operation)
     part.no = ""
     await until(lambda: node.config.idle_time == last.idle_time)
-    assert node.metrics.sighup_applied == 1 and part.seen[-1] == (
-        "made",
-        Change.SETTINGS,
-        "tier=0,zone=here",
-        (3, 7),
-    )
+    assert node.metrics.sighup_applied == 1
+    assert part.seen[-1] == ("made", Change.SETTINGS, "tier=0,zone=here", (3, 7))
     assert "waiting" not in (await asked(node, "GET /admin/stats"))[1]
     part.no = "no"  # what the platform forbids waits for nobody
     node.reload(replace(node.config, settings=replace(node.config.settings, peers=False)), node.operation)
@@ -307,7 +265,6 @@
     assert "reload: goes ahead after " in said
 
 
-@played
 async def test_the_return_of_a_zone_waits_until_all_let_it(capfd: pytest.CaptureFixture[str]) -> None:
     bench = await bench_with(Wide(dummy=Wish(), zones=Zones()))
     (part,), judge = Dummy.made_ones, bench.node.balancer.judge
@@ -324,10 +281,7 @@
     assert "return of zone there: waits: the change freeze holds; its calls stay" in capfd.readouterr().err
 
 
-@played
 async def test_a_part_that_never_answers_is_stopped_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
-    from brackenladder.net import changes
-
     monkeypatch.setattr(changes, "ASK_TIME", 0.02)
     monkeypatch.setattr(changes, "MOST_AGAIN", 0.02)
     monkeypatch.setattr(Dummy, "asked", lambda *_: None)
@@ -357,7 +311,6 @@
     return endpoint.port if endpoint is not None and endpoint.ready else None
 
 
-@played
 async def test_peers_bring_drains_at_once_and_new_servers_as_cold() -> None:
     server = await Server().start()
     bench, part = await with_list(server.entry("a"), server.entry("b", started_ms=5))
@@ -412,9 +365,8 @@
             assert not safe or held.named is None
             assert complete or not usable - before
         else:
-            listing = Listing(
-                ListKind.CHANGES if what == "own" else ListKind.FULL, version + new, tuple(lines)
-            )
+            kind = ListKind.CHANGES if what == "own" else ListKind.FULL
+            listing = Listing(kind, version + new, tuple(lines))
             if held.origin != origin or new:
                 drained.clear()
             version += new
@@ -447,13 +399,12 @@
         assert (again.digest() == held.digest()) == (not other)
 
 
-@played
 async def test_a_node_that_is_shut_out_says_so_and_finishes_what_it_has_taken() -> None:
     gate = asyncio.Event()
 
     async def slow(request: Any, writer: Any) -> bytes:
         await gate.wait()
-        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        return OK
 
     bench = await bench_with(Wide(dummy=Wish()), Server(slow))
     (part,) = Dummy.made_ones
@@ -492,14 +443,12 @@
         then(GO)
 
 
-@played
 async def test_channels_and_the_store_are_had_anew_when_their_table_changes(
-    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capfd: pytest.CaptureFixture[str]
+    monkeypatch: Any, tmp_path: Path, capfd: Any
 ) -> None:
     monkeypatch.setattr(hosting, "STORE_AGAIN", 0.02)
-    monkeypatch.setattr(
-        registry, "PARTS", [*registry.PARTS[:-2], registry.Entry("other", f"{__name__}:Talker")]
-    )
+    other = registry.Entry("other", f"{__name__}:Talker")
+    monkeypatch.setattr(registry, "PARTS", [*registry.PARTS[:-2], other])
 
     def wish(seed: str = "", kind: str = "memory", **keys: Any) -> Wide:
         table: dict[str, Any] = {"listen": "127.0.0.1:0", "seeds": [seed] if seed else [], **keys}
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback import play, until
+from loopback import until
 
 from brackenladder.lab.network import Net
 from brackenladder.lab.records import SECOND, World, drawn, held
@@ -240,34 +240,31 @@
     assert one.now == 10
 
 
-def test_nodes_on_the_memberships_port_tell_each_other_and_outlive_a_restart() -> None:
-    async def scene() -> None:
-        running: dict[str, Members] = {}
-
-        async def begin(name: str) -> None:
-            seeds = tuple(m.swim.address for m in running.values() if m.swim is not None)
-            here = Member(name, "127.0.0.1", 0, 0, State.ALIVE, 0)
-            made = Members(here, SwimSettings(), ("127.0.0.1", 0), seeds, 1, {})
-            made.start()
-            await until(lambda: made.swim is not None)
-            running[name] = made
-            made.records().put("state", f"{name} 1".encode())
-
-        def all_hold(name: str, body: bytes) -> bool:
-            found = [m.records().get(name, "state") for m in running.values()]
-            return all(r is not None and r.body == body for r in found)
-
-        for name in ("n1", "n2", "n3"):
-            await begin(name)
-        await until(lambda: all(all_hold(n, f"{n} 1".encode()) for n in running))
-        running["n2"].records().put("state", b"n2 2")
-        await until(lambda: all_hold("n2", b"n2 2"))
-        running.pop("n2").stop(farewell=False)
-        await begin("n2")  # knows nothing of its earlier word
-        await until(lambda: all_hold("n2", b"n2 1"))
-        figures = running["n1"].figures()["records"]
-        assert figures["held"] == 3 and figures["malformed"] == 0
-        for members in running.values():
-            members.stop(farewell=True)
-
-    play(scene)
+async def test_nodes_on_the_memberships_port_tell_each_other_and_outlive_a_restart() -> None:
+    running: dict[str, Members] = {}
+
+    async def begin(name: str) -> None:
+        seeds = tuple(m.swim.address for m in running.values() if m.swim is not None)
+        here = Member(name, "127.0.0.1", 0, 0, State.ALIVE, 0)
+        made = Members(here, SwimSettings(), ("127.0.0.1", 0), seeds, 1, {})
+        made.start()
+        await until(lambda: made.swim is not None)
+        running[name] = made
+        made.records().put("state", f"{name} 1".encode())
+
+    def all_hold(name: str, body: bytes) -> bool:
+        found = [m.records().get(name, "state") for m in running.values()]
+        return all(r is not None and r.body == body for r in found)
+
+    for name in ("n1", "n2", "n3"):
+        await begin(name)
+    await until(lambda: all(all_hold(n, f"{n} 1".encode()) for n in running))
+    running["n2"].records().put("state", b"n2 2")
+    await until(lambda: all_hold("n2", b"n2 2"))
+    running.pop("n2").stop(farewell=False)
+    await begin("n2")  # knows nothing of its earlier word
+    await until(lambda: all_hold("n2", b"n2 1"))
+    figures = running["n1"].figures()["records"]
+    assert figures["held"] == 3 and figures["malformed"] == 0
+    for members in running.values():
+        members.stop(farewell=True)
