Locality: room where no rate is stated, and nothing learned from a zone that is not well

Learned rates say nothing of what is free, so the limit alone holds then, as in zones.py; nothing is learned while the own zone is not well; servers that return to the list grow once, not once more by the common state.

--- a/brackenladder/locality/judge.py
+++ b/brackenladder/locality/judge.py
@@ -32,11 +32,12 @@
     """One copy's judgement by the common state."""
 
     common: View | None = None
+    there: Mapping[int, float] = {}  # warm servers of each zone, as if none were on its way back
     seen: Mapping[int, float] = {}  # what this copy itself finds unwell, as evidence
 
     def judge(self, now: int, state: ZoneState) -> Verdict:
         """What holds until the next judgement."""
-        self.seen = state.unwell
+        self.seen, self.there = state.unwell, state.warm
         view = self.common
         if view is None:
             return super().judge(now, state)
@@ -56,20 +57,32 @@
             below = part < (self.rules.panic_until if self.panic else self.rules.panic_below)
             self.panic = below and all_lost(sites, self.here)
 
+    def learn(self, now: int, span: int, state: ZoneState, copies: float) -> None:
+        """What a server bears is not learned from a zone that is not well.
+
+        Failure prevented: a zone that does not answer is taken for a crowded one, so its servers seem to bear
+        little, and so do those of the zones that should take its calls over."""
+        if self.common is None or self.common.health.get(self.here, 1.0) >= 1:
+            super().learn(now, span, state, copies)
+
     def sites(self, view: View) -> dict[int, Site]:
         """All zones, as the plan wants them."""
         found = {}
         for number, zone in self.zones.items():
-            bears = zone.bears * self.bear
+            there = max(self.there.get(number, 0.0), zone.bears)
+            bears = there * self.bear
             if number in view.bears and zone.usual > 0:
-                bears = view.bears[number] * zone.bears / zone.usual
+                bears = view.bears[number] * there / zone.usual
+            # A zone whose servers return to the list is on its way back once, not once more by its state.
+            listed = zone.bears / there if there > 0 else 0.0
             asked = view.asked.get(number, 0.0)
             found[number] = Site(
                 view.regions.get(number) or f"zone {number}",
                 bears,
-                view.health.get(number, 1.0),
+                min(listed, view.health.get(number, 1.0)),
                 max(asked, self.load) if number == self.here else asked,
                 view.spill.get(number, self.rules.spill_limit),
+                self.rules.server_rate > 0 or number in view.bears,
             )
         return found
 
--- a/brackenladder/locality/shares.py
+++ b/brackenladder/locality/shares.py
@@ -23,6 +23,7 @@
     health: float  # the part that is in use, 0 to 1
     asked: float  # of its own nodes
     spill: float  # the part of what it bears that calls from other zones may take together
+    stated: bool = True  # by operators; what is learned is what was asked, and says nothing of what is free
 
     @property
     def keeps(self) -> float:
@@ -33,7 +34,7 @@
     def room(self) -> float:
         """For calls from other zones."""
         usable = self.health * self.bears
-        return max(0.0, min(self.spill * usable, usable - self.keeps))
+        return max(0.0, min(self.spill * usable, usable - self.keeps if self.stated else usable))
 
 
 def plan(sites: Mapping[int, Site], rooms: Mapping[int, float] | None = None) -> dict[int, dict[int, float]]:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -298,6 +298,22 @@
     assert plain.figures() == common.figures() and plain.spilled > 0
 
 
+def test_where_no_rate_is_stated_a_failed_zone_still_spills_to_the_limit_and_its_silence_teaches_nothing():
+    judge = CommonJudge(ZoneRules(spill_limit=0.2), 0)
+    for i in range(400):
+        failed = i > 300
+        judge.common = View({0: 0.0 if failed else 1.0}, dict.fromkeys(range(3), 200.0), {}, nodes=6)
+        count = {0: 10, 1: 10, 2: 10}
+        warm = {z: float(n) for z, n in count.items()}
+        sent = {0: 10} if not failed else {0: 1}
+        verdict = judge.judge(
+            i * SEC // 10, ZoneState(count, warm, {}, (10,), sent, (1.0,), (1.0,), 6, not failed)
+        )
+    # Each server has borne 20 calls a second, a quarter more is tried; of 20 servers a fifth, for two nodes.
+    assert judge.spilled * 200 == pytest.approx(0.2 * 25 * 20, rel=0.05)
+    assert verdict.refuse[0] == pytest.approx(0.5, abs=0.05)
+
+
 def test_a_plan_never_puts_more_into_a_zone_than_its_room_and_fills_the_region_first():
     sites = {
         0: Site("north", 100, 0.5, 60, 0.4),
