--- a/brackenladder/lab/emulator.py
+++ b/brackenladder/lab/emulator.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from brackenladder.lab.keys import Sharding
+    from brackenladder.lab.locality import Localities
 
 Module = Callable[[Settings, int, Actions], Any]
 Progress = Callable[[float, float], None]
@@ -60,6 +61,11 @@
             from brackenladder.lab.keys import Sharding  # here: few scenarios have keys
 
             self.sharding = Sharding(self)
+        self.localities: Localities | None = None
+        if s.operator.locality is not None and s.operator.zones is not None:
+            from brackenladder.lab.locality import Localities  # here: few scenarios have it
+
+            self.localities = Localities(self)
         self.useful_work = 0.0
         self.events = 0
         seed = world.seed
--- a/brackenladder/lab/nodes.py
+++ b/brackenladder/lab/nodes.py
@@ -148,7 +148,10 @@
         zones = emu.world.scenario.operator.zones
         if zones is not None and hasattr(self.balancer, "new_zones"):
             names = [z.name for z in emu.world.scenario.zones]
-            self.guard("new_zones", now, Judge(zones.rules(names[self.zone], names.index), self.zone))
+            rules = zones.rules(names[self.zone], names.index)
+            common = emu.localities if self.tier == 0 else None
+            judge = common.judge(self, rules) if common is not None else Judge(rules, self.zone)
+            self.guard("new_zones", now, judge)
         storms = emu.world.scenario.operator.storms
         if storms is not None and self.tier == 0 and hasattr(self.balancer, "new_storms"):
             worth = [c.worth for c in settings.classes]
@@ -416,6 +419,8 @@
         attempt.over = True
         emu, call = self.emu, attempt.call
         now = emu.kernel.now
+        if emu.localities is not None and self.tier == 0 and self.alive:
+            emu.localities.ended(self, attempt, outcome)
         call.out.remove(attempt)
         if outcome == Outcome.OK or outcome in NEVER_RAN and outcome != Outcome.CONNECT_FAILED:
             if outcome != Outcome.NOT_SENT:
