Spread: a member that withdraws its rate is held for one of the mean rate

Records that are withdrawn are not given out any more, so what the member had told last went on to count.

--- a/benchmarks/evenness.py
+++ b/benchmarks/evenness.py
@@ -252,8 +252,8 @@
             self.fleet.records[self.name] = Record(self.name, kind, version, body)
 
     def of(self, kind: str) -> list[Record]:
-        found = self.fleet.records.values()
-        return [replace(r, stale=True) for r in found] if self.cut else list(found)
+        found = [r for r in self.fleet.records.values() if r.body]
+        return [replace(r, stale=True) for r in found] if self.cut else found
 
 
 class Fleet(World):
--- a/brackenladder/net/evening.py
+++ b/brackenladder/net/evening.py
@@ -97,18 +97,19 @@
 
     def hear(self, records: Records, live: list[str]) -> bool:
         """Reads what is new; whether enough of the members are still heard."""
-        near, fresh = set(live), 0
+        near, gone, fresh = set(live), set(self.versions), 0
         for record in records.of(KIND):
             if record.owner not in near:
                 continue
+            gone.discard(record.owner)
             if self.versions.get(record.owner) != record.version:
                 self.versions[record.owner] = record.version
                 try:
                     self.told[record.owner] = decode(record.body)
-                except ValueError:  # withdrawn, or of another version of the program: the mean holds
+                except ValueError:  # of another version of the program: the mean holds
                     self.told.pop(record.owner, None)
             fresh += not record.stale and record.owner in self.told
-        for owner in self.versions.keys() - near:
+        for owner in gone:  # not live any more, or withdrawn: it draws without weights, the mean holds
             del self.versions[owner]
             self.told.pop(owner, None)
         return fresh >= flow.KNOWN * len(live)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -5,9 +5,15 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback import play, until
+from test_members import asked, node_with
 
 from brackenladder.interface import ClassSettings, Effect, Settings
+from brackenladder.net import evening
+from brackenladder.net.node import Node
+from brackenladder.operation import Operation, build
 from brackenladder.order import mix
+from brackenladder.spread import rate
 from brackenladder.spread.places import MOST_CHURN, Place, Spread, SpreadRules
 
 RULES = SpreadRules(hold=1_000, apart=500)
@@ -74,3 +80,34 @@
     assert ring.place == (1, 4) and ring.instances == 8
     with pytest.raises(ValueError, match="ring"):
         Settings(classes=classes, ring=(4, 4))
+
+
+def test_two_nodes_hear_each_others_rates_and_operators_may_end_that(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(evening, "LOOK", 0.02)
+    monkeypatch.setattr(rate, "FIRST", 50_000)
+
+    def wish(weights: bool, *seeds: str) -> Operation:
+        membership = {"listen": "127.0.0.1:0", "seeds": list(seeds)}
+        return build({"membership": membership, "spread": {"weights": weights}}, "operator.toml")
+
+    async def scene() -> None:
+        one = (await node_with(wish(True), peers=True, name="n1", control="127.0.0.1:0")).node
+        await until(lambda: one.members is not None and one.members.swim is not None)
+        assert one.members is not None and one.members.swim is not None
+        seed = "{}:{}".format(*one.members.swim.address)
+        two = (await node_with(wish(True, seed), peers=True, name="n2")).node
+
+        def told(node: Node) -> set[str]:
+            assert node.parts is not None
+            part = node.parts.parts["spread"]
+            return set(part.evening.told) if part.evening is not None else set()  # type: ignore[attr-defined]
+
+        await until(lambda: told(one) == told(two) == {"n1", "n2"} and one.balancer.even > 1)
+        assert (await asked(one, "/admin/stats"))[1]["spread"]["told"] == 2
+        two.reload(two.config, wish(False, seed))
+        await until(lambda: told(one) == {"n1"})
+        assert told(two) == set() and two.balancer.even == 1.0
+        two.reload(two.config, wish(True, seed))
+        await until(lambda: told(one) == told(two) == {"n1", "n2"} and two.balancer.even > 1)
+
+    play(scene)
