Locality: a test that a return waits until it is let, and a failover never

Need: what waits and what never waits is a promise. Change: a test of both with a part that says no. Result: green; not tried with the rule taken out.

--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -47,6 +47,7 @@
         self.now = 0
         self.truth: Truth = lambda at, node, zone: (0.0, 0.0)
         self.linked: Linked = lambda at, source, to: True
+        self.held_back: set[str] = set()
         self.run(3)
 
     @property
@@ -83,7 +84,8 @@
         heard = {n: bodies[n] for n in live if n != node.name and n in bodies}
         seen = node.witness.look(self.now, {}, node.load)
         mine = Report(node.zone, node.load, {z: Word(*w) for z, w in seen.items()})
-        told, changes = node.common.tick(self.now, mine, heard, {n.name for n in self.nodes}, live)
+        known = {n.name for n in self.nodes}
+        told, changes = node.common.tick(self.now, mine, heard, known, live, self.held_back)
         node.body = encode(told)
         node.changes += [(self.at, c) for c in changes]
         common = node.common
@@ -160,6 +162,16 @@
     assert world.kept() == pytest.approx(1.0)
 
 
+def test_a_return_waits_until_it_is_let_and_a_failover_never():
+    world = World()
+    world.truth, world.held_back = lost("a", world.at, world.at + 3), {"a", "b", "c"}
+    world.until("a", State.FAILED, 3)
+    world.run(12)
+    assert world.states("a") == {State.FAILED}
+    world.held_back = set()
+    world.until("a", State.RETURNING, 2)
+
+
 def test_one_nodes_word_moves_nothing():
     world = World()
     world.truth = lambda at, node, zone: (1.0 if node == "a0" else 0.0, 0.0)
