--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -493,8 +493,9 @@
             figures |= self.audits.figures(lives, apart, self.zero, self.zero + watched)
         if load is not None:
             await asyncio.sleep(LEDGER_TIME if s.audit is not None else 0.0)
-            self.servers.stdin.write(b"arrivals\n")
-            arrivals = await self.said(self.servers, 30.0)
+            async with self.looking:  # else a look that is still out takes this one's answer
+                self.servers.stdin.write(b"arrivals\n")
+                arrivals = await self.said(self.servers, 30.0)
             figures["to_drained"] = self.audits.to_drained(arrivals)
             figures |= self.localities.figures(arrivals, missed, self.zero, self.zero + watched)
             if s.audit is not None:
