--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 from loopback import OK, PATIENCE, Bench, Client, Discovery, Server, call, until
 from loopback import settings as settings_table
+from program import connected, free_port, node_table, spawn
 from support import SEC, ask, balancer
-from test_node import FULL, always, connected, free_port, node_table, spawn
+from test_node import FULL, always
 
 from brackenladder.interface import Outcome
 from brackenladder.net import servers as servers_module
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -14,7 +14,8 @@
 
 import msgspec
 import pytest
-from test_node import node_table, settings
+from loopback import settings
+from program import node_table
 
 import brackenladder
 from brackenladder.errors import BrackenladderError
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,7 +12,8 @@
 import aiohttp
 import pytest
 from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, settings, until
-from test_node import BROKEN, FULL, always, connected, free_port, node_table, spawn
+from program import connected, free_port, node_table, spawn
+from test_node import BROKEN, FULL, always
 
 from brackenladder.interface import Effect
 from brackenladder.net import control as control_module
