Client left: each attempt asks the socket first, and a paused client's end is looked for

Seen: the event loop learns of a client's end only when it reads it. (1) Bytes and end in one turn: the request is handed on and sent before the end is read. (2) A queued request whose turn comes, or a retry whose attempt has just failed, in the turn in which the end arrives: sent on. (3) A connection to a server that comes up late: compose looked at `r.caller` only, which the loop had not cleared yet. (4) While reading is paused (a body that flows, requests sent ahead) the end is never read at all: the request stays in the module's queue, with its place, up to its time. (5) Where the settings allow no cancelling, an attempt that waits for its connection held its place at the server until the connection was up. Checked: each by a test that makes the client act in a hook at that very step. Ruled out: an attempt begins after the module has heard of the end (Node.send and compose ask r.caller); uvloop drops a written answer at the client's end (it closes behind the write buffer). To blame: Node.send and compose in net/node.py, Caller without eof_received, Caller.pause.

Change: Node.send, and compose where the attempt has waited for its connection, ask the socket (Caller.has_left, one poll for POLLRDHUP). What is found there goes the same way as an end that is read: Caller.depart, the one place for a client that has gone; the module hears of it once, queue place and slot are free, nothing is sent. Clients that are not read from are looked at together every 40 ms by one poll object (Unheard); none are, none is looked at. Node.left gives up an attempt that still waits for its connection whatever the settings. An answer broken off by the end is reset, since one without a length would look whole behind an orderly end. A connection has a stage (open, half-closed, lingering, closed) and the time in which a written answer may still flow to a client that has ended its side is bounded, which it was not. What was answered before is still written.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -11,6 +11,7 @@
 import termios
 from collections import deque
 from contextlib import suppress
+from enum import Enum
 from heapq import nsmallest
 from math import inf
 from typing import Protocol, cast
@@ -54,6 +55,7 @@
 ROOM_SHARE = 32  # ...one for so many that are open
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
 LOOK = 0.02
+WATCH = 0.04  # seconds between two looks for the end of clients that are not read from
 
 REASONS = {
     200: b"OK",
@@ -130,8 +132,21 @@
         """The client went away while its request was open."""
 
 
+class Stage(Enum):
+    """How far a client's connection has come to its end. It never goes back."""
+
+    OPEN = "open"
+    HALF_CLOSED = "half-closed"  # the client's side has ended; what was answered before is still written
+    LINGERING = "lingering"  # our side has ended; what still comes is read and thrown away
+    CLOSED = "closed"
+
+
 class Caller(asyncio.BufferedProtocol):
-    """A client's connection. One request is open at a time; the next ones wait their turn."""
+    """A client's connection. One request is open at a time; the next ones wait their turn.
+
+    It ends by `finish` from our side, by `depart` from the client's, by `cut` where an answer cannot be
+    finished; nothing else closes it.
+    """
 
     def __init__(self, owner: Callers, refusing: bool) -> None:
         self.owner = owner
@@ -156,7 +171,7 @@
         self.source: Source | None = None
         self.stuck = 0  # bytes of it that the kernel has not taken
         self.active = owner.loop.time()
-        self.lost = False
+        self.stage = Stage.OPEN
 
     # ---- reading --------------------------------------------------------------------------------------
 
@@ -330,12 +345,14 @@
             self.paused = True
             self.paused_at = self.owner.loop.time()
             self.transport.pause_reading()
+            self.owner.unheard.add(self)
 
     def resume(self) -> None:
         """Reads on. The time that we did not read is not the client's."""
         if self.paused and not self.transport.is_closing():
             self.paused = False
             self.headed_at += self.owner.loop.time() - self.paused_at
+            self.owner.unheard.remove(self)
             self.transport.resume_reading()
 
     def reject(self, status: int) -> None:
@@ -355,7 +372,7 @@
 
     def next(self) -> None:
         """Hands on the request that waits, once nothing is in its way."""
-        if self.open is not None or self.full or self.lost:
+        if self.open is not None or self.full or self.stage is not Stage.OPEN:
             return
         if not self.waiting:
             if self.partial is not None and self.partial.upload is not None and not self.deaf:
@@ -475,30 +492,66 @@
         return number
 
     def finish(self, linger: float = LINGER) -> None:
-        """Closes after the last answer.
+        """Ends the connection from our side, after the last answer or with none.
 
-        Failure prevented: closing while the client still sends resets the connection, and the answer is
-        lost on its way. Our end is closed first, and the rest is read and thrown away.
+        Our writing half is shut behind what is still to be written. Then what comes is read and thrown
+        away, up to the client's end or until `linger` seconds are over. Failure prevented: a close over
+        bytes that nobody has read resets the connection. An answer on its way is lost with it, and a client
+        that sends as we close cannot tell that its request was never read; our end alone tells it.
         """
+        if self.stage is not Stage.OPEN or self.transport is None:
+            return
+        self.stage = Stage.LINGERING
         self.deaf = True
         self.forget()
+        self.give_up_partial()
         self.resume()
-        if self.transport.is_closing():
-            return
-        self.transport.write_eof()
-        self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + linger)
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+            self.linger(linger)
+
+    def depart(self) -> None:
+        """The client has gone: nothing of it is sent on any more, whatever is open or waits here.
+
+        Its end is that of its sending; whether it still reads cannot be told. What was answered before is
+        still written.
+        """
+        if self.stage is Stage.OPEN:
+            self.stage = Stage.HALF_CLOSED
+        self.deaf = True
+        self.owner.unheard.remove(self)
+        self.forget()
+        self.give_up_partial()
+        flows = self.flowing
+        self.drop()
+        if flows:
+            self.cut()  # without a length, what was written of it would look whole
+        elif not self.transport.is_closing():
+            if self.stage is Stage.HALF_CLOSED and self.unsent():
+                self.linger(LINGER_FLOW)
+            self.transport.close()
+
+    def linger(self, most: float) -> None:
+        """Bounds the rest of the connection's life."""
+        self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + most)
 
     def leave(self, until: float) -> None:
         """Ends the connection, once the client has read its answer and sends no more, or its time is up."""
+        if self.stage is Stage.CLOSED:
+            return
         now = self.owner.loop.time()
-        unread = self.transport.get_write_buffer_size() if not self.transport.is_closing() else 0
-        if unread:
+        unsent = self.unsent()
+        if unsent:
             until = max(until, self.active + LINGER_FLOW)
-        if now < until and (unread or now - self.active < LINGER):
+        if now < until and (unsent or now - self.active < LINGER):
             self.owner.loop.call_later(LINGER, self.leave, until)
         else:
             self.transport.abort()
 
+    def unsent(self) -> bool:
+        """Whether the kernel has not taken all that was written."""
+        return self.transport.get_write_buffer_size() > 0
+
     def pause_writing(self) -> None:
         self.full = True
 
@@ -517,9 +570,14 @@
 
     # ---- ends -----------------------------------------------------------------------------------------
 
+    def eof_received(self) -> None:
+        """The client has ended its side, and the event loop closes ours behind what is still written."""
+        self.depart()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self.lost = True
+        self.stage = Stage.CLOSED
         self.owner.callers.discard(self)
+        self.owner.unheard.remove(self)
         self.unstick()
         self.give_up_partial()
         self.forget()
@@ -555,6 +613,16 @@
         poll.register(self.number(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def has_left(self) -> bool:
+        """Whether the client has gone, as the socket knows it now; then its request has ended.
+
+        Failure prevented: its end has come, the event loop has not come to it yet, and an attempt begins.
+        """
+        if self.gone():
+            self.depart()
+            return True
+        return False
+
     def idle(self) -> bool:
         """Whether no request is open, has begun or waits in the socket."""
         if self.open is not None or self.partial is not None or self.waiting or self.deaf:
@@ -580,6 +648,48 @@
         return any(fcntl.ioctl(self.number(), termios.FIONREAD, b"\0\0\0\0"))
 
 
+class Unheard:
+    """Clients that are not read from for now, so that the event loop cannot tell when they go.
+
+    Failure prevented: a client leaves while its body or what it sends ahead is held up, and its request
+    stays in the queue and is sent on long after.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.poll = select.poll()
+        self.callers: dict[int, Caller] = {}  # by descriptor...
+        self.numbers: dict[Caller, int] = {}  # ...which is known until the connection is closed
+        self.watching = False
+
+    def add(self, caller: Caller) -> None:
+        """Looks for its end from now on."""
+        number = caller.number()
+        self.callers[number] = caller
+        self.numbers[caller] = number
+        self.poll.register(number, select.POLLRDHUP)
+        if not self.watching:
+            self.watching = True
+            self.loop.call_later(WATCH, self.look)
+
+    def remove(self, caller: Caller) -> None:
+        """Looks no more."""
+        number = self.numbers.pop(caller, None)
+        if number is not None:
+            del self.callers[number]
+            self.poll.unregister(number)
+
+    def look(self) -> None:
+        """Ends the requests of those that have gone."""
+        for number, _ in self.poll.poll(0):
+            caller = self.callers.get(number)
+            if caller is not None:
+                caller.depart()
+        self.watching = bool(self.callers)
+        if self.watching:
+            self.loop.call_later(WATCH, self.look)
+
+
 class Callers:
     """The listener and its connections, within a budget of descriptors and one of memory."""
 
@@ -589,6 +699,7 @@
         self.most = most - self.refusing
         self.handler = handler
         self.callers: set[Caller] = set()
+        self.unheard = Unheard(loop)
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
         self.budget = Budget(most_held)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -483,7 +483,7 @@
             self.beyond(caller)
             return
         twin = self.by_name.get(name)
-        if twin is not None and twin.caller is not None and not twin.caller.gone():
+        if twin is not None and twin.caller is not None and not twin.caller.has_left():
             # Failure prevented: servers take the second one of an id for a mistake. Its errors, which no
             # server has made, eject servers and close the limit to everybody else.
             self.turn_away(caller, klass, 409)
@@ -548,11 +548,14 @@
             self.turn_away(caller, klass, 503, headers)
 
     def left(self, caller: Caller) -> None:
-        """A client closed its connection with its request open."""
+        """A client has gone with its request open."""
         request = self.by_caller.get(caller)
         if request is not None:
-            # What it would still have sent or read is part of the attempt, which cannot go on without it.
-            halved = request.out if not request.message.whole or request.flowing else None
+            # What it would still have sent or read is part of the attempt, which cannot go on without it;
+            # one that waits for its connection would begin nothing, and holds its place until then.
+            out = request.out
+            vain = not request.message.whole or request.flowing or out is not None and out.connection is None
+            halved = out if vain else None
             self.release(request)
             self.post(self.balancer.client_left, request.id)
             if halved is not None:
@@ -597,6 +600,8 @@
     def send(self, request: int, server: int, timeout: int) -> None:
         """Starts the request's next attempt. What may not be sent ends as NOT_SENT, after this event."""
         r = self.requests.get(request)
+        if r is not None and r.caller is not None:
+            r.caller.has_left()
         endpoint = self.pool.endpoints.get(server)
         number = r.attempts if r is not None else 0
         if r is not None:
@@ -615,6 +620,7 @@
         began = self.now()
         r.timeout = timeout
         upload = r.message.upload
+        late = False  # the attempt has waited for its connection
 
         def left() -> int:
             if not r.message.whole:
@@ -622,6 +628,8 @@
             return min(self.since(r, began) + timeout, r.deadline) - self.now()
 
         def compose() -> bytes | None:
+            if late and r.caller is not None:
+                r.caller.has_left()
             time = left()
             return head_of(r.message, time // 1000) if r.caller is not None and time > 0 else None
 
@@ -634,6 +642,7 @@
         exchange = Exchange(self.pool, endpoint, compose, done, self.metrics.forwarded, begin, upload)
         r.out = exchange
         exchange.start(max(0, left()) / 1e6 if r.message.whole else None)
+        late = True
 
     def flows(
         self, r: Open, number: int, server: int, began: int, answer: Answer, source: Source
--- /dev/null
+++ b/tests/test_client_close.py
@@ -0,0 +1,221 @@
+"""How a client's connection ends, over loopback: who has gone, what is owed then, and what is never sent on.
+
+Crossings that code alone can order are forced: the client is a plain socket that acts in the middle of a turn
+of the node's event loop, in a hook at the very step that it crosses.
+"""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from loopback import PATIENCE, Bench, Server, call, until
+
+from brackenladder.net import callers as callers_module
+from brackenladder.net.servers import Exchange
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
+BACK = {"layers": ["front", "back"], "tier": 1}  # its callers are servers: at the limit a call waits
+READY = b"GET /ready HTTP/1.1\r\nHost: app\r\n\r\n"
+
+
+def close(client: socket.socket) -> None:
+    client.close()
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    client.close()
+
+
+def half_close(client: socket.socket) -> None:
+    client.shutdown(socket.SHUT_WR)
+
+
+WAYS = (close, reset, half_close)
+
+
+def plain(bench: Bench) -> socket.socket:
+    """A client in the middle of the loop's turn: what it does, the node sees afterwards."""
+    client = socket.create_connection(("127.0.0.1", bench.port))
+    client.settimeout(PATIENCE)
+    return client
+
+
+async def taken(bench: Bench, client: socket.socket):
+    """The node's side of a plain client, once it reads from it."""
+
+    def found():
+        name = client.getsockname()
+        made = [c for c in bench.node.callers.callers if c.transport is not None]
+        return [c for c in made if c.transport.get_extra_info("peername") == name]
+
+    await until(lambda: len(found()) == 1)
+    return found()[0]
+
+
+async def quiet(bench: Bench, turns: int = 20) -> None:
+    """Lets the loop run far enough that an attempt that had begun would have reached its server."""
+    for _ in range(turns):
+        await asyncio.sleep(0.001)
+
+
+async def warm(bench: Bench, *servers: Server) -> None:
+    """Leaves an idle connection to each server, so that the next attempt is written at once."""
+    while not all(server.requests for server in servers):
+        assert (await bench.once(call()))[0] == 200
+    await until(lambda: not bench.node.callers.callers)
+    for server in servers:
+        server.requests.clear()
+
+
+def nothing_left(bench: Bench) -> bool:
+    balancer = bench.node.balancer
+    return not (
+        bench.node.requests or bench.node.by_caller or balancer.requests or balancer.controller.in_flight
+    )
+
+
+# ---- client left -------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("end", WAYS)
+@pytest.mark.parametrize("requests", [1, 8])
+async def test_who_sends_and_goes_at_once_has_nothing_sent_on(end, requests):
+    bench = await Bench(server := Server()).start()
+    await warm(bench, server)
+    client = plain(bench)
+    caller = await taken(bench, client)
+    client.sendall(b"".join(call("invite") for _ in range(requests)))
+    end(client)  # in the same turn: the bytes are read first, the end stands behind them
+    await until(lambda: caller not in bench.node.callers.callers)
+    await quiet(bench)
+    assert not server.requests and nothing_left(bench) and bench.node.callers.held == 0
+
+
+@pytest.mark.parametrize("end", WAYS)
+async def test_a_queued_request_whose_client_goes_as_its_turn_comes_is_not_sent_on(end):
+    bench = await Bench(server := Server(), **BACK).start()
+    await warm(bench, server)
+    balancer = bench.node.balancer
+    balancer.controller.admits = lambda now, spare: False  # at the limit
+    client = plain(bench)
+    client.sendall(call())
+    await until(lambda: len(balancer.waiting) == 1)
+    end(client)
+    balancer.controller.admits = lambda now, spare: True  # its turn comes before the loop sees the end
+    bench.node.post(balancer.serve_waiting)
+    await until(lambda: nothing_left(bench))
+    await quiet(bench)
+    assert not server.requests and bench.node.callers.held == 0
+
+
+@pytest.mark.parametrize("end", WAYS)
+async def test_a_retry_is_not_begun_for_a_client_that_goes_as_the_attempt_fails(end, monkeypatch):
+    async def turned_away(request, writer):
+        return b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+
+    bench = await Bench(*(servers := [Server() for _ in range(3)])).start()
+    await warm(bench, *servers)
+    for server in servers:
+        server.handle = turned_away
+    client = plain(bench)
+    ended = bench.node.ended
+
+    def goes_first(*args):
+        if client.fileno() >= 0:
+            end(client)
+        ended(*args)
+
+    monkeypatch.setattr(bench.node, "ended", goes_first)
+    client.sendall(call())
+    await until(lambda: any(s.requests for s in servers))
+    await until(lambda: nothing_left(bench))
+    await quiet(bench)
+    assert sum(len(s.requests) for s in servers) == 1
+
+
+@pytest.mark.parametrize("end", WAYS)
+async def test_a_late_connection_is_not_written_to_for_a_client_that_goes_as_it_comes_up(end, monkeypatch):
+    bench = await Bench(server := Server()).start()
+    client = plain(bench)
+    use = Exchange.use
+
+    def goes_first(self, connection):
+        end(client)
+        use(self, connection)
+
+    monkeypatch.setattr(Exchange, "use", goes_first)
+    client.sendall(call("invite"))
+    await until(lambda: server.connections == 1)
+    await until(lambda: nothing_left(bench))
+    await quiet(bench)
+    assert not server.requests
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+async def test_an_attempt_that_waits_for_a_connection_ends_with_its_client(cancel, monkeypatch):
+    """Also where the settings do not let the module cancel: nothing has begun that could go on."""
+    bench = await Bench(server := Server(), policy_limits={"cancel": cancel}).start()
+    waits, connect = asyncio.Event(), Exchange.connect
+
+    async def late(self):
+        await waits.wait()
+        await connect(self)
+
+    monkeypatch.setattr(Exchange, "connect", late)
+    client = plain(bench)
+    client.sendall(call())
+    await until(lambda: any(r.out is not None for r in bench.node.requests.values()))
+    close(client)
+    await until(lambda: nothing_left(bench))  # the place at the server too
+    waits.set()
+    await quiet(bench)
+    assert not server.requests
+
+
+LONG = call("invite", body=b"x" * 300_000)[:70_000]  # the begin of one whose body flows
+
+
+@pytest.mark.parametrize("end", WAYS)
+@pytest.mark.parametrize("held_up", ["a large body", "requests sent ahead"])
+async def test_a_client_that_goes_while_it_is_not_read_from_leaves_the_queue_at_once(end, held_up):
+    """Failure prevented: with reading paused the loop cannot see the end; the request is sent on later."""
+    bench = await Bench(server := Server(), **BACK).start()
+    balancer = bench.node.balancer
+    balancer.controller.admits = lambda now, spare: False  # at the limit
+    client = plain(bench)
+    caller = await taken(bench, client)
+    if held_up == "a large body":
+        client.sendall(LONG)
+    else:
+        client.sendall(call("invite"))
+        await until(lambda: len(balancer.waiting) == 1)
+        client.sendall(b"".join(call("invite") for _ in range(9)))
+    await until(lambda: caller.paused and len(balancer.waiting) == 1)
+    ahead = bench.node.loop.time()
+    end(client)
+    await until(lambda: not bench.node.by_caller)
+    # In every order of the looks: one is due within so long, whatever else the machine does meanwhile.
+    assert callers_module.WATCH < 0.1 and bench.node.loop.time() - ahead < PATIENCE / 4
+    balancer.controller.admits = lambda now, spare: True
+    bench.node.post(balancer.serve_waiting)
+    await until(lambda: nothing_left(bench) and caller not in bench.node.callers.callers)
+    await quiet(bench)
+    assert not server.requests and bench.node.callers.held == 0 and not bench.node.callers.unheard.callers
+
+
+async def test_the_module_hears_once_that_a_client_has_left():
+    bench = await Bench(server := Server(), **BACK).start()
+    balancer, heard = bench.node.balancer, []
+    client_left = balancer.client_left
+    balancer.client_left = lambda now, request: (heard.append(request), client_left(now, request))
+    balancer.controller.admits = lambda now, spare: False  # at the limit
+    client = plain(bench)
+    caller = await taken(bench, client)
+    client.sendall(call())
+    await until(lambda: len(balancer.waiting) == 1)
+    close(client)
+    assert caller.has_left() and caller.has_left()  # two that ask before the loop has seen it
+    await until(lambda: caller not in bench.node.callers.callers)
+    assert len(heard) == 1 and not server.requests
