Answer what is open at SIGTERM before SIGKILL, whatever its own deadline

Seen on the real program: a request with 15 s of time, whose server hangs, is open at SIGTERM; its answer came after 15 s, where the platform lets the process live for 3.7 s (1.2 s where the longest deadline is 0.5 s). Ruled out: requests that come after SIGTERM, which Node.accept caps, and the end of the handover, which comes in time. To blame: Node.drain set the process's end for later requests only.

At the drain's start each request that would outlive the process gets its end as deadline, for its answer and for any further attempt. Answers that flow have no deadline, and a body still to come gets its with its last byte.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -321,6 +321,7 @@
         longest = max(c.deadline for c in self.config.settings.classes)
         time = min(longest, KILL_COUNTED) + KILL_AFTER - KILL_MARGIN
         self.ends = self.now() + time
+        self.shorten()
         await self.callers.drain(self.loop.time() + time / 1e6)
         self.discovery.stop()
         if self.control is not None:
@@ -329,6 +330,26 @@
         if self.guarded:
             self.log_lines.line(f"{self.guarded} requests were failed at their deadline by the guard")
 
+    def shorten(self) -> None:
+        """Gives what is open no more time than the process has.
+
+        Failure prevented: a server hangs, the client would wait until after SIGKILL, and its request, taken
+        long before, gets no answer. Answers that flow, and requests that are still to come whole, have no
+        deadline; the latter get theirs with their last byte.
+        """
+        for request in self.requests.values():
+            guard = request.guard if request.caller is not None and not request.flowing else None
+            if guard is not None and request.deadline > self.ends:
+                guard.cancel()
+                request.deadline = self.ends
+                left = max(0, self.ends - self.now())
+                request.guard = self.loop.call_later(left / 1e6, self.cut_short, request)
+
+    def cut_short(self, request: Open) -> None:
+        """The process has no more time for a request that the module could have kept for longer."""
+        self.conclude(request.id, 504)
+        self.post(self.balancer.client_left, request.id)
+
     def now(self) -> int:
         """Unix time at the start plus what has passed since, in microseconds: it never goes back."""
         return (self.origin + monotonic_ns()) // 1000
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,44 @@
+"""SIGTERM, SIGHUP and the start on the real program: what is owed at each of its ends, and by when."""
+
+from time import monotonic
+
+import pytest
+from loopback import MOMENT, call, play, settings
+from program import Door, Program
+
+
+def classes(deadline: float) -> list[dict]:
+    """The tests' classes with another longest deadline, in seconds."""
+    time = int(deadline * MOMENT)
+    return [c | {"hard_limit": time, "goal_time": time // 2} for c in settings()["classes"]]
+
+
+def kill_after(deadline: float) -> float:
+    """Seconds after SIGTERM in which the platform lets a process live at the least."""
+    return min(deadline, 3.0) + 0.7
+
+
+@pytest.mark.parametrize(("klass", "deadline"), [("view", 0.5), ("invite", 0.5), ("invite", 20.0)])
+def test_what_is_open_at_sigterm_is_answered_before_sigkill_whatever_its_own_time(tmp_path, klass, deadline):
+    """Failure prevented: a server hangs, the request's deadline is after SIGKILL, and nobody answers it."""
+
+    async def scene():
+        door = await Door().start()
+        program = await Program(tmp_path, door.entry("s0")).start(classes=classes(deadline))
+        try:
+            client = await program.client()
+            client.send(call(klass, 15000))
+            hung = await door.peer()
+            await hung.read_until(b"\r\n\r\n")
+            program.term()
+            began = monotonic()
+            status, headers, _ = await client.receive()
+            assert monotonic() - began < kill_after(deadline)
+            assert status not in (200, 503) or klass == "view" and status == 503
+            assert await client.ended()
+            client.writer.close()
+            assert await program.exit() == 0
+        finally:
+            await program.stop()
+
+    play(scene)
