Window of repeats: held at the write itself, also where the repeat waits for its connection

Seen by reading, shown by a test: the module lets a keyed request be repeated while its window is open when it decides. The attempt may then wait for its connection for as long as the connect time-out, and was written after the window, in which the servers no longer discard it: it runs twice. Ruled out: a decision after the window (after_failure asks for it). To blame: compose in Node.send, which asked only whether the client waits and time is left. Change: an open request keeps when its first attempt that may have run began, and its window (none for a class that must not repeat, no end for a safe one); compose, asked just before the bytes are written, gives none beyond it. The module then hears NOT_SENT and fails the request.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -19,6 +19,7 @@
 from brackenladder.balance import Balancer
 from brackenladder.errors import BrackenladderError
 from brackenladder.interface import (
+    NEVER_RAN,
     Effect,
     ListKind,
     Outcome,
@@ -58,6 +59,7 @@
 )
 KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
+WINDOWS = {Effect.SAFE: 1 << 62, Effect.UNSAFE: 0}  # of repeats; a keyed class has its own
 
 
 class Open:
@@ -75,12 +77,21 @@
         "timeout",
         "flowing",
         "completed",
+        "window",
+        "ran_at",
         "out",
         "guard",
     )
 
     def __init__(
-        self, number: int, caller: Caller, message: Message, klass: int, most_attempts: int, deadline: int
+        self,
+        number: int,
+        caller: Caller,
+        message: Message,
+        klass: int,
+        most_attempts: int,
+        deadline: int,
+        window: int,
     ) -> None:
         self.id = number
         self.name = message.headers[b"x-call-id"]
@@ -93,6 +104,8 @@
         self.timeout = 0  # of the attempt that is out, in microseconds
         self.flowing = False  # its answer flows
         self.completed = 0  # when the last byte of a body that flows came
+        self.window = window  # microseconds after an attempt that may have run in which another may begin
+        self.ran_at = 0  # when the first such attempt began
         self.out: Exchange | None = None
         self.guard: asyncio.TimerHandle | None = None
 
@@ -512,7 +525,9 @@
         left = self.capped(int(budget) * 1000)
         self.last_id += 1
         most = self.settings.max_attempts
-        request = self.by_name[name] = Open(self.last_id, caller, message, klass, most, now + left)
+        window = WINDOWS[effect] if effect != Effect.KEYED else self.settings.classes[klass].window
+        request = Open(self.last_id, caller, message, klass, most, now + left, window)
+        self.by_name[name] = request
         self.requests[request.id] = self.by_caller[caller] = request
         self.metrics.taken()
         whole = message.whole
@@ -651,6 +666,9 @@
         def compose() -> bytes | None:
             if late and r.caller is not None:
                 r.caller.has_left()
+            if r.ran_at and self.now() >= r.ran_at + r.window:
+                # Failure prevented: the window closes while the connection comes up, and it runs twice.
+                return None
             time = left()
             return head_of(r.message, time // 1000) if r.caller is not None and time > 0 else None
 
@@ -693,6 +711,8 @@
     ) -> None:
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
         r.out = None
+        if outcome not in NEVER_RAN and not r.ran_at:
+            r.ran_at = began
         report: tuple[float, ...] = ()
         if answer is not None:
             if self.config.inline_reports:
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -9,7 +9,7 @@
 import struct
 
 import pytest
-from loopback import PATIENCE, Bench, Server, call, until
+from loopback import PATIENCE, Bench, Server, call, settings, until
 
 from brackenladder.net import callers as callers_module
 from brackenladder.net.servers import Exchange
@@ -219,3 +219,29 @@
     assert caller.has_left() and caller.has_left()  # two that ask before the loop has seen it
     await until(lambda: caller not in bench.node.callers.callers)
     assert len(heard) == 1 and not server.requests
+
+
+@pytest.mark.parametrize(("window", "runs"), [(10_000_000, 2), (30_000, 1)])
+async def test_a_repeat_whose_window_closes_as_its_connection_comes_up_is_not_written(
+    window, runs, monkeypatch
+):
+    """Failure prevented: it is decided in time, waits for its connection, and the request runs twice."""
+
+    async def fails(request, writer):
+        return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+
+    servers = [Server(fails) for _ in range(3)]
+    table = settings()
+    table["classes"][2] |= {"group": "all", "window": window}
+    bench = await Bench(*servers, classes=table["classes"]).start()
+    connect = Exchange.connect
+
+    async def late(self):
+        ran = [r.ran_at for r in bench.node.requests.values() if r.ran_at]
+        await until(lambda: not ran or bench.node.now() > ran[0] + 30_000)
+        await connect(self)
+
+    monkeypatch.setattr(Exchange, "connect", late)
+    bench.node.balancer.retry_tokens = 1.0
+    status, _, _ = await bench.once(call("offer"))
+    assert status == 502 and sum(len(s.requests) for s in servers) == runs
