Orderly close everywhere: our half is shut at once, the rest read and thrown away, lingering bounded

Bytes that came in between reset the connection: an answer on its way was lost with it, and the client could not tell that its request was never read. Bytes that came after the close met a reset as well. Also seen: uvloop's write_eof shuts the socket one turn later and reads in between; a request that is read before our end is out has been taken, and was thrown away. Also: up to four connections a call were struck off the table before their descriptors were closed, up to 64 over the budget in one turn. Ruled out: a reset where the client sends nothing more (a plain close follows the answer).

Change: all of them end by Caller.finish, from which there is one way: shut (in the kernel, in the same turn as the look at unread bytes; behind an answer that is still being written, by the event loop), read and throw away up to the client's end or LINGER, close. A lingering connection counts among the descriptors up to its close, and not among those that are served. When the table is full the oldest lingering ones that have been still for 50 ms are closed. At SIGTERM lingering ends 0.1 s after all must be answered, before SIGKILL can come; an answer still in the write buffer is not cut by it.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from enum import Enum
 from heapq import nsmallest
+from itertools import islice
 from math import inf
 from typing import Protocol, cast
 
@@ -56,6 +57,7 @@
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
 LOOK = 0.02
 WATCH = 0.04  # seconds between two looks for the end of clients that are not read from
+LAST_LINGER = 0.1  # seconds after all must be answered in which a node that ends still lingers
 
 REASONS = {
     200: b"OK",
@@ -506,9 +508,22 @@
         self.forget()
         self.give_up_partial()
         self.resume()
-        if not self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if self.unsent():
             self.transport.write_eof()
-            self.linger(linger)
+        else:
+            # Failure prevented: the event loop shuts a turn later, and reads in between. A request that was
+            # read before our end is out has been taken, and is owed an answer that can no longer be given.
+            self.shut()
+        self.linger(linger)
+
+    def shut(self) -> None:
+        """Shuts our writing half in the kernel, at once."""
+        s = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=self.number())
+        with suppress(OSError):  # reset already
+            s.shutdown(socket.SHUT_WR)
+        s.detach()
 
     def depart(self) -> None:
         """The client has gone: nothing of it is sent on any more, whatever is open or waits here.
@@ -533,6 +548,7 @@
 
     def linger(self, most: float) -> None:
         """Bounds the rest of the connection's life."""
+        self.owner.lingering[self] = None
         self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + most)
 
     def leave(self, until: float) -> None:
@@ -577,6 +593,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.stage = Stage.CLOSED
         self.owner.callers.discard(self)
+        self.owner.lingering.pop(self, None)
         self.owner.unheard.remove(self)
         self.unstick()
         self.give_up_partial()
@@ -642,7 +659,7 @@
         return (0, 2, 3)[min(self.asked, 2)], self.active
 
     def unread(self) -> bool:
-        """Whether bytes wait in the socket: closing now would reset a client that has just sent."""
+        """Whether bytes wait in the socket: a client that has just sent is better served than sent away."""
         if self.transport is None or self.transport.is_closing():
             return False
         return any(fcntl.ioctl(self.number(), termios.FIONREAD, b"\0\0\0\0"))
@@ -699,6 +716,7 @@
         self.most = most - self.refusing
         self.handler = handler
         self.callers: set[Caller] = set()
+        self.lingering: dict[Caller, None] = {}  # those that only wait for their end, the oldest first
         self.unheard = Unheard(loop)
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
@@ -747,9 +765,24 @@
         self.listen()
         self.loop.call_later(SWEEP, self.sweep)
 
+    def served(self) -> int:
+        """Connections that do not only wait for their end."""
+        return len(self.callers) - len(self.lingering)
+
+    def cut_short(self) -> None:
+        """The last resort when there is no room: who only lingers, and has been still for a while, goes.
+
+        Failure prevented: clients that never close their side hold the descriptors of those that come.
+        """
+        still = self.loop.time() - FRESH
+        for caller in [c for c in islice(self.lingering, ACCEPTS) if c.active < still and not c.unsent()]:
+            caller.transport.abort()
+
     def listen(self) -> None:
         """Takes connections while there is room for them."""
         room = self.listener is not None and len(self.callers) < self.most + self.refusing
+        if not room and self.listener is not None:
+            self.cut_short()
         if room and not self.listening:
             assert self.listener is not None
             self.listening = True
@@ -783,9 +816,9 @@
     def take(self, connection: socket.socket) -> None:
         """Makes a connection one of ours."""
         connection.setblocking(False)
-        if len(self.callers) >= self.most:
+        if self.served() >= self.most:
             self.make_room()
-        caller = Caller(self, refusing=len(self.callers) >= self.most)
+        caller = Caller(self, refusing=self.served() >= self.most)
         self.callers.add(caller)
         task = self.loop.create_task(self.attach(caller, connection))
         self.taking.add(task)  # the loop keeps none: one that nobody holds may be collected half-way
@@ -834,8 +867,7 @@
         closed, most = 0, max(1, min(ROOM, len(self.callers) // ROOM_SHARE))
         for caller in nsmallest(2 * ROOM, spare, key=lambda c: c.worth_keeping(now)):
             if closed < most and not caller.unread():
-                self.callers.discard(caller)
-                caller.transport.abort()
+                caller.finish()
                 closed += 1
 
     def sweep(self) -> None:
@@ -851,8 +883,8 @@
                 continue
             if caller.partial is not None:
                 caller.reject(408)
-            elif (caller.refusing or not caller.asked) and caller.transport is not None and caller.idle():
-                caller.transport.abort()
+            elif (caller.refusing or not caller.asked) and caller.idle():
+                caller.finish()
         self.loop.call_later(SWEEP, self.sweep)
 
     async def drain(self, ends: float = inf) -> None:
@@ -865,6 +897,7 @@
         """
         self.draining = True
         start = self.loop.time()
+        last = min(ends, start + max(TAKING, HANDOVER) + LINGER)  # nobody can be answered any more
         shared = self.shared
         if self.shared and self.listener is not None:  # the process that takes over has the socket as well
             self.stop_listening()
@@ -877,8 +910,10 @@
             self.closing = self.closing or over
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
-                # A request that has not come whole long after the last connection was taken is not ours.
-                stuck = caller.open is None and now > min(ends, start + max(TAKING, HANDOVER)) + LINGER
-                if over and caller.transport is not None and (settled and caller.idle() or stuck):
+                if caller.open is None and over and (now > last or settled and caller.idle()):
+                    # By `last` also with a request that has not come whole: it is not ours.
+                    caller.finish()
+                # Failure prevented: clients that never close their side hold the process up to SIGKILL.
+                if now > last + LAST_LINGER and caller in self.lingering and not caller.unsent():
                     caller.transport.abort()
             await asyncio.sleep(LOOK)
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
 
@@ -12,6 +13,7 @@
 from loopback import PATIENCE, Bench, Server, call, settings, until
 
 from brackenladder.net import callers as callers_module
+from brackenladder.net.callers import Caller, Stage
 from brackenladder.net.servers import Exchange
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
@@ -245,3 +247,140 @@
     bench.node.balancer.retry_tokens = 1.0
     status, _, _ = await bench.once(call("offer"))
     assert status == 502 and sum(len(s.requests) for s in servers) == runs
+
+
+# ---- an orderly close --------------------------------------------------------------------------------
+
+
+def by_drain(bench: Bench, caller: Caller, monkeypatch) -> None:
+    monkeypatch.setattr(callers_module, "HANDOVER", 0.0)
+    monkeypatch.setattr(callers_module, "SETTLE", 0.0)
+    bench.ending = asyncio.create_task(bench.node.drain())
+
+
+def by_sweep(bench: Bench, caller: Caller, monkeypatch) -> None:
+    caller.asked = 0  # as one that has never asked, a long time after it came
+    caller.since -= 60.0
+    bench.node.callers.sweep()
+
+
+def by_make_room(bench: Bench, caller: Caller, monkeypatch) -> None:
+    bench.node.callers.make_room()
+
+
+CLOSES = (by_drain, by_sweep, by_make_room)
+
+
+async def resting(bench: Bench) -> tuple[socket.socket, Caller]:
+    """A client with one answer behind it, which it has not read yet."""
+    client = plain(bench)
+    client.sendall(READY)
+    caller = await taken(bench, client)
+    await until(lambda: caller.asked == 1 and caller.open is None)
+    return client, caller
+
+
+def ended(client: socket.socket) -> bool:
+    """Whether the node's end has come."""
+    poll = select.poll()
+    poll.register(client, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+async def rest_of(client: socket.socket) -> bytes:
+    """All that comes up to the end; a reset raises."""
+    client.setblocking(False)
+    loop, data = asyncio.get_running_loop(), b""
+    async with asyncio.timeout(PATIENCE):
+        while piece := await loop.sock_recv(client, 65536):
+            data += piece
+    return data
+
+
+@pytest.mark.parametrize("close_idle", CLOSES)
+async def test_bytes_that_come_between_the_look_and_the_close_reset_nothing(close_idle, monkeypatch):
+    """The client gets the answer that was on its way and our end, which tells it to send once more."""
+    bench = await Bench(server := Server()).start()
+    client, caller = await resting(bench)
+    unread, failures = Caller.unread, []
+
+    def crossed(self):
+        found = unread(self)
+        if self is caller and not found and caller.stage is Stage.OPEN:
+            client.sendall(call("invite"))
+        return found
+
+    data_received = Caller.data_received
+
+    def read(self, data):
+        if not ended(client):
+            failures.append(data)  # what is read before our end is out has been taken
+        data_received(self, data)
+
+    monkeypatch.setattr(Caller, "unread", crossed)
+    monkeypatch.setattr(Caller, "data_received", read)
+    close_idle(bench, caller, monkeypatch)
+    answer = await rest_of(client)
+    assert answer.count(b"HTTP/1.1 ") == 1 and answer.endswith(b"\r\n\r\n")
+    client.close()
+    await until(lambda: caller not in bench.node.callers.callers)
+    await quiet(bench)
+    assert not server.requests and bench.node.callers.held == 0 and not failures
+
+
+@pytest.mark.parametrize("close_idle", CLOSES)
+async def test_what_comes_after_our_end_is_read_and_not_sent_on(close_idle, monkeypatch):
+    bench = await Bench(server := Server()).start()
+    client, caller = await resting(bench)
+    close_idle(bench, caller, monkeypatch)
+    assert (await rest_of(client)).count(b"HTTP/1.1 ") == 1
+    read, data_received = [], Caller.data_received
+    monkeypatch.setattr(
+        Caller, "data_received", lambda self, data: (read.append(data), data_received(self, data))
+    )
+    for n in range(3):
+        client.send(call("invite"))  # a reset would fail the next one
+        await until(lambda n=n: len(read) > n)
+    assert caller.stage is Stage.LINGERING and client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    client.close()
+    await until(lambda: caller not in bench.node.callers.callers)
+    await quiet(bench)
+    assert not server.requests
+
+
+async def test_a_request_that_has_come_before_the_look_is_served():
+    bench = await Bench(server := Server()).start()
+    client, caller = await resting(bench)
+    client.sendall(call("invite"))
+    bench.node.callers.make_room()
+    caller.asked, caller.since = 0, caller.since - 60.0
+    bench.node.callers.sweep()
+    await until(lambda: len(server.requests) == 1)
+    assert caller.stage is Stage.OPEN
+    client.close()
+
+
+async def test_clients_that_never_close_their_side_keep_out_nobody_and_hold_up_no_end(monkeypatch):
+    monkeypatch.setattr(callers_module, "FRESH", 0.0)
+    monkeypatch.setattr(callers_module, "LINGER", 600.0)  # nobody goes for having lingered long
+    bench = await Bench(server := Server(), config={"limits": {"sockets": 48}}).start()
+    callers = bench.node.callers
+    table, crowd, lingered = callers.most + callers.refusing, [], 0
+    for _ in range(4 * table):
+        crowd.append(plain(bench))
+        await taken(bench, crowd[-1])
+        lingered = max(lingered, len(callers.lingering))
+        assert len(callers.callers) <= table
+    assert lingered
+    client = await bench.client()  # one that asks finds its place, and is not cut short for the next ones
+    assert (await client.ask(call()))[0] == 200 and len(server.requests) == 1
+    for _ in range(table):
+        crowd.append(plain(bench))
+        await taken(bench, crowd[-1])
+    assert (await client.ask(call()))[0] == 200
+    monkeypatch.setattr(callers_module, "HANDOVER", 0.0)
+    monkeypatch.setattr(callers_module, "TAKING", 0.0)
+    await asyncio.wait_for(callers.drain(bench.node.loop.time() + 0.3), PATIENCE)
+    assert not callers.callers
+    for end in crowd:
+        end.close()
