Servers: bytes that were sent before a request was there are not its answer

Seen: a connection that is used again is asked for unread bytes (`Connection.spoken_to`) and then written to. What a server sends between the two, or while the request is on its way (a second answer to the request before comes some milliseconds late, a whole answer that nobody asked for), was parsed as the new request's answer: `data_received` looked only at whether an exchange is on the connection. A client was served with what no server made for it; and a stale 503 with `X-Rejected: 1` said that the request never ran, so one that may not run twice was sent on while the first server ran it. Ruled out: a second look after the write (a pause of the process looks like an early answer); comparing an answer with the one before (small answers are often the same); a rest before each reuse (costs handshakes).

Now the kernel is asked whether the server's machine has acknowledged any of the request (SIOCOUTQ) when the first bytes come within 50 ms on a connection that has carried an answer before. What a server sends once it has got a request acknowledges it, so an answer is never taken for a stray one; where the system cannot tell, or the acknowledgement came first, all stays as it was. The attempt ends as one that may have run. Requests whose body flows are left out, which may be answered before they are whole.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -6,8 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
+import sys
+import termios
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from math import inf
 from typing import Protocol, cast
@@ -33,6 +37,7 @@
 AFTER_ANSWER = 0.05  # a close within so many seconds of an answer tells nothing of the time to idle
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
+CROSSING = 0.05  # seconds after a request within which bytes may come that were sent before it was there
 HOLD_UNKNOWN = 16384  # bytes held of an answer that does not say how long it is
 LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
 LARGEST_LINES = 128  # header lines of the same, and trailers
@@ -111,6 +116,7 @@
         self.upload: Upload | None = None
         self.sink: Sink | None = None  # where the answer flows
         self.paused = False
+        self.used = False  # an answer has come on it before
         self.held = 0  # bytes of the answer's body
         self.active = 0.0  # when something last moved
         self.counted = False
@@ -149,6 +155,7 @@
         self.size = self.lines = self.received = 0
         self.upload = upload
         self.unsent = upload is not None
+        self.wrote = 0 if upload is not None else len(data)  # an upload may be answered before it is whole
         if not self.transport.is_closing():
             self.transport.write(data)
             if upload is not None:
@@ -212,7 +219,13 @@
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
             self.close()
             return
-        self.active = self.pool.loop.time()
+        now = self.pool.loop.time()
+        if self.used and not self.size and now - self.active < CROSSING and self.crossed():
+            # Failure prevented: a second answer to the request before, or one that nobody asked for, crosses
+            # the next request on its way and is served as that one's. The server may still run it.
+            self.finish(Outcome.RESET, None, reuse=False)
+            return
+        self.active = now
         self.size += len(data)
         try:
             self.parser.feed_data(data)
@@ -334,6 +347,7 @@
     def finish(self, outcome: Outcome, answer: Answer | None, reuse: bool) -> None:
         exchange = self.detach()
         if reuse and self.endpoint.ready and not self.transport.is_closing():
+            self.used = True
             self.pool.keep(self)
         else:
             self.close()
@@ -377,6 +391,18 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def crossed(self) -> bool:
+        """Whether the server's machine has acknowledged nothing of the request, as far as this one knows.
+
+        What a server sends once it has got a request acknowledges it: bytes that come before that are no
+        answer to it. Where the system cannot tell, nothing is held against them.
+        """
+        number = self.transport.get_extra_info("socket").fileno()
+        with suppress(OSError):
+            out = int.from_bytes(fcntl.ioctl(number, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+            return out >= self.wrote > 0
+        return False
+
     def close(self) -> None:
         """Ends the connection at once, with no wait for what the other side has not read."""
         self.transport.abort()
