Servers: a connection that comes up late is kept, and what waits takes the first that is free

To blame: `Exchange.connect`, which tied one connection to one exchange. Ruled out by reading uvloop and by tests: a connection that is made in the turn of the loop in which its time-out or its request ends is closed and not counted; nothing is written to it.

A connection now has a course of its own: opening, idle or busy in turns, closed. Exchanges wait at the server's endpoint and the first connection that is free serves the one that waits longest. The connect time-out ends the attempt, not the connection, which may come up within 2 s (a lost SYN is sent again after one) and is then idle; two at most for each server that nothing waits for, which are counted in the budget of descriptors and make room first. A drain, a restart or a server's removal ends what waits there at once as never sent, after the news has been taken up, and gives up what is opening.

Tests: connections come up when the test lets them.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -10,6 +10,7 @@
 import select
 import sys
 import termios
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -38,6 +39,8 @@
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
 CROSSING = 0.05  # seconds after a request within which bytes may come that were sent before it was there
+LATEST = 2.0  # seconds within which a connection may come up: a lost SYN is sent again after one
+SPARE = 2  # connections to one server that may still come up after the attempts that asked for them
 HOLD_UNKNOWN = 16384  # bytes held of an answer that does not say how long it is
 LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
 LARGEST_LINES = 128  # header lines of the same, and trailers
@@ -81,13 +84,15 @@
 class Endpoint:
     """One server's address and this node's connections to it."""
 
-    __slots__ = ("host", "port", "started", "ready", "idle", "busy")
+    __slots__ = ("host", "port", "started", "ready", "opening", "waiting", "idle", "busy")
 
     def __init__(self, host: str, port: int, started: int) -> None:
         self.host = host
         self.port = port
         self.started = started
         self.ready = False
+        self.opening: dict[Connection, None] = {}  # those that are coming up, the oldest first
+        self.waiting: deque[Exchange] = deque()  # what the first connection that is good is for
         self.idle: list[Connection] = []  # the most recently used last
         self.busy = 0  # exchanges that have begun and not ended
 
@@ -95,6 +100,10 @@
         """Nothing new goes here; what is out may finish."""
         self.ready = False
         self.close_idle()
+        for connection in list(self.opening):
+            connection.give_up()
+        for exchange in self.waiting:  # not before the news that ends this server has been taken up
+            exchange.pool.loop.call_soon(exchange.withdraw)
 
     def close_idle(self) -> None:
         """Closes the connections that carry nothing."""
@@ -102,9 +111,19 @@
             connection.close()
         self.idle.clear()
 
+    def failed(self) -> None:
+        """A connection is of no use: what waits longest is told, unless another is coming up for it."""
+        if len(self.waiting) > len(self.opening):
+            self.waiting[0].stop(Outcome.CONNECT_FAILED)
+
+    def trim(self) -> None:
+        """Gives up the latest of the connections that nothing waits for any more, but for a few."""
+        while len(self.opening) > len(self.waiting) + SPARE:
+            next(reversed(self.opening)).give_up()
+
 
 class Connection(asyncio.BufferedProtocol):
-    """A connection to a server: one exchange at a time."""
+    """A connection to a server: opening, then idle or busy in turns with one exchange each, then closed."""
 
     def __init__(self, pool: Pool, endpoint: Endpoint) -> None:
         self.pool = pool
@@ -121,6 +140,32 @@
         self.active = 0.0  # when something last moved
         self.counted = False
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.coming: asyncio.Task[None] | None = None  # while it is opening
+
+    async def come_up(self) -> None:
+        """Connects. What waits longest for a connection to this server then gets it."""
+        endpoint = self.endpoint
+        try:
+            async with asyncio.timeout(LATEST):
+                await self.pool.loop.create_connection(lambda: self, endpoint.host, endpoint.port)
+        except (OSError, ValueError):  # a TimeoutError is the first, a name that cannot be one the second
+            self.pool.lost(self)
+            endpoint.failed()
+        except asyncio.CancelledError:
+            self.pool.lost(self)
+            if self.transport is not None:
+                self.close()
+            raise
+        else:
+            self.pool.up(self)
+            self.pool.keep(self)
+
+    def give_up(self) -> None:
+        """Nothing waits for it to come up."""
+        task = self.coming
+        self.pool.lost(self)
+        if task is not None:
+            task.cancel()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -346,7 +391,7 @@
 
     def finish(self, outcome: Outcome, answer: Answer | None, reuse: bool) -> None:
         exchange = self.detach()
-        if reuse and self.endpoint.ready and not self.transport.is_closing():
+        if reuse:
             self.used = True
             self.pool.keep(self)
         else:
@@ -433,8 +478,8 @@
         self.upload = upload
         self.over = False
         self.connection: Connection | None = None
-        self.connecting: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.patience: asyncio.TimerHandle | None = None  # while it waits for a connection
         endpoint.busy += 1
 
     def start(self, timeout: float | None) -> None:
@@ -450,7 +495,9 @@
         if connection is not None:
             self.use(connection)
         elif self.pool.has_room():
-            self.connecting = self.pool.loop.create_task(self.connect())
+            self.endpoint.waiting.append(self)
+            self.patience = self.pool.loop.call_later(self.pool.connect_timeout, self.expire)
+            self.pool.open_to(self.endpoint)
         else:
             self.end(Outcome.CONNECT_FAILED, None)
 
@@ -481,40 +528,24 @@
                 return
         self.timer = self.pool.loop.call_later(max(rest, STALL / 10), self.watch)
 
-    async def connect(self) -> None:
-        """Opens a connection within the connect time-out."""
-        pool = self.pool
-        connection = Connection(pool, self.endpoint)
-        pool.opened(connection)
-        try:
-            async with asyncio.timeout(pool.connect_timeout):
-                await pool.loop.create_connection(lambda: connection, self.endpoint.host, self.endpoint.port)
-        except (OSError, TimeoutError):
-            pool.lost(connection)
-            self.end(Outcome.CONNECT_FAILED, None)
-            return
-        except asyncio.CancelledError:
-            pool.lost(connection)
-            if connection.transport is not None:
-                connection.close()
-            raise
-        self.connecting = None
-        self.use(connection)
-
     def use(self, connection: Connection) -> None:
         """Writes the request, if it may still be written: the connection may have taken its time."""
+        if self.patience is not None:
+            self.patience.cancel()
         data = None if self.over or not self.endpoint.ready else self.compose()
         if data is None:
-            if self.endpoint.ready:
-                self.pool.keep(connection)
-            else:
-                connection.close()
+            self.pool.keep(connection)
             self.end(Outcome.NOT_SENT, None)
         else:
             self.connection = connection
             connection.active = self.pool.loop.time()
             connection.begin(self, data, self.upload)
 
+    def withdraw(self) -> None:
+        """Waits no longer: the server takes nothing new."""
+        if self in self.endpoint.waiting:
+            self.stop(Outcome.NOT_SENT)
+
     def expire(self) -> None:
         """The time is up. A server that has not got the last byte has run nothing."""
         never = self.connection is None or self.connection.unsent
@@ -527,8 +558,10 @@
         if self.connection is not None:
             self.connection.detach()
             self.connection.close()
-        elif self.connecting is not None:
-            self.connecting.cancel()
+        elif self in self.endpoint.waiting:
+            # The connection may still come up, and is then the next attempt's.
+            self.endpoint.waiting.remove(self)
+            self.endpoint.trim()
         self.end(outcome, None)
 
     def end(self, outcome: Outcome, answer: Answer | None) -> None:
@@ -536,8 +569,9 @@
             return
         self.over = True
         self.endpoint.busy -= 1
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.patience):
+            if timer is not None:
+                timer.cancel()
         self.done(outcome, answer)
 
 
@@ -559,6 +593,7 @@
         self.hit_header = b""  # of answers, in lower case; empty: none is looked at
         self.renew(connect_timeout, idle_time)
         self.open = 0
+        self.opening: dict[Connection, None] = {}  # the oldest first
         self.endpoints: dict[int, Endpoint] = {}
         self.resting: dict[Endpoint, None] = {}  # those that may have idle connections, of a large fleet few
         self.sweeping = False
@@ -580,10 +615,19 @@
         return None
 
     def keep(self, connection: Connection) -> None:
-        """Puts a connection among the idle ones."""
+        """Gives a connection that is free to what waits for one, or puts it among the idle ones."""
+        endpoint = connection.endpoint
+        waited_for = bool(endpoint.waiting)
+        if not endpoint.ready or connection.transport.is_closing() or waited_for and connection.spoken_to():
+            connection.close()
+            endpoint.failed()
+            return
+        if waited_for:
+            endpoint.waiting.popleft().use(connection)
+            return
         connection.idle_since = self.loop.time()
-        connection.endpoint.idle.append(connection)
-        self.resting[connection.endpoint] = None
+        endpoint.idle.append(connection)
+        self.resting[endpoint] = None
         if not self.sweeping:
             self.sweeping = True
             self.loop.call_later(SWEEP, self.sweep)
@@ -614,9 +658,14 @@
             self.idle_time = max(LEAST_IDLE, min(self.idle_time, age / 2))
 
     def has_room(self) -> bool:
-        """Whether one more connection fits the budget; the one that was idle longest makes room."""
+        """Whether one more connection fits the budget; one that nothing waits for makes room, or the one
+        that was idle longest."""
         if self.open < self.most:
             return True
+        for connection in self.opening:
+            if len(connection.endpoint.opening) > len(connection.endpoint.waiting):
+                connection.give_up()
+                return True
         held = [e for e in self.resting if e.idle]
         if held:
             oldest = min(held, key=lambda e: e.idle[0].idle_since)
@@ -625,16 +674,26 @@
             self.lost(connection)
         return bool(held)
 
-    def opened(self, connection: Connection) -> None:
-        """Counts a connection that is being opened."""
+    def open_to(self, endpoint: Endpoint) -> None:
+        """Opens a connection."""
+        connection = Connection(self, endpoint)
         connection.counted = True
         self.open += 1
+        self.opening[connection] = endpoint.opening[connection] = None
+        connection.coming = self.loop.create_task(connection.come_up())
+
+    def up(self, connection: Connection) -> None:
+        """It is not opening any more."""
+        self.opening.pop(connection, None)
+        connection.endpoint.opening.pop(connection, None)
+        connection.coming = None
 
     def lost(self, connection: Connection) -> None:
         """Counts a connection's end, once."""
         if connection.counted:
             connection.counted = False
             self.open -= 1
+            self.up(connection)
         if connection in connection.endpoint.idle:
             connection.endpoint.idle.remove(connection)
 
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -1,12 +1,14 @@
 """The moments in which something ends on the side of the servers: crossings forced byte by byte."""
 
+import asyncio
 import os
 import socket
 
 import pytest
-from loopback import Bench, Server, call, until
+from loopback import MOMENT, Bench, Server, call, until
 
-from brackenladder.net.servers import Connection
+from brackenladder.interface import Outcome
+from brackenladder.net.servers import SPARE, Connection, Exchange
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
 REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
@@ -61,3 +63,170 @@
         assert (status, body) == (200, b"mine") and server.connections == 2
     assert (await client.ask(call(klass, name=b"next")))[2] == b"next"
     await until(lambda: server.closed == server.connections - 1)
+
+
+# ---- connections that come up late --------------------------------------------------------------------
+
+
+class Gate:
+    """The loop as the pool sees it: connections come up when the test lets them."""
+
+    def __init__(self, bench: Bench) -> None:
+        self.loop = bench.node.pool.loop
+        self.asked = 0
+        self.open = asyncio.Event()
+        self.fail: Exception | None = None
+        bench.node.pool.loop = self
+
+    def __getattr__(self, name):
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *args):
+        self.asked += 1
+        await self.open.wait()
+        if self.fail is not None:
+            raise self.fail
+        return await self.loop.create_connection(*args)
+
+
+def endpoint_of(bench: Bench, server: Server):
+    return next(e for e in bench.node.pool.endpoints.values() if e.port == server.port)
+
+
+HASTY = {"policy_limits": {"connect_timeout": MOMENT // 20}}
+
+
+@pytest.mark.parametrize("how", ["its time is up", "the client leaves"])
+async def test_a_connection_that_comes_up_late_carries_the_next_request(how):
+    """Failure prevented: where connections come up after the connect time-out, each attempt pays for one
+    that it gives up, and the next one pays again; or what was given up is written to it all the same."""
+    bench = await Bench(server := Server(named), **(HASTY if how == "its time is up" else {})).start()
+    gate, pool = Gate(bench), bench.node.pool
+    client = await bench.client()
+    client.send(call("invite", name=b"first"))
+    if how == "its time is up":
+        assert (await client.receive())[0] == 503  # it never ran
+        client = await bench.client()
+    else:
+        await until(lambda: gate.asked == 1)
+        client.writer.close()
+        await until(lambda: not bench.node.requests)
+        client = await bench.client()
+    asked = gate.asked
+    assert pool.open == len(pool.opening) == min(asked, SPARE)
+    gate.open.set()
+    await until(lambda: len(endpoint_of(bench, server).idle) == min(asked, SPARE))
+    assert (await client.ask(call("invite", name=b"second")))[2] == b"second"
+    assert server.connections == min(asked, SPARE) == pool.open and gate.asked == asked
+    assert [r.headers["x-call-id"] for r in server.requests] == ["second"]
+
+
+async def test_what_waits_for_a_connection_gets_the_first_that_is_free():
+    """Failure prevented: it waits for its own, which comes up late or never, beside one that stands idle."""
+    go = asyncio.Event()
+
+    async def when_told(request, writer):
+        await go.wait()
+        return await named(request, writer)
+
+    bench = await Bench(server := Server(when_told)).start()
+    one, two = await bench.client(), await bench.client()
+    one.send(call("invite", name=b"one"))
+    await until(lambda: len(server.requests) == 1)
+    gate = Gate(bench)
+    two.send(call("invite", name=b"two"))
+    await until(lambda: gate.asked == 1)
+    go.set()
+    assert (await one.receive())[2] == b"one"
+    assert (await two.receive())[2] == b"two"  # while its own connection is still coming up
+    assert server.connections == 1 and bench.node.pool.open == 2
+    gate.open.set()
+    await until(lambda: len(endpoint_of(bench, server).idle) == 2)
+
+
+async def test_a_connection_that_cannot_be_ends_just_one_attempt():
+    """Failure prevented: an address that is none raises what nobody expects, and an upload waits for ever."""
+    bench = await Bench(server := Server()).start()
+    gate, pool = Gate(bench), bench.node.pool
+    gate.open.set()
+    gate.fail = UnicodeError("label empty or too long")
+    assert (await bench.once(call("invite")))[0] == 503
+    upload = call("invite").replace(b"Content-Length: 0", b"Content-Length: 70000")
+    assert (await bench.once(upload))[0] == 503
+    assert pool.open == 0 and not pool.opening and not endpoint_of(bench, server).busy
+    gate.fail = None
+    assert (await bench.once(call("invite")))[0] == 200
+
+
+async def test_what_nothing_waits_for_makes_room_for_what_is_asked():
+    """Failure prevented: connections that may never come up use up the descriptors for servers."""
+    bench = await Bench(server := Server(), Server(), **HASTY).start()
+    gate, pool = Gate(bench), bench.node.pool
+    assert (await bench.once(call("invite")))[0] == 503
+    assert 0 < pool.open <= 2 * SPARE
+    pool.most = pool.open
+    given_up = next(iter(pool.opening))
+    asked, outcomes = gate.asked, []
+    Exchange(pool, endpoint_of(bench, server), lambda: None, lambda *end: outcomes.append(end)).start(5)
+    assert pool.open == pool.most and given_up not in pool.opening
+    await until(lambda: gate.asked == asked + 1)
+    gate.open.set()
+    await until(lambda: bool(outcomes))
+    assert outcomes == [(Outcome.NOT_SENT, None)]  # nothing was composed
+    await until(lambda: not pool.opening)
+    assert pool.open == sum(len(e.idle) for e in pool.endpoints.values())
+
+
+# ---- drains -------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("news", ["draining", "gone", "restarted", "unlisted"])
+@pytest.mark.parametrize("size", [0, 70000], ids=["small", "upload"])
+async def test_a_drain_ends_what_waits_for_a_connection_at_once(size, news):
+    """Failure prevented: a request is written to a server after its drain was told, since its connection
+    came up meanwhile; or it waits for that connection and has no time left for another server."""
+    patient = {"connect_timeout": 60 * MOMENT}
+    bench = await Bench(going := Server(), config={"known": None}, policy_limits=patient).start()
+    bench.discovery.say(42, True, going.entry("s0"))
+    await until(lambda: bool(bench.node.listed))
+    gate, staying = Gate(bench), await Server().start()
+    client = await bench.client()
+    request = call("offer", body=b"x" * size, budget=60000)
+    client.send(request[: len(request) - size // 2])
+    await until(lambda: gate.asked == 1)
+    old = endpoint_of(bench, going)
+    other = staying.entry("s1")
+    if news == "unlisted":
+        bench.discovery.say(43, True, other)
+    elif news == "restarted":  # at the same address: an old connection is of no use, a new one is
+        bench.discovery.say(43, False, going.entry("s0", started_ms=5), other)
+    else:
+        bench.discovery.say(43, False, going.entry("s0", news), other)
+    await until(lambda: gate.asked == 2 and not old.opening and not old.waiting)
+    gate.open.set()
+    client.send(request[len(request) - size // 2 :])
+    assert (await client.receive())[0] == 200
+    assert going.connections + staying.connections == 1
+    if news != "restarted":
+        assert not going.requests
+    assert not old.busy and not old.idle
+
+
+async def test_a_drain_that_is_told_in_the_loops_same_turn_as_the_connection_gets_no_byte():
+    """Failure prevented: the connection is up and its request not yet written when the news is read."""
+    bench = await Bench(going := Server(), config={"known": None}).start()
+    bench.discovery.say(42, True, going.entry("s0"))
+    await until(lambda: bool(bench.node.listed))
+    made = Connection.connection_made
+
+    def crossing(self, transport):
+        made(self, transport)
+        bench.node.retire(next(n for n, e in bench.node.pool.endpoints.items() if e is self.endpoint))
+
+    Connection.connection_made = crossing
+    try:
+        assert (await bench.once(call("invite")))[0] == 503
+    finally:
+        Connection.connection_made = made
+    await until(lambda: going.closed == going.connections == 1)
+    assert not going.requests and bench.node.pool.open == 0
