Keep a SIGHUP that comes during the start until the node can take it on

Seen on the real program, with SIGHUP sent 0 to 400 ms after the start: until the handler stood (0.24 to 0.38 s on a busy machine, nearly all of it imports) the process ended by the signal. From there to the end of Node.start the file was taken on by a node whose parts and list did not run yet. Both gone: the signal is blocked before anything is imported that takes time, and let in once the node has started; the file is then read anew. What is left is the interpreter's own start. SIGTERM stays as it was: in that time nothing has been taken.

The process's course moves to net/process.py, so that __main__ can block the signal before the imports.

The test hands the file over through a pipe, so that the signal surely comes while the first file is read, and the second file moves discovery.

--- /dev/null
+++ b/brackenladder/net/process.py
@@ -0,0 +1,79 @@
+"""One node as a process: what it is told, its signals, its course and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from brackenladder.errors import BrackenladderError
+from brackenladder.net.bind import ListenError
+from brackenladder.net.config import Config, load
+from brackenladder.net.node import Node
+
+if TYPE_CHECKING:
+    from brackenladder.operation import Operation
+
+
+def wishes(environ: Mapping[str, str]) -> Operation | None:
+    """The operators' file, if LB_OPERATOR names one. An OperationError if it cannot be used."""
+    path = environ.get("LB_OPERATOR")
+    if not path:
+        return None
+    # Here, because a node without such a file does not need the packages that read it.
+    from brackenladder.operation import OperationError, load
+
+    try:
+        return load(path, environ)
+    except OperationError as e:
+        raise e.within("LB_OPERATOR") from None
+
+
+async def serve(config: Config, operation: Operation | None) -> None:
+    """Runs the node until SIGTERM, and to the last answer it owes. SIGHUP reads the configuration anew."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)  # a second one changes nothing
+    node = Node(config, loop, operation)
+
+    def failed(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        node.log_lines.line(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def reload() -> None:
+        try:
+            operation = wishes(os.environ)
+            node.reload(load(os.environ, node.config), operation)
+        except BrackenladderError as e:
+            node.keep(e)
+
+    loop.set_exception_handler(failed)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await node.start()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came during the start is heard now
+    # What the start has made lives as long as the node: the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    await stop.wait()
+    await node.drain()
+
+
+def run() -> int:
+    """Starts a node; 2 if it was told what it cannot start with."""
+    try:
+        config, operation = load(os.environ), wishes(os.environ)
+    except BrackenladderError as e:
+        print(f"brackenladder: {e.line()}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config, operation))
+    except ListenError as e:
+        print(f"brackenladder: cannot listen: {e.line()}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,10 +1,14 @@
 """SIGTERM, SIGHUP and the start on the real program: what is owed at each of its ends, and by when."""
 
+import asyncio
+import json
+import os
+import signal
 from time import monotonic
 
 import pytest
-from loopback import MOMENT, call, play, settings
-from program import Door, Program
+from loopback import MOMENT, PATIENCE, Client, Discovery, call, play, settings, until
+from program import Door, Program, connected, free_port, node_table, spawn
 
 
 def classes(deadline: float) -> list[dict]:
@@ -42,3 +46,33 @@
             await program.stop()
 
     play(scene)
+
+
+def test_sighup_before_the_node_tends_it_is_kept_and_heard(tmp_path):
+    """Failure prevented: the process ends of it, or the file that it tells of is never read.
+
+    The file is a pipe: who reads it waits for the test, and so is known to be at it.
+    """
+
+    async def scene():
+        pipe = tmp_path / "pipe"
+        os.mkfifo(pipe)
+        door = await Door().start()
+        discovery = await Discovery().start()
+        table = node_table(1, settings(), f"127.0.0.1:{(port := free_port())}", door.entry("s0"))
+        process = await spawn(tmp_path, table, {"LB_CONFIG": str(pipe)})
+        try:
+            moved = table | {"discovery": f"127.0.0.1:{discovery.port}"}
+            for text in (table, moved):
+                with await asyncio.wait_for(asyncio.to_thread(pipe.open, "w"), PATIENCE) as file:
+                    if text is table:
+                        process.send_signal(signal.SIGHUP)
+                    file.write(json.dumps(text))
+                await asyncio.wait_for(connected(Client(port)), PATIENCE)  # it has read that one
+            await until(lambda: bool(discovery.requests))
+            assert process.returncode is None
+        finally:
+            process.kill()
+            await process.wait()
+
+    play(scene)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -405,7 +405,7 @@
 
 def test_a_node_without_the_file_imports_nothing_of_it():
     code = (
-        "import sys, brackenladder.__main__;"
+        "import sys, brackenladder.net.process;"
         "print([m for m in sys.modules if m.endswith(('operation', 'zones', 'storms', 'structlog'))])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
