Module: a queued request whose client left, or whose time is over, frees its place at once

Seen: below the first tier a request waits for a slot in Balancer.waiting. client_left and the timer of the half time took it out of the open requests only; its entry stayed in the deque until it came to the front, and hold() counts the deque's length. A queue of dead entries refuses the next call. Never sent on: serve_waiting looked whether it was still open (ruled out as a fault). To blame: client_left, timer (TIMER_HELD), hold, serve_waiting. Change: the queue is a dict by request, in order of arrival; who leaves or is answered is taken out of it, and the flag of a request that says that it waits is gone. The lab's LIFO variant goes along.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from math import ceil, inf, sqrt
@@ -456,7 +455,7 @@
         self.ejected: list[Server] = []
         self.next_trial = 0
         self.requests: dict[int, Request[Server]] = {}
-        self.waiting: deque[Request[Server]] = deque()
+        self.waiting: dict[int, Request[Server]] = {}  # for a free slot, in the order in which they came
         allowance = allowances(s)
         self.controller = GradientController(allowance, s.max_open, self.rng, 0)
         self.mean_rtt = [a / 2 for a in allowance]  # until measured
@@ -715,6 +714,8 @@
 
     def client_left(self, now: int, request: int) -> None:
         r = self.requests.pop(request, None)
+        # Failure prevented: those that wait no more keep the queue full, and the next one is refused.
+        self.waiting.pop(request, None)
         if r is not None and r.out is not None and self.settings.cancel and not r.begun:
             self.actions.cancel(request, r.attempts - 1)
 
@@ -731,9 +732,8 @@
             else:
                 self.refill(now)
         elif kind == TIMER_HELD:
-            r = self.requests.get(value)
-            if r is not None and r.held:
-                r.held = False
+            r = self.waiting.pop(value, None)
+            if r is not None:
                 self.blocked += 1
                 self.finish(r, refuse=True)
 
@@ -843,17 +843,12 @@
             self.blocked += 1
             self.finish(r, refuse=True)
             return
-        r.held = True
-        self.waiting.append(r)
+        self.waiting[r.id] = r
         self.actions.set_timer(max(1, (r.useful_until - now) // 2), TIMER_HELD << TOKEN_BITS | r.id)
 
     def serve_waiting(self, now: int) -> None:
-        waiting = self.waiting
-        while waiting and (not waiting[0].held or self.controller.admits(now, 0)):
-            r = waiting.popleft()
-            if r.held and r.id in self.requests:
-                r.held = False
-                self.attempt(now, r)
+        while self.waiting and self.controller.admits(now, 0):
+            self.attempt(now, self.waiting.pop(next(iter(self.waiting))))
 
     # ---- fairness -------------------------------------------------------------------------------------
 
--- a/brackenladder/lab/modules.py
+++ b/brackenladder/lab/modules.py
@@ -147,18 +147,13 @@
             super().finish(r, refuse)
             return
         self.waited.add(r.id)
-        r.held = True
-        self.waiting.append(r)
+        self.waiting[r.id] = r
         time = min(self.TARGET, max(1, (r.useful_until - self.at) // 2))
         self.actions.set_timer(time, TIMER_HELD << TOKEN_BITS | r.id)
 
     def serve_waiting(self, now: int) -> None:
-        waiting = self.waiting
-        while waiting and (not waiting[-1].held or self.controller.admits(now, 0)):
-            r = waiting.pop()
-            if r.held and r.id in self.requests:
-                r.held = False
-                self.attempt(now, r)
+        while self.waiting and self.controller.admits(now, 0):
+            self.attempt(now, self.waiting.popitem()[1])
 
 
 class SendsTwice(Balancer):
--- a/brackenladder/request.py
+++ b/brackenladder/request.py
@@ -24,7 +24,6 @@
         "ran_on",
         "ran_at",
         "begun",
-        "held",
         "sent_at",
         "coming",
         "once",
@@ -42,7 +41,6 @@
         self.ran_on: S | None = None  # the first server that may have run it
         self.ran_at = 0
         self.begun = False
-        self.held = False
         self.sent_at = 0
         self.coming = 0  # more of it is to come: the time that it then has
         self.once = False  # it cannot be sent again
