Module: a call that is out keeps its server, and the group of its first attempt

Two faults, both found by reading and shown by tests. 1. An attempt whose request still comes (a body that flows) counts nowhere, and its server not as busy. Drains that server, forget_gone drops what is known of it. Then outcome() finds no server: ran_on stays None, so an unsafe request that may have run (500, reset, time-out) counts as one that never ran and is sent again; and request_whole books a call whose end nobody books, which takes a place of the limit for ever. To blame: forget_gone and the lookup in outcome. Change: the requests that count nowhere are kept with their servers (apart), which are not forgotten; outcome takes the server from there. 2. The group in which a keyed request may be repeated was read off the server at the moment of the repeat. A list that moves the server to another cell or zone meanwhile moved the repeat with it, to servers that discard nothing. To blame: draw_in_group (first.zone, first.cell). Change: the request keeps both from the attempt that may have run. Ruled out: the window of repeats at its edges (from the sending of the first attempt that may have run; 50 ms to 10 s, all three groups): right before, tested now.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -478,7 +478,8 @@
         self.warm_sent = 0
         self.list_failures = self.blocked = 0
         self.at_home = self.beyond = 0  # first attempts at a home; those for which no home had room
-        self.apart: set[int] = set()  # requests that are out and count nowhere: coming still, or flowing back
+        # Where requests are out that count nowhere: those that are coming still, or flow back.
+        self.apart: dict[int, Server] = {}
         self.rank_classes()
 
     # ---- events ---------------------------------------------------------------------------------------
@@ -650,15 +651,14 @@
         final: bool,
         report: Sequence[float],
     ) -> None:
-        srv = self.servers.get(server)
         r = self.requests.get(request)
-        if request in self.apart:
-            self.apart.discard(request)
-            if srv is not None:
-                srv.trial_out = False
-                if outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET):
-                    srv.fail_rate += SMOOTH * (1 - srv.fail_rate)
-                    srv.fails_in_row += 1
+        apart = self.apart.pop(request, None)
+        srv = apart or self.servers.get(server)
+        if apart is not None:
+            apart.trial_out = False
+            if outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET):
+                apart.fail_rate += SMOOTH * (1 - apart.fail_rate)
+                apart.fails_in_row += 1
         elif srv is not None and srv.in_flight > 0:
             self.settle(now, srv, r, outcome, latency)
         if srv is not None and len(report) > self.held_column >= 0:
@@ -692,7 +692,7 @@
         if r.coming:
             self.request_whole(now, request)  # answered before all of it had come
         r.begun = True
-        self.apart.add(request)
+        self.apart[request] = srv
         self.settle(now, srv, r, Outcome.OK, latency)
         if self.waiting:
             self.serve_waiting(now)
@@ -704,7 +704,7 @@
             r.coming = 0
             if r.out is not None:
                 r.sent_at = now
-                self.apart.discard(request)
+                self.apart.pop(request, None)
                 self.book(now, r.out)
 
     def not_repeatable(self, now: int, request: int) -> None:
@@ -776,9 +776,11 @@
             # A trial of an ejected server must not cost the request its whole time.
             timeout = min(timeout, max(self.settings.tick, int(SILENT_FACTOR * self.mean_rtt[r.klass])))
         if r.coming:
-            self.apart.add(r.id)
+            self.apart[r.id] = srv
         else:
             self.book(now, srv)
+        if r.ran_on is None:
+            r.place = (0, srv.zone, srv.cell)  # the list may move the server to another one meanwhile
         r.out = srv
         r.sent_at = now
         r.attempts += 1
@@ -1052,7 +1054,10 @@
 
     def forget_gone(self) -> None:
         """Drops what is known of servers that are gone, and of all but the latest former members."""
-        idle = [srv for srv in self.servers.values() if not srv.member and srv.in_flight == 0]
+        # Failure prevented: a server drains while a body flows to it, what became of that call is booked
+        # nowhere, and an unsafe request is taken for one that never ran.
+        apart = {srv.id for srv in self.apart.values()}
+        idle = [s for s in self.servers.values() if not (s.member or s.in_flight or s.id in apart)]
         for i, srv in enumerate(idle):
             if i < len(idle) - SUBSET_FORMER or not srv.in_list:
                 del self.servers[srv.id]
@@ -1233,10 +1238,10 @@
         group = r.settings.classes[r.klass].group
         assert first is not None
         others = [m for _, m in sorted(self.servers.items()) if m is not first and m.in_list and not m.aside]
-        pool = [m for m in others if (0, m.zone, m.cell)[group] == (0, first.zone, first.cell)[group]]
+        pool = [m for m in others if (0, m.zone, m.cell)[group] == r.place[group]]
         if not pool:
             self.forget_gone()  # each such repeat gets to know some more
-            near = self.roster.alike(group, first.zone, first.cell, self.rng.random(), REPEAT_CHOICE)
+            near = self.roster.alike(group, *r.place[1:], self.rng.random(), REPEAT_CHOICE)
             pool = [self.known(now, entry) for entry in near if entry.id != first.id]
         return self.draw_two(now, pool)
 
--- a/brackenladder/request.py
+++ b/brackenladder/request.py
@@ -23,6 +23,7 @@
         "out",
         "ran_on",
         "ran_at",
+        "place",
         "begun",
         "sent_at",
         "coming",
@@ -40,6 +41,7 @@
         self.out: S | None = None
         self.ran_on: S | None = None  # the first server that may have run it
         self.ran_at = 0
+        self.place = (0, 0, 0)  # what it stands for as a member of each group, by the number of the group
         self.begun = False
         self.sent_at = 0
         self.coming = 0  # more of it is to come: the time that it then has
--- a/tests/test_module_ends.py
+++ b/tests/test_module_ends.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from support import SEC, Recorder, ask, balancer, end
+from dataclasses import replace
+
+import pytest
+from support import KEYED, SEC, Recorder, ask, balancer, end
 
 from brackenladder.balance import Balancer
-from brackenladder.interface import ListKind, Outcome, ServerEntry, State
+from brackenladder.interface import Group, ListKind, Outcome, ServerEntry, State
 
 MS = 1_000
 
@@ -59,3 +62,56 @@
     other = 3 - out[0][2]
     node.server_list(2 * MS, ListKind.CHANGES, [ServerEntry(out[0][2], State.DRAINING)])
     assert end(node, rec, 3 * MS, 1, 0, out[0][2], Outcome.OK)[0][:3] == ("send", 3, other)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.OK])
+def test_a_server_that_goes_while_a_body_flows_to_it_is_known_until_that_call_ends(outcome):
+    """Failure prevented: what became of the call is booked nowhere, so an unsafe request runs twice, and a
+    call that was begun there counts against the limit for ever."""
+    node, rec = balancer(4)
+    node.request(0, 1, 2, 0, 3 * SEC, False, whole=False)
+    (sent,) = rec.take("send")
+    node.server_list(MS, ListKind.CHANGES, [ServerEntry(sent[2], State.DRAINING)])
+    node.forget_gone()
+    whole = outcome != Outcome.ERROR  # this one is answered before all of it has come
+    if whole:
+        node.request_whole(2 * MS, 1)
+        assert node.controller.in_flight == 1
+    node.outcome(3 * MS, 1, 0, sent[2], outcome, MS, outcome == Outcome.OK, ())
+    assert rec.take("send", "refuse", "fail") == ([] if outcome == Outcome.OK else [("fail", 1)])
+    assert node.controller.in_flight == 0 and not node.apart
+    node.forget_gone()
+    assert sent[2] not in node.servers
+
+
+@pytest.mark.parametrize("group", [Group.CELL, Group.ZONE])
+def test_a_repeat_goes_to_the_group_that_its_first_attempt_was_sent_to(group):
+    """Failure prevented: the server is listed in another group meanwhile, which discards no repeat of it."""
+    keyed = replace(KEYED, group=group)
+    entries = [ServerEntry(i, cell=i % 2, zone=i % 2) for i in range(1, 9)]
+    node, rec = balancer(entries, classes=(keyed,))
+    _, _, first, _ = ask(node, rec, 0, 1)
+    moved = ServerEntry(first, cell=1 - first % 2, zone=1 - first % 2)
+    node.server_list(MS, ListKind.CHANGES, [moved])
+    for attempt in range(1, 4):
+        ((name, _, server, _),) = end(node, rec, 10 * MS, 1, attempt - 1, first, Outcome.ERROR)
+        assert name == "send" and server % 2 == first % 2
+        first = server
+
+
+@pytest.mark.parametrize("window", [50 * MS, 300 * MS, 2 * SEC, 10 * SEC])
+@pytest.mark.parametrize("group", list(Group))
+def test_the_window_runs_from_the_first_attempt_that_may_have_run(window, group):
+    """At its edges, in virtual time: from the sending of that attempt, whatever came before or after it."""
+    keyed = replace(KEYED, group=group, window=window, aim=30 * SEC, deadline=60 * SEC)
+    for late, repeated in ((-1, True), (0, False), (1, False)):
+        node, rec = balancer(6, classes=(keyed,), max_attempts=5)
+        node.mean_rtt[0] = 1.0
+        _, _, server, _ = ask(node, rec, 0, 1, left=60 * SEC)
+        # Turned away: it never ran, and no window runs yet.
+        ((_, _, server, _),) = end(node, rec, 5 * MS, 1, 0, server, Outcome.REJECTED)
+        # May have run; a further one, half a window later, is turned away; the next one comes at the edge.
+        began = 5 * MS
+        ((_, _, server, _),) = end(node, rec, began + window // 2, 1, 1, server, Outcome.ERROR)
+        ((name, *_),) = end(node, rec, began + window + late, 1, 2, server, Outcome.REJECTED)
+        assert name == ("send" if repeated else "fail")
