Tend no signal any more once all is answered, so that none ends the process at its exit

Seen on the real program: signals sent without a pause from SIGTERM on; the process ended by SIGHUP in 3 of 3 tries. Ruled out: the drain itself, which answered in time (0.90 s where SIGKILL comes at 1.2 s), and broken files in its course. To blame: the loop gives its handlers back as it closes, and the interpreter's end takes some milliseconds in which SIGHUP and SIGINT have their default effect. All three are blocked from the drain's end on.

The test sends SIGHUP (broken and good files in turn), SIGTERM and SIGINT each millisecond until the process is gone.

--- a/brackenladder/net/process.py
+++ b/brackenladder/net/process.py
@@ -62,6 +62,9 @@
     gc.freeze()
     await stop.wait()
     await node.drain()
+    # Failure prevented: the loop tends no signal from its end on, and one that comes before the process has
+    # gone ends it as a crash does.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
 
 def run() -> int:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,8 @@
 import json
 import os
 import signal
+from contextlib import suppress
+from itertools import count
 from time import monotonic
 
 import pytest
@@ -76,3 +78,36 @@
             await process.wait()
 
     play(scene)
+
+
+def test_signals_at_any_time_up_to_the_last_instant_change_nothing(tmp_path):
+    """Failure prevented: one that comes once the loop has ended, and nobody tends it, ends the process by itself.
+
+    They come without a pause from the first moment until the process is gone, and so in every part of its end.
+    """
+
+    async def scene():
+        door = await Door().start()
+        program = await Program(tmp_path, door.entry("s0")).start(classes=classes(0.5))
+        texts = [(tmp_path / "config.json").read_text(), "", '{"name": "n0"', "[]"]
+        try:
+            client = await program.client()
+            client.send(call("invite", 15000))
+            await (await door.peer()).read_until(b"\r\n\r\n")
+            program.term()
+            for i in count():
+                if program.process.returncode is not None:
+                    break
+                (tmp_path / "config.json").write_text(texts[i % len(texts)])
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                    with suppress(ProcessLookupError):
+                        program.process.send_signal(number)
+                await asyncio.sleep(0.001)
+            assert program.process.returncode == 0
+            status, headers, _ = await client.receive()
+            assert status >= 500 and status != 503 and headers["connection"] == "close"
+            assert b"Traceback" not in await program.process.stderr.read()
+        finally:
+            await program.stop()
+
+    play(scene)
