--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -81,9 +81,9 @@
 
 
 def test_signals_at_any_time_up_to_the_last_instant_change_nothing(tmp_path):
-    """Failure prevented: one that comes once the loop has ended, and nobody tends it, ends the process by itself.
+    """Failure prevented: one that comes once the loop has ended, and nobody tends it, ends the process.
 
-    They come without a pause from the first moment until the process is gone, and so in every part of its end.
+    They come without a pause from the first moment until the process is gone: so in every part of its end.
     """
 
     async def scene():
