Behind the last answer nothing is sent on; what had come whole before it is answered

Seen, each by a test: (1) a request whose answer is given while it is read (400 for a doubled Host) shuts our side; one with a large body behind it in the same bytes was handed on from within the parser, and its attempt began. (2) Bytes behind a request that says `Connection: close` are an error to the parser: the 400 took the place of the answers still owed. (3) An offer of another protocol, and the node's end, closed the connection with the next answer, also where further requests had come whole before: they got none. (4) Noise behind a request whose answer flows: the 400 was written into the middle of that answer's body and passed for it. Ruled out: such requests run whole at a server (their bodies were not passed on). To blame: on_message_begin, feed and reject in net/callers.py; closes, which did not look at what waits.

Change: nothing that begins after `deaf` is parsed; a request that says close makes the connection deaf with its last byte; an answer says `Connection: close` only when none that came whole waits behind it; once the node ends, no further one is taken behind the first answer. Where an answer flows, noise behind its request ends the connection with that answer, and a request that turns out spoilt under its own answer is reset. Tests also show, without a change: uvloop sets TCP_NODELAY on accepted and on connected sockets; an answer in the write buffer reaches a client that ends its sending then.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -202,9 +202,6 @@
         except httptools.HttpParserUpgrade:
             # The offer of another protocol is passed over, but the parser reads nothing after it.
             self.deaf = True
-            for message in (self.open, *self.waiting):
-                if message is not None:
-                    message.keep = False
         except httptools.HttpParserError:
             self.reject(400)
         if self.partial is not None:
@@ -215,7 +212,8 @@
                 self.reject(413)
 
     def on_message_begin(self) -> None:
-        self.partial = Message()
+        # Failure prevented: what stands behind the end in the same bytes is sent on after our side is shut.
+        self.partial = None if self.deaf else Message()
         self.headed = False
         self.bytes = self.received = 0
         if self.asked:
@@ -314,6 +312,9 @@
         self.asked += 1
         message.whole = True
         message.keep = message.keep and self.parser.should_keep_alive()
+        # Failure prevented: to the parser, bytes behind the last request are an error, which takes the place
+        # of the answers that are still owed.
+        self.deaf = not message.keep
         if message.upload is not None:
             message.upload.whole = True
             if self.open is message:
@@ -366,9 +367,17 @@
         if self.deaf:
             return
         self.deaf = True
-        self.give_up_partial()
         self.forget()
+        if self.flowing and self.open is not self.partial:
+            # Failure prevented: the error lands in the middle of an answer and is taken for a part of it.
+            self.give_up_partial()
+            return
+        self.give_up_partial()
+        flows = self.flowing
         self.drop()
+        if flows:
+            self.cut()
+            return
         self.open = Message(status)
         self.answer(status)
 
@@ -418,16 +427,24 @@
         self.after_answer(message, close)
 
     def closes(self, message: Message) -> bool:
-        """Whether the connection ends with the answer; what has not come whole cannot be read past."""
-        return not message.keep or not message.whole or self.refusing or self.owner.closing
+        """Whether the connection ends with the answer; what has not come whole cannot be read past.
+
+        What has come whole before the end is told is still answered, and nothing behind it is read.
+        """
+        if not message.keep or not message.whole or self.refusing:
+            return True
+        return (self.owner.closing or self.deaf) and not self.waiting
 
     def after_answer(self, message: Message, close: bool) -> None:
         if not message.whole:
             self.partial = None
         if close:
             self.finish(LINGER if message.whole else LINGER_FLOW)
-        else:
-            self.owner.loop.call_soon(self.next)
+            return
+        if self.owner.closing:
+            self.deaf = True
+            self.give_up_partial()
+        self.owner.loop.call_soon(self.next)
 
     def begin_answer(self, headers: bytes, length: int | None, source: Source) -> None:
         """Begins the open request's answer, which flows from `source`; `end_answer` or `cut` must follow."""
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -10,7 +10,7 @@
 import struct
 
 import pytest
-from loopback import PATIENCE, Bench, Server, call, settings, until
+from loopback import OK, PATIENCE, Bench, Client, Server, call, settings, until
 
 from brackenladder.net import callers as callers_module
 from brackenladder.net.callers import Caller, Stage
@@ -384,3 +384,163 @@
     assert not callers.callers
     for end in crowd:
         end.close()
+
+
+# ---- behind the end ----------------------------------------------------------------------------------
+
+WHOLE = call("invite", body=b"x" * 300_000)  # large enough to be handed on with its head
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"GET /view HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",  # answered 400 while it is read
+        b"POST /nowhere HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",  # answered 404 before its body
+    ],
+)
+async def test_what_stands_behind_the_last_answer_in_the_same_bytes_is_not_sent_on(first):
+    """Failure prevented: our side is shut already, and the request has run with nobody to answer to."""
+    bench = await Bench(server := Server()).start()
+    client = await bench.client()
+    client.send(first + (b"x" * 70_000 if b"nowhere" in first else b"") + WHOLE + call("invite"))
+    assert (await client.receive())[0] in (400, 404) and await client.ended()
+    client.writer.close()
+    await until(lambda: not bench.node.callers.callers)
+    assert bench.node.last_id == 0 and not server.connections and bench.node.callers.held == 0
+
+
+async def test_requests_that_have_come_whole_before_the_end_are_answered_and_no_further_one(monkeypatch):
+    turns, read, data_received = asyncio.Semaphore(0), [], Caller.data_received
+    monkeypatch.setattr(
+        Caller, "data_received", lambda self, data: (data_received(self, data), read.append(data))
+    )
+
+    async def waits(request, writer):
+        await turns.acquire()
+        return OK
+
+    bench = await Bench(server := Server(waits)).start()
+    client = await bench.client()
+    client.send(call("invite") + call("invite") + call("invite") + call("invite")[:-9])
+    await until(lambda: len(server.requests) == 1 and len(read) == 1)
+    bench.node.callers.closing = True
+    turns.release()
+    assert "connection" not in (await client.receive())[1]
+    client.send(call("invite")[-9:] + call("invite"))  # who sends ever more does not hold up the end
+    await until(lambda: len(read) == 2)
+    turns.release()
+    assert "connection" not in (await client.receive())[1]
+    turns.release()
+    status, headers, _ = await client.receive()
+    assert status == 200 and headers["connection"] == "close" and await client.ended()
+    client.writer.close()
+    await until(lambda: nothing_left(bench) and not bench.node.callers.callers)
+    assert len(server.requests) == 3 and bench.node.callers.held == 0
+
+
+@pytest.mark.parametrize("last", [b"Connection: close\r\n", b"Connection: upgrade\r\nUpgrade: h2c\r\n"])
+async def test_of_requests_sent_ahead_those_behind_the_last_one_are_not_sent_on(last):
+    bench = await Bench(server := Server()).start()
+    client = await bench.client()
+    client.send(call("invite") + call("invite", extra=last) + call("invite"))
+    assert [(await client.receive())[0] for _ in range(2)] == [200, 200] and await client.ended()
+    client.writer.close()
+    await until(lambda: nothing_left(bench) and not bench.node.callers.callers)
+    assert len(server.requests) == 2
+
+
+# ---- answers that are still on their way -------------------------------------------------------------
+
+
+async def flowing(bench: Bench, request: bytes) -> Client:
+    """A client that has got the begin of an answer of 300,000 bytes."""
+    client = await bench.client()
+    client.send(request)
+    assert b" 200 " in await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), PATIENCE)
+    assert await client.reader.readexactly(100_000) == b"y" * 100_000
+    return client
+
+
+def long_answer(more: asyncio.Event, length: bytes = b"Content-Length: 300000\r\n"):
+    async def serve(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n%b" % (length, b"y" * 100_000))
+        await more.wait()
+        return b"y" * 200_000
+
+    return Server(serve)
+
+
+async def test_noise_behind_a_request_does_not_land_in_its_answer():
+    """Failure prevented: the 400 is written into the body of the answer that flows, and passes for it."""
+    bench = await Bench(long_answer(more := asyncio.Event())).start()
+    client = await flowing(bench, call("invite"))
+    client.send(b"nonsense\r\n\r\n")
+    await until(lambda: all(c.deaf for c in bench.node.callers.callers))
+    more.set()
+    assert await asyncio.wait_for(client.reader.read(), PATIENCE) == b"y" * 200_000
+    client.writer.close()
+
+
+async def test_a_request_that_turns_out_spoilt_under_its_answer_resets_it():
+    async def early(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"y" * 100_000)
+
+    bench = await Bench(Server(early)).start()
+    begun = call("invite")[:-2].replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    client = await flowing(bench, begun + b"\r\n" + b"11000\r\n" + b"x" * 0x11000 + b"\r\n")
+    client.send(b"nonsense\r\n")
+    with pytest.raises(ConnectionResetError):
+        await asyncio.wait_for(client.reader.read(), PATIENCE)
+    await until(lambda: nothing_left(bench) and bench.node.callers.held == 0)
+
+
+async def test_an_answer_without_a_length_does_not_look_whole_to_who_ends_its_sending():
+    """Failure prevented: what was written of it is flushed, and our orderly end delimits it."""
+    chunked = b"Transfer-Encoding: chunked\r\n"
+    bench = await Bench(server := long_answer(asyncio.Event(), chunked)).start()
+
+    async def serve(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n186a0\r\n%b\r\n" % (chunked, b"y" * 100_000))
+        await asyncio.Event().wait()
+
+    server.handle = serve
+    client = await flowing(bench, call("invite").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    client.writer.write_eof()
+    with pytest.raises(ConnectionResetError):
+        await asyncio.wait_for(client.reader.read(), PATIENCE)
+    await until(lambda: nothing_left(bench))
+
+
+async def test_an_answer_that_is_still_in_the_buffer_reaches_who_ends_its_sending_then():
+    body = b"z" * 60_000  # held, and more than the small buffers below take
+
+    async def large(request, writer):
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    bench = await Bench(Server(large)).start()
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", bench.port))
+    caller = await taken(bench, client)
+    caller.set_option(socket.SO_SNDBUF, 4096)
+    client.sendall(call("invite"))
+    await until(lambda: caller.asked == 1 and caller.open is None and caller.unsent())
+    half_close(client)
+    await until(lambda: caller.stage is Stage.HALF_CLOSED)
+    assert (await rest_of(client)).endswith(b"\r\n\r\n" + body)
+    client.close()
+
+
+async def test_small_writes_go_out_at_once_on_both_sides():
+    """Failure prevented: what the kernel holds back for company goes with a reset."""
+    bench = await Bench(server := Server()).start()
+    client = plain(bench)
+    caller = await taken(bench, client)
+    client.sendall(call())
+    await until(lambda: len(server.requests) == 1 and caller.open is None)
+    (endpoint,) = bench.node.pool.endpoints.values()
+    for transport in (caller.transport, endpoint.idle[0].transport):
+        number = transport.get_extra_info("socket").fileno()
+        with socket.socket(fileno=socket.dup(number)) as s:
+            assert s.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1
+    client.close()
