A pipelined request's time runs from its last byte, also while it waits its turn

Ruled out: the guard (it runs from the same instant). To blame: Node.accept, which counted the budget from the hand-on by Caller.next. Change: a message keeps when its last byte was read; what it has waited behind others is taken off its time. One whose time is over is refused at once and the module does not hear of it.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -97,6 +97,7 @@
         "body",
         "upload",
         "whole",
+        "whole_at",
         "keep",
         "version",
         "size",
@@ -113,6 +114,7 @@
         self.body = b""  # once it is whole, unless it flows
         self.upload: Upload | None = None  # the body if it flows
         self.whole = error != 0
+        self.whole_at = 0.0  # the loop's time at which its last byte was read
         self.keep = error == 0
         self.version = "1.1"
         self.size = 0  # bytes that count as held while it waits or is open
@@ -311,6 +313,7 @@
             return
         self.asked += 1
         message.whole = True
+        message.whole_at = self.active
         message.keep = message.keep and self.parser.should_keep_alive()
         # Failure prevented: to the parser, bytes behind the last request are an error, which takes the place
         # of the answers that are still owed.
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -522,7 +522,13 @@
             # server has made, eject servers and close the limit to everybody else.
             self.turn_away(caller, klass, 409)
             return
-        left = self.capped(int(budget) * 1000)
+        # The time that it has waited behind others on its connection.
+        waited = max(0, int((self.loop.time() - message.whole_at) * 1e6)) if message.whole else 0
+        if 0 < int(budget) * 1000 <= waited:
+            # Failure prevented: a request's time begins with its turn, and it is answered late.
+            self.turn_away(caller, klass, 503)
+            return
+        left = self.capped(int(budget) * 1000 - waited)
         self.last_id += 1
         most = self.settings.max_attempts
         window = WINDOWS[effect] if effect != Effect.KEYED else self.settings.classes[klass].window
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -449,6 +449,19 @@
     assert len(server.requests) == 2
 
 
+async def test_the_time_of_a_request_sent_ahead_runs_from_its_last_byte():
+    async def hangs(request, writer):
+        return None
+
+    bench = await Bench(server := Server(hangs)).start()
+    client = await bench.client()
+    client.send(call("invite", 100) + call("invite", 100) + call("invite", 60_000))
+    assert [(await client.receive())[0] for _ in range(2)] == [502, 503]
+    await until(lambda: len(server.requests) == 2)
+    assert 59_000 < int(server.requests[1].headers["x-budget-ms"]) < 60_000
+    client.writer.close()
+
+
 # ---- answers that are still on their way -------------------------------------------------------------
 
 
