Refuse at the process's end what no server has got, and fail only what may have run

Seen on the real program: a request of a class that may not run twice waits for a connection that never comes up when SIGTERM arrives; at the process's end it was failed (504), which its client may not repeat, though nothing had been written to any server. To blame: Node.cut_short, new with the cap on open requests, answered without asking how far the attempt had come.

The attempt now ends first, as at its time-out, so that it is known whether the server may have run it.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -359,9 +359,15 @@
                 request.guard = self.loop.call_later(left / 1e6, self.cut_short, request)
 
     def cut_short(self, request: Open) -> None:
-        """The process has no more time for a request that the module could have kept for longer."""
-        self.conclude(request.id, 504)
-        self.post(self.balancer.client_left, request.id)
+        """The process has no more time for a request that the module could have kept for longer.
+
+        What cannot have run is refused: its client may come again elsewhere, whatever the class.
+        """
+        if request.out is not None:
+            request.out.expire()
+        if request.caller is not None:
+            self.conclude(request.id, 504 if request.ran_at else 503)
+            self.post(self.balancer.client_left, request.id)
 
     def now(self) -> int:
         """Unix time at the start plus what has passed since, in microseconds: it never goes back."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,6 +11,7 @@
 import pytest
 from loopback import MOMENT, PATIENCE, Client, Discovery, call, play, settings, until
 from program import Door, Program, connected, free_port, node_table, spawn
+from test_node import cut_off
 
 
 def classes(deadline: float) -> list[dict]:
@@ -50,6 +51,31 @@
     play(scene)
 
 
+def test_what_no_server_has_got_by_the_end_is_refused_not_failed(tmp_path):
+    """Failure prevented: a request that may not run twice, and never ran, is given up for good."""
+
+    async def scene():
+        with cut_off() as port:
+            entry = (await Door().start()).entry("s0", addr=f"127.0.0.1:{port}")
+            config = {"control": f"127.0.0.1:{(control := free_port())}"}
+            program = await Program(tmp_path, entry, config=config).start(classes=classes(0.5))
+            try:
+                client = await program.client()
+                client.send(call("invite", 15000))
+                figures: dict = {}
+                while not figures.get("outstanding"):  # it waits for a connection that never comes up
+                    operator = await Client(control).open()
+                    _, _, body = await operator.ask(b"GET /admin/stats HTTP/1.1\r\n\r\n")
+                    figures = json.loads(body)
+                    operator.writer.close()
+                program.term()
+                assert (await client.receive())[0] == 503
+            finally:
+                await program.stop()
+
+    play(scene)
+
+
 def test_sighup_before_the_node_tends_it_is_kept_and_heard(tmp_path):
     """Failure prevented: the process ends of it, or the file that it tells of is never read.
 
