Servers: how long connections may idle is learned for each server, from closes at the same age

Seen: one connection that a server closed while it stood idle cut the time to idle to half of its age, to a tenth of a second at the least, for all connections to all servers, and that faded within two minutes only (`Pool.closed_idle`).

A server has a time of its own when three closes in a row come at the same age, within a tenth. Then its connections are given up 0.3 s before it (half of it, if that is less), as with the time that the settings tell. Closes at any age, by a reset or right after an answer teach nothing, and what one server does says nothing of the others.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -38,6 +38,8 @@
 AFTER_ANSWER = 0.05  # a close within so many seconds of an answer tells nothing of the time to idle
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
+ALIKE = 3  # closes in a row whose ages show that a server has a time of its own...
+ALIKE_WITHIN = 0.1  # ...if they are apart by no more than this part of the greatest
 CROSSING = 0.05  # seconds after a request within which bytes may come that were sent before it was there
 LATEST = 2.0  # seconds within which a connection may come up: a lost SYN is sent again after one
 SPARE = 2  # connections to one server that may still come up after the attempts that asked for them
@@ -84,7 +86,7 @@
 class Endpoint:
     """One server's address and this node's connections to it."""
 
-    __slots__ = ("host", "port", "started", "ready", "opening", "waiting", "idle", "busy")
+    __slots__ = ("host", "port", "started", "ready", "opening", "waiting", "idle", "busy", "ages", "bears")
 
     def __init__(self, host: str, port: int, started: int) -> None:
         self.host = host
@@ -95,6 +97,21 @@
         self.waiting: deque[Exchange] = deque()  # what the first connection that is good is for
         self.idle: list[Connection] = []  # the most recently used last
         self.busy = 0  # exchanges that have begun and not ended
+        self.ages: list[float] = []  # seconds that connections were idle which this server closed, the latest
+        self.bears = inf  # seconds that it lets connections idle, as far as that shows
+
+    def closed_idle(self, age: float) -> None:
+        """The server has closed a connection that was idle for `age` seconds.
+
+        Failure prevented: it closes sooner than the settings say; a request that is written as it does is
+        reset, counts as one that may have run, and such losses are taken for overload. Closes at any age
+        tell nothing of the next one: to go by them costs a handshake for almost each request.
+        """
+        if age <= AFTER_ANSWER:
+            return
+        self.ages = ages = [*self.ages[1 - ALIKE :], age]
+        if len(ages) == ALIKE and min(ages) >= max(ages) * (1 - ALIKE_WITHIN):
+            self.bears = max(LEAST_IDLE, min(ages) - min(IDLE_MARGIN, min(ages) / 2))
 
     def retire(self) -> None:
         """Nothing new goes here; what is out may finish."""
@@ -419,8 +436,8 @@
         return exchange
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.endpoint.ready and self in self.endpoint.idle:
-            self.pool.closed_idle(self.pool.loop.time() - self.idle_since)
+        if exc is None and self in self.endpoint.idle:  # a reset is a crash's, or the network's
+            self.endpoint.closed_idle(self.pool.loop.time() - self.idle_since)
         self.pool.lost(self)
         self.broken()
 
@@ -589,7 +606,6 @@
         self.loop = loop
         self.most = most
         self.budget = budget
-        self.idle_time = inf
         self.hit_header = b""  # of answers, in lower case; empty: none is looked at
         self.renew(connect_timeout, idle_time)
         self.open = 0
@@ -599,17 +615,17 @@
         self.sweeping = False
 
     def renew(self, connect_timeout: float, idle_time: float) -> None:
-        """Sets the settings' times. What was learned of the time to idle stays, within them."""
+        """Sets the settings' times."""
         self.connect_timeout = connect_timeout
-        self.most_idle = max(idle_time - IDLE_MARGIN, idle_time / 2)
-        self.idle_time = min(self.idle_time, self.most_idle)
+        self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
 
     def take(self, endpoint: Endpoint) -> Connection | None:
         """The most recently used idle connection that is still good."""
         now = self.loop.time()
         while endpoint.idle:
             connection = endpoint.idle.pop()
-            if now - connection.idle_since < self.idle_time and not connection.spoken_to():
+            age = now - connection.idle_since
+            if age < min(self.idle_time, endpoint.bears) and not connection.spoken_to():
                 return connection
             connection.close()
         return None
@@ -636,9 +652,10 @@
         """Closes what has stood idle for long, before the server does."""
         now = self.loop.time()
         self.sweeping = False
-        self.idle_time = min(self.most_idle, self.idle_time * IDLE_REGAIN)
-        most = max(self.idle_time - SWEEP, self.idle_time / 2)
         for endpoint in list(self.resting):
+            endpoint.bears *= IDLE_REGAIN
+            most = min(self.idle_time, endpoint.bears)
+            most = max(most - SWEEP, most / 2)
             while endpoint.idle and now - endpoint.idle[0].idle_since > most:
                 endpoint.idle.pop(0).close()
             if endpoint.idle:
@@ -648,15 +665,6 @@
         if self.sweeping:
             self.loop.call_later(SWEEP, self.sweep)
 
-    def closed_idle(self, age: float) -> None:
-        """A server has closed a connection that was idle for `age` seconds.
-
-        Failure prevented: servers close sooner than the settings say; a request that is written as they do
-        is reset, counts as one that may have run, and such losses are taken for overload.
-        """
-        if age > AFTER_ANSWER:
-            self.idle_time = max(LEAST_IDLE, min(self.idle_time, age / 2))
-
     def has_room(self) -> bool:
         """Whether one more connection fits the budget; one that nothing waits for makes room, or the one
         that was idle longest."""
