Servers: an answer that never ends is cut off after its time, and a half-closed server ends its attempt

Seen: an answer whose length is not told flows from 16 KiB on, and from then on only ten seconds without a byte or 32 MiB ended it (`Exchange.begin`, `watch`): a server that sends a little of a small body and never its end kept the client waiting for as long as it liked. Bodies above 64 KiB are timed by their first bytes and stay as they are; so does what is late since the client takes it slowly.

Seen: when a server ends its sending, the loop closes the connection, but waits until all that was written has gone out before it says so. A server that reads no further kept the attempt, whole and small, for its whole time (an upload for ten seconds). `eof_received` now ends what is open there: an answer that neither a length nor chunks delimit is whole, everything else is broken, and never ran if it was not written whole. Ruled out: an answer without a length that is reset is not taken for whole. uvloop tells of a reset by `connection_lost`, never by `eof_received`; tested bare, held and flowing, for both ends.

--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -3,9 +3,12 @@
 import asyncio
 import os
 import socket
+from contextlib import suppress
+from types import SimpleNamespace
 
 import pytest
 from loopback import MOMENT, Bench, Server, call, until
+from program import reset
 
 from brackenladder.interface import Outcome
 from brackenladder.net.servers import SPARE, Connection, Exchange
@@ -230,3 +233,130 @@
         Connection.connection_made = made
     await until(lambda: going.closed == going.connections == 1)
     assert not going.requests and bench.node.pool.open == 0
+
+
+# ---- what ends, and what does not ---------------------------------------------------------------------
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"  # neither a length nor chunks: its end is the connection's
+
+
+@pytest.mark.parametrize("size", [0, 100, 40000], ids=["bare", "held", "flowing"])
+@pytest.mark.parametrize("end", ["reset", "end"])
+@pytest.mark.parametrize("klass", ["invite", "view"])
+async def test_an_answer_without_a_length_is_whole_at_its_end_and_never_at_a_reset(klass, end, size):
+    """Failure prevented: what came before a reset is served as the whole answer."""
+
+    async def part(request, writer):
+        writer.write(HEAD + b"x" * size)
+        if size <= 100:
+            await until(lambda: held(bench) == size and headed(bench))
+        else:
+            await until(lambda: any(c.flowing for c in bench.node.callers.callers))
+        reset(writer) if end == "reset" else writer.close()
+
+    bench = await Bench(server := Server(part)).start()
+    client = await bench.client()
+    client.send(call(klass, extra=b"Connection: close\r\n"))
+    answer = b""
+    with suppress(ConnectionError):
+        answer = await asyncio.wait_for(client.reader.read(), 20) if size > 100 else await told(client)
+    if end == "end":
+        assert answer.startswith(b"HTTP/1.1 200 ") and answer.count(b"x") == size
+        assert size <= 100 or answer.endswith(b"\r\n0\r\n\r\n")
+    elif size <= 100:
+        assert answer.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 503 "))
+    else:
+        assert not answer.endswith(b"\r\n0\r\n\r\n")  # cut off: the client can tell
+    if klass == "invite":
+        assert len(server.requests) == 1
+
+
+def busy_ones(bench: Bench):
+    return [r.out.connection for r in bench.node.requests.values() if r.out and r.out.connection]
+
+
+def held(bench: Bench) -> int:
+    return sum(c.received for c in busy_ones(bench))
+
+
+def headed(bench: Bench) -> bool:
+    return any(c.headed for c in busy_ones(bench))
+
+
+async def told(client) -> bytes:
+    status, headers, body = await client.receive()
+    return b"HTTP/1.1 %d \r\n\r\n%b" % (status, body)
+
+
+async def test_a_server_that_ends_its_side_and_reads_no_further_ends_the_attempt(monkeypatch):
+    """Failure prevented: the loop tells of the end once all that was written is gone, which the server does
+    not read any more, and the request waits out its time."""
+    made = Connection.connection_made
+
+    def small(self, transport):  # so that the kernel never takes the whole request
+        with socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(self, transport)
+
+    monkeypatch.setattr(Connection, "connection_made", small)
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        entry = Server.entry(SimpleNamespace(port=listener.getsockname()[1]), "s0")
+        bench = await Bench(config={"known": {"version": 41, "full": True, "servers": [entry]}}).start()
+        client = await bench.client()
+        client.send(call("invite", body=b"x" * 65536, budget=60000))
+        end, _ = await asyncio.get_running_loop().sock_accept(listener)
+        await until(lambda: any(c.blocked for c in busy_ones(bench)))
+        listener.close()
+        with end:
+            end.shutdown(socket.SHUT_WR)
+            assert (await client.receive())[0] == 503  # it never came whole, so it has not run
+    assert not bench.node.requests
+
+
+@pytest.mark.parametrize("framing", [b"Transfer-Encoding: chunked\r\n", b""], ids=["chunks", "no length"])
+async def test_a_small_answer_that_never_ends_is_cut_off_after_its_time(framing):
+    """Failure prevented: what flows has no time limit, and the client waits without end."""
+    chunk = b"x" * 20000
+
+    async def endless(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
+        writer.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if framing else chunk)
+
+    bench = await Bench(server := Server(endless)).start()
+    client = await bench.client()
+    client.send(call("invite", budget=400))
+    with suppress(ConnectionError):
+        answer = await asyncio.wait_for(client.reader.read(), 5)
+        assert not answer.endswith(b"0\r\n\r\n")
+    await until(lambda: server.closed == 1)
+    assert not bench.node.requests and len(server.requests) == 1
+
+
+@pytest.mark.parametrize(("size", "slowly"), [(70000, False), (20000, True)], ids=["large", "taken slowly"])
+async def test_an_answer_that_the_server_still_gives_goes_on_after_its_time(size, slowly):
+    """Failure prevented: one that is large, or late through its client's fault, is cut off."""
+    body, more = b"x" * size, asyncio.Event()
+
+    async def slow(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"%x\r\n%b\r\n" % (len(body), body))
+        await more.wait()
+        return b"2\r\nok\r\n0\r\n\r\n"
+
+    bench = await Bench(Server(slow)).start()
+    client = await bench.client()
+    client.send(call("invite", budget=300, extra=b"Connection: close\r\n"))
+    await until(lambda: bool(busy_ones(bench)) and held(bench) >= size)
+    (connection,) = busy_ones(bench)
+    if slowly:
+        connection.pause()
+        connection.resume()
+    connection.exchange.overdue()  # its time is up
+    more.set()
+    answer = await asyncio.wait_for(client.reader.read(), 20)
+    assert answer.count(b"x") == size and answer.endswith(b"2\r\nok\r\n0\r\n\r\n")
