Discovery: fresh calls beside late ones, no back-off, and one derived bound for a change in hand

Need: a change counts as told 6 s after discovery had it and could be reached, whatever call failed before; 4 s after a move. Seen, with an agent that breaks four calls in a row and could be reached from the last one on: a polled list was in hand after 4.51 s (silent) and 2.51 s (refused, reset, unreadable); by its constants 5.75 s, plus a second fault. After a move with four silent calls 4.58 s, over its 4 s.

Lines to blame: `Discovery.silence` doubled its patience up to 2 s with each failure; `Balancer.server_list` backs off up to 3.75 s after FAILED, and only its timer asked again for polled lists; a call was out alone. Found by the same tests: a 200 without a length was never read; the rest of a long list from the old address was told after a move, ended the new list and replaced it (`read_long` looked at the address once); a whole list of a lower version that had been overtaken was taken; a short whole list ended a long one half-way; no watch was open until a long list's last part; an agent that numbers anew was never heard again; one that does not wait was asked as fast as it answered; `watch(True)` after `stop` began a call; `/ready` said yes at the first part of a long list. Ruled out: short answers and polls of an old address, which end with the move; a move to the same address, which moves nothing; silent polls; indented lists; names twice in a list.

Change: one watch, one clock. A call that owes bytes and is silent for 0.3 s, or comes for 2 s, is late: a fresh one goes out beside it, five at most, and the first usable answer ends the others. Nothing backs off, so no failure adds to the next. `bound` derives 3.4 s (2.4 s after a move) and is held against 6 s and 4 s. The module still hears FAILED; a pushed list's timer in the node is gone. A move cancels what is read, and the next whole list is told twice where another was cut short, so that nothing named by that one stays.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 from random import random
 from time import monotonic
 from typing import cast
@@ -15,10 +16,17 @@
 from brackenladder.net.log import Log
 
 WAIT_MS = 1_000  # a watch with no news lasts so long: the agent is on this machine, empty answers are free
-SILENCE, SILENCE_MOST = 0.5, 2.0  # a call that brings nothing for so long has failed; doubles each time
-FETCH_TIME = 3.0  # an answer that comes bit by bit has so long...
-LEAST_RATE = 200_000  # ...and a second more for so many bytes
+SILENCE = (
+    0.3  # a call that owes bytes and has brought none for so long is late: a fresh one goes out beside it
+)
+FETCH_TIME = 2.0  # so is one whose answer comes bit by bit, after so long
+AGAIN = 0.1  # seconds between two fresh calls that fail, or are answered, at once
+CALLS = 5  # calls of the watch that are out together at most: descriptors are set aside for them
+LIFE = CALLS * SILENCE  # a late call is still heard until it has been silent for so long, and...
+LEAST_RATE = 200_000  # ...while it has brought so many bytes a second since it was late
+ANSWER = 0.3  # seconds in which an agent that can be reached has answered, and the answer is read
 SETTLE = 1.0  # a process whose agent has not answered for so long goes by the list that it was started with
+SETTLE_LONG = 5.0  # the same while a list is coming or being read
 POLL_GAP = 0.3  # seconds between two polls, on average, of an agent whose list looks old
 LARGEST_ANSWER = 20 << 20  # a list of 100,000 servers
 LONG_ANSWER = 64 << 10  # beyond this it is read in parts
@@ -27,38 +35,60 @@
 Told = Callable[[Listing | None, bool], None]  # the second tells that more of a list is to come
 
 
+def bound(wait: float = WAIT_MS / 1000) -> float:
+    """Seconds from a change that discovery has, and can be asked for, to the list in hand, at the most.
+
+    The newest call that is out may wait `wait` seconds (0: none may, as after a move). Then it is late, for
+    its silence or for the time that its answer takes, and a fresh one goes out; one that fails is followed
+    by a fresh one after AGAIN; and a fresh one is answered within ANSWER. Nothing backs off, so what failed
+    before adds nothing. A list beyond LONG_ANSWER takes its time to come and to be read besides.
+    """
+    return wait + max(SILENCE, FETCH_TIME) + AGAIN + ANSWER
+
+
 class Call(asyncio.Protocol):
-    """A connection to discovery, one call at a time. `told` gets each answer, and None once at failure."""
+    """One connection to discovery, with one call at a time.
+
+    `told` gets each answer, and None once at the connection's end; `delayed` hears of a call that is late,
+    again and again as long as it is.
+    """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         told: Callable[[Call, bytearray | None], None],
+        delayed: Callable[[Call], None],
     ) -> None:
         self.loop = loop
         self.address = address
         self.told = told
+        self.delayed = delayed
         self.transport: asyncio.Transport | None = None
         self.over = False
-        self.asks = 0
+        self.closed = False  # by its last answer: no further call
+        self.headed = self.framed = self.complete = self.late = False
+        self.began = self.wait = 0.0
+        self.since: int | None = None  # the version in hand when it was made...
+        self.taken = 0  # ...and the answers that had been taken up by then
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
-    def ask(self, path: str, wait: float, silence: float) -> None:
-        """Makes a call that may wait `wait` seconds, and from then on be silent for `silence` at a time."""
+    def ask(self, path: str, wait: float) -> None:
+        """Makes a call that may wait `wait` seconds, and from then on owes bytes."""
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
-        self.asks += 1
-        self.wait, self.silence = wait, silence
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        self.complete = False
-        if self.transport is None:
-            self.limit(silence)
-            self.task = self.loop.create_task(self.connect())
+        self.headed = self.framed = self.complete = self.late = False
+        self.began, self.wait = self.loop.time(), wait
+        self.last = self.began + wait  # since when it owes bytes
+        self.latest = self.last + FETCH_TIME
+        self.look_after(wait + SILENCE)
+        if self.transport is not None:
+            self.transport.write(self.request)
         else:
-            self.write()
+            self.task = self.loop.create_task(self.connect())
 
     async def connect(self) -> None:
         try:
@@ -71,44 +101,70 @@
         if self.over:  # it came up as its time ran out
             self.hang_up()
         else:
-            self.write()
-
-    def write(self) -> None:
-        assert self.transport is not None
-        self.ends = self.loop.time() + self.wait + FETCH_TIME
-        self.limit(self.wait + self.silence)
-        self.transport.write(self.request)
+            self.transport.write(self.request)
 
-    def limit(self, time: float) -> None:
-        """The step that begins now has so many seconds."""
+    def look_after(self, time: float) -> None:
+        """Looks at the call in so many seconds."""
         self.unlimit()
-        self.timer = self.loop.call_later(time, self.fail)
+        self.timer = self.loop.call_later(time, self.look)
 
     def unlimit(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
 
+    def look(self) -> None:
+        """The one clock of silence: finds the call late, and ends it after that.
+
+        Failure prevented: a list that takes long to come is given up, or one that stops half-way is waited
+        for, or one that comes by the byte.
+        """
+        now = self.loop.time()
+        due = min(self.last + SILENCE, self.latest)
+        if not self.late and now < due:
+            self.look_after(due - now)
+        elif now >= min(self.last + LIFE, self.latest + len(self.body) / LEAST_RATE):
+            self.fail()
+        else:
+            self.late = True
+            self.look_after(SILENCE)
+            self.delayed(self)
+
     def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.last = self.loop.time()
+        unasked = self.complete  # nothing is asked while an answer is read
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail()
             return
-        if len(self.body) > LARGEST_ANSWER:
+        if unasked or len(self.body) > LARGEST_ANSWER:
             self.fail()
-        elif self.complete and not self.over:
-            self.unlimit()  # however long the list takes to read
-            if self.parser.get_status_code() != 200:
-                self.fail()
-                return
-            if not self.keep:
-                self.hang_up()
-            self.told(self, self.body)
-        elif not self.over:
-            # Failure prevented: a list that takes long to come is given up, or one that stops half-way is
-            # waited for, or one that comes by the byte.
-            left = self.ends + len(self.body) / LEAST_RATE - self.loop.time()
-            self.limit(max(0.0, min(self.silence, left)))
+        elif self.complete:
+            self.answered(self.keep)
+
+    def eof_received(self) -> None:
+        """An answer without a length ends with its connection; a reset is no end."""
+        if self.headed and not self.framed and not self.complete and not self.over:
+            self.complete = True
+            self.answered(False)
+
+    def answered(self, keep: bool) -> None:
+        self.unlimit()  # however long the list takes to read
+        if self.parser.get_status_code() != 200:
+            self.fail()
+            return
+        if not keep:
+            self.closed = True
+            self.hang_up()
+        self.told(self, self.body)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.framed = self.framed or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        self.headed = True
 
     def on_body(self, body: bytes) -> None:
         if len(self.body) <= LARGEST_ANSWER:
@@ -148,11 +204,13 @@
 
     With no version, nothing has been heard from this address: the watch begins with the whole list.
 
-    Failure prevented: an agent's connection stays open and says nothing more, and requests go to servers
-    that have left. What it has counts as told; of what a silent call missed, what came up to 6 s before (4 s
-    after a move). The answer is in hand before that: a watch is renewed each second, so silence shows within
-    one and a half; whoever asks on a new connection is answered at once, and the next silence shows in half a
-    second. Silence is counted from the last byte, so a long list gets through.
+    The watch is a call that is renewed with each answer. Once it is late, a fresh call goes out on a
+    connection of its own, then the next, with no back-off: the agent is on this machine. The older ones are
+    still heard for a while, since an agent may be slow, or may answer what it held back once it returns. The
+    first usable answer makes its call the watch, and ends the others. `bound` derives how long that takes.
+
+    Failure prevented: an agent's connection stays open and says nothing more, or calls fail and are asked
+    again later each time, and requests go to servers that have left.
     """
 
     def __init__(
@@ -168,13 +226,20 @@
         self.version = version
         self.told = told
         self.log = log
-        self.watching: Call | None = None
+        self.on = False
+        self.stopped = False
+        self.calls: list[Call] = []  # all that are out, the newest last
+        self.watching: Call | None = None  # the newest of the watch's
         self.fetching: Call | None = None
         self.polling: Call | None = None
+        self.asked = -inf  # when the watch's newest connection was begun
+        self.timer: asyncio.TimerHandle | None = None  # until the next one is
         self.next_poll = 0.0
         self.failures = 0  # calls in a row that brought nothing of use
         self.began: float | None = None  # when this address was first asked
         self.heard = False  # it has answered since
+        self.taken = 0  # answers that have been taken up
+        self.partial = False  # a part of a whole list has been told, and the rest has not
         self.reading: set[asyncio.Task[None]] = set()  # of long lists
         self.turn = asyncio.Lock()
         self.dropped = 0  # answers in a row that could not be used...
@@ -182,14 +247,15 @@
 
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
-        if on and self.watching is None:
-            if self.began is None:
-                self.began = self.loop.time()
-            self.watching = Call(self.loop, self.address, self.watched)
-            self.renew(self.watching)
-        elif not on and self.watching is not None:
-            self.watching.end()
-            self.watching = None
+        if self.stopped or on == self.on:
+            return
+        self.on = on
+        if not on:
+            self.close()
+            return
+        if self.began is None:
+            self.began = self.loop.time()
+        self.ask()
 
     def move(self, address: tuple[str, int]) -> None:
         """Asks at another address from now on; whatever the old one may still say is not heard.
@@ -198,29 +264,123 @@
         number misses changes, or the new list is taken for an old one.
         """
         self.close()
+        for task in self.reading:
+            task.cancel()
         self.address = address
         self.version = None
         self.failures = 0
-        self.watch(True)
+        if not self.stopped:
+            self.on = True
+            self.ask()
 
     def settled(self) -> bool:
-        """Whether the list in hand is what the agent has, or the agent has been silent for SETTLE seconds.
+        """Whether the list in hand is what the agent has, or there is none to be had within SETTLE seconds,
+        SETTLE_LONG while one is coming or being read.
 
         Failure prevented: a process begins with the list that it held at its last end, and sends its first
         requests to servers that have drained in the meantime.
         """
-        return self.heard or self.began is not None and self.loop.time() >= self.began + SETTLE
+        if self.heard and not self.reading:
+            return True
+        time = -inf if self.began is None else self.loop.time() - self.began
+        coming = self.reading or any(call.body for call in self.calls)
+        return time >= (SETTLE_LONG if coming else SETTLE)
+
+    # ---- the watch ------------------------------------------------------------------------------------
+
+    def open(self, told: Callable[[Call, bytearray | None], None]) -> Call:
+        call = Call(self.loop, self.address, told, self.delayed)
+        self.calls.append(call)
+        return call
 
-    def silence(self) -> float:
-        """Seconds without a byte after which a call has failed: longer where the last ones have."""
-        return min(SILENCE_MOST, SILENCE * 2.0 ** min(self.failures, 8))
+    def end(self, call: Call) -> None:
+        """Nothing more is heard of a call."""
+        call.end()
+        if call in self.calls:
+            self.calls.remove(call)
 
-    def renew(self, call: Call) -> None:
+    def renew(self, call: Call, wait: int) -> None:
+        """Asks what is newer than the list in hand; the whole list if there is none from this address."""
+        call.since, call.taken = self.version, self.taken
         if self.version is None:
-            call.ask("/v1/endpoints", 0.0, self.silence())
+            call.ask("/v1/endpoints", 0.0)
+        else:
+            call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000)
+
+    def ask(self, wait: int = 0) -> None:
+        """Asks on a fresh connection, beside the calls that are late."""
+        self.asked = self.loop.time()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        ours = [call for call in self.calls if call not in (self.fetching, self.polling)]
+        if len(ours) >= CALLS:
+            stillest = min(ours, key=lambda call: call.last)
+            if stillest.last + SILENCE > self.asked:
+                return  # each brings something; the newest looks again
+            self.end(stillest)
+        self.watching = self.open(self.watched)
+        self.renew(self.watching, wait)
+
+    def ask_again(self) -> None:
+        """The watch's newest call has failed: the next one goes out at once, unless this one had just begun.
+
+        Failure prevented: an agent that closes idle connections, or answers with what cannot be read, is
+        asked again late; or one that refuses is asked without a pause.
+        """
+        if self.on and self.timer is None:
+            self.timer = self.loop.call_later(max(0.0, self.asked + AGAIN - self.loop.time()), self.ask)
+
+    def delayed(self, call: Call) -> None:
+        """A call is late. It is still heard."""
+        if call is self.watching:
+            self.fail()
+            self.ask()
+        elif call is self.polling:
+            self.polled(call, None)
+
+    def watched(self, call: Call, body: bytearray | None) -> None:
+        if body is None:
+            self.after_watch(call, False)
+        else:
+            self.read(body, lambda usable: self.after_watch(call, usable), call.taken)
+
+    def after_watch(self, call: Call, usable: bool) -> None:
+        """The watch's answer has been told, or cannot be used."""
+        if call not in self.calls:
+            return  # another one has been heard, or another address is asked
+        if usable:
+            self.go_on(call)
             return
-        wait = WAIT_MS if call.asks else 0
-        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", wait / 1000, self.silence())
+        self.end(call)
+        if call is self.watching:
+            self.watching = None
+            self.ask_again()
+            self.fail()
+
+    def go_on(self, call: Call) -> None:
+        """The watch goes on with this call's connection; no other is waited for."""
+        for other in list(self.calls):
+            if other not in (call, self.fetching):
+                self.end(other)
+        self.watching, self.polling = call, None
+        # Failure prevented: an agent that does not wait is asked as fast as it answers.
+        hasty = call.wait > 0 and self.version == call.since and self.loop.time() < call.began + AGAIN
+        if call.closed:
+            self.end(call)
+            self.watching = None
+            self.ask_again() if hasty else self.ask(WAIT_MS)
+        elif hasty:
+            call.timer = self.loop.call_later(AGAIN, self.renew, call, WAIT_MS)
+        else:
+            self.renew(call, WAIT_MS)
+
+    def fail(self) -> None:
+        """Tells that a call brought nothing of use."""
+        self.failures += 1
+        self.told(None, False)
+
+    # ---- other calls ----------------------------------------------------------------------------------
 
     def doubt(self) -> None:
         """A listed server turned a call away or was not there: asks at once whether the list has changed.
@@ -229,95 +389,108 @@
         fallen silent, and until that shows each request is tried at servers that drain.
         """
         now = self.loop.time()
-        if self.version is None or self.polling is not None or now < self.next_poll:
+        if self.stopped or self.version is None or self.polling is not None or now < self.next_poll:
             return
         self.next_poll = now + POLL_GAP * (0.5 + random())
-        self.polling = Call(self.loop, self.address, self.polled)
-        self.polling.ask(f"/v1/endpoints?since={self.version}&timeout_ms=0", 0.0, self.silence())
+        self.polling = self.open(self.polled)
+        self.renew(self.polling, 0)
 
     def polled(self, call: Call, body: bytearray | None) -> None:
-        call.end()
         self.polling = None
         if body is None:
+            self.end(call)
             self.next_poll = 0.0  # a silent poll is broken as well: the next doubt asks again
             return
-        before = self.version
-        self.read(body, lambda usable: self.after_poll(usable and self.version != before))
-
-    def after_poll(self, news: bool) -> None:
-        if news and self.watching is not None:
-            self.watching.end()
-            self.watching = None
-            self.watch(True)
-
-    def watched(self, call: Call, body: bytearray | None) -> None:
-        self.read(body, lambda usable: self.after_watch(call, usable))
+        self.read(body, lambda usable: self.after_poll(call, usable), call.taken)
 
-    def after_watch(self, call: Call, usable: bool) -> None:
-        """The watch's answer has been told, or cannot be used."""
-        if self.watching is not call:
-            return  # another one has begun
-        if not usable:
-            # Ended before the failure is told, since the module may answer it with a new watch.
-            call.end()
-            self.watching = None
-            self.fail()
+    def after_poll(self, call: Call, usable: bool) -> None:
+        if call not in self.calls:
+            return
+        if usable and self.version != call.since and self.on:
+            self.go_on(call)
         else:
-            self.renew(call)
-
-    def fail(self) -> None:
-        """Tells that a call brought nothing of use."""
-        self.failures += 1
-        self.told(None, False)
+            self.end(call)
 
     def fetch(self) -> None:
         """Asks for the whole list, unless such a call is out already."""
-        if self.fetching is None:
-            self.fetching = Call(self.loop, self.address, self.fetched)
-            self.fetching.ask("/v1/endpoints", 0.0, self.silence())
+        if self.fetching is None and not self.stopped:
+            self.fetching = self.open(self.fetched)
+            self.fetching.taken = self.taken
+            self.fetching.ask("/v1/endpoints", 0.0)
 
     def fetched(self, call: Call, body: bytearray | None) -> None:
-        call.end()
         self.fetching = None
-        self.read(body, lambda usable: None if usable else self.fail())
-
-    def read(self, body: bytearray | None, then: Callable[[bool], None]) -> None:
-        """Tells what an answer says, and `then` whether it could be used. A long one is told bit by bit."""
+        self.end(call)
         if body is None:
-            then(False)
-        elif len(body) > LONG_ANSWER:
-            task = self.loop.create_task(self.read_long(body, then, self.address, self.version))
-            self.reading.add(task)
-            task.add_done_callback(self.reading.discard)
+            self.fail()
         else:
-            before, failures = self.version, self.failures
-            listing = self.short(body)
-            # An empty answer is no news, but for the first after a failure.
-            if listing is not None and (listing.lines or failures or self.version != before):
-                self.told(listing, False)
-            then(listing is not None)
+            self.read(body, lambda usable: None if usable else self.fail(), call.taken)
 
-    def short(self, body: bytearray) -> Listing | None:
-        """An answer's list; None for one that cannot be used."""
+    # ---- answers --------------------------------------------------------------------------------------
+
+    def read(self, body: bytearray, then: Callable[[bool], None], taken: int | None = None) -> None:
+        """Tells what an answer says, and `then` whether it could be used. A long one is told bit by bit.
+
+        `taken` answers had been taken up when it was asked for; None: all that have been.
+        """
+        taken = self.taken if taken is None else taken
+        if len(body) <= LONG_ANSWER:
+            before, failures = self.version, self.failures
+            listing = self.decoded(body)
+            if listing is None:
+                then(False)
+                return
+            if listing.kind == ListKind.CHANGES or not self.turn.locked():
+                news = self.newer(listing, taken)
+                # An empty answer is no news, but for the first after a failure.
+                if news and (listing.lines or failures or self.version != before):
+                    self.tell(listing)
+                then(news is not None)
+                return
+            # Failure prevented: a whole list ends another one half-way, and the rest of that one is taken
+            # for a list by itself.
+        task = self.loop.create_task(self.read_long(body, then, taken))
+        self.reading.add(task)
+        task.add_done_callback(self.reading.discard)
+
+    def tell(self, listing: Listing) -> None:
+        """Tells a list that is whole in itself. If another one was cut short, by a move, then twice: the
+        first time ends that one, with all that it had named, and the second leaves out what this one does."""
+        whole = listing.kind != ListKind.CHANGES
+        if whole and self.partial:
+            self.told(listing, False)
+        self.partial = self.partial and not whole
+        self.told(listing, False)
+
+    def decoded(self, body: bytearray) -> Listing | None:
+        """An answer's list; None for one that cannot be read."""
         try:
-            listing = decode(body)
+            return decode(body)
         except ListError as e:
             self.drop(e.line())
             return None
-        lines = self.newer(listing.kind, listing.version)
-        if lines is None:
-            return None
-        return listing if lines else Listing(ListKind.CHANGES, cast(int, self.version), ())
 
-    def newer(self, kind: ListKind, version: int) -> bool | None:
+    def short(self, body: bytearray) -> Listing | None:
+        """The same, with its version in hand from now on; None for one that cannot be used."""
+        listing = self.decoded(body)
+        return listing if listing is not None and self.newer(listing, self.taken) is not None else None
+
+    def newer(self, listing: Listing | LongListing, taken: int) -> bool | None:
         """Whether the list holds news; None if it cannot be used. Its version is in hand from now on."""
-        if kind == ListKind.CHANGES and self.version is None:
+        if self.version is None and listing.kind == ListKind.CHANGES:
             self.drop("changes of a list that is not known")
             return None
-        if kind == ListKind.CHANGES and self.version is not None and version < self.version:
-            # Failure prevented: an old answer that was overtaken brings drained servers back.
-            return False
-        self.version = version
+        if self.version is not None and listing.version < self.version:
+            if taken != self.taken:
+                # Failure prevented: an old answer that was overtaken brings drained servers back.
+                return False
+            if listing.kind == ListKind.CHANGES:
+                # Failure prevented: an agent that was restarted numbers from the beginning, and is asked for
+                # ever what is newer than a number that it will not reach.
+                self.version = None
+                return False
+        self.version = listing.version
+        self.taken += 1
         self.heard = True
         self.failures = 0
         if self.dropped > 1:
@@ -336,13 +509,11 @@
             self.reason = why
             self.log.line(f"discovery: answer dropped: {why}")
 
-    async def read_long(
-        self, body: bytearray, then: Callable[[bool], None], address: tuple[str, int], in_hand: int | None
-    ) -> None:
+    async def read_long(self, body: bytearray, then: Callable[[bool], None], taken: int) -> None:
         """Checks a long list, then tells it part by part; as much time as each takes is left to requests.
 
         One at a time, in the order of their coming. A list that cannot be read changes nothing, and neither
-        does one that is out of date by then; `address` and `in_hand` are those of its coming.
+        does one that is out of date by then. Changes that come after it are told in between. A move ends it.
         """
         async with self.turn:
             try:
@@ -355,29 +526,32 @@
                 self.drop(e.line())
                 then(False)
                 return
-            if address != self.address:
-                return  # it was asked elsewhere in the meantime
-            if in_hand is not None and self.version not in (None, in_hand) and listing.version < self.version:
-                then(True)  # overtaken while it was read: what is in hand is newer in all
-                return
-            news = self.newer(listing.kind, listing.version)
-            told = 0
-            for part in listing.parts(PART) if news else ():
-                began = monotonic()
-                told += len(part.lines)
-                self.told(part, told < listing.count)
-                await asyncio.sleep(monotonic() - began)
-            then(news is not None)
+            news = self.newer(listing, taken)
+            then(news is not None)  # the watch goes on meanwhile
+            whole = listing.kind != ListKind.CHANGES
+            times = 2 if whole and self.partial else 1  # see `tell`
+            for _ in range(times if news else 0):
+                told = 0
+                for part in listing.parts(PART):
+                    began = monotonic()
+                    told += len(part.lines)
+                    self.partial = whole and told < listing.count
+                    self.told(part, told < listing.count)
+                    await asyncio.sleep(monotonic() - began)
 
     def close(self) -> None:
         """Ends all calls."""
-        for call in (self.watching, self.fetching, self.polling):
-            if call is not None:
-                call.end()
+        for call in self.calls:
+            call.end()
+        self.calls.clear()
         self.watching = self.fetching = self.polling = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
     def stop(self) -> None:
-        """Nothing is heard any more."""
+        """Nothing is heard or asked any more."""
+        self.stopped, self.on = True, False
         self.close()
         for task in self.reading:
             task.cancel()
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -51,7 +51,6 @@
 KILL_AFTER = 700_000  # ...and so long more
 KILL_MARGIN = 300_000
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
-PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
 # Headers that end at this hop or are written anew for the next.
 HOP = frozenset(
     b"connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade expect"
@@ -398,8 +397,6 @@
         if listing is None:
             if self.config.settings.list_on_request:
                 self.post(self.balancer.server_list, ListKind.FAILED, ())
-            else:
-                self.loop.call_later(PUSH_RETRY, self.discovery.watch, True)
             return
         if self.parts is not None:
             listing = self.parts.listed(listing, more)
--- /dev/null
+++ b/tests/test_discovery_silence.py
@@ -0,0 +1,624 @@
+"""Calls to discovery that fail in any way, and the time until the list is in hand once it can be reached.
+
+`Agent` breaks calls at a stated call or event, and never answers what it broke. The moment from
+which time counts is that of the last broken call, so the node has just begun to wait: the worst there is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import signal
+import socket
+from contextlib import suppress
+
+import pytest
+from loopback import Bench, Client, Server, call, read_message, until
+from program import Door, Program, free_port, reset
+
+from brackenladder.interface import ListKind
+from brackenladder.net import discovery as module
+from brackenladder.net.config import RESERVED_SOCKETS
+from brackenladder.net.discovery import AGAIN, ANSWER, CALLS, FETCH_TIME, SILENCE, WAIT_MS, bound
+from brackenladder.net.listing import decode
+
+WAIT = WAIT_MS / 1000
+TOLD, MOVED = 6.0, 4.0  # seconds after which a change counts as told, and after a move
+GRACE = 0.4  # of these are left to stop sending
+SLACK = 1.0  # for a machine that is busy with other tests
+MANY = 2500  # servers in a long list
+
+
+def answer(version, full, *servers, length=True, head=b""):
+    body = json.dumps({"version": version, "full": full, "servers": servers}).encode()
+    framing = b"Content-Length: %d\r\n" % len(body) if length else b""
+    return b"HTTP/1.1 200 OK\r\n%b%b\r\n%b" % (framing, head, body)
+
+
+class Agent:
+    """An agent of discovery at one port. It answers `first` calls, and breaks the others until `mend`."""
+
+    def __init__(self, first=0, fault=None, version=41, servers=()):
+        self.first, self.fault, self.version, self.servers = first, fault, version, list(servers)
+        self.targets, self.writers, self.broken, self.connections = [], [], 0, 0
+        self.changed, self.tasks = asyncio.Event(), set()
+        self.port = free_port()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        return self
+
+    def stop(self):
+        """Refuses connections and resets those that stand, as a process that has died."""
+        self.server.close()
+        for writer in self.writers:
+            if not writer.is_closing():
+                reset(writer)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        with suppress(asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            while True:
+                request = await read_message(reader)
+                self.targets.append(request.target)
+                if self.fault is not None and len(self.targets) > self.first:
+                    self.broken += 1
+                    await self.fault(writer)
+                else:
+                    writer.write(await self.answer(request.target))
+        writer.close()
+
+    async def answer(self, target):
+        _, _, query = target.partition("?")
+        values = dict(pair.split("=") for pair in query.split("&") if pair)
+        if "since" not in values:
+            return answer(self.version, True, *self.servers)
+        if int(values["since"]) == self.version:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), int(values["timeout_ms"]) / 1000)
+        news = int(values["since"]) != self.version
+        return answer(self.version, news, *(self.servers if news else ()))
+
+    def mend(self, version, *servers):
+        """Has a change, and answers from now on whoever asks anew."""
+        self.fault, self.version, self.servers = None, version, list(servers)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+async def silent(writer):
+    pass
+
+
+async def half(writer):
+    writer.write(answer(41, False)[:-9])
+
+
+async def no_end(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n{")
+
+
+async def interim(writer):
+    writer.write(b"HTTP/1.1 100 Continue\r\n")
+
+
+async def drip(writer):
+    for byte in b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n" + b" " * 99:
+        if writer.is_closing():
+            return
+        writer.write(bytes([byte]))
+        await asyncio.sleep(0.1)
+
+
+async def breaks(writer):
+    reset(writer)
+
+
+async def closes(writer):
+    writer.close()
+
+
+def says(data, end=None):
+    async def fault(writer):
+        writer.write(data)
+        if end == "reset":
+            await writer.drain()
+            reset(writer)
+
+    return fault
+
+
+def body(text):
+    return says(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
+
+
+QUIET = {"silent": silent, "half an answer": half, "no length, no end": no_end, "half a head": interim}
+QUICK = {
+    "reset": breaks,
+    "closed": closes,
+    "garbage": says(b"\0\xff\r\n\r\n"),
+    "another status": says(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+    "another protocol": says(b"HTTP/1.1 101 Go\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+    "not JSON": body(b"<html>"),
+    "changes with no version": body(b'{"full": false, "servers": []}'),
+    "wrong types": body(b'{"version": "42", "full": 1, "servers": {}}'),
+    "a bad line": body(b'{"version": 42, "full": true, "servers": [{"id": 1}]}'),
+    "two answers": says(answer(41, False) * 2),
+    "no length, reset": says(b'HTTP/1.1 200 OK\r\n\r\n{"version": 42, "full": true, "servers": [', "reset"),
+}
+FAULTS = QUIET | QUICK | {"by the byte": drip, "refused": None, "never comes up": None}
+
+
+async def down(agent, how):
+    """Takes the agent away, so that connections are refused or never come up; gives what brings it back."""
+    agent.stop()
+    await agent.server.wait_closed()
+    held = []
+    if how == "never comes up":
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", agent.port))
+        listener.listen(0)
+        held.append(listener)
+        for _ in range(8):
+            held.append(waiting := socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+
+    async def back():
+        for s in held:
+            s.close()
+        await agent.start()
+
+    return back
+
+
+async def time_to_list(name, mode, calls):
+    """Seconds from the moment at which discovery can be reached to its list in hand."""
+    agent = Agent(1, FAULTS[name])
+    bench = Bench(Server(), config={"discovery": f"127.0.0.1:{agent.port}"}, discovery=mode)
+    await agent.start()
+    node = (await bench.start()).node
+    await (new := Server()).start()
+    loop = asyncio.get_running_loop()
+    if FAULTS[name] is None:
+        agent.fault = silent
+        await until(lambda: agent.broken == 1)
+        back = await down(agent, name)
+        failures = node.discovery.failures
+        await until(lambda: node.discovery.failures >= failures + calls)
+        await back()
+    else:
+        await until(lambda: agent.broken == calls)
+    began = loop.time()
+    agent.mend(42, new.entry("s1"))
+    await until(lambda: node.discovery.version == 42)
+    time = loop.time() - began
+    assert (await bench.once(call()))[0] == 200 and new.requests
+    node.discovery.stop()
+    agent.stop()
+    return time
+
+
+def limit(name, calls):
+    """The part of the bound that this fault can use."""
+    wait = WAIT if calls == 1 else 0.0  # the first call that breaks is a watch
+    if name == "by the byte":
+        return wait + FETCH_TIME
+    return wait + SILENCE if name in QUIET else SILENCE if FAULTS[name] is None else AGAIN
+
+
+@pytest.mark.parametrize("name", FAULTS)
+async def test_the_list_is_in_hand_soon_after_discovery_can_be_reached(name):
+    """Failure prevented: failed calls are followed by longer and longer pauses, or longer patience, and a
+    change that counts as told is not in hand when discovery is back."""
+    outages = (1,) if name == "by the byte" else (1, 4)  # calls that break
+    cases = [(mode, calls) for mode in ("push", "ask") for calls in outages]
+    times = await asyncio.gather(*(time_to_list(name, *case) for case in cases))
+    found = dict(zip(cases, times, strict=True))
+    assert all(time < limit(name, calls) + SLACK for (_, calls), time in found.items()), found
+
+
+def test_the_bound_leaves_the_grace_before_a_change_counts():
+    """The derivation at its edges: each constant that a call can use up is in it, and nothing grows."""
+    assert bound() + GRACE < TOLD and bound(0.0) + GRACE < MOVED
+    assert bound() - bound(0.0) == pytest.approx(WAIT)
+    for name in FAULTS:
+        assert limit(name, 1) + AGAIN + ANSWER <= bound() and limit(name, 2) + AGAIN + ANSWER <= bound(0.0)
+
+
+async def test_failures_one_upon_another_stay_within_the_bound():
+    """A watch that comes by the byte as long as it may, then a reset: the worst that the bound allows for."""
+
+    async def one_upon_another(writer):
+        await (drip if agent.broken == 1 else breaks)(writer)
+
+    agent = await Agent(1, one_upon_another).start()
+    config = {"discovery": f"127.0.0.1:{agent.port}"}
+    node = (await Bench(Server(), config=config, discovery="push").start()).node
+    await until(lambda: agent.broken == 1)
+    began = node.loop.time()
+    await until(lambda: agent.broken == 2)
+    agent.mend(42)
+    await until(lambda: node.discovery.version == 42)
+    assert node.loop.time() - began < bound() + SLACK
+
+
+async def test_calls_do_not_pile_up_and_one_held_back_is_heard():
+    """Failure prevented: an outage uses up descriptors, or an agent that answers late is never heard."""
+    agent = await Agent().start()
+    held = []
+
+    async def hold(writer):
+        held.append(writer)
+
+    agent.fault = hold
+    config = {"discovery": f"127.0.0.1:{agent.port}"}
+    node = (await Bench(Server(), config=config, discovery="push").start()).node
+    await until(lambda: len(held) >= CALLS + 3)
+    assert len(node.discovery.calls) <= CALLS and len(node.discovery.calls) > 1
+    heard = held[-2]  # the newest but one
+    heard.write(answer(42, True))
+    await until(lambda: node.discovery.version == 42)
+    ends = [call.transport.get_extra_info("sockname") for call in node.discovery.calls]
+    assert ends == [heard.get_extra_info("peername")]
+
+
+async def test_calls_that_all_bring_something_do_not_pile_up(monkeypatch):
+    """Failure prevented: lists that come for ever, each followed by the next call, use up descriptors."""
+    monkeypatch.setattr(module, "FETCH_TIME", 0.1)
+
+    async def flood(writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
+        while not writer.is_closing():
+            writer.write(b" " * 20_000)
+            await asyncio.sleep(0.02)
+
+    agent = await Agent(0, flood).start()
+    config = {"discovery": f"127.0.0.1:{agent.port}"}
+    node = (await Bench(Server(), config=config, discovery="push").start()).node
+    await until(lambda: agent.broken == CALLS)
+    began = node.loop.time()
+    await until(lambda: node.loop.time() > began + 4 * SILENCE)
+    assert agent.broken == len(node.discovery.calls) == CALLS
+
+
+async def test_a_connection_that_is_closed_between_calls_is_no_failure():
+    """Failure prevented: the agent ends idle connections; a call on one is lost, and is made again late."""
+    agent = await Agent().start()
+    config = {"discovery": f"127.0.0.1:{agent.port}"}
+    node = (await Bench(Server(), config=config, discovery="push").start()).node
+    await until(lambda: len(agent.targets) == 2)  # the watch
+    await asyncio.sleep(AGAIN)
+    began = node.loop.time()
+    agent.writers[0].close()
+    await until(lambda: agent.connections == 2)
+    assert node.loop.time() - began < AGAIN
+
+
+@pytest.mark.parametrize("how", ["empty", "whole", "closes"])
+async def test_an_agent_that_does_not_wait_is_not_asked_without_a_pause(how):
+    """Failure prevented: the node spends its time on asking what has not changed."""
+    data = answer(41, how == "whole", head=b"Connection: close\r\n" if how == "closes" else b"")
+    agent = await Agent(0, says(data)).start()
+    config = {"discovery": f"127.0.0.1:{agent.port}"}
+    node = (await Bench(Server(), config=config, discovery="push").start()).node
+    await until(lambda: agent.targets)
+    began = node.loop.time()
+    await until(lambda: len(agent.targets) >= 6)
+    assert node.loop.time() - began > 1.5 * AGAIN
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection():
+    async def told(writer):
+        writer.write(answer(42, True, new.entry("s1"), length=False))
+        writer.close()
+
+    await (new := Server()).start()
+    agent = await Agent(0, told).start()
+    bench = await Bench(Server(), config={"discovery": f"127.0.0.1:{agent.port}"}).start()
+    await until(lambda: bench.node.discovery.version == 42)
+    assert (await bench.once(call()))[0] == 200 and new.requests
+
+
+async def test_an_agent_that_numbers_anew_has_its_whole_list_taken():
+    """Failure prevented: it is asked for ever what is newer than a number that it will not reach."""
+    await (new := Server()).start()
+
+    async def numbers(request, writer):
+        return answer(3, "since" not in request.target, new.entry("s1"))
+
+    agent = await Server(numbers).start()
+    bench = await Bench(old := Server(), config={"discovery": f"127.0.0.1:{agent.port}"}).start()
+    await until(lambda: bench.node.discovery.version == 3)
+    assert (await bench.once(call()))[0] == 200 and new.requests and not old.requests
+
+
+# ---- answers that overtake each other ----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("full", [True, False])
+async def test_an_older_answer_does_not_undo_a_newer_one(full):
+    """Failure prevented: the answer to a poll crosses the watch's, and drained servers are back."""
+    await (old := Server()).start()
+    writers = []
+
+    async def hold(writer):
+        writers.append(writer)
+
+    agent = await Agent(1, hold).start()
+    bench = await Bench(old, config={"discovery": f"127.0.0.1:{agent.port}"}).start()
+    discovery = bench.node.discovery
+    await until(lambda: len(writers) == 1)  # the watch
+    discovery.fetch()
+    await until(lambda: len(writers) == 2)
+    writers[0].write(answer(43, False, old.entry("s0", "draining")))
+    await until(lambda: len(writers) == 3)  # renewed
+    writers[1].write(answer(42, full, old.entry("s0")))
+    await until(lambda: len(discovery.calls) == 1)
+    assert discovery.version == 43 and (await bench.once(call()))[0] == 503 and not old.requests
+
+
+# ---- moves -------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("calls", [1, 4])
+async def test_what_a_moved_discovery_has_is_in_hand_within_its_bound(calls):
+    """Failure prevented: the first calls at the new address are silent, and 4 s are over."""
+    await (new := Server()).start()
+    bench = await Bench(Server()).start()
+    agent = await Agent(0, silent, 3, [new.entry("s1")]).start()
+    bench.node.discovery.move(("127.0.0.1", agent.port))
+    await until(lambda: agent.broken == calls)
+    began = bench.node.loop.time()
+    agent.mend(3, new.entry("s1"))
+    await until(lambda: bench.node.discovery.version == 3)
+    assert bench.node.loop.time() - began < SILENCE + SLACK < bound(0.0)
+    assert agent.targets[0] == "/v1/endpoints"
+
+
+async def test_nothing_that_the_old_address_had_out_is_heard_after_a_move():
+    """Failure prevented: an answer that was asked for elsewhere is taken for the new address's."""
+    writers = []
+
+    async def hold(writer):
+        writers.append(writer)
+
+    await (new := Server()).start()
+    before = await Agent(1, hold).start()
+    bench = await Bench(old := Server(), config={"discovery": f"127.0.0.1:{before.port}"}).start()
+    discovery = bench.node.discovery
+    await until(lambda: len(writers) == 1)
+    discovery.fetch()
+    discovery.doubt()
+    await until(lambda: len(writers) == 3)
+    told, versions = discovery.told, []
+
+    def tell(listing, more=False):
+        told(listing, more)
+        versions.extend([listing.version] if listing is not None else [])
+
+    discovery.told = tell
+    after = await Agent(0, None, 3, [new.entry("s1")]).start()
+    for address in (9, before.port, after.port):  # several moves in a row, one of them back
+        discovery.move(("127.0.0.1", address))
+    for writer in writers:
+        writer.write(answer(99, True, old.entry("s0")))
+    await until(lambda: discovery.version == 3)
+    assert versions == [3] and len(discovery.calls) == 1
+    assert (await bench.once(call()))[0] == 200 and not old.requests
+
+
+@pytest.mark.parametrize("length", [1, MANY])
+@pytest.mark.parametrize("stage", ["checked", "told"])
+async def test_a_move_while_a_long_list_is_read_leaves_only_the_new_list(stage, length):
+    """Failure prevented: the rest of the old address's list is told after the new one, which it ends and
+    replaces; or what had been told of it stays."""
+    bench = await Bench(old := Server()).start()
+    await (new := Server()).start()
+    agent = await Agent(0, None, 3, [new.entry(f"n{i}") for i in range(length)]).start()
+    node, told, parts, after = bench.node, bench.node.discovery.told, [], set()
+
+    def tell(listing, more=False):
+        told(listing, more)
+        if listing is not None and node.discovery.address[1] == agent.port:
+            after.add(listing.version)
+        if more:
+            parts.append(listing)
+            if len(parts) == 3 and stage == "told":
+                node.discovery.move(("127.0.0.1", agent.port))
+
+    node.discovery.told = tell
+    entries = [old.entry(f"o{i}") for i in range(MANY)]
+    text = json.dumps({"version": 99, "full": True, "servers": entries}).encode()
+    node.discovery.read(bytearray(text), lambda usable: None)
+    if stage == "checked":
+        await until(lambda: node.discovery.turn.locked())
+        node.discovery.move(("127.0.0.1", agent.port))
+    await until(lambda: node.discovery.version == 3 and not node.discovery.reading)
+    assert after == {3}  # nothing of the old list
+    assert len(node.listed) == len(node.balancer.roster) == length
+    old.requests.clear()
+    for _ in range(5):
+        assert (await bench.once(call()))[0] == 200
+    assert not old.requests and not node.discovery.partial
+
+
+async def test_changes_are_heard_while_a_long_list_is_taken():
+    """Failure prevented: no watch is open until the last part of a long list is told."""
+    bench = await Bench(Server()).start()
+    await (new := Server()).start()
+    parts, told = [], bench.node.discovery.told
+
+    def tell(listing, more=False):
+        told(listing, more)
+        parts.append((listing.kind, more))
+        if len(parts) == 3:
+            bench.discovery.say(43, False, new.entry("n7", "draining"))
+
+    bench.node.discovery.told = tell
+    bench.discovery.say(42, True, *(new.entry(f"n{i}") for i in range(MANY)))
+    await until(lambda: bench.node.discovery.version == 43 and not bench.node.discovery.reading)
+    kinds = [kind for kind, _ in parts]
+    assert ListKind.CHANGES in kinds[3:-1] and kinds[-1] == ListKind.FULL
+    assert len(bench.node.balancer.roster) == MANY - 1
+
+
+async def test_a_short_whole_list_waits_for_a_long_one_that_is_told():
+    """Failure prevented: it ends the long one half-way, and the rest of that is taken for a list."""
+    bench = await Bench(Server()).start()
+    await (new := Server()).start()
+    discovery, told, parts = bench.node.discovery, bench.node.discovery.told, []
+
+    def tell(listing, more=False):
+        told(listing, more)
+        parts.append(listing)
+        if len(parts) == 3:
+            last = json.dumps({"version": 43, "full": True, "servers": [new.entry("s1")]}).encode()
+            discovery.read(bytearray(last), lambda usable: None)
+
+    discovery.told = tell
+    entries = [new.entry(f"n{i}") for i in range(MANY)]
+    text = json.dumps({"version": 42, "full": True, "servers": entries}).encode()
+    discovery.read(bytearray(text), lambda usable: None)
+    await until(lambda: discovery.version == 43 and not discovery.reading)
+    assert len(bench.node.listed) == len(bench.node.balancer.roster) == 1
+
+
+async def test_nothing_is_asked_after_the_end():
+    """Failure prevented: a timer that was set before begins a call that nobody ends."""
+    bench = await Bench(Server()).start()
+    discovery = bench.node.discovery
+    discovery.stop()
+    acts = (
+        (discovery.watch, True),
+        (discovery.move, discovery.address),
+        (discovery.fetch,),
+        (discovery.doubt,),
+    )
+    for act, *words in acts:
+        act(*words)
+        assert not discovery.calls and discovery.timer is None
+
+
+async def test_a_process_is_ready_once_a_long_list_is_in_hand():
+    """Failure prevented: it says so at the first part, and sends to what the rest leaves out or drains."""
+    await (new := Server()).start()
+    bench = Bench(Server())
+    entries = [new.entry(f"n{i}") for i in range(MANY)]
+    bench.discovery.say(42, True, *entries)
+    node, seen = (await bench.start()).node, []
+    while not node.ready():
+        seen.append(node.discovery.version)
+        await asyncio.sleep(0.001)
+    assert 42 in seen and len(node.listed) == MANY
+
+
+def test_a_server_twice_and_a_new_one_at_an_old_address_are_read_as_they_stand():
+    """Discovery's word holds, line by line: what a name's last line says, and an address is no name."""
+    line = {"id": "s0", "addr": "h:80", "state": "ready"}
+    entries = [line, line | {"state": "draining"}, line | {"id": "s1", "started_ms": 5}]
+    listing = decode(json.dumps({"version": 3, "full": True, "servers": entries}).encode())
+    assert [(x.id, x.state.name) for x in listing.lines] == [
+        ("s0", "READY"),
+        ("s0", "DRAINING"),
+        ("s1", "READY"),
+    ]
+
+
+async def test_a_name_drains_though_another_one_has_its_address():
+    bench = await Bench(config={"known": None}).start()
+    await (server := Server()).start()
+    lines = [server.entry("a"), server.entry("a", "draining"), server.entry("b", started_ms=5)]
+    bench.discovery.say(42, True, *lines)
+    await until(lambda: bench.node.listed is not None)
+    assert [e.ready for e in bench.node.pool.endpoints.values()].count(True) == 1
+    assert (await bench.once(call()))[0] == 200
+    bench.discovery.say(43, False, server.entry("b", "gone"))
+    await until(lambda: bench.node.discovery.version == 43)
+    assert (await bench.once(call()))[0] == 503
+
+
+# ---- the real program --------------------------------------------------------------------------------
+
+SOCKETS = 96  # descriptors that the process may have, by its settings and by the system
+
+
+async def test_idle_clients_leave_descriptors_to_discovery_servers_and_operators(tmp_path):
+    """Failure prevented: idle clients fill the descriptors while discovery is down, and at its return the
+    node can open no connection to it, nor to the servers that it names."""
+    old, new = await Door().start(), await Server().start()
+    agent = await Agent(0, silent).start()
+    control = free_port()
+    config = {"limits": {"sockets": SOCKETS}, "control": f"127.0.0.1:{control}"}
+    program = Program(tmp_path, old.entry("s0"), config=config)
+    program.discovery = agent
+    await program.start(ready=False, discovery="push")
+    idle = []
+    try:
+        await program.ready()  # though discovery is silent
+        assert program.descriptors() + CALLS + 2 <= RESERVED_SOCKETS  # with all calls to discovery out
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        peak = 0
+        for i in range(2 * SOCKETS):
+            idle.append(await program.client())
+            idle[-1].send(b"GET /ready HTTP/1.1\r\n\r\n" if i % 3 else b"")
+            peak = max(peak, program.descriptors())
+        broken = agent.broken
+        await until(lambda: agent.broken >= broken + CALLS)
+        began = asyncio.get_running_loop().time()
+        agent.mend(42, new.entry("s1"))
+        await until(lambda: "since=42&" in agent.targets[-1])  # the list is in hand
+        assert asyncio.get_running_loop().time() - began < SILENCE + SLACK
+        while True:  # who is told that there is no room comes again
+            client = await program.client()
+            if (await client.ask(call()))[0] == 200:
+                break
+            client.writer.close()
+        assert new.requests and not old.taken
+        operator = await Client(control).open()
+        assert (await operator.ask(b"GET /admin/health HTTP/1.1\r\n\r\n"))[0] == 200
+        assert max(peak, program.descriptors()) <= SOCKETS
+    finally:
+        for client in idle:
+            client.writer.close()
+        await program.stop()
+        agent.stop()
+
+
+async def test_a_move_by_sighup_while_the_old_address_is_silent(tmp_path):
+    """SIGHUP twice in a row, the second back to what had been: the list in hand is the last address's."""
+    await (old := Server()).start()
+    await (new := Server()).start()
+    first = await Agent(0, silent).start()
+    second = await Agent(0, None, 3, [old.entry("s9")]).start()
+    program = Program(tmp_path, old.entry("s0"))
+    program.discovery = first
+    await program.start(discovery="push")
+    try:
+        program.reload(discovery=f"127.0.0.1:{second.port}")
+        await until(lambda: len(second.targets) >= 2)
+        broken = first.broken
+        program.reload(discovery=f"127.0.0.1:{first.port}")
+        await until(lambda: first.broken > broken)
+        began = asyncio.get_running_loop().time()
+        first.mend(1, new.entry("s1"))
+        await until(lambda: "since=1&" in first.targets[-1])  # the list is in hand
+        assert asyncio.get_running_loop().time() - began < SILENCE + SLACK < bound(0.0)
+        client = await program.client()
+        old.requests.clear()
+        assert (await client.ask(call()))[0] == 200 and new.requests and not old.requests
+        program.process.send_signal(signal.SIGTERM)
+        client.writer.close()
+        assert await program.exit() == 0
+    finally:
+        await program.stop()
+        first.stop()
+        second.stop()
+
+
+def test_constants_are_used_where_the_bound_is_derived():
+    """Each time that the module names is below what the bound makes of it."""
+    assert module.LIFE >= SILENCE and module.SETTLE < module.SETTLE_LONG < 10.0
