Discovery: a version is read exactly, however large

Seen: versions over 2^53 were decoded as floats, so 2^53 + 1 was taken for 2^53, and a version in nanoseconds for another one up to 128 away. A watch then asks for what is newer than a version that there never was, and what lies between is missed, or answered again at once. To blame: `Table.version: Number` in `listing.py`.

Change: whole numbers stay whole; 41.0 is read as before.

--- a/brackenladder/net/listing.py
+++ b/brackenladder/net/listing.py
@@ -15,6 +15,8 @@
 from brackenladder.interface import ListKind, State
 from brackenladder.settings import Form, Number, given, located
 
+# Exact, however large: a version that is rounded asks for what is newer than one that there was not.
+Version = int | Number
 DECODER = json.JSONDecoder()
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 
@@ -71,7 +73,7 @@
 class Table(Form, frozen=True):
     """A whole answer."""
 
-    version: Number
+    version: Version
     servers: list[Entry]
     full: bool | None = None
 
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -21,7 +21,7 @@
 from brackenladder.net import discovery as module
 from brackenladder.net.config import RESERVED_SOCKETS
 from brackenladder.net.discovery import AGAIN, ANSWER, CALLS, FETCH_TIME, SILENCE, WAIT_MS, bound
-from brackenladder.net.listing import decode
+from brackenladder.net.listing import LongListing, decode
 
 WAIT = WAIT_MS / 1000
 TOLD, MOVED = 6.0, 4.0  # seconds after which a change counts as told, and after a move
@@ -503,6 +503,15 @@
         assert not discovery.calls and discovery.timer is None
 
 
+@pytest.mark.parametrize("version", [(1 << 53) + 1, 1_764_000_000_123_456_789, 41.0])
+def test_a_version_is_taken_exactly(version):
+    """Failure prevented: a large one is rounded, and news after a version that never was is missed."""
+    text = json.dumps({"version": version, "full": True, "servers": []}).encode()
+    long = LongListing(text)
+    list(long.check(1))
+    assert decode(text).version == long.version == int(version)
+
+
 async def test_a_process_is_ready_once_a_long_list_is_in_hand():
     """Failure prevented: it says so at the first part, and sends to what the rest leaves out or drains."""
     await (new := Server()).start()
