Descriptors: the system's limit counts where it is below limits.sockets

Seen: a node with limits.sockets 1024 under `ulimit -n 96`, discovery silent, 192 idle clients. They took every descriptor; at its return discovery was not reached within 20 s, since each connect failed with EMFILE and the listener was looked at again at once. To blame: `config.read`, which divides what the file allows and never asked what the system does. Ruled out: the same with the limit in the file (96 and 96): there the parts set aside were enough, at 15 of 32 in use and at most 7 calls to discovery.

Change: the lower of the two is divided. The system's limit is not raised. The test fails without the change.

--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any, ClassVar
@@ -254,6 +255,11 @@
     reserved = RESERVED_SOCKETS + (CONTROL_SOCKETS if file.control else 0)
     if sockets < reserved + LEAST_CONNECTIONS:
         raise ConfigValue(f"at least {reserved + LEAST_CONNECTIONS} are needed", "limits.sockets")
+    # Failure prevented: the file allows more than the system does, idle clients fill what there is, and
+    # nothing is left aside for discovery, servers and operators.
+    system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system != resource.RLIM_INFINITY:
+        sockets = max(reserved + LEAST_CONNECTIONS, min(sockets, system))
     settings = file.settings
     policy, report = settings.policy_limits, settings.report or NodeReport()
     classes = tuple(c.name for c in settings.classes)
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -11,6 +11,7 @@
 import resource
 import signal
 import socket
+import sys
 from contextlib import suppress
 
 import pytest
@@ -555,13 +556,22 @@
 SOCKETS = 96  # descriptors that the process may have, by its settings and by the system
 
 
-async def test_idle_clients_leave_descriptors_to_discovery_servers_and_operators(tmp_path):
+@pytest.mark.parametrize("by", ["the settings", "the system"])
+async def test_idle_clients_leave_descriptors_to_discovery_servers_and_operators(by, tmp_path, monkeypatch):
     """Failure prevented: idle clients fill the descriptors while discovery is down, and at its return the
     node can open no connection to it, nor to the servers that it names."""
     old, new = await Door().start(), await Server().start()
     agent = await Agent(0, silent).start()
     control = free_port()
-    config = {"limits": {"sockets": SOCKETS}, "control": f"127.0.0.1:{control}"}
+    sockets = SOCKETS
+    if by == "the system":  # the settings would allow more
+        sockets = 1024
+        (script := tmp_path / "python").write_text(
+            f'#!/bin/sh\nulimit -n {SOCKETS}\nexec {sys.executable} "$@"\n'
+        )
+        script.chmod(0o700)
+        monkeypatch.setattr(sys, "executable", str(script))
+    config = {"limits": {"sockets": sockets}, "control": f"127.0.0.1:{control}"}
     program = Program(tmp_path, old.entry("s0"), config=config)
     program.discovery = agent
     await program.start(ready=False, discovery="push")
