Turn a configuration down whole whose text has half a character

Seen by putting some thirty odd values at every place of a good file (5,276 files, at a start and at SIGHUP): a lone half of a surrogate pair, which JSON can write, left load() as a UnicodeEncodeError where a number, a list or a name stands. At a start that is a traceback; at SIGHUP the file is not counted as turned down, and one with such a tenant had its classes taken on before the error. All other values were turned down or taken on. To blame: load() expected errors of the forms only, and read() let names through that cannot be written as bytes.

The three places in the test fail without the mend.

--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -141,6 +141,8 @@
         return load_file(path, environ, last)
     except (SettingsError, ListError) as e:
         raise ConfigValue(e.what, e.where).within(f"LB_CONFIG: {path}") from None
+    except UnicodeError:  # JSON can write half of a surrogate pair, where a number stands too
+        raise ConfigValue("text with half a character", f"LB_CONFIG: {path}") from None
     except ConfigDescriptor:
         raise
     except ConfigError as e:
@@ -238,8 +240,8 @@
 
 
 def read(table: dict[str, Any]) -> Config:
-    """A Config from the decoded file. What is missing or impossible is a SettingsError, a ListError or
-    a ConfigError."""
+    """A Config from the decoded file. What is missing or impossible is a SettingsError, a ListError, a
+    ConfigError or, where text has half a character, a UnicodeError."""
     try:
         file = msgspec.convert(table, File)
     except msgspec.ValidationError as e:
@@ -263,6 +265,7 @@
     settings = file.settings
     policy, report = settings.policy_limits, settings.report or NodeReport()
     classes = tuple(c.name for c in settings.classes)
+    "".join((file.name, *classes, *(t.name for t in settings.tenants or ()))).encode()  # all go out as bytes
     if len(set(classes)) < len(classes):
         raise ConfigValue("a name stands twice", "settings.classes")
     return Config(
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -271,14 +271,27 @@
     }
 
 
-@pytest.mark.parametrize("kind", sorted(broken_files(node_table(1, settings()))))
+HALVES = (("settings", "tenants", 0, "name"), ("limits", "sockets"), ("known", "version"))
+
+
+def with_half_a_character(table: dict, place: tuple) -> str:
+    """The file with text that no UTF-8 can hold, where a name or a number belongs."""
+    inner = table = json.loads(json.dumps(table))
+    for key in place[:-1]:
+        inner = inner[key]
+    inner[place[-1]] = "\ud800"
+    return json.dumps(table)
+
+
+@pytest.mark.parametrize("kind", [*sorted(broken_files(node_table(1, settings()))), *HALVES])
 def test_a_broken_file_is_turned_down_whole(kind, tmp_path):
     table = node_table(1, settings(), "127.0.0.1:1")
     environ = {"LB_CONFIG": str(tmp_path / "config.json"), "LB_LISTEN": "127.0.0.1:1"}
     (tmp_path / "config.json").write_text(json.dumps(table))
     config = load(environ)
     assert load(environ, config) == config  # the same file once more is whole
-    (tmp_path / "config.json").write_text(broken_files(table)[kind])
+    text = with_half_a_character(table, kind) if kind in HALVES else broken_files(table)[kind]
+    (tmp_path / "config.json").write_text(text)
     with pytest.raises(ConfigError) as e:
         load(environ, config)
     assert "\n" not in str(e.value)
