--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -180,13 +180,9 @@
     def renew(self, allowance: Sequence[int], kept: Sequence[bool], ceiling: int) -> None:
         """Takes on other classes; `kept` tells which places mean what they meant. The limit stays."""
         for klass, (most, same) in enumerate(zip(allowance, kept, strict=True)):
-            if klass == len(self.min_rtt):
-                self.min_rtt.append(0.0)
-                self.target.append(0.0)
-                self.pass_samples.append([])
-            if not same:
-                self.min_rtt[klass], self.target[klass] = 0.0, float(most)
-                self.pass_samples[klass] = []
+            if not same:  # a new one is put at the end
+                self.min_rtt[klass : klass + 1], self.target[klass : klass + 1] = [0.0], [float(most)]
+                self.pass_samples[klass : klass + 1] = [[]]
         self.allowance = allowance
         self.ceiling = ceiling
 
@@ -498,12 +494,9 @@
         kept = [i < len(old.classes) and c == old.classes[i] for i, c in enumerate(settings.classes)]
         self.controller.renew(allowance, kept, settings.max_open)
         for klass, (most, same) in enumerate(zip(allowance, kept, strict=True)):
-            if klass == len(self.rtt):
-                self.rtt.append(Average(most / 2, PRIOR, SMOOTH_ALL))
-                self.mean_rtt.append(most / 2)
-            elif not same:
-                self.rtt[klass] = Average(most / 2, PRIOR, SMOOTH_ALL)
-                self.mean_rtt[klass] = most / 2
+            if not same:  # a new one is put at the end
+                self.rtt[klass : klass + 1] = [Average(most / 2, PRIOR, SMOOTH_ALL)]
+                self.mean_rtt[klass : klass + 1] = [most / 2]
         for i, t in enumerate(settings.tenants):
             if i == len(self.tenants):
                 self.tenants.append(Tenant(0.0))
