Module: an aim of one microsecond leaves a tier something of it

Seen: a fuzz of the settings on a real node, classes[0].goal_time = 1: ZeroDivisionError in Balancer.outcome at the first answer, the event is lost to the module, and so is the place of the limit that the call had. To blame: allowances, which rounds the part of an aim down to nothing; settle divides by the target. Now it is a microsecond at the least. Measured: a test in tests/test_module_ends.py, which fails without the change (seen).

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -112,7 +112,7 @@
 def allowances(settings: Settings) -> list[int]:
     """The part of each class's aim that a round-trip of this tier may use up."""
     share = AIM_SHARE * (settings.tiers - settings.tier) / settings.tiers
-    return [int(c.aim * share) for c in settings.classes]
+    return [max(1, int(c.aim * share)) for c in settings.classes]
 
 
 def groups_of(settings: Settings) -> frozenset[Group]:
--- a/tests/test_module_ends.py
+++ b/tests/test_module_ends.py
@@ -115,3 +115,11 @@
         ((_, _, server, _),) = end(node, rec, began + window // 2, 1, 1, server, Outcome.ERROR)
         ((name, *_),) = end(node, rec, began + window + late, 1, 2, server, Outcome.REJECTED)
         assert name == ("send" if repeated else "fail")
+
+
+def test_an_aim_of_one_microsecond_is_an_aim():
+    """Failure prevented: no part of it is left for a tier, and the event of the first answer is lost."""
+    node, rec = balancer(2, classes=(replace(KEYED, aim=1, deadline=SEC),))
+    _, _, server, _ = ask(node, rec, 0, 1)
+    assert end(node, rec, MS, 1, 0, server, Outcome.OK) == []
+    assert node.controller.in_flight == 0
