--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -184,13 +184,11 @@
             if not same:  # a new one is put at the end
                 self.min_rtt[klass : klass + 1], self.target[klass : klass + 1] = [0.0], [float(most)]
                 self.pass_samples[klass : klass + 1] = [[]]
-        self.allowance = allowance
-        self.ceiling = ceiling
+        self.allowance, self.ceiling = allowance, ceiling
 
     def resize(self, members: float, copies: float) -> None:
         """Takes note of the subset's size and of the number of copies that share each member."""
-        self.members = members
-        self.copies = copies
+        self.members, self.copies = members, copies
         self.share()
         self.limit = max(self.limit, 2 * self.pass_limit if self.passes == 0 else self.floor)
 
@@ -802,9 +800,8 @@
             r.ran_on = srv
             r.ran_at = r.sent_at
         ran = r.ran_on is not None
-        allowed = (
-            not ran or r.effect == Effect.SAFE or (r.effect == Effect.KEYED and now < r.ran_at + c.window)
-        )
+        in_window = r.effect == Effect.KEYED and now < r.ran_at + c.window
+        allowed = not ran or r.effect == Effect.SAFE or in_window
         if (
             allowed
             and not r.once
@@ -953,16 +950,14 @@
             self.ejected.append(srv)
             self.actions.log(f"eject server={srv.id} silent={int(silent)} fail_rate={srv.fail_rate:.2f}")
         srv.silent = silent
-        srv.trial_at = now + int(
-            (EJECT_TIME << min(srv.ejections, 4)) * (1 + PASS_JITTER * self.rng.random())
-        )
+        wait = (EJECT_TIME << min(srv.ejections, 4)) * (1 + PASS_JITTER * self.rng.random())
+        srv.trial_at = now + int(wait)
         srv.ejections += 1
         self.next_trial = min(e.trial_at for e in self.ejected)
         self.sort_members()
 
     def readmit(self, srv: Server) -> None:
-        srv.ejected = False
-        srv.silent = False
+        srv.ejected = srv.silent = False
         srv.fail_rate = self.fail_rate
         srv.fails_in_row = 0
         srv.ejections = max(0, srv.ejections - 1)
@@ -1034,9 +1029,8 @@
         others = self.mean_held * len(self.roster) / self.settings.instances or inf  # copies carry on average
         most = min(SUBSET_BOUND, int(SUBSET_MOST * max(1.0, self.flight / others)))
         # Failure prevented: four members of an idle copy are the homes of few keys, and half of all are cold.
-        return max(
-            self.settings.least_members, min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
-        )
+        size = min(most, max(SUBSET_LEAST, ceil(SUBSET_FLIGHT * self.flight)))
+        return max(self.settings.least_members, size)
 
     def known(self, now: int, entry: Listed) -> Server:
         """What this copy knows of a listed server; from now on it learns."""
