Limit: time-outs count as overload only where most calls are lost or the answered ones are late

A time-out is a sample of at least twice the target, so the window's p90 is such a call: sample_rtt 2.00 window after window, gradient 0.5, a limit of 4 to 6, while served calls take a third of the target and few are in flight. A process that starts falls to the floor with its first windows, for 10 s. Ruled out: crowded servers (no refusal of that kind), lack of a server, tokens. To blame: GradientController.roll, the percentile over all samples of a window. Change: a time-out stays a sample at its time-out value, as the design has it. The percentile is taken over the answered calls of a window where they are at least half of it and they themselves are within the target; over all otherwise. Five cases in tests/test_controller.py, two of which fail without it (seen).

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -171,6 +171,7 @@
         self.usual = 0.0  # calls in flight while latency was good, smoothed...
         self.best = 0.0  # ...and when it last was
         self.samples: list[float] = []
+        self.served: list[float] = []  # those of them that were answered
         self.window_start = now
         self.sample_rtt, self.gradient = 0.0, 1.0  # relative to min_rtt + B
         self.at_min = 0
@@ -261,11 +262,11 @@
         self.in_pass = False
         self.passes += 1
         self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
-        self.samples.clear()
+        self.samples, self.served = [], []
         self.flight_sum = self.latency_sum = 0
         self.window_start = now
 
-    def sample(self, now: int, klass: int, latency: int) -> None:
+    def sample(self, now: int, klass: int, latency: int, served: bool = True) -> None:
         """A served call's latency, or the time-out of one that timed out."""
         if self.in_pass:
             self.pass_samples[klass].append(latency)
@@ -275,6 +276,8 @@
                 self.end_pass(now)
             return
         self.samples.append(latency / self.target[klass])
+        if served:
+            self.served.append(self.samples[-1])
         self.flight_sum += self.in_flight
         self.latency_sum += latency
         self.roll(now)
@@ -282,7 +285,7 @@
     def failure(self, now: int, klass: int) -> None:
         """A failed call while the whole subset fails: overload in a window, no measure of min_rtt."""
         if not self.in_pass:
-            self.sample(now, klass, int(2 * self.target[klass]))
+            self.sample(now, klass, int(2 * self.target[klass]), False)
         elif now >= self.pass_until:
             self.end_pass(now)
 
@@ -293,7 +296,11 @@
         if age < WINDOW or count == 0 or (count < WINDOW_SAMPLES and age < WINDOW * WINDOW_STRETCH):
             return
         self.sample_rtt = percentile(self.samples, PERCENTILE)
-        self.samples.clear()
+        # Failure prevented: one call in ten meets a silent or broken connection and times out. That is no
+        # load, but it is a window's percentile, and the limit falls to its floor while servers are at ease.
+        if 2 * len(self.served) >= count and (at_ease := percentile(self.served, PERCENTILE)) <= 1:
+            self.sample_rtt = at_ease
+        self.samples, self.served = [], []
         self.window_start = now
         self.gradient = min(GRADIENT_HIGH, max(GRADIENT_LOW, 1.0 / max(self.sample_rtt, 1e-9)))
         limit = self.gradient * self.limit + self.headroom()
@@ -890,7 +897,7 @@
         if r is not None and (ok or outcome == Outcome.TIMEOUT):
             klass = r.klass
             if srv.deviation.value < OUTLIER and not srv.ejected:
-                ctl.sample(now, klass, latency)
+                ctl.sample(now, klass, latency, ok)
             ratio = min(latency / self.mean_rtt[klass], RATIO_MOST)
             srv.deviation.add(ratio / srv.kind.value)
             srv.kind.add(ratio)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -298,3 +298,20 @@
     c.resize(10, 7.0)
     assert c.pass_limit > 2 * 3 + MIN_LIMIT  # seven copies would hold as many calls each
     assert c.most() == 2 * 3 + MIN_LIMIT
+
+
+@pytest.mark.parametrize(
+    ("latency", "lost", "falls"),
+    [(40_000, 12, False), (40_000, 40, False), (40_000, 41, True), (180_000, 12, True), (180_000, 0, True)],
+)
+def test_time_outs_are_overload_only_where_most_calls_are_lost_or_the_answered_ones_are_late(
+    latency, lost, falls
+):
+    """Failure prevented: one call in ten meets a silent connection, and the limit falls to its floor."""
+    c = after_pass(allowance=100_000, limit=20.0, usual=10.0)
+    assert c.target[0] >= 100_000
+    for i in range(WINDOW_SAMPLES):
+        served = i >= lost
+        c.in_flight = 20
+        c.sample(1000 + (i + 1) * WINDOW // WINDOW_SAMPLES, 0, latency if served else 200_000, served)
+    assert c.window_start > 1000 and (c.limit < 20.0) == falls
