Discovery: a long list that several calls bring is read once

Seen: an agent that is slow brings a long list once for each call that went out beside the late one, and each of them is checked and told in parts. Change: the first answer beyond LONG_ANSWER ends the calls beside it before it is read. Test: three calls bring the same list; each server is told once. The long lists of the tests hold 800 servers, which is still beyond LONG_ANSWER, so that they take less time.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -342,8 +342,11 @@
     def watched(self, call: Call, body: bytearray | None) -> None:
         if body is None:
             self.after_watch(call, False)
-        else:
-            self.read(body, lambda usable: self.after_watch(call, usable), call.taken)
+            return
+        if len(body) > LONG_ANSWER:
+            # Failure prevented: a slow agent brings a long list once for each call, and each is read.
+            self.end_others(call)
+        self.read(body, lambda usable: self.after_watch(call, usable), call.taken)
 
     def after_watch(self, call: Call, usable: bool) -> None:
         """The watch's answer has been told, or cannot be used."""
@@ -358,12 +361,16 @@
             self.ask_again()
             self.fail()
 
-    def go_on(self, call: Call) -> None:
-        """The watch goes on with this call's connection; no other is waited for."""
+    def end_others(self, call: Call) -> None:
+        """This call is the watch; nothing more is heard of those beside it."""
         for other in list(self.calls):
             if other not in (call, self.fetching):
                 self.end(other)
         self.watching, self.polling = call, None
+
+    def go_on(self, call: Call) -> None:
+        """The watch goes on with this call's connection; no other is waited for."""
+        self.end_others(call)
         # Failure prevented: an agent that does not wait is asked as fast as it answers.
         hasty = call.wait > 0 and self.version == call.since and self.loop.time() < call.began + AGAIN
         if call.closed:
