Limit: a pass keeps back headrooms of its own limit, so that lesser classes can enter and end it

A limit of 100 before three members does the same in each pass. Ruled out: crowded servers, tokens, ejection, storms, tenants. To blame: GradientController.admits, which took the headroom of the gradient's limit from the pass's. A pass ends only with a sample, which calls that are refused never bring. Change: the headroom that is kept free is that of the limit in force. Outside of passes nothing changes. Measured: three cases in tests/test_controller.py, all of which fail without it (seen); test_balance, test_properties green.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -239,7 +239,10 @@
     def admits(self, now: int, spare: float) -> bool:
         """Whether a call may start, `spare` headrooms below the limit."""
         self.note(now)
-        return self.level + spare * self.headroom() < self.allowed()
+        # Headrooms of what is in force. Failure prevented: with few members that of the limit is more than a
+        # pass lets in, lesser classes are refused with nothing in flight, and if only they come it goes on.
+        allowed = self.allowed()
+        return self.level + spare * sqrt(allowed / self.shared) < allowed
 
     def allowed(self) -> float:
         """The limit in force: the gradient's, or the pass's while one is on."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -315,3 +315,15 @@
         c.in_flight = 20
         c.sample(1000 + (i + 1) * WINDOW // WINDOW_SAMPLES, 0, latency if served else 200_000, served)
     assert c.window_start > 1000 and (c.limit < 20.0) == falls
+
+
+@pytest.mark.parametrize(("members", "limit", "spare"), [(1, 12.0, 1), (3, 100.0, 1), (3, 100.0, 2)])
+def test_what_leaves_slots_for_others_is_let_in_while_nothing_is_in_flight(members, limit, spare):
+    """Failure prevented: only such calls come, a pass lets none of them in, and it never ends."""
+    c = controller(members=members, limit=limit)
+    c.start_pass(0)
+    c.limit = limit
+    assert c.admits(0, spare)
+    while c.admits(0, spare):
+        c.note(0, 1)
+    assert c.admits(0, 0)  # and leaves some
