Tests: nodes that a test started ask discovery nothing while its loop is closed

Seen: since calls to discovery that fail are followed by fresh ones within a tenth of a second, a node that a test leaves behind asked again while its loop was being closed. The stand-in's task for that connection was left pending; collecting it raises in the closed loop (RuntimeError in `Queue.get`), which in Python 3.11 leaves the recursion count wrong, and the next module that is parsed ends in "SystemError: AST constructor recursion depth mismatch": `tests/test_server_close.py` run alone passed all and ended with status 1.

Nodes of the bench stop their calls at the end of each test, of both kinds.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
     pytest_configure,
     pytest_terminal_summary,
 )
-from loopback import PATIENCE
+from loopback import PATIENCE, end_all
 
 
 def pytest_asyncio_loop_factories():
@@ -29,6 +29,7 @@
             async with asyncio.timeout(3 * PATIENCE):
                 await test(*args, **kwargs)
         finally:
+            end_all()
             # Failure prevented: what the peers still wait for is collected after the loop has closed, in the
             # middle of whatever runs then.
             rest = asyncio.all_tasks() - {asyncio.current_task()}
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -213,6 +213,16 @@
     return b"%b /%b?obj=7f HTTP/1.1\r\nHost: app\r\n%b%b\r\n%b" % (method, klass.encode(), lines, extra, body)
 
 
+STARTED: list[Node] = []
+
+
+def end_all() -> None:
+    """Nothing is asked of discovery any more. A call that begins while the loop is being closed leaves a task
+    that nothing ends, and what its collection raises is counted against the parser of the next module."""
+    while STARTED:
+        STARTED.pop().discovery.stop()
+
+
 class Bench:
     """A node with servers `s0`, `s1`, ... and a discovery that knows them."""
 
@@ -240,6 +250,7 @@
         }
         config = replace(read(table | self.config), accept_fd=self.accept_fd)
         self.node = Node(config, asyncio.get_running_loop())
+        STARTED.append(self.node)
         await self.node.start()
         assert self.node.callers.listener is not None
         self.port = self.node.callers.listener.getsockname()[1]
@@ -267,7 +278,10 @@
     """Runs a scene on the node's event loop."""
 
     async def limited() -> None:
-        async with asyncio.timeout(3 * PATIENCE):
-            await scene()
+        try:
+            async with asyncio.timeout(3 * PATIENCE):
+                await scene()
+        finally:
+            end_all()
 
     uvloop.run(limited())
