--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -337,6 +337,27 @@
     assert (await bench.once(call()))[0] == 200 and new.requests and not old.requests
 
 
+async def test_a_silent_poll_is_given_up_and_the_next_doubt_asks_again():
+    """Failure prevented: one poll that is never answered keeps all further ones from being made."""
+    writers = []
+
+    async def hold(writer):
+        writers.append(writer)
+
+    agent = await Agent(1, hold).start()
+    bench = await Bench(Server(), config={"discovery": f"127.0.0.1:{agent.port}"}).start()
+    discovery = bench.node.discovery
+    await until(lambda: len(writers) == 1)
+    watch = discovery.watching
+    discovery.doubt()
+    discovery.doubt()  # one at a time
+    await until(lambda: len(writers) == 2 and discovery.polling is None)
+    assert watch in discovery.calls
+    discovery.doubt()
+    assert discovery.polling is not None
+    await until(lambda: len(writers) >= 3)
+
+
 # ---- answers that overtake each other ----------------------------------------------------------------
 
 
