--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -404,7 +404,9 @@
 
     def eof_received(self) -> None:
         """The server has ended its side: so ends an answer that neither a length nor chunks delimit."""
-        if self.headed and self.length is None and not self.chunked and self.exchange is not None:
+        if self.exchange is None:
+            return
+        if self.headed and self.length is None and not self.chunked:
             answer = self.answer(b"".join(self.pieces))
             self.finish(outcome_of(answer), answer, reuse=False)
         else:
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -124,6 +124,24 @@
     assert [r.headers["x-call-id"] for r in server.requests] == ["second"]
 
 
+async def test_a_server_that_ends_a_connection_which_was_never_used_harms_nothing():
+    """Failure prevented: what only a request sets is asked for at the connection's end, and raises."""
+    bench = await Bench(server := Server(named)).start()
+    gate, pool, raised = Gate(bench), bench.node.pool, []
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: raised.append(context))
+    client = await bench.client()
+    client.send(call("invite", name=b"first"))
+    await until(lambda: gate.asked == 1)
+    client.writer.close()
+    await until(lambda: not bench.node.requests)
+    gate.open.set()
+    await until(lambda: len(endpoint_of(bench, server).idle) == 1)
+    server.writers[0].close()
+    await until(lambda: pool.open == 0)
+    assert not raised and not endpoint_of(bench, server).idle
+    assert (await bench.once(call("invite", name=b"second")))[2] == b"second"
+
+
 async def test_what_waits_for_a_connection_gets_the_first_that_is_free():
     """Failure prevented: it waits for its own, which comes up late or never, beside one that stands idle."""
     go = asyncio.Event()
