Ends of crowds: fresh connections stay, what waits its turn is answered, one poll object a client

Seen with the real program (100 clients that connect at once and ask right after, a table for 96): some met our end with no answer, since make_room closes whoever has not asked yet, however fresh. By drawn sequences: a connection whose next request waits for its hand-on, between two answers, was ended by drain once the time was over, with no answer and no `Connection: close`. To blame: `spare` in Callers.make_room; `caller.open is None` in Callers.drain. Change: a connection that has said nothing yet makes way after 50 ms only, as a begun request does (who comes meanwhile goes among those beyond the budget, and is told so if it asks and there is no room). Drain leaves alone what still waits, unless the client does not read its answers. The poll object that tells of a client's end is kept for the connection's life. A test of the node's that takes a silent connection for one that makes way now lets it be silent for 0.3 s.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -41,7 +41,9 @@
 BODY_GRACE = 1.0  # seconds after its head in which a body may begin...
 LEAST_RATE = 40_000  # ...and the bytes a second that it then brings at the least
 SWEEP = 0.25  # seconds between two looks at who is slow
-FRESH = 0.05  # seconds in which a request that has begun, and brought something, makes no way for others
+FRESH = (
+    0.05  # seconds in which a new connection, or a request that brought something, makes no way for others
+)
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
 LINGER_FLOW = 10.0  # the same where it sends, or reads, what is too large for that
 FLOW_BUFFER = 131_072  # bytes of an answer that flows which the kernel may hold
@@ -176,6 +178,7 @@
         self.stuck = 0  # bytes of it that the kernel has not taken
         self.active = owner.loop.time()
         self.stage = Stage.OPEN
+        self.end: select.poll | None = None  # tells of the client's end; made once, asked for each attempt
 
     # ---- reading --------------------------------------------------------------------------------------
 
@@ -667,9 +670,10 @@
         """Whether the client's end waits in the socket."""
         if self.transport is None or self.transport.is_closing():
             return True
-        poll = select.poll()
-        poll.register(self.number(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        if self.end is None:
+            self.end = select.poll()
+            self.end.register(self.number(), select.POLLRDHUP)
+        return bool(self.end.poll(0))
 
     def has_left(self) -> bool:
         """Whether the client has gone, as the socket knows it now; then its request has ended.
@@ -904,13 +908,14 @@
         are served; or looking for one among hundreds for each that comes costs the time that answers need.
         """
         now = self.loop.time()
+        # Failure prevented: clients that connect at once and ask a moment later push each other out.
         spare = [
             c
             for c in self.callers
             if not (c.open or c.waiting or c.deaf)
             and c.transport is not None
             and not (within and c.refusing)
-            and (c.partial is None or c.active < now - FRESH)
+            and (c.asked and c.partial is None or c.active < now - FRESH)
         ]
         closed, most = 0, max(1, min(ROOM, len(self.callers) // ROOM_SHARE))
         for caller in nsmallest(2 * ROOM, spare, key=lambda c: c.worth_keeping(now)):
@@ -958,7 +963,9 @@
             self.closing = self.closing or over
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
-                if caller.open is None and over and (now > last or settled and caller.idle()):
+                # Between two answers it owes the next one, unless the client does not read them.
+                still = caller.open is None and (not caller.waiting or caller.full)
+                if still and over and (now > last or settled and caller.idle()):
                     # By `last` also with a request that has not come whole: it is not ours.
                     caller.finish()
                 # Failure prevented: clients that never close their side hold the process up to SIGKILL.
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -287,9 +287,15 @@
     return bool(poll.poll(0))
 
 
+def unblocked(client: socket.socket) -> socket.socket:
+    """Ready for the event loop's calls."""
+    client.setblocking(False)
+    return client
+
+
 async def rest_of(client: socket.socket) -> bytes:
     """All that comes up to the end; a reset raises."""
-    client.setblocking(False)
+    unblocked(client)
     loop, data = asyncio.get_running_loop(), b""
     async with asyncio.timeout(PATIENCE):
         while piece := await loop.sock_recv(client, 65536):
@@ -606,6 +612,23 @@
         end.close()
 
 
+async def test_a_crowd_that_connects_at_once_and_asks_a_moment_later_gets_an_answer_each(monkeypatch):
+    """Failure prevented: each one that comes closes one that came before it and has not asked yet."""
+    monkeypatch.setattr(callers_module, "FRESH", 60.0)  # however slow the machine
+    bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
+    callers, crowd = bench.node.callers, []
+    for count in (callers.most, callers.most + callers.refusing):  # in two turns
+        crowd += [plain(bench) for _ in range(count - len(crowd))]
+        await until(lambda count=count: sum(c.transport is not None for c in callers.callers) == count)
+    for client in crowd:
+        client.sendall(call())
+    loop = asyncio.get_running_loop()
+    for client in crowd:
+        answer = await asyncio.wait_for(loop.sock_recv(unblocked(client), 99), PATIENCE)
+        assert answer[9:12] in (b"200", b"503")
+        client.close()
+
+
 @pytest.mark.parametrize("end", WAYS)
 async def test_what_a_client_has_sent_that_is_gone_is_not_even_parsed(end):
     """Failure prevented: a flood of such clients costs a second of parsing, in which nobody is answered."""
@@ -665,3 +688,23 @@
     await until(lambda: not bench.node.callers.callers)
     assert served >= 3 and len(server.requests) == served and bench.node.last_id == served
     assert bench.node.callers.held == 0 and nothing_left(bench)
+
+
+async def test_a_request_that_waits_its_turn_as_the_node_ends_gets_its_answer(monkeypatch):
+    """Failure prevented: between two answers nothing is open, and the connection passes for a resting one."""
+    bench = await Bench(server := Server()).start()
+    after_answer, ticks = Caller.after_answer, []
+
+    def then_drain(self, message, close):
+        after_answer(self, message, close)
+        if not ticks:  # the next one is handed on in the next turn only
+            ticks.append(bench.node.callers.drain(0.0))
+            ticks[0].send(None)  # up to its first sleep, all time being over
+
+    monkeypatch.setattr(Caller, "after_answer", then_drain)
+    client = await bench.client()
+    client.send(call("invite") + call("invite"))
+    assert [(await client.receive())[0] for _ in range(2)] == [200, 200]
+    ticks[0].close()
+    client.writer.close()
+    assert len(server.requests) == 2
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1110,6 +1110,9 @@
         bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
         bench.node.balancer.request = lambda *args: None  # all stay open
         idle = await bench.client()
+        await until(lambda: len(bench.node.callers.callers) == 1)
+        (silent,) = bench.node.callers.callers
+        silent.active -= 0.3  # as if it had come so long ago and said nothing
         most = bench.node.callers.most
         assert most >= 4  # a small budget too is mostly for clients that are served
         clients = []
