--- a/brackenladder/lab/swarm/agents.py
+++ b/brackenladder/lab/swarm/agents.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 from collections.abc import Sequence
+from time import monotonic, time
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -110,6 +111,7 @@
         self.spare = list(servers[len(servers) - spare :])  # stand-ins that are not in the list yet
         self.truth: Lines = {s["id"]: s for s in servers[: len(servers) - spare]}
         self.lists: list[tuple[Lines, Lines]] = [(self.truth, self.truth)]  # by version, for each half
+        self.began: dict[str, float] = {}  # servers that a list has added, with the machine's clock then
         half = (len(names) + 1) // 2
         self.agents = {name: Agent(self, name, i // half) for i, name in enumerate(names)}
 
@@ -135,7 +137,8 @@
             name: self.truth[name] | {"state": "draining"} for name in drain if name in self.truth
         }
         changes |= {name: {} for name in gone}
-        changes |= {line["id"]: line for line in added}
+        changes |= {line["id"]: line | {"started_ms": int(time() * 1000)} for line in added}
+        self.began |= {line["id"]: monotonic() for line in added}
 
         def after(names: Sequence[str]) -> Lines:
             lines = self.truth | {name: changes[name] for name in names}
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -24,6 +24,7 @@
 from brackenladder.audit.ledger import named, read
 from brackenladder.errors import BrackenladderError
 from brackenladder.lab.live.wire import Broken, Pool, Unreached
+from brackenladder.lab.swarm import cold
 from brackenladder.lab.swarm.agents import Agents
 from brackenladder.lab.swarm.audits import AuditObserver, Held, matched
 from brackenladder.lab.swarm.freezes import Called, FreezeObserver
@@ -168,7 +169,8 @@
                 "seed": f"{s.world.seed * 1000 + index:x}",
                 "limits": {"memory_mb": 128, "sockets": 512},
                 "known": self.agents.first(),
-                "settings": {**SETTINGS, "dcs": zones, "zone": index % len(zones), **s.place(index)},
+                "settings": {**SETTINGS, "dcs": zones, "zone": index % len(zones), **s.place(index)}
+                | ({"rules": cold.rules(s.servers.cold_s)} if s.servers.cold_s else {}),
             }
             node.configure(config, operator)
         return servers
@@ -497,6 +499,10 @@
                 self.servers.stdin.write(b"arrivals\n")
                 arrivals = await self.said(self.servers, 30.0)
             figures["to_drained"] = self.audits.to_drained(arrivals)
+            if s.servers.cold_s and self.agents is not None:
+                began = {int(name[1:]): at for name, at in self.agents.began.items()}
+                capacity = s.servers.slots / s.servers.service_ms * 1000
+                figures |= cold.figures(arrivals, began, s.servers.cold_s, capacity)
             figures |= self.localities.figures(arrivals, missed, self.zero, self.zero + watched)
             if s.audit is not None:
                 figures |= await self.ledgers(arrivals)
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -56,6 +56,7 @@
     spare: Annotated[int, Meta(ge=0, le=MOST_SERVERS)] = 0  # more, for the list to take in later
     slots: Annotated[int, Meta(ge=1)] = 4  # calls that run at a time; twice as many may wait
     service_ms: Annotated[float, Meta(gt=0, le=10_000)] = 5.0
+    cold_s: Annotated[float, Meta(ge=0, le=600)] = 0.0  # those that a list adds start cold, for so long
     entries: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # answers that each keeps; 0: none
     hit_ms: Annotated[float, Meta(ge=0, le=10_000)] = 1.0  # for a call whose answer it has
 
@@ -290,6 +291,9 @@
     "tail_idle": "servers that got no request in the last third",
     "peak_held": "most calls that one server held at a time",
     "tail_peak_held": "the same in the last third",
+    "cold_of_n": "calls at a server that started cold, of N, what tips it in three seconds; worst window",
+    "cold_of_bound": "the same of N + 2 sqrt(N) + 2",
+    "cold_calls": "calls at all servers while they were cold",
     "turned_away": "part of the calls that servers turned away, being full",
     "hit_rate": "part of the calls for a key whose answer the server had, in the last third",
     "forecasts": "forecasts of changes of placement that nodes have judged by what came of them",
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -19,6 +19,7 @@
 
 from brackenladder.balance import Balancer
 from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings, State
+from brackenladder.lab.swarm import cold
 
 
 class Machine:
@@ -316,6 +317,23 @@
     assert 0.6 * 20 < together < 1.5 * 20
 
 
+def test_the_swarm_s_figure_counts_the_worst_window_of_all_processes():
+    n = cold.budget(3.0, 10.0, 2.0)
+    assert n == pytest.approx(3.0 * (0.12 + 0.88 * 0.15) * 2.0 * 3.0)
+    arrivals = {
+        "n0": [(99.0, 5), (101.0, 5), (103.5, 5), (120.0, 5)],
+        "n1": [(101.0, 5), (102.9, 5), (101.0, 4)],
+    }
+    found = cold.figures(arrivals, {5: 100.0, 7: 100.0}, 10.0, 2.0)
+    assert (
+        found["cold_calls"] == 4
+    )  # not before its start, not when it was warm, not at one that did not start
+    windows = [(calls, cold.budget(age, 10.0, 2.0)) for calls, age in ((2, 1.0), (3, 2.9), (4, 3.5))]
+    assert found["cold_of_n"] == pytest.approx(max(calls / n for calls, n in windows))
+    assert found["cold_of_bound"] == pytest.approx(max(calls / (n + 2 * sqrt(n) + 2) for calls, n in windows))
+    assert cold.figures(arrivals, {7: 100.0}, 10.0, 2.0) == {}
+
+
 if __name__ == "__main__":
     print(
         "case, processes: of N + 2 sqrt(N) + 2, of N in any window; of N over the ramp (most of five seeds)"
