Tests: a call to the scripted discovery that was given up takes no answer; the cap on calls alone is held

Seen on a machine at load 60 and more: two tests failed, once each. The scripted discovery hands an answer to the call that waits longest. One that the node had given up, since the agent never answered it, still waited there, took the answer and wrote it to a closed connection. A real agent keeps what it has. Now such a call ends with its connection.

The test of the cap on calls also counted how many had been made, which grows when a busy machine lets one fall silent. It holds the calls that are out against the cap, as it should; without the cap it still fails.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -148,7 +148,12 @@
             self.polls += 1
             version = request.target.partition("since=")[2].partition("&")[0]
             return empty_answer(int(version))
-        data = await self.answers.get()
+        # Failure prevented: a call that the node has given up takes the answer that a later one waits for.
+        while self.answers.empty() or writer._reader.at_eof():
+            if writer._reader.at_eof():
+                raise ConnectionResetError
+            await asyncio.sleep(0.002)
+        data = self.answers.get_nowait()
         if data is None:
             raise ConnectionResetError
         return data
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -280,10 +280,10 @@
     agent = await Agent(0, flood).start()
     config = {"discovery": f"127.0.0.1:{agent.port}"}
     node = (await Bench(Server(), config=config, discovery="push").start()).node
-    await until(lambda: agent.broken == CALLS)
+    await until(lambda: agent.broken >= CALLS)
     began = node.loop.time()
     await until(lambda: node.loop.time() > began + 4 * SILENCE)
-    assert agent.broken == len(node.discovery.calls) == CALLS
+    assert len(node.discovery.calls) == CALLS
 
 
 async def test_a_connection_that_is_closed_between_calls_is_no_failure():
