Servers: a connection keeps its descriptor and one poll object for the looks before and after a request

Need: the look for unread bytes before a connection is used again and the one for what a server has acknowledged are made for almost each attempt; each asked the transport for its socket, and the first made and filled a poll object. Both are kept with the connection now.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -189,6 +189,9 @@
         self.transport = cast(asyncio.Transport, transport)
         # With no buffer allowed, pause_writing says at once that a request has not gone out whole.
         self.transport.set_write_buffer_limits(high=0)
+        self.number = self.transport.get_extra_info("socket").fileno()
+        self.unread = select.poll()
+        self.unread.register(self.number, select.POLLIN)
 
     def pause_writing(self) -> None:
         self.blocked = self.unsent = True
@@ -457,9 +460,7 @@
         """
         if self.transport.is_closing():
             return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(self.unread.poll(0))
 
     def crossed(self) -> bool:
         """Whether the server's machine has acknowledged nothing of the request, as far as this one knows.
@@ -467,9 +468,8 @@
         What a server sends once it has got a request acknowledges it: bytes that come before that are no
         answer to it. Where the system cannot tell, nothing is held against them.
         """
-        number = self.transport.get_extra_info("socket").fileno()
         with suppress(OSError):
-            out = int.from_bytes(fcntl.ioctl(number, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+            out = int.from_bytes(fcntl.ioctl(self.number, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
             return out >= self.wrote > 0
         return False
 
