Servers: a connection rests before it is used again where servers send more than an answer

The look at what the server has acknowledged tells it only while the request is still on its way; once the server has it, nothing in the bytes does. To blame: `Pool.take`, and the hand-over to what waits in `Pool.keep`.

Now the most recently used connection that has rested for 20 ms is taken. If none has, and for a minute after any server has sent more than belongs to an answer (behind it, on an idle connection, or across the next request), another one is opened while there is room; where servers send no such thing the longest idle one is taken, which costs no handshake. Not chosen: a rest always (fast servers would need twenty times the connections); comparing an answer with the one before (small answers are often the same). What is left: the very first second answer of a minute may meet a request that came within the milliseconds between.

Tests: a second answer that is sent once the next request has been written; connections, rested or not, with and without a reason and room. The test of what is said unasked waits for the one connection with strays to end, since the next request may now be on a third.

--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -42,6 +42,8 @@
 ALIKE_WITHIN = 0.1  # ...if they are apart by no more than this part of the greatest
 LATE = 0.4  # seconds after its time within which an answer is late, and not lost
 CROSSING = 0.05  # seconds after a request within which bytes may come that were sent before it was there
+REST = 0.02  # seconds after an answer within which a server may send more than belongs to it
+TALKATIVE = 60.0  # seconds after some server did, in which no connection is used again before that
 LATEST = 2.0  # seconds within which a connection may come up: a lost SYN is sent again after one
 SPARE = 2  # connections to one server that may still come up after the attempts that asked for them
 HOLD_UNKNOWN = 16384  # bytes held of an answer that does not say how long it is
@@ -287,12 +289,15 @@
         exchange = self.exchange
         if exchange is None:
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
+            if self.used:
+                self.pool.spoke_unasked()
             self.close()
             return
         now = self.pool.loop.time()
         if self.used and not self.size and now - self.active < CROSSING and self.crossed():
             # Failure prevented: a second answer to the request before, or one that nobody asked for, crosses
             # the next request on its way and is served as that one's. The server may still run it.
+            self.pool.spoke_unasked()
             self.finish(Outcome.RESET, None, reuse=False)
             return
         self.active = now
@@ -309,6 +314,8 @@
             # Failure prevented: a whole answer is thrown away for the noise behind it, and fails a request
             # that has run. What follows it belongs to nobody, so the connection is of no further use.
             answer = self.answer(b"".join(self.pieces))
+            if self.stray:
+                self.pool.spoke_unasked()
             self.finish(outcome_of(answer), answer, self.keep and not self.stray and not self.unsent)
         elif self.stray:
             self.finish(Outcome.RESET, None, reuse=False)
@@ -452,6 +459,10 @@
         self.pool.lost(self)
         self.broken()
 
+    def rested(self, now: float) -> bool:
+        """Whether nothing more can be on its way that belongs to the answer before."""
+        return not self.used or now - self.idle_since >= REST
+
     def spoken_to(self) -> bool:
         """Whether an idle connection's end, or bytes that nobody asked for, wait in the socket.
 
@@ -631,6 +642,7 @@
         self.budget = budget
         self.hit_header = b""  # of answers, in lower case; empty: none is looked at
         self.renew(connect_timeout, idle_time)
+        self.wary_until = 0.0  # the loop's time
         self.open = 0
         self.opening: dict[Connection, None] = {}  # the oldest first
         self.endpoints: dict[int, Endpoint] = {}
@@ -642,11 +654,25 @@
         self.connect_timeout = connect_timeout
         self.idle_time = max(idle_time - IDLE_MARGIN, idle_time / 2)
 
+    def spoke_unasked(self) -> None:
+        """A server has sent more than an answer: any of them may, as they are of one make."""
+        self.wary_until = self.loop.time() + TALKATIVE
+
     def take(self, endpoint: Endpoint) -> Connection | None:
-        """The most recently used idle connection that is still good."""
+        """The most recently used idle connection that has rested and is still good.
+
+        Failure prevented: a second answer, some milliseconds after the first, meets the next request. Where
+        servers send such and none has rested, one is opened; elsewhere the longest idle one is taken.
+        """
         now = self.loop.time()
         while endpoint.idle:
-            connection = endpoint.idle.pop()
+            last = len(endpoint.idle) - 1
+            while last and not endpoint.idle[last].rested(now):
+                last -= 1
+            connection = endpoint.idle[last]
+            if now < self.wary_until and not connection.rested(now) and self.open < self.most:
+                return None
+            del endpoint.idle[last]
             age = now - connection.idle_since
             if age < min(self.idle_time, endpoint.bears) and not connection.spoken_to():
                 return connection
@@ -656,7 +682,8 @@
     def keep(self, connection: Connection) -> None:
         """Gives a connection that is free to what waits for one, or puts it among the idle ones."""
         endpoint = connection.endpoint
-        waited_for = bool(endpoint.waiting)
+        # One that has just carried an answer rests first where servers may send more than that.
+        waited_for = endpoint.waiting and not (connection.used and self.loop.time() < self.wary_until)
         if not endpoint.ready or connection.transport.is_closing() or waited_for and connection.spoken_to():
             connection.close()
             endpoint.failed()
