Limit: time-outs are left out of it only while few calls are lost

In a cut a fifth to a half of the calls hang, and a limit that stays open sends on what could be refused at once.

Change: the answered calls speak for a window only where no more than FAILING of it (15 in a hundred: the share from which failures count as overload elsewhere in the module) is lost. The test's cases move to that edge.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -301,8 +301,8 @@
         self.sample_rtt = percentile(self.samples, PERCENTILE)
         # Failure prevented: one call in ten meets a silent or broken connection and times out. That is no
         # load, but it is a window's percentile, and the limit falls to its floor while servers are at ease.
-        if 2 * len(self.served) >= count and (at_ease := percentile(self.served, PERCENTILE)) <= 1:
-            self.sample_rtt = at_ease
+        if count - len(self.served) <= FAILING * count and (p := percentile(self.served, PERCENTILE)) <= 1:
+            self.sample_rtt = p
         self.samples, self.served = [], []
         self.window_start = now
         self.gradient = min(GRADIENT_HIGH, max(GRADIENT_LOW, 1.0 / max(self.sample_rtt, 1e-9)))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -302,9 +302,9 @@
 
 @pytest.mark.parametrize(
     ("latency", "lost", "falls"),
-    [(40_000, 12, False), (40_000, 40, False), (40_000, 41, True), (180_000, 12, True), (180_000, 0, True)],
+    [(40_000, 8, False), (40_000, 12, False), (40_000, 13, True), (180_000, 12, True), (180_000, 0, True)],
 )
-def test_time_outs_are_overload_only_where_most_calls_are_lost_or_the_answered_ones_are_late(
+def test_time_outs_are_overload_only_where_many_calls_are_lost_or_the_answered_ones_are_late(
     latency, lost, falls
 ):
     """Failure prevented: one call in ten meets a silent connection, and the limit falls to its floor."""
