--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -40,7 +40,6 @@
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
 ALIKE = 3  # closes in a row whose ages show that a server has a time of its own...
 ALIKE_WITHIN = 0.1  # ...if they are apart by no more than this part of the greatest
-LATE = 0.4  # seconds after its time within which an answer is late, and not lost
 CROSSING = 0.05  # seconds after a request within which bytes may come that were sent before it was there
 REST = 0.02  # seconds after an answer within which a server may send more than belongs to it
 TALKATIVE = 60.0  # seconds after some server did, in which no connection is used again before that
@@ -216,7 +215,7 @@
         self.content_type = b""
         self.rejected = False
         self.report = self.hit = b""
-        self.complete = self.stray = self.keep = self.hindered = False
+        self.complete = self.stray = self.keep = False
         self.headed = False  # the final answer's head has come whole
         self.length: int | None = None
         self.chunked = False
@@ -262,14 +261,10 @@
         if self.exchange is not None:
             self.exchange.sent()
 
-    def endless(self) -> bool:
-        """Whether the answer may be a small one that does not end, through no fault of the client's."""
-        return not self.hindered and (self.length or 0) <= HOLD and self.received <= HOLD
-
     def pause(self) -> None:
         """The client does not take what comes: no more is read."""
         if not self.paused and not self.transport.is_closing():
-            self.paused = self.hindered = True
+            self.paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
@@ -514,9 +509,8 @@
         self.upload = upload
         self.over = False
         self.connection: Connection | None = None
-        self.ends = inf  # the loop's time at which the attempt's time is up
         self.timer: asyncio.TimerHandle | None = None
-        self.patience: asyncio.TimerHandle | None = None  # for a connection, or for the end of what flows
+        self.patience: asyncio.TimerHandle | None = None  # while it waits for a connection
         endpoint.busy += 1
 
     def start(self, timeout: float | None) -> None:
@@ -543,19 +537,18 @@
         if not self.over:
             if self.timer is not None:
                 self.timer.cancel()
-            self.ends = self.pool.loop.time() + timeout
             self.timer = self.pool.loop.call_later(timeout, self.expire)
 
     def begin(self, answer: Answer, source: Source) -> Sink | None:
-        """The answer is too large to hold. From here on a stand-still ends the exchange, and its time only
-        as long as the answer may be a small one."""
+        """The answer is too large to hold. From here on only a stand-still ends the exchange.
+
+        Not its time: how long an answer is may not be told, and large ones come slowly. One that is cut off
+        for its time while its bytes still come is lost.
+        """
         sink = self.begin_flow(answer, source)
         if sink is not None and self.timer is not None:
             self.timer.cancel()
             self.timer = self.pool.loop.call_later(STALL, self.watch)
-            if self.ends < inf:
-                rest = max(0.0, self.ends - self.pool.loop.time()) + LATE
-                self.patience = self.pool.loop.call_later(rest, self.overdue)
         return sink
 
     def watch(self) -> None:
@@ -570,15 +563,6 @@
                 return
         self.timer = self.pool.loop.call_later(max(rest, STALL / 10), self.watch)
 
-    def overdue(self) -> None:
-        """An answer's time was up a moment ago, and it still flows.
-
-        Failure prevented: an answer with no length that never ends, and is too small to be a large body,
-        keeps the client waiting without end: cut off it has failed, and is not lost.
-        """
-        if self.connection is not None and self.connection.endless():
-            self.connection.broken()
-
     def use(self, connection: Connection) -> None:
         """Writes the request, if it may still be written: the connection may have taken its time."""
         if self.patience is not None:
