--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -49,6 +49,20 @@
     agree_s: Seconds = 30.0  # at most, after the watch, until all agree
 
 
+class Hollow(Form, frozen=True):
+    """`[hollow]`: further nodes that run the parts' hosts and deciders as `run` does, on real sockets, but
+    serve no clients; many share a process and its loop. They are h0, h1, ..., members like all others."""
+
+    count: Annotated[int, Meta(ge=1, le=20_000)]
+    processes: Annotated[int, Meta(ge=1, le=64)] = 4  # that share them
+    regions: Annotated[int, Meta(ge=1, le=16)] = 3  # zones are dealt to regions in turn: see docs/swarm.md
+    zones: Annotated[int, Meta(ge=1, le=64)] = 9
+    racks: Annotated[int, Meta(ge=1, le=1_000)] = 8  # in each zone
+    services: Annotated[int, Meta(ge=1, le=10_000)] = 140
+    late_ms: Annotated[float, Meta(gt=0, le=60_000)] = 250.0  # a shared loop's p99 above it: void
+    memory_mb: Annotated[float, Meta(gt=0)] | None = None  # of all processes; None: half of the machine's
+
+
 class Servers(Form, frozen=True):
     """`[servers]`: stand-ins behind the nodes, spread over the zones in turn."""
 
@@ -138,6 +152,7 @@
     zones: dict[str, Any] | None = None
     locality: dict[str, Any] | None = None
     servers: Servers = Servers()
+    hollow: Hollow | None = None
     load: Load | None = None
     faults: tuple[Fault, ...] = msgspec.field(default=(), name="fault")
     calls: tuple[Call, ...] = msgspec.field(default=(), name="call")
