Discovery: a poll that brought news stays the watch, and is not ended at its next answer

The nodes' pages showed no frontier: only three of six held version 3, four are a quorum. The fourth, restarted at 4 s, held version 2 with a well agent, whose trace shows that the node closed its connection after the first empty answer and never asked again. The next answer without news, or the next failure, ended it as a poll, with nothing asked after. Any doubt that finds news meets this: a server that turns calls away, a start, a wake after a stop. Change: the call is heard by `watched` once it is the watch.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -362,11 +362,16 @@
             self.fail()
 
     def end_others(self, call: Call) -> None:
-        """This call is the watch; nothing more is heard of those beside it."""
+        """This call is the watch; nothing more is heard of those beside it.
+
+        Failure prevented: a poll that brought news goes on as the watch, and at the first answer without
+        news, or its first failure, it is ended like a poll, and nothing is asked any more.
+        """
         for other in list(self.calls):
             if other not in (call, self.fetching):
                 self.end(other)
         self.watching, self.polling = call, None
+        call.told = self.watched
 
     def go_on(self, call: Call) -> None:
         """The watch goes on with this call's connection; no other is waited for."""
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -358,6 +358,30 @@
     await until(lambda: len(writers) >= 3)
 
 
+@pytest.mark.parametrize("end", ["no news", "reset", "unreadable"])
+async def test_a_poll_that_brought_news_goes_on_as_the_watch(end):
+    """Failure prevented: the poll takes the watch's place and is then ended like a poll, so that the node
+    asks for nothing more, and calls servers that drain until a listed one turns it away again."""
+    await (server := Server()).start()
+    agent = await Agent(0, None, 41, [server.entry("s0")]).start()
+    bench = await Bench(server, config={"discovery": f"127.0.0.1:{agent.port}"}).start()
+    discovery = bench.node.discovery
+    await until(lambda: any(target.endswith("since=41&timeout_ms=1000") for target in agent.targets))
+    agent.version, agent.servers = 42, [server.entry("s0"), server.entry("s1")]  # the watch is not told
+    discovery.doubt()
+    await until(lambda: discovery.version == 42 and agent.targets[-1].endswith("since=42&timeout_ms=1000"))
+    assert discovery.polling is None and [*discovery.calls] == [discovery.watching]
+    if end == "no news":
+        await until(lambda: sum("since=42" in target for target in agent.targets) >= 3)
+    elif end == "reset":
+        reset(agent.writers[-1])
+    else:
+        agent.writers[-1].write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{")
+        await until(lambda: discovery.dropped)
+    agent.mend(43, server.entry("s0", "draining"))
+    await until(lambda: discovery.version == 43)
+
+
 # ---- answers that overtake each other ----------------------------------------------------------------
 
 
