--- /dev/null
+++ b/brackenladder/lab/scale/views.py
@@ -0,0 +1,379 @@
+"""One node's views of a fleet of N: its membership, its records, its audit, its locality, the coordinator's
+evidence. No network: what stands in a settled fleet is put in, then what the node does by itself is timed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, cast
+
+from brackenladder.audit.word import KIND as AUDIT
+from brackenladder.audit.word import Held, Word
+from brackenladder.audit.word import encode as encode_word
+from brackenladder.freeze.evidence import KIND as EVIDENCE
+from brackenladder.freeze.evidence import Evidence, EvidenceRules, Report
+from brackenladder.freeze.evidence import decode as decode_report
+from brackenladder.freeze.evidence import encode as encode_report
+from brackenladder.interface import ListKind, Outcome, State
+from brackenladder.lab.scale.clocks import held, settled, timed
+from brackenladder.locality import evidence as zones
+from brackenladder.locality.common import Common, CommonRules
+from brackenladder.membership.swim import Member, Swim, SwimSettings
+from brackenladder.membership.wire import State as MemberState
+from brackenladder.net.audit import Audit
+from brackenladder.net.listing import Line
+from brackenladder.net.parts import GO, Answer, AttemptEnd, Change, Host, ListNews, PartError, Source, Version
+from brackenladder.operation import Operation, build
+from brackenladder.records.interface import Record
+from brackenladder.records.table import Entry, RecordTable, bucket
+from brackenladder.records.wire import Head
+from brackenladder.stores.interface import Store
+from brackenladder.stores.memory import MemoryStore
+
+SECOND = 1_000_000
+SERVICES = 140
+ZONES = tuple(f"z{i}" for i in range(9))
+REGIONS = tuple(f"r{i}" for i in range(3))
+SERVERS = 20  # in a node's list: 2,800 servers in 140 services
+
+
+def name_of(index: int) -> str:
+    """A node's name as an installation might give it; names sort otherwise than they were dealt."""
+    return f"svc{index % SERVICES:03d}-n{index:05d}"
+
+
+def membership(size: int, seed: int) -> Swim:
+    """A node's view of `size` members, told by another's full exchange, as a newcomer gets it."""
+    rng = Random(seed)
+    other = Swim(name_of(size - 1), ("10.0.0.1", 7946), SwimSettings(), seed=seed)
+    for i in range(size - 1):
+        host = f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}"
+        name = name_of(i)
+        zone = rng.randrange(len(ZONES))
+        other.members[name] = Member(
+            name, host, 7946, rng.randrange(3), MemberState.ALIVE, 0, ZONES[zone], REGIONS[zone // 3]
+        )
+    me = Swim(name_of(0), ("10.0.0.0", 7946), SwimSettings(), seed=seed + 1)
+    me.join(1, [])
+    for send in other._sync(("10.0.0.0", 7946), reply=False):
+        me.receive(2, send.data, ("10.0.0.1", 7946))
+    me.drain()
+    me.queue.clear()
+    assert len(me.members) == size - 1
+    return me
+
+
+def word_of(rng: Random, number: int) -> bytes:
+    """The word of a node of a settled fleet: the last four versions of one discovery's list."""
+    lists = tuple(Held("registry.internal:8500", n, f"{n * 0x9E3779B97F4A7C15 % (1 << 64):016x}") for n in
+                  range(number - 3, number + 1))  # fmt: skip
+    return encode_word(
+        Word(
+            life=rng.randrange(1, 5),
+            entries=rng.randrange(10_000),
+            head=rng.randbytes(8),
+            lists=lists,
+            settings=(1, "5a1b7c3d9e2f4a60"),
+            operation=(1, "0f3e5d7c9b1a2846"),
+            program="0.1.0",
+            members=rng.randrange(1_000),
+            known=2_800,
+            ready=True,
+        )
+    )
+
+
+def evidence_of(number: int) -> bytes:
+    """The same node's report on its attempts: a service's servers lie in a few zones."""
+    lists = ("registry.internal:8500", number, "0123456789abcdef")
+    return encode_report(Report({"z0": 0, "z4": 0, "z8": 0}, 0, lists))
+
+
+def zones_of(rng: Random) -> bytes:
+    """The same node's report on the zones."""
+    words = {z: zones.Word(0, 0, 0, 0, 8) for z in ZONES[:9]}
+    return zones.encode(zones.Report(rng.choice(ZONES), float(rng.randrange(300, 500)), words))
+
+
+def fill(table: RecordTable, names: list[str], bodies: Callable[[str], dict[str, bytes]]) -> None:
+    """Puts into a table what a settled fleet holds."""
+    table.members(table.now, dict.fromkeys(names, ("10.0.0.1", 7946)))
+    for name in names:
+        if name != table.name:
+            owner = table.owners[name]
+            for kind, body in bodies(name).items():
+                owner.hold(kind, Entry(1, body, table.now))
+            owner.reach(Head(7, owner.checked))
+            table.buckets[bucket(owner.key)] ^= owner.mix
+
+
+class Plain:
+    """A host without a node: one loop that does not run, a clock that is set, records in a table."""
+
+    def __init__(self, swim: Swim, table: RecordTable, operation: Operation) -> None:
+        self.name = swim.name
+        self.swim, self.table, self.wish = swim, table, operation
+        self.loop = asyncio.new_event_loop()
+        self.clock = 1_000 * SECOND
+        self.kept: Store = MemoryStore()
+        self.said = 0
+
+    def now(self) -> int:
+        return self.clock
+
+    def wall(self) -> int:
+        return 10**15
+
+    def seed(self) -> int:
+        return 7
+
+    def say(self, event: str, **fields: Any) -> None:
+        self.said += 1
+
+    def operation(self) -> Operation:
+        return self.wish
+
+    def live(self) -> list[str]:
+        return [m.name for m in self.swim.alive()]
+
+    def member_address(self, name: str) -> tuple[str, int] | None:
+        member = self.swim.members.get(name)
+        return (member.host, member.port) if member is not None else None
+
+    def channel(self, tag: int, received: object) -> Any:
+        raise PartError("there is no network")
+
+    def records(self) -> Plain:
+        return self
+
+    def put(self, kind: str, body: bytes) -> None:
+        self.table.put(self.table.now, kind, body)
+
+    def get(self, owner: str, kind: str) -> Record | None:
+        return self.table.get(owner, kind)
+
+    def of(self, kind: str) -> list[Record]:
+        return self.table.of(kind)
+
+    def store(self) -> Store:
+        return self.kept
+
+    def may(self, change: Change, scope: str, then: Callable[[Answer], None]) -> None:
+        then(GO)
+
+    def acts_on(self, version: Version) -> None: ...
+
+    def ask_list(self) -> None: ...
+
+    def merge_list(self, lines: tuple[Line, ...]) -> None: ...
+
+    def shut_out(self, out: bool, why: str) -> None: ...
+
+
+def audit(size: int, seed: int) -> dict[str, float]:
+    """The audit's tick, four a second: whole, its judgement alone, and after a change of all words."""
+    rng = Random(seed)
+    swim = membership(size, seed)
+    names = [swim.name, *swim.members]
+    table = RecordTable(swim.name, seed, now=1_000 * SECOND)
+    fill(table, names, lambda name: {AUDIT: word_of(rng, 100)})
+    host = Plain(swim, table, build({"audit": {"numbering": "registry.internal:8500"}}, "operator.toml"))
+    part = Audit()
+
+    def begin() -> Audit:
+        part.start(cast(Host, host))
+        # No channel: a node's audit sends only to who is behind, and here nobody is.
+        part.records = cast(Any, host)
+        lines = tuple(Line(f"s{i}", "10.0.0.1", 80, "z0", "std", 0, State.READY, 1.0, 0) for i in range(20))
+        digest = f"{100 * 0x9E3779B97F4A7C15 % (1 << 64):016x}"
+        version = Version(Source.LIST, "registry.internal:8500", 100, digest)
+        part.list_news(ListNews(version, ListKind.FULL, lines, False))
+        part.version(version)
+        for _ in range(12):
+            step()
+        return part
+
+    def step() -> None:
+        host.clock += 250_000
+        table._at(host.clock)
+        for owner in table.owners.values():
+            owner.renewed = host.clock
+        tick()
+
+    def tick() -> None:
+        part.tick()
+        assert part.timer is not None
+        part.timer.cancel()
+
+    _, memory = held(begin)
+    picture = part.picture
+    assert picture is not None and len(picture.standings) == size
+    assert all(s.state.value == "current" for s in picture.standings.values()), "the fleet is not settled"
+    words_a_minute = {}
+    if size <= 400:  # that it renews its word without any change hangs on no size
+        before = table.me.records[AUDIT].version
+        for turn in range(240):
+            for _ in range(98):  # 393 calls a second
+                part.attempt_ended(AttemptEnd("s1", "c", Outcome.OK, host.clock, host.clock, None, None))
+            if turn % 2:
+                part.flush()
+                assert part.flushing is not None
+                part.flushing.cancel()
+            step()
+        words_a_minute["own_words_a_minute"] = float(table.me.records[AUDIT].version - before)
+    live, words = host.live(), part.hear(cast(Any, host))
+    times = max(9, min(60, 20_000 // size))
+
+    def judge() -> None:
+        host.clock += 250_000
+        part.view.judge(host.clock, live, words)
+
+    def ticked() -> None:
+        host.clock += 250_000
+        tick()
+
+    def turned() -> None:
+        """All words are of a new version, as after a change that all have taken up."""
+        part.words.clear()
+        ticked()
+
+    with settled():
+        judged = timed(judge, times)
+        whole = timed(ticked, times)
+        after = timed(turned, max(5, times // 4))
+        alive = timed(host.live, times)
+        heard = timed(lambda: part.hear(cast(Any, host)), times)
+    part.stop(farewell=False)
+    host.loop.close()
+    return {
+        "judge_ms": judged.median,
+        "judge_least_ms": judged.least,
+        "live_ms": alive.median,
+        "hear_ms": heard.median,
+        "tick_ms": whole.median,
+        "tick_least_ms": whole.least,
+        "tick_changed_ms": after.median,
+        "core_percent": whole.median * 4 / 10,
+        "memory_mb": memory,
+        **words_a_minute,
+    }
+
+
+AUDIT_UNITS = {
+    "judge_ms": "ms", "judge_least_ms": "ms", "live_ms": "ms", "hear_ms": "ms", "tick_ms": "ms",
+    "tick_least_ms": "ms", "tick_changed_ms": "ms", "core_percent": "% of a core", "memory_mb": "MB",
+    "own_words_a_minute": "records",
+}  # fmt: skip
+
+
+def view(size: int, seed: int) -> dict[str, float]:
+    """What a view of N holds in memory, and what one change of it costs."""
+    rng = Random(seed)
+    swim, of_members = held(lambda: membership(size, seed))
+    names = [swim.name, *swim.members]
+    table = RecordTable(swim.name, seed, now=SECOND)
+    _, of_heads = held(lambda: table.members(SECOND, dict.fromkeys(names, ("10.0.0.1", 7946))))
+
+    def words() -> None:
+        fill(table, names, lambda name: {AUDIT: word_of(rng, 100)})
+
+    _, of_words = held(words)
+
+    def others() -> None:
+        for name in names:
+            if name != table.name:
+                owner = table.owners[name]
+                owner.hold(EVIDENCE, Entry(1, evidence_of(100), table.now))
+                owner.hold(zones.KIND, Entry(1, zones_of(rng), table.now))
+
+    _, of_others = held(others)
+
+    def change() -> None:
+        """As `net.members.carry` and `net.hosting.told_members` do it for each change of a member's state."""
+        table.members(table.now, {m.name: (m.host, m.port) for m in swim.alive()})
+        sorted([m.name for m in swim.alive()])
+
+    times = max(9, min(60, 20_000 // size))
+    syncs = swim._sync(("10.0.0.1", 7946), reply=True)
+    with settled():
+        changed = timed(change, times)
+        syncing = timed(lambda: swim._sync(("10.0.0.1", 7946), reply=True), max(5, times // 4))
+    return {
+        "membership_mb": of_members,
+        "heads_mb": of_heads,
+        "audit_records_mb": of_words,
+        "other_records_mb": of_others,
+        "change_ms": changed.median,
+        "change_least_ms": changed.least,
+        "sync_ms": syncing.median,
+        "sync_bytes": float(sum(len(s.data) for s in syncs)),
+        "sync_datagrams": float(len(syncs)),
+        "word_bytes": float(len(word_of(rng, 100))),
+    }
+
+
+VIEW_UNITS = {
+    "membership_mb": "MB", "heads_mb": "MB", "audit_records_mb": "MB", "other_records_mb": "MB",
+    "change_ms": "ms", "change_least_ms": "ms", "sync_ms": "ms", "sync_bytes": "bytes",
+    "sync_datagrams": "datagrams", "word_bytes": "bytes",
+}  # fmt: skip
+
+
+def locality(size: int, seed: int) -> dict[str, float]:
+    """What the part of the locality does four times a second, and the coordinator's evidence each second."""
+    rng = Random(seed)
+    swim = membership(size, seed)
+    names = [swim.name, *swim.members]
+    table = RecordTable(swim.name, seed, now=1_000 * SECOND)
+    fill(table, names, lambda n: {zones.KIND: zones_of(rng), EVIDENCE: evidence_of(100)})
+    common = Common(swim.name, CommonRules())
+    decoded: dict[str, tuple[bytes, zones.Report | None]] = {}
+    clock = [1_000 * SECOND]
+    mine = zones.decode(zones_of(rng))
+    assert mine is not None
+
+    def look() -> None:
+        """As `net.locality.LocalityPart.look` does it."""
+        clock[0] += 250_000
+        reports = {}
+        for record in table.of(zones.KIND):
+            kept = decoded.get(record.owner)
+            if kept is None or kept[0] is not record.body:
+                kept = decoded[record.owner] = (record.body, zones.decode(record.body))
+            if kept[1] is not None and not record.stale:
+                reports[record.owner] = kept[1]
+        known = {m.name for m in [swim.me, *swim.view()] if m.state != MemberState.LEFT}
+        live = {m.name for m in swim.alive()}
+        common.tick(clock[0], mine, reports, known, live, set())
+
+    evidence = Evidence(EvidenceRules())
+
+    def judge() -> None:
+        """As `net.freeze.FreezePart.judge` does it at the coordinator."""
+        clock[0] += 1_000_000
+        reports = {}
+        for record in table.of(EVIDENCE):
+            report = decode_report(record.body) if not record.stale else None
+            if report is not None:
+                reports[record.owner] = report
+        evidence.judge(clock[0], reports, [m.name for m in swim.alive()])
+
+    times = max(9, min(60, 20_000 // size))
+    look()
+    with settled():
+        looked = timed(look, times)
+        judged = timed(judge, times)
+    return {
+        "look_ms": looked.median,
+        "look_least_ms": looked.least,
+        "look_core_percent": looked.median * 4 / 10,
+        "evidence_ms": judged.median,
+        "evidence_core_percent": judged.median / 10,
+    }
+
+
+LOCALITY_UNITS = {
+    "look_ms": "ms", "look_least_ms": "ms", "look_core_percent": "% of a core",
+    "evidence_ms": "ms", "evidence_core_percent": "% of a core",
+}  # fmt: skip
