--- /dev/null
+++ b/brackenladder/lab/scale/capacity.py
@@ -0,0 +1,239 @@
+"""What a node, an elector, a coordinator and a seed cost at a size, put together from fitted slopes.
+
+Every figure is a function of two sizes: `fleet`, all members, and `scope`, those whose records a node holds
+(the same while the fleet is flat; a cell's where it is dealt into cells). Nothing is measured here.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from brackenladder.lab.scale.fit import FigureUnknown, Fit, SlopesOneSize, SlopesTooFew, fit
+from brackenladder.lab.scale.interface import Slopes
+
+TARGET = 2_800
+CHANGES = 1_500 / 86_400  # a second
+RESTARTS = 220 / 86_400
+FAILURES = 5 / 86_400
+EPOCHS = 2 * RESTARTS + FAILURES  # changes of who lives: each makes all renew their words
+THINNED = 160  # members from which on the records' beats are thinned (`records.table.Rules`)
+MOST_RATE = 64_000  # bytes a second that the records of one node may send
+HELLO = 3  # seeds that a newcomer asks
+
+
+@dataclass(frozen=True)
+class Budget:
+    """A line of the target that a size uses up."""
+
+    name: str
+    unit: str
+    limit: float
+
+
+CORE = Budget("core", "% of a core", 3.2)
+MEMORY = Budget("memory", "MB", 32)
+BYTES = Budget("bytes", "bytes/s", 3_000)
+HOLD = Budget("hold of the loop", "ms", 0.48)
+FORCE = Budget("in force everywhere", "s", 12)
+
+
+@dataclass
+class Book:
+    """Slopes by file, and their fits; a figure that is not there is no number, and stays one."""
+
+    slopes: Mapping[str, Slopes]
+    fits: dict[tuple[str, str, bool], Fit | None] = field(default_factory=dict)
+
+    def fit(self, file: str, figure: str, least: bool = False) -> Fit | None:
+        """None where there is nothing to fit."""
+        key = (file, figure, least)
+        if key not in self.fits:
+            self.fits[key] = None
+            if file in self.slopes:
+                with suppress(FigureUnknown, SlopesOneSize, SlopesTooFew):
+                    self.fits[key] = fit(self.slopes[file], figure, least)
+        return self.fits[key]
+
+    def at(self, file: str, figure: str, size: float, least: bool = False) -> float:
+        """The fitted figure at a size."""
+        found = self.fit(file, figure, least)
+        return math.nan if found is None else max(0.0, found.at(size))
+
+    def median(self, file: str, figure: str, size: int) -> float:
+        """What was measured at one size: the middle of its seeds."""
+        if file not in self.slopes:
+            return math.nan
+        points = self.slopes[file].points
+        values = sorted(
+            p.figures[figure] for p in points if p.size == size and not p.void and figure in p.figures
+        )
+        return values[len(values) // 2] if values else math.nan
+
+    def records(self, what: str, figure: str, scope: float, least: bool = False) -> float:
+        """Of `records-WHAT`, or of small fleets' file where beats are not thinned: the two grow otherwise."""
+        return self.at(f"records-{what}{'-small' if scope <= THINNED else ''}", figure, scope, least)
+
+    # ---- a node's bytes a second -------------------------------------------------------------------------
+
+    def beats(self, scope: float) -> float:
+        """Records at rest."""
+        return self.records("rest", "bytes_per_s", scope)
+
+    def renewals(self, scope: float) -> float:
+        """Words that are renewed every 30 s under load, beyond the beats."""
+        return max(self.records("renewal", "bytes_per_s", scope) - self.beats(scope), 0.0)
+
+    def changes(self, scope: float) -> float:
+        """Changes of the list that all tell."""
+        return CHANGES * self.records("change", "bytes", scope)
+
+    def epochs(self, scope: float) -> float:
+        """Changes of who lives, which all tell too."""
+        return EPOCHS * self.records("change", "bytes", scope)
+
+    def membership(self, fleet: float) -> float:
+        return self.at("membership-rest", "bytes_per_s", fleet)
+
+    def bytes(self, fleet: float, scope: float) -> float:
+        records = self.beats(scope) + self.renewals(scope) + self.changes(scope) + self.epochs(scope)
+        return self.membership(fleet) + records
+
+    # ---- a node's processor time, % of a core ------------------------------------------------------------
+
+    def audit(self, scope: float) -> float:
+        return 0.4 * self.at("audit", "tick_least_ms", scope, least=True)
+
+    def locality(self, scope: float) -> float:
+        return 0.4 * self.at("locality", "look_least_ms", scope, least=True)
+
+    def datagram(self) -> float:
+        """Microseconds of the transports and the loop for one that is sent and one that comes."""
+        found = [self.median("datagram", "both_us", size) for size in (100, 300, 600)]
+        return sum(found) / len(found)
+
+    def talk(self, fleet: float, scope: float) -> float:
+        """Records and membership: their deciders, and the transports below."""
+        deciders = self.records("renewal", "core_percent", scope, least=True)
+        deciders += self.at("membership-rest", "core_percent", fleet, least=True)
+        often = CHANGES + EPOCHS
+        deciders += often * self.records("change", "processor_ms", scope, least=True) / 10
+        datagrams = self.records("renewal", "datagrams_per_s", scope)
+        datagrams += self.at("membership-rest", "datagrams_per_s", fleet)
+        datagrams += often * self.records("change", "datagrams", scope)
+        return deciders + datagrams * self.datagram() / 1e4
+
+    def core(self, fleet: float, scope: float) -> float:
+        return self.audit(scope) + self.locality(scope) + self.talk(fleet, scope)
+
+    # ---- memory, MB --------------------------------------------------------------------------------------
+
+    def imports(self) -> float:
+        """A process with all parts on beyond one with none, alone."""
+        return self.median("process", "all_resident_mb", 1) - self.median("process", "none_resident_mb", 1)
+
+    def views(self, fleet: float, scope: float) -> float:
+        """What grows: the membership with the fleet; owners, records and the audit's view with the scope. The
+        process grows by more than the objects."""
+        return self.objects(fleet, scope) * self.slack()
+
+    def slack(self) -> float:
+        """By how much a process grows for each byte of these objects."""
+        return self.at("resident", "resident_mb", TARGET) / self.objects(TARGET, TARGET)
+
+    def objects(self, fleet: float, scope: float) -> float:
+        """The objects alone."""
+        grows = self.at("view", "membership_mb", fleet)
+        for figure in ("heads_mb", "audit_records_mb", "other_records_mb"):
+            grows += self.at("view", figure, scope)
+        return grows + self.at("audit", "memory_mb", scope)
+
+    def memory(self, fleet: float, scope: float) -> float:
+        return self.imports() + self.views(fleet, scope)
+
+    # ---- holds of the loop, ms ---------------------------------------------------------------------------
+
+    def ticks(self, scope: float) -> dict[str, float]:
+        """What holds the loop four times a second, and how long each time."""
+        return {
+            "audit's tick, 4/s": self.at("audit", "tick_least_ms", scope, least=True),
+            "locality's look, 4/s": self.at("locality", "look_least_ms", scope, least=True),
+        }
+
+    def rare(self, fleet: float, scope: float) -> dict[str, float]:
+        """What holds it more seldom: too seldom to be met by one call in a hundred."""
+        every = 30 * max(1, int(fleet) // 64)
+        return {
+            "audit's tick after a change that all tell": self.at(
+                "audit", "tick_changed_ms", scope, least=True
+            ),
+            "a change of who lives": self.at("view", "change_least_ms", fleet, least=True),
+            f"a full exchange of the membership, one in {every} s": self.at(
+                "view", "sync_ms", fleet, least=True
+            ),
+            "a full collection of Python's": self.at("resident", "collect_ms", scope, least=True),
+        }
+
+    def hold(self, scope: float) -> float:
+        return max(self.ticks(scope).values())
+
+    def standing(self, scope: float) -> float:
+        """The part of the time, in %, in which the loop stands in a tick of the audit or the locality."""
+        return self.audit(scope) + self.locality(scope)
+
+    # ---- a change ----------------------------------------------------------------------------------------
+
+    def told(self, scope: float) -> float:
+        """Seconds until all hold all words after a change: as measured, or as long as the bytes of one node
+        take at the most that it may send."""
+        measured = self.records("change", "seconds", scope)
+        return max(measured, self.records("change", "bytes", scope) / MOST_RATE)
+
+    def largest_cell(self, cost: Callable[[float, float], float], limit: float) -> float:
+        """The largest scope that keeps a limit in a fleet of the target's size; infinite where all do."""
+        return used_up(lambda scope: cost(TARGET, scope), limit, TARGET)
+
+    # ---- roles -------------------------------------------------------------------------------------------
+
+    def coordinator_core(self, fleet: float) -> float:
+        """Beyond a node's: the decider, the encoding, the sending."""
+        sends = self.at("freeze", "coordinator_datagrams_per_s", fleet)
+        us = [self.median("datagram", "send_us", size) for size in (100, 300)]
+        found = self.at("freeze", "coordinator_core_percent", fleet, least=True)
+        found += self.at("locality", "evidence_core_percent", fleet, least=True)
+        return found + sends * sum(us) / len(us) / 1e4
+
+    def coordinator_hold(self, fleet: float) -> float:
+        """The news to all in one turn of the loop, or the evidence."""
+        sends = self.at("freeze", "coordinator_datagrams_per_s", fleet)
+        us = [self.median("datagram", "send_us", size) for size in (100, 300)]
+        news = self.at("freeze", "coordinator_hold_ms", fleet, least=True) + sends * sum(us) / len(us) / 1e3
+        return max(news, self.at("locality", "evidence_ms", fleet, least=True))
+
+    def coordinator_bytes(self, fleet: float) -> float:
+        return self.at("freeze", "coordinator_bytes_per_s", fleet)
+
+    def newcomer(self, fleet: float, scope: float) -> float:
+        """Bytes that come to a node that starts anew: three seeds' full exchange, and all records."""
+        return HELLO * self.at("view", "sync_bytes", fleet) + self.at(
+            "records-newcomer", "received_bytes", scope
+        )
+
+
+def used_up(cost: Callable[[float], float], limit: float, most: float = 1_000_000) -> float:
+    """The least size at which a cost reaches a limit: 0 if it always does, infinite beyond `most`."""
+    if math.isnan(cost(100)):
+        return math.nan
+    if cost(2) >= limit:
+        return 0
+    sizes = [2 * (most / 2) ** (i / 400) for i in range(401)]
+    above = next((i for i, size in enumerate(sizes) if cost(size) >= limit), None)
+    if above is None:
+        return math.inf
+    low, high = sizes[above - 1], sizes[above]
+    while high - low > 0.5:
+        middle = (low + high) / 2
+        low, high = (middle, high) if cost(middle) < limit else (low, middle)
+    return float(math.floor(high))
--- a/brackenladder/lab/scale/fit.py
+++ b/brackenladder/lab/scale/fit.py
@@ -114,13 +114,17 @@
     return float(found[0]), float(found[1]) if form != "constant" else 0.0
 
 
-def fit(slopes: Slopes, figure: str) -> Fit:
-    """The figure's growth. A `FigureUnknown`, `SlopesOneSize` or `SlopesTooFew` where there is none."""
+def fit(slopes: Slopes, figure: str, least: bool = False) -> Fit:
+    """The figure's growth. With `least`, of the least of each size's seeds alone: what other work on the
+    machine adds to a processor time is no growth. A `FigureUnknown`, `SlopesOneSize` or `SlopesTooFew` where
+    there is none."""
     good = [p for p in slopes.points if not p.void]
     points = [(p.size, p.figures[figure]) for p in good if figure in p.figures]
     if not any(figure in p.figures for p in slopes.points):
         known = sorted({f for p in slopes.points for f in p.figures})
         raise FigureUnknown(f"no figure {figure!r}; there are {', '.join(known) or 'none'}", slopes.name)
+    if least:
+        points = [(s, min(v for z, v in points if z == s)) for s in sorted({s for s, _ in points})]
     sizes, values = [s for s, _ in points], [v for _, v in points]
     different = sorted(set(sizes))
     void = len(slopes.points) - len(good)
--- a/brackenladder/lab/scale/measure.py
+++ b/brackenladder/lab/scale/measure.py
@@ -50,6 +50,9 @@
 RECORDERS = {
     "audit": Recorder("views", "audit", "AUDIT_UNITS", "the audit's tick in a settled fleet of N"),
     "view": Recorder("views", "view", "VIEW_UNITS", "one node's views of N members, and one change of them"),
+    "resident": Recorder(
+        "views", "resident", "RESIDENT_UNITS", "one node's views of N members, in a process of its own"
+    ),
     "locality": Recorder(
         "views", "locality", "LOCALITY_UNITS",
         "the look of the locality at N records, and the coordinator's evidence",
@@ -62,13 +65,21 @@
         "gossip", "rest", "REST_UNITS", "records at rest in small fleets, whose beats are not thinned",
         "40,70,100,130,160",
     ),
+    "records-change-small": Recorder(
+        "gossip", "change", "CHANGE_UNITS", "a change that each of a small fleet takes up and tells",
+        "40,70,100,130,160",
+    ),
+    "records-renewal-small": Recorder(
+        "gossip", "renewal", "RENEWAL_UNITS", "each of a small fleet renews its audit record every 30 s",
+        "40,70,100,130,160",
+    ),
     "records-change": Recorder(
         "gossip", "change", "CHANGE_UNITS", "a change that each of N takes up and tells in its record",
-        "50,100,200,400,800",
+        "100,200,400,800",
     ),
     "records-renewal": Recorder(
         "gossip", "renewal", "RENEWAL_UNITS", "each of N renews its audit record every 30 s, nothing else",
-        "50,100,200,400,800",
+        "100,200,400,800",
     ),
     "records-newcomer": Recorder(
         "gossip", "newcomer", "NEWCOMER_UNITS", "one of N starts anew and fetches all records",
@@ -90,7 +101,7 @@
         "a datagram of so many bytes over loopback: socket, loop and transport", "100,300,600,900,1200",
         "bytes",
     ),
-    "list": Recorder(
+    "server-list": Recorder(
         "roles", "server_list", "LIST_UNITS", "a node's list of N servers: memory, a change, a whole list",
         "20,100,400,800,1600,2800", "servers",
     ),
--- /dev/null
+++ b/brackenladder/lab/scale/page.py
@@ -0,0 +1,431 @@
+"""Works the tables of `docs/CAPACITY.md` out of `benchmarks/slopes/*.json`.
+
+`python -m brackenladder.lab.scale.page` writes them between their marks (`<!-- begin NAME -->` and
+`<!-- end NAME -->`); with `--check` nothing is written, and the status is 1 where page and files differ. What
+stands outside of the marks is written by hand. A file that is not there leaves its figures out.
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+import re
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+from typing import ClassVar
+
+from brackenladder.errors import BrackenladderError
+from brackenladder.lab.scale import slopes as files
+from brackenladder.lab.scale import verdicts
+from brackenladder.lab.scale.capacity import (
+    BYTES,
+    CHANGES,
+    CORE,
+    EPOCHS,
+    FORCE,
+    HOLD,
+    MEMORY,
+    TARGET,
+    Book,
+    Budget,
+    used_up,
+)
+from brackenladder.lab.scale.fit import Fit
+from brackenladder.lab.scale.interface import Slopes
+from brackenladder.lab.scale.writing import MISSING, margin, number, percent, size, table
+
+PAGE = files.ROOT / "docs" / "CAPACITY.md"
+CELLS = (70, 100, 160)
+
+
+class PageUnmarked(BrackenladderError):
+    """A page that lacks the marks between which a table is written, or has them twice or out of order."""
+
+    remedy: ClassVar[str] = "put one pair of the marks that the line names where the table is to stand"
+
+
+# ---- the tables -------------------------------------------------------------------------------------------
+
+# file, figure, whether the least of the seeds counts (processor times), words, budget, factor to the budget
+FIGURES: list[tuple[str, str, bool, str, Budget | None, float]] = [
+    ("audit", "judge_least_ms", True, "audit: one judgement, 4 a second", HOLD, 1),
+    ("audit", "tick_least_ms", True, "audit: a whole tick, 4 a second", HOLD, 1),
+    ("audit", "tick_least_ms", True, "the same as % of a core", CORE, 0.4),
+    ("audit", "tick_ms", False, "audit: a whole tick on the machine as busy as it was", HOLD, 1),
+    ("audit", "tick_changed_ms", True, "audit: a tick after a change of all words", HOLD, 1),
+    ("locality", "look_least_ms", True, "locality: a look, 4 a second", HOLD, 1),
+    ("locality", "look_least_ms", True, "the same as % of a core", CORE, 0.4),
+    ("view", "change_least_ms", True, "a change of who lives: addresses, records, names", HOLD, 1),
+    ("view", "sync_ms", True, "membership: making a full exchange", HOLD, 1),
+    ("view", "sync_bytes", False, "membership: a full exchange", None, 1),
+    ("membership-rest", "bytes_per_s", False, "membership at rest", BYTES, 1),
+    ("records-rest-small", "bytes_per_s", False, "records at rest, up to 160 members", BYTES, 1),
+    ("records-rest", "bytes_per_s", False, "records at rest, from 200 members on", BYTES, 1),
+    ("records-renewal", "bytes_per_s", False, "records under load: words renewed every 30 s", BYTES, 1),
+    ("records-renewal", "core_percent", True, "the same: the decider's processor time", CORE, 1),
+    ("records-change", "bytes", False, "a change that all tell: bytes a node", None, 1),
+    ("records-change", "bytes", False, "the same, 1,500 a day", BYTES, CHANGES),
+    ("records-change", "seconds", False, "the same: until all hold all words", FORCE, 1),
+    ("records-change", "most_bytes_in_a_second", False, "the same: one node's most in a second", None, 1),
+    ("records-renewal-small", "bytes_per_s", False, "up to 160 members: words renewed every 30 s", BYTES, 1),
+    ("records-change-small", "bytes", False, "up to 160 members: a change, bytes a node", None, 1),
+    ("records-change-small", "seconds", False, "the same: until all hold all words", FORCE, 1),
+    ("records-newcomer", "received_bytes", False, "a newcomer: bytes of records that come to it", None, 1),
+    ("view", "membership_mb", False, "memory: the membership", MEMORY, 1),
+    ("view", "heads_mb", False, "memory: owners of records", MEMORY, 1),
+    ("view", "audit_records_mb", False, "memory: the audit's records", MEMORY, 1),
+    ("view", "other_records_mb", False, "memory: the evidence's and the zones' records", MEMORY, 1),
+    ("audit", "memory_mb", False, "memory: the audit's view, words and picture", MEMORY, 1),
+    ("resident", "resident_mb", False, "memory: all views, as the process grows", MEMORY, 1),
+    ("resident", "collect_ms", True, "a full collection of Python's, what the views add", HOLD, 1),
+    ("freeze", "coordinator_datagrams_per_s", False, "coordinator: datagrams", None, 1),
+    ("freeze", "coordinator_bytes_per_s", False, "coordinator: bytes", BYTES, 1),
+    ("freeze", "coordinator_core_percent", True, "coordinator: the decider and the encoding", CORE, 1),
+    ("freeze", "coordinator_hold_ms", True, "coordinator: the news to all, without the sending", HOLD, 1),
+    ("locality", "evidence_ms", True, "coordinator: all reports put together, 1 a second", HOLD, 1),
+    ("locality", "evidence_of_a_set_ms", True, "the same, were the names in a set (trial)", HOLD, 1),
+    ("membership-return", "lost_known_s", False, "a ninth is lost: until one holds all of it dead", FORCE, 1),
+    ("membership-return", "back_known_s", False, "it is back: until all hold all alive", FORCE, 1),
+    ("membership-return", "back_changes_a_node", False, "its return: changes at each other node", None, 1),
+    ("membership-return", "back_processor_ms", True, "its return: processor time of a node", None, 1),
+    ("membership-return", "seed_most_bytes_in_a_second", False, "its return: seed's worst second", None, 1),
+    ("server-list", "change_us", True, "one line of a list of N servers, the module", HOLD, 0.001),
+    ("server-list", "holdings_change_us", True, "the same, the digest that the parts tell", HOLD, 0.001),
+    ("server-list", "module_mb", False, "memory: a list of N servers in the module", MEMORY, 1),
+]  # fmt: skip
+
+
+def formula(found: Fit, factor: float) -> str:
+    if found.form == "constant":
+        return number(found.a * factor)
+    sign = "-" if found.a < 0 else ""
+    term = found.form.removeprefix("a + b ")
+    return f"{sign}{number(abs(found.a) * factor)} + {found.b * factor:.3g} {term}"
+
+
+def of_slopes(book: Book) -> str:
+    """Each figure's growth."""
+    rows = []
+    for file, figure, least, words, budget, factor in FIGURES:
+        found = book.fit(file, figure, least)
+        if found is None:
+            rows.append([words, f"`{file}`", MISSING, "", "", "", "", ""])
+            continue
+        unit = found.unit if factor == 1 else (budget.unit if budget is not None else "")
+        limit = math.inf if budget is None else budget.limit / factor
+        rows.append(
+            [
+                words,
+                f"`{file}` {found.sizes[0]:,} to {found.sizes[-1]:,}",
+                f"{formula(found, factor)} {unit}",
+                percent(found.error),
+                percent(found.prediction_error),
+                number(max(0.0, found.at(TARGET)) * factor) + f" {unit}",
+                "" if budget is None else f"{budget.limit:g} {budget.unit}",
+                "" if budget is None else size(found.used_up(limit)),
+            ]
+        )
+    head = [
+        "figure", "file, sizes", "fit", "fit's error", "largest size missed by", f"at {TARGET:,}", "budget",
+        "used up at N",
+    ]  # fmt: skip
+    return table(head, rows)
+
+
+def of_node(book: Book) -> str:
+    """What one node of a flat fleet spends, part by part, and in all."""
+    at = TARGET
+    rows = [
+        ["membership", number(book.membership(at)), "", ""],
+        ["records: beats and checks", number(book.beats(at)), "", ""],
+        ["records: words renewed every 30 s under load", number(book.renewals(at)), "", ""],
+        ["records: 1,500 changes a day, told by all", number(book.changes(at)), "", ""],
+        [f"records: {EPOCHS * 86_400:.0f} changes of who lives a day, told by all",
+         number(book.epochs(at)), "", ""],
+        ["records and membership: deciders and datagrams", "", number(book.talk(at, at)), ""],
+        ["audit: four ticks a second", "", number(book.audit(at)), ""],
+        ["locality: four looks a second", "", number(book.locality(at)), ""],
+        ["the views: membership, records, audit", "", "", number(book.views(at, at))],
+        ["the parts' code, in a process alone", "", "", number(book.imports())],
+        ["**all**", f"**{number(book.bytes(at, at))}**", f"**{number(book.core(at, at))}**",
+         f"**{number(book.memory(at, at))}**"],
+        ["budget", *(number(b.limit) for b in (BYTES, CORE, MEMORY))],
+        ["margin", margin(book.bytes(at, at), BYTES), margin(book.core(at, at), CORE),
+         margin(book.memory(at, at), MEMORY)],
+    ]  # fmt: skip
+    return table([f"a node among {at:,}", "bytes/s", "% of a core", "MB"], rows)
+
+
+def first(book: Book) -> list[tuple[float, str, Budget, float]]:
+    """What is used up, at which size, and the figure at the target; what goes first first."""
+
+    def flat(cost: Callable[[float, float], float]) -> Callable[[float], float]:
+        return lambda n: cost(n, n)
+
+    lines: list[tuple[str, Budget, Callable[[float], float]]] = [
+        ("bytes: membership, beats, renewed words, changes", BYTES, flat(book.bytes)),
+        ("bytes without the words renewed under load", BYTES, lambda n: book.bytes(n, n) - book.renewals(n)),
+        ("processor: audit, locality, records, membership", CORE, flat(book.core)),
+        ("memory of control: code and views", MEMORY, flat(book.memory)),
+        ("hold of the loop, several times a second", HOLD, book.hold),
+        ("a change, until all hold all words", FORCE, book.told),
+        ("coordinator: bytes", BYTES, book.coordinator_bytes),
+        ("coordinator: processor beyond a node's", CORE, book.coordinator_core),
+        ("coordinator: hold of the loop", HOLD, book.coordinator_hold),
+    ]
+    found = [(used_up(cost, b.limit), words, b, cost(TARGET)) for words, b, cost in lines]
+    return sorted(found, key=lambda row: (math.isnan(row[0]), row[0]))
+
+
+def of_first(book: Book) -> str:
+    rows = [
+        [words, f"{b.limit:g} {b.unit}", size(at), f"{number(value)} {b.unit}", margin(value, b)]
+        for at, words, b, value in first(book)
+    ]
+    return table(["what", "budget", "used up at N", f"at {TARGET:,}", "margin there"], rows)
+
+
+def of_holds(book: Book) -> str:
+    """What makes the loop stand still, and what part of the time it stands."""
+    news = "the news to all, at the coordinator, 1/s"
+    far = book.ticks(TARGET) | {news: book.coordinator_hold(TARGET)} | book.rare(TARGET, TARGET)
+    near = book.ticks(100) | {news: book.coordinator_hold(100)} | book.rare(100, 100)
+    rows = [
+        [what, number(ms), number(small), margin(ms, HOLD)]
+        for (what, ms), small in zip(far.items(), near.values(), strict=True)
+    ]
+    rows.append(
+        ["part of the time in which the loop stands in a tick of the audit or the locality, %",
+         number(book.standing(TARGET)), number(book.standing(100)),
+         "over 1 % of calls meet one" if book.standing(TARGET) > 1 else "under 1 % of calls meet one"]
+    )  # fmt: skip
+    return table(["hold of the loop", f"ms at {TARGET:,}", "ms at 100", f"to {HOLD.limit} ms"], rows)
+
+
+def of_roles(book: Book) -> str:
+    """By role: messages, bytes, processor time, memory at the target size, the fleet flat."""
+    at = TARGET
+    node = [number(book.bytes(at, at)), number(book.core(at, at)), number(book.memory(at, at))]
+    sends = book.at("freeze", "coordinator_datagrams_per_s", at)
+    members = book.at("membership-rest", "datagrams_per_s", at)
+    records = book.at("records-renewal", "datagrams_per_s", at)
+    talk = number(members + records)
+    lists = book.at("server-list", "module_mb", at) + book.at("server-list", "holdings_mb", at)
+    rows = [
+        ["node at the front", f"its tiers' servers (2,800 at most: {number(lists, 2)} MB), all views", talk,
+         *node, "membership, records, audit, locality"],
+        ["node beside a server", "list of 20 or so, all views", talk, *node, "the same"],
+        ["elector", "as a node; term, promises, the replicated state (512 grants, 32 incidents at most)",
+         f"{talk}, 4 beats/s answered", *node, "freeze: election, lease; a write a change"],
+        ["coordinator", "as an elector; who waits, halts", f"{talk}, and {number(sends)}",
+         number(book.bytes(at, at) + book.coordinator_bytes(at)),
+         number(book.core(at, at) + book.coordinator_core(at)), node[2], "freeze: news to all each second"],
+        ["seed", "as a node", f"{talk}, {number(book.at('view', 'sync_datagrams', at))} to each newcomer",
+         f"{node[0]}; in its worst second at the return of 311 "
+         f"{number(book.at('membership-return', 'seed_most_bytes_in_a_second', at))}",
+         node[1], node[2], "membership: full exchange"],
+        ["agent of discovery (stand-in)", "the list, one watch a node; one agent a node in the swarm",
+         "one answer a change and node, one in 58 s", "2,800 answers in 58 s, if one serves all (arithmetic)",
+         "unknown", "unknown", "discovery's watch; outside of the program"],
+        ["collector (machine set aside)", "sums of cells", "none: today's text has no such role", "", "", "",
+         "`docs/cells.md`, where it is built"],
+    ]  # fmt: skip
+    head = ["role", "state", "datagrams/s", "bytes/s", "% of a core", "MB for control", "carried by"]
+    return table(head, rows)
+
+
+def of_cells(book: Book) -> str:
+    """Flat beside cells: the same slopes at a cell's size, the membership at the fleet's."""
+    rows = []
+    parts: list[tuple[str, Callable[[float, float], float], Budget]] = [
+        ("bytes/s of a node", book.bytes, BYTES),
+        ("of these: membership", lambda fleet, scope: book.membership(fleet), BYTES),
+        ("of these: beats", lambda fleet, scope: book.beats(scope), BYTES),
+        ("of these: words renewed under load", lambda fleet, scope: book.renewals(scope), BYTES),
+        ("of these: 1,500 changes a day", lambda fleet, scope: book.changes(scope), BYTES),
+        ("of these: changes of who lives", lambda fleet, scope: book.epochs(scope), BYTES),
+        ("% of a core", book.core, CORE),
+        ("of these: audit", lambda fleet, scope: book.audit(scope), CORE),
+        ("of these: locality", lambda fleet, scope: book.locality(scope), CORE),
+        ("MB for control", book.memory, MEMORY),
+        ("longest hold of the loop, 4 a second, ms", lambda f, scope: book.hold(scope), HOLD),
+        ("% of the time that the loop stands in ticks", lambda f, n: book.standing(n), Budget("", "", 1)),
+        ("until all of the scope hold all words, s", lambda fleet, scope: book.told(scope), FORCE),
+        ("bytes that come to a newcomer", book.newcomer, Budget("", "", math.inf)),
+    ]  # fmt: skip
+    for words, cost, budget in parts:
+        values = [cost(TARGET, TARGET), *(cost(TARGET, scope) for scope in CELLS)]
+        marked = [f"**{number(v)}**" if v > budget.limit else number(v) for v in values]
+        rows.append([words, "" if math.isinf(budget.limit) else number(budget.limit), *marked])
+    head = [f"a node among {TARGET:,}", "budget", "flat", *(f"cells of {scope}" for scope in CELLS)]
+    return table(head, rows)
+
+
+def of_processes(book: Book) -> str:
+    """Real processes with the parts on one by one."""
+    file = book.slopes.get("process")
+    if file is None:
+        return f"`process`: {MISSING}."
+    names = [f.removesuffix("_resident_mb") for f in file.units if f.endswith("_resident_mb")]
+    none = book.median("process", "none_resident_mb", 1)
+    rows = []
+    for name in names:
+        resident, own, core = (
+            book.median("process", f"{name}_{what}", 1) for what in ("resident_mb", "own_mb", "core_percent")
+        )
+        rows.append([name, number(resident), number(own), number(resident - none), number(core)])
+    head = ["parts on", "resident MB", "of these its own", "beyond none", "% of a core, alone and at rest"]
+    return table(head, rows)
+
+
+def of_files(book: Book) -> str:
+    """What the files say of themselves."""
+    rows = []
+    for name, s in sorted(book.slopes.items()):
+        sizes = sorted({p.size for p in s.points})
+        void = sum(bool(p.void) for p in s.points)
+        seeds = len({p.seed for p in s.points})
+        told = ", ".join(f"{n:,}" for n in sizes)
+        rows.append(
+            [
+                f"`{name}`",
+                s.what,
+                f"{told} {s.axis}",
+                f"{seeds}",
+                f"{void}",
+                f"`{s.commit}`",
+                s.date,
+                s.machine,
+            ]
+        )
+    head = ["file", "what", "sizes", "seeds", "void", "commit", "date", "machine"]
+    return table(head, rows)
+
+
+def of_cell_sizes(book: Book) -> str:
+    """The largest cell that keeps each budget, and what renewing words more seldom would do."""
+
+    def seldom(times: int) -> Callable[[float, float], float]:
+        return lambda fleet, scope: book.bytes(fleet, scope) - book.renewals(scope) * (1 - 1 / times)
+
+    lines: list[tuple[str, Callable[[float, float], float], Budget]] = [
+        ("bytes, words renewed every 30 s as today", book.bytes, BYTES),
+        ("bytes, words renewed every 2 min", seldom(4), BYTES),
+        ("bytes, words renewed every 5 min", seldom(10), BYTES),
+        ("processor", book.core, CORE),
+        ("memory of control", book.memory, MEMORY),
+        ("hold of the loop, 4 a second", lambda fleet, scope: book.hold(scope), HOLD),
+        ("part of the time that the loop stands, under 1 %", lambda fleet, scope: book.standing(scope),
+         Budget("", "%", 1)),
+        ("until all of the cell hold all words", lambda fleet, scope: book.told(scope), FORCE),
+    ]  # fmt: skip
+    rows = []
+    for words, cost, budget in lines:
+        found = book.largest_cell(cost, budget.limit)
+        told, cells = size(found), ""
+        if math.isinf(found):
+            told, cells = "the whole fleet", "1"
+        elif found >= 1:
+            cells = size(math.ceil(TARGET / found))
+        rows.append([words, f"{budget.limit:g} {budget.unit}", told, cells])
+    return table(["budget", "limit", "largest cell", "so many cells"], rows)
+
+
+OWN = frozenset(file for file, *_ in FIGURES) | {"process", "datagram"}
+
+
+def of_others(book: Book) -> str:
+    """Files of other runs, as they are: by size the middle of the seeds, void points told."""
+    parts = []
+    for name, s in sorted(book.slopes.items()):
+        if name not in OWN:
+            origin = f"`{s.command}`, commit `{s.commit}`, {s.date}, {s.machine}"
+            parts.append(f"`{name}`: {s.what} ({origin})\n\n{any_file(s)}")
+    return "\n\n".join(parts) or "No other file is there yet."
+
+
+def any_file(s: Slopes) -> str:
+    """Any file as a table: a row a figure, a column a size."""
+    sizes = sorted({p.size for p in s.points})
+    rows = []
+    for figure, unit in s.units.items():
+        row = [f"{figure}, {unit}"]
+        for n in sizes:
+            points = [p for p in s.points if p.size == n and figure in p.figures]
+            good = [p.figures[figure] for p in points if not p.void]
+            void = len(points) - len(good)
+            if not good:
+                row.append(f"void ({void})" if void else "")
+                continue
+            spread = (
+                f" ({number(min(good))} to {number(max(good))})"
+                if len(good) > 1 and min(good) < max(good)
+                else ""
+            )
+            row.append(number(median(good)) + spread + (f", {void} void" if void else ""))
+        rows.append(row)
+    void_rows = sorted({f"{p.size}: {p.void}" for p in s.points if p.void})
+    text = table([f"figure, by {s.axis}", *(f"{n:,}" for n in sizes)], rows)
+    return text + ("\n\nVoid: " + "; ".join(void_rows) + "." if void_rows else "")
+
+
+BLOCKS: dict[str, Callable[[Book], str]] = {
+    "verdicts": verdicts.of_target,
+    "leads": verdicts.of_leads,
+    "first": of_first,
+    "node": of_node,
+    "holds": of_holds,
+    "roles": of_roles,
+    "cells": of_cells,
+    "cell-sizes": of_cell_sizes,
+    "processes": of_processes,
+    "slopes": of_slopes,
+    "others": of_others,
+    "files": of_files,
+}
+MARK = re.compile(r"<!-- (begin|end) ([a-z0-9-]+) -->")
+
+
+def worked(text: str, slopes: dict[str, Slopes], where: str = "the page") -> str:
+    """The page with its tables made anew. A `PageUnmarked` where marks are missing or not in order."""
+    book = Book(slopes)
+    marks = [(m.group(1), m.group(2)) for m in MARK.finditer(text)]
+    for name in BLOCKS:
+        if [kind for kind, of in marks if of == name] != ["begin", "end"]:
+            raise PageUnmarked(f"it has not one <!-- begin {name} --> and, after it, its end", where)
+    for name, make in BLOCKS.items():
+        begin, end = f"<!-- begin {name} -->", f"<!-- end {name} -->"
+        before, _, rest = text.partition(begin)
+        _, _, after = rest.partition(end)
+        text = f"{before}{begin}\n{make(book)}\n{end}{after}"
+    return text
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """0: as it should be; 1: page and files differ; 2: one of them cannot be used."""
+    ask = argparse.ArgumentParser(prog="brackenladder.lab.scale.page", description=__doc__)
+    ask.add_argument("--check", action="store_true", help="write nothing; 1 where page and files differ")
+    ask.add_argument("--folder", type=Path, default=files.FOLDER)
+    ask.add_argument("--page", type=Path, default=PAGE)
+    wish = ask.parse_args(arguments)
+    try:
+        try:
+            text = wish.page.read_text()
+        except (OSError, UnicodeDecodeError) as e:
+            raise PageUnmarked(f"it cannot be read: {e}", wish.page.name) from None
+        new = worked(text, files.every(wish.folder), wish.page.name)
+    except BrackenladderError as e:
+        print(e.line(), file=sys.stderr)
+        return 2
+    if wish.check:
+        if new != text:
+            print(f"{wish.page.name} and the slopes differ: run python -m brackenladder.lab.scale.page")
+        return int(new != text)
+    wish.page.write_text(new)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenladder/lab/scale/roles.py
+++ b/brackenladder/lab/scale/roles.py
@@ -288,7 +288,7 @@
     """Megabytes resident, and of these its own."""
     lines = Path(f"/proc/{process}/smaps_rollup").read_text().splitlines()[1:]
     found = {x.split()[0].rstrip(":"): float(x.split()[1]) for x in lines}
-    return found["Rss"] / 1024, (found["Private_Clean"] + found["Private_Dirty"]) / 1024
+    return found["Rss"] * 0.001024, (found["Private_Clean"] + found["Private_Dirty"]) * 0.001024
 
 
 def spent_by(process: int) -> float:
--- a/brackenladder/lab/scale/views.py
+++ b/brackenladder/lab/scale/views.py
@@ -4,7 +4,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import gc
+import os
+import subprocess
+import sys
+from collections.abc import Callable, Collection
+from pathlib import Path
 from random import Random
 from typing import Any, cast
 
@@ -32,6 +37,7 @@
 from brackenladder.stores.memory import MemoryStore
 
 SECOND = 1_000_000
+ROOT = Path(__file__).parents[3]
 SERVICES = 140
 ZONES = tuple(f"z{i}" for i in range(9))
 REGIONS = tuple(f"r{i}" for i in range(3))
@@ -349,31 +355,83 @@
 
     evidence = Evidence(EvidenceRules())
 
-    def judge() -> None:
-        """As `net.freeze.FreezePart.judge` does it at the coordinator."""
+    def judge(names: Callable[[list[str]], Collection[str]]) -> None:
+        """As `net.freeze.FreezePart.judge` does it at the coordinator, who hands on a list of names."""
         clock[0] += 1_000_000
         reports = {}
         for record in table.of(EVIDENCE):
             report = decode_report(record.body) if not record.stale else None
             if report is not None:
                 reports[record.owner] = report
-        evidence.judge(clock[0], reports, [m.name for m in swim.alive()])
+        evidence.judge(clock[0], reports, names([m.name for m in swim.alive()]))
 
     times = max(9, min(60, 20_000 // size))
     look()
     with settled():
         looked = timed(look, times)
-        judged = timed(judge, times)
+        judged = timed(lambda: judge(list), times)
+        in_a_set = timed(lambda: judge(frozenset), times)
     return {
         "look_ms": looked.median,
         "look_least_ms": looked.least,
         "look_core_percent": looked.median * 4 / 10,
         "evidence_ms": judged.median,
         "evidence_core_percent": judged.median / 10,
+        "evidence_of_a_set_ms": in_a_set.median,
     }
 
 
 LOCALITY_UNITS = {
     "look_ms": "ms", "look_least_ms": "ms", "look_core_percent": "% of a core",
-    "evidence_ms": "ms", "evidence_core_percent": "% of a core",
+    "evidence_ms": "ms", "evidence_core_percent": "% of a core", "evidence_of_a_set_ms": "ms",
 }  # fmt: skip
+
+
+def everything(size: int, seed: int) -> tuple[Swim, RecordTable, Audit]:
+    """What one node holds of a settled fleet of N, with all parts that keep records on."""
+    rng = Random(seed)
+    swim = membership(size, seed)
+    table = RecordTable(swim.name, seed, now=1_000 * SECOND)
+    fill(
+        table,
+        [swim.name, *swim.members],
+        lambda name: {AUDIT: word_of(rng, 100), EVIDENCE: evidence_of(100), zones.KIND: zones_of(rng)},
+    )
+    host = Plain(swim, table, build({"audit": {"numbering": "registry.internal:8500"}}, "operator.toml"))
+    part = Audit()
+    part.start(cast(Host, host))
+    part.records = cast(Any, host)
+    for _ in range(12):
+        host.clock += 250_000
+        part.tick()
+        assert part.timer is not None
+        part.timer.cancel()
+    return swim, table, part
+
+
+def resident(size: int, seed: int) -> dict[str, float]:
+    """The same in a process of its own: what it adds to its resident memory, and to one full collection."""
+    code = f"from brackenladder.lab.scale.views import weigh; weigh({size}, {seed})"
+    told = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout.split()
+    return {"resident_mb": float(told[0]), "collect_ms": float(told[1])}
+
+
+def weigh(size: int, seed: int) -> None:
+    """Prints both figures of `resident`, for the process that it starts."""
+
+    def pages() -> float:
+        return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def collecting() -> float:
+        return min(timed(gc.collect, 7).least for _ in range(3))
+
+    everything(10, seed)  # all is imported, and has run once
+    before, empty = pages(), collecting()
+    kept = everything(size, seed)
+    print(pages() - before, collecting() - empty)
+    del kept
+
+
+RESIDENT_UNITS = {"resident_mb": "MB", "collect_ms": "ms"}
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,317 @@
+"""The capacity page: fits, files of slopes, the recorders, and that page and files say the same."""
+
+from __future__ import annotations
+
+import json
+import math
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.errors import BrackenladderError
+from brackenladder.lab.scale import capacity, fit, measure, page, slopes, writing
+from brackenladder.lab.scale.capacity import Book, used_up
+from brackenladder.lab.scale.fit import FigureUnknown, Fit, SlopesOneSize, SlopesTooFew
+from brackenladder.lab.scale.interface import Point, Slopes
+from brackenladder.lab.scale.page import PageUnmarked
+from brackenladder.lab.scale.slopes import SlopesUnreadable
+
+SIZES = (100, 200, 400, 800, 1600)
+
+
+def made(values: dict[int, list[float]], name: str = "made", void: str = "") -> Slopes:
+    """Slopes of one figure `f` by size and seed."""
+    points = [
+        Point(size=n, seed=seed, figures={"f": v}, void=void)
+        for n, found in values.items()
+        for seed, v in enumerate(found)
+    ]
+    return Slopes(
+        name=name, what="a test", command="none", commit="0", date="2026-12-02", machine="none",
+        units={"f": "ms"}, points=points,
+    )  # fmt: skip
+
+
+def line(call: Any, kind: type[BrackenladderError]) -> str:
+    """The one line that an error shows."""
+    with pytest.raises(kind) as told:
+        call()
+    text = told.value.line()
+    assert "\n" not in text and text.endswith(kind.remedy)
+    return text
+
+
+# ---- fits --------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("form", list(fit.FORMS))
+def test_a_form_is_found_again_and_so_are_its_numbers(form: str) -> None:
+    b = 0.0 if form == "constant" else 0.5
+    found = fit.fit(made({n: [3 + b * fit.FORMS[form](n)] * 3 for n in SIZES}), "f")
+    assert found.form == form
+    assert found.a == pytest.approx(3, rel=1e-6) and found.b == pytest.approx(b, rel=1e-6)
+    assert found.error < 1e-6 and found.prediction_error < 1e-6
+    assert found.at(2_800) == pytest.approx(3 + b * fit.FORMS[form](2_800))
+    assert (found.sizes, found.points, found.void, found.unit) == (SIZES, 15, 0, "ms")
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    a=st.floats(0.01, 1e6),
+    b=st.floats(1e-6, 1e3),
+    noise=st.lists(st.floats(-0.02, 0.02), min_size=15, max_size=15),
+)
+def test_noise_of_two_in_a_hundred_moves_the_largest_size_by_little(
+    a: float, b: float, noise: list[float]
+) -> None:
+    values = {n: [(a + b * n) * (1 + noise[3 * i + k]) for k in range(3)] for i, n in enumerate(SIZES)}
+    found = fit.fit(made(values), "f")
+    assert found.error < 0.1
+    assert found.at(1600) == pytest.approx(a + b * 1600, rel=0.1)
+
+
+def test_a_simpler_form_is_taken_where_it_predicts_nearly_as_well() -> None:
+    values = {n: [10 + 1e-5 * n * n * 0.01] * 3 for n in SIZES}  # 2.6 % at the largest
+    assert fit.fit(made(values), "f").form == "constant"
+
+
+def test_the_largest_size_is_predicted_from_the_smaller_ones_alone() -> None:
+    values = {n: [float(n)] for n in SIZES} | {1600: [20_000.0]}
+    found = fit.fit(made(values), "f")
+    assert found.measured == 20_000
+    # Whichever form is taken, the jump at the largest size was in none of the points that foretold it.
+    smaller = {n: [float(n)] for n in (100, 200, 400, 800)}
+    again = fit.fit(made(smaller | {1600: [1600.0]}), "f")
+    assert again.form == "a + b N" and again.predicted == pytest.approx(1600)
+    assert found.prediction_error > 0.2
+
+
+def test_a_figure_that_falls_is_taken_for_no_growth() -> None:
+    found = fit.fit(made({n: [1000.0 / n] for n in SIZES}), "f")
+    assert found.form == "constant" and found.b == 0
+
+
+def test_void_points_are_left_out() -> None:
+    good = made({n: [2.0 * n] for n in SIZES})
+    wild = made({n: [1e9] for n in SIZES}, void="a loop was late by 3 s")
+    points = [*good.points, *(msgspec.structs.replace(p, seed=9) for p in wild.points)]
+    found = fit.fit(msgspec.structs.replace(good, points=points), "f")
+    assert found.void == 5 and found.points == 5 and found.b == pytest.approx(2)
+
+
+def test_the_least_of_the_seeds_is_fitted_where_it_is_asked_for() -> None:
+    values = {n: [2.0 * n, 3.0 * n, 9.0 * n] for n in SIZES}
+    assert fit.fit(made(values), "f", least=True).b == pytest.approx(2)
+    assert fit.fit(made(values), "f").b == pytest.approx(14 / 3)
+
+
+def test_a_fit_wants_four_sizes_and_a_figure_that_is_there() -> None:
+    few = made({n: [1.0 * n] for n in SIZES[:3]})
+    assert "f is known at 3 of the 4 sizes" in line(lambda: fit.fit(few, "f"), SlopesTooFew)
+    one = made({100: [1.0, 2.0, 3.0]})
+    assert "size 100 alone" in line(lambda: fit.fit(one, "f"), SlopesOneSize)
+    assert "there are f" in line(lambda: fit.fit(few, "g"), FigureUnknown)
+    gone = made({n: [1.0 * n] for n in SIZES}, void="late")
+    assert "0 of the 4 sizes" in line(lambda: fit.fit(gone, "f"), SlopesTooFew)
+
+
+def test_the_size_at_which_a_budget_is_used_up() -> None:
+    rising = Fit("f", "ms", "a + b N", 1, 0.01, 0, 1, 1, SIZES, 5, 0)
+    assert rising.used_up(11) in (999, 1000, 1001)
+    assert rising.used_up(0.5) == 0
+    assert Fit("f", "ms", "constant", 1, 0, 0, 1, 1, SIZES, 5, 0).used_up(2) == math.inf
+    assert used_up(lambda n: 0.01 * n, 10) in (999, 1000)
+    assert used_up(lambda n: 5, 1) == 0 and used_up(lambda n: 5, 10) == math.inf
+    assert math.isnan(used_up(lambda n: math.nan, 10))
+
+
+# ---- files -------------------------------------------------------------------------------------------------
+
+
+def test_a_file_comes_back_as_it_was_written(tmp_path: Path) -> None:
+    given = made({n: [1.5 * n, 2.0 * n] for n in SIZES})
+    path = slopes.save(given, tmp_path)
+    assert path.name == "made.json" and [p.name for p in tmp_path.iterdir()] == ["made.json"]
+    assert slopes.load(path) == given
+    assert slopes.every(tmp_path) == {"made": given}
+
+
+def test_further_points_take_the_place_of_those_of_their_size_and_seed() -> None:
+    old, new = made({100: [1.0, 2.0], 200: [3.0]}), made({100: [9.0]})
+    points = {(p.size, p.seed): p.figures["f"] for p in slopes.merged(old, new).points}
+    assert points == {(100, 0): 9, (100, 1): 2, (200, 0): 3}
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        (lambda t: t.update(form=2), "no slopes"),
+        (lambda t: t.update(further=1), "no slopes"),
+        (lambda t: t.pop("commit"), "no slopes"),
+        (lambda t: t.update(date="yesterday"), "no slopes"),
+        (lambda t: t.update(name="other"), "it says that it is 'other'"),
+        (lambda t: t.update(points=[]), "it has no point"),
+        (lambda t: t["points"].append(t["points"][0]), "size 100, seed 0: this run is told twice"),
+        (lambda t: t["points"][0]["figures"].update(g=1), "'g' has no unit"),
+        (lambda t: t["points"][0]["figures"].update(f="3"), "no slopes"),
+        (lambda t: t["points"][0].update(size=0), "no slopes"),
+    ],
+)
+def test_a_file_that_is_not_sound_is_refused_in_one_line(tmp_path: Path, change: Any, words: str) -> None:
+    path = slopes.save(made({n: [1.0] for n in SIZES}), tmp_path)
+    content = json.loads(path.read_text())
+    change(content)
+    path.write_text(json.dumps(content))
+    assert words in line(lambda: slopes.load(path), SlopesUnreadable)
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", b"\xff\xfe", b"null", b'{"points": NaN}'])
+def test_a_broken_file_is_refused_in_one_line(tmp_path: Path, data: bytes) -> None:
+    path = tmp_path / "made.json"
+    path.write_bytes(data)
+    assert "made.json" in line(lambda: slopes.load(path), SlopesUnreadable)
+    assert "missing.json" in line(lambda: slopes.load(tmp_path / "missing.json"), SlopesUnreadable)
+
+
+def test_half_a_file_is_never_taken(tmp_path: Path) -> None:
+    path = slopes.save(made({n: [1.0] for n in SIZES}), tmp_path)
+    whole = path.read_bytes()
+    for cut in range(0, len(whole) - 2, 37):
+        path.write_bytes(whole[:cut])
+        line(lambda: slopes.load(path), SlopesUnreadable)
+
+
+def test_a_figure_that_is_no_number_is_not_written(tmp_path: Path) -> None:
+    line(lambda: slopes.save(made({100: [math.inf]}), tmp_path), SlopesUnreadable)
+    line(lambda: slopes.save(made({100: [math.nan]}), tmp_path), SlopesUnreadable)
+    assert not list(tmp_path.iterdir())
+
+
+# ---- recorders ---------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name", [n for n in measure.RECORDERS if n != "process"])
+def test_a_recorder_tells_figures_with_units(name: str) -> None:
+    function, units = measure.RECORDERS[name].load()
+    figures = function(100 if name == "datagram" else 18, 1)
+    assert figures and set(figures) <= set(units)
+    assert all(math.isfinite(v) for v in figures.values())
+
+
+def test_figures_in_virtual_time_hang_on_the_seed_alone() -> None:
+    from brackenladder.lab.scale import gossip
+
+    for call in (gossip.rest, gossip.change, gossip.renewal, gossip.members_rest):
+        one, again = call(20, 7), call(20, 7)
+        for figure in one.keys() - {"core_percent", "processor_ms"}:
+            assert one[figure] == again[figure], (call.__name__, figure)
+
+
+def test_under_load_a_node_renews_its_word_twice_a_minute_though_nothing_changes() -> None:
+    from brackenladder.lab.scale import views
+
+    assert views.audit(12, 1)["own_words_a_minute"] == 2
+
+
+def test_a_recording_is_written_and_added_to(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    def run(*more: str) -> int:
+        return measure.main(["records-newcomer", "--folder", str(tmp_path), *more])
+
+    assert run("--sizes", "6,8", "--seeds", "1") == 0
+    assert run("--sizes", "8,10", "--seeds", "1,2", "--add") == 0
+    found = slopes.load(tmp_path / "records-newcomer.json")
+    assert [(p.size, p.seed) for p in found.points] == [(6, 1), (8, 1), (8, 2), (10, 1), (10, 2)]
+    assert found.command.endswith("records-newcomer --sizes 8,10 --seeds 1,2")
+    assert "records-newcomer 10 seed 2" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("given", "words"),
+    [
+        (["nothing"], "'nothing' is no recording"),
+        (["audit", "--sizes", "1,x"], "--sizes: '1,x' is no list"),
+        (["audit", "--sizes", "0"], "--sizes: '0' is no list"),
+        (["audit", "--seeds", ""], "--seeds: '' is no list"),
+    ],
+)
+def test_a_wish_that_cannot_be_recorded_gets_one_line(
+    given: list[str], words: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert measure.main([*given, "--folder", str(tmp_path)]) == 2
+    told = capsys.readouterr().err
+    assert words in told and told.count("\n") == 1
+    assert not list(tmp_path.iterdir())
+
+
+# ---- the page ----------------------------------------------------------------------------------------------
+
+
+def test_page_and_files_say_the_same(capsys: pytest.CaptureFixture[str]) -> None:
+    assert page.main(["--check"]) == 0, capsys.readouterr().out
+
+
+def test_a_figure_that_has_changed_is_found_out(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    for path in slopes.FOLDER.glob("*.json"):
+        (tmp_path / path.name).write_bytes(path.read_bytes())
+    assert page.main(["--check", "--folder", str(tmp_path)]) == 0
+    audit = slopes.load(tmp_path / "audit.json")
+    last = audit.points[-1]
+    moved = msgspec.structs.replace(last, figures={k: 3 * v for k, v in last.figures.items()})
+    slopes.save(msgspec.structs.replace(audit, points=[*audit.points[:-1], moved]), tmp_path)
+    assert page.main(["--check", "--folder", str(tmp_path)]) == 1
+    assert "run python -m brackenladder.lab.scale.page" in capsys.readouterr().out
+
+
+def test_files_that_are_missing_are_told_and_files_of_others_are_shown(tmp_path: Path) -> None:
+    text = page.PAGE.read_text()
+    assert writing.MISSING in page.worked(text, {})
+    other = made({100: [1.0, 3.0], 200: [7.0]}, name="world-made")
+    void = [*other.points, Point(size=400, seed=1, figures={"f": 9.0}, void="a loop was late by 2 s")]
+    shown = page.worked(text, {"world-made": msgspec.structs.replace(other, points=void)})
+    assert "`world-made`: a test" in shown and "400: a loop was late by 2 s" in shown
+    assert "| f, ms | 2.00 (1.00 to 3.00) | 7.00 | void (1) |" in shown
+
+
+def test_what_stands_outside_of_the_marks_stays() -> None:
+    text = page.PAGE.read_text()
+    outside = page.MARK.split(page.worked(text, {}))[0]
+    assert outside and outside == page.MARK.split(text)[0]
+    assert page.worked(page.worked(text, {}), slopes.every()) == page.worked(text, slopes.every())
+
+
+@pytest.mark.parametrize("name", list(page.BLOCKS))
+def test_a_page_without_a_mark_is_refused(
+    name: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = page.PAGE.read_text()
+    begin, end = f"<!-- begin {name} -->", f"<!-- end {name} -->"
+    for wrong in (
+        text.replace(begin, ""),
+        text.replace(end, ""),
+        text + begin,
+        text.replace(begin, "@").replace(end, begin).replace("@", end),
+    ):
+        assert name in line(lambda wrong=wrong: page.worked(wrong, {}), PageUnmarked)
+    (tmp_path / "page.md").write_text(text.replace(end, ""))
+    assert page.main(["--page", str(tmp_path / "page.md")]) == 2
+    assert page.main(["--page", str(tmp_path / "none.md"), "--check"]) == 2
+    assert capsys.readouterr().err.count("\n") == 2
+
+
+def test_a_flat_fleet_is_a_fleet_of_one_cell() -> None:
+    book = Book(slopes.every())
+    for cost in (book.bytes, book.core, book.memory):
+        assert cost(capacity.TARGET, 100) < cost(capacity.TARGET, capacity.TARGET)
+
+
+@pytest.mark.parametrize(
+    ("value", "told"),
+    [(math.nan, writing.MISSING), (math.inf, "never"), (0.0, "0.00"), (0.0123, "0.0123"), (9.876, "9.88"),
+     (1234.5, "1,230"), (99.99, "100"), (37_100.0, "37,100")],
+)  # fmt: skip
+def test_figures_are_written_with_three_digits(value: float, told: str) -> None:
+    assert writing.number(value) == told
