Capacity: memory of the locality's reports, and full collections of the views alone

What the locality keeps of each report was missing from the memory of a node, and the figure of a full collection walked through the lab's own imports. Both are recorded now; a trial shows what the coordinator's evidence would cost with the names in a set.

--- a/brackenladder/lab/scale/capacity.py
+++ b/brackenladder/lab/scale/capacity.py
@@ -148,7 +148,7 @@
         grows = self.at("view", "membership_mb", fleet)
         for figure in ("heads_mb", "audit_records_mb", "other_records_mb"):
             grows += self.at("view", figure, scope)
-        return grows + self.at("audit", "memory_mb", scope)
+        return grows + self.at("audit", "memory_mb", scope) + self.at("locality", "memory_mb", scope)
 
     def memory(self, fleet: float, scope: float) -> float:
         return self.imports() + self.views(fleet, scope)
--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -78,6 +78,7 @@
     ("view", "audit_records_mb", False, "memory: the audit's records", MEMORY, 1),
     ("view", "other_records_mb", False, "memory: the evidence's and the zones' records", MEMORY, 1),
     ("audit", "memory_mb", False, "memory: the audit's view, words and picture", MEMORY, 1),
+    ("locality", "memory_mb", False, "memory: the locality's reports as they are read", MEMORY, 1),
     ("resident", "resident_mb", False, "memory: all views, as the process grows", MEMORY, 1),
     ("resident", "collect_ms", True, "a full collection of Python's, what the views add", HOLD, 1),
     ("freeze", "coordinator_datagrams_per_s", False, "coordinator: datagrams", None, 1),
--- a/brackenladder/lab/scale/views.py
+++ b/brackenladder/lab/scale/views.py
@@ -326,6 +326,29 @@
 }  # fmt: skip
 
 
+class Looking:
+    """What the part of the locality does four times a second, as `net.locality.LocalityPart.look` does it."""
+
+    def __init__(self, swim: Swim, table: RecordTable, mine: zones.Report) -> None:
+        self.swim, self.table, self.mine = swim, table, mine
+        self.common = Common(swim.name, CommonRules())
+        self.decoded: dict[str, tuple[bytes, zones.Report | None]] = {}
+        self.clock = 1_000 * SECOND
+
+    def look(self) -> None:
+        self.clock += 250_000
+        reports = {}
+        for record in self.table.of(zones.KIND):
+            kept = self.decoded.get(record.owner)
+            if kept is None or kept[0] is not record.body:
+                kept = self.decoded[record.owner] = (record.body, zones.decode(record.body))
+            if kept[1] is not None and not record.stale:
+                reports[record.owner] = kept[1]
+        known = {m.name for m in [self.swim.me, *self.swim.view()] if m.state != MemberState.LEFT}
+        live = {m.name for m in self.swim.alive()}
+        self.common.tick(self.clock, self.mine, reports, known, live, set())
+
+
 def locality(size: int, seed: int) -> dict[str, float]:
     """What the part of the locality does four times a second, and the coordinator's evidence each second."""
     rng = Random(seed)
@@ -333,26 +356,11 @@
     names = [swim.name, *swim.members]
     table = RecordTable(swim.name, seed, now=1_000 * SECOND)
     fill(table, names, lambda n: {zones.KIND: zones_of(rng), EVIDENCE: evidence_of(100)})
-    common = Common(swim.name, CommonRules())
-    decoded: dict[str, tuple[bytes, zones.Report | None]] = {}
-    clock = [1_000 * SECOND]
     mine = zones.decode(zones_of(rng))
     assert mine is not None
-
-    def look() -> None:
-        """As `net.locality.LocalityPart.look` does it."""
-        clock[0] += 250_000
-        reports = {}
-        for record in table.of(zones.KIND):
-            kept = decoded.get(record.owner)
-            if kept is None or kept[0] is not record.body:
-                kept = decoded[record.owner] = (record.body, zones.decode(record.body))
-            if kept[1] is not None and not record.stale:
-                reports[record.owner] = kept[1]
-        known = {m.name for m in [swim.me, *swim.view()] if m.state != MemberState.LEFT}
-        live = {m.name for m in swim.alive()}
-        common.tick(clock[0], mine, reports, known, live, set())
-
+    looking, memory = held(lambda: Looking(swim, table, mine))
+    _, seen = held(looking.look)
+    clock = [2_000 * SECOND]
     evidence = Evidence(EvidenceRules())
 
     def judge(names: Callable[[list[str]], Collection[str]]) -> None:
@@ -366,15 +374,15 @@
         evidence.judge(clock[0], reports, names([m.name for m in swim.alive()]))
 
     times = max(9, min(60, 20_000 // size))
-    look()
     with settled():
-        looked = timed(look, times)
+        looked = timed(looking.look, times)
         judged = timed(lambda: judge(list), times)
         in_a_set = timed(lambda: judge(frozenset), times)
     return {
         "look_ms": looked.median,
         "look_least_ms": looked.least,
         "look_core_percent": looked.median * 4 / 10,
+        "memory_mb": memory + seen,
         "evidence_ms": judged.median,
         "evidence_core_percent": judged.median / 10,
         "evidence_of_a_set_ms": in_a_set.median,
@@ -382,12 +390,12 @@
 
 
 LOCALITY_UNITS = {
-    "look_ms": "ms", "look_least_ms": "ms", "look_core_percent": "% of a core",
+    "memory_mb": "MB", "look_ms": "ms", "look_least_ms": "ms", "look_core_percent": "% of a core",
     "evidence_ms": "ms", "evidence_core_percent": "% of a core", "evidence_of_a_set_ms": "ms",
 }  # fmt: skip
 
 
-def everything(size: int, seed: int) -> tuple[Swim, RecordTable, Audit]:
+def everything(size: int, seed: int) -> tuple[Swim, RecordTable, Audit, Looking]:
     """What one node holds of a settled fleet of N, with all parts that keep records on."""
     rng = Random(seed)
     swim = membership(size, seed)
@@ -406,7 +414,11 @@
         part.tick()
         assert part.timer is not None
         part.timer.cancel()
-    return swim, table, part
+    mine = zones.decode(zones_of(rng))
+    assert mine is not None
+    looking = Looking(swim, table, mine)
+    looking.look()
+    return swim, table, part, looking
 
 
 def resident(size: int, seed: int) -> dict[str, float]:
@@ -424,14 +436,13 @@
     def pages() -> float:
         return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
-    def collecting() -> float:
-        return min(timed(gc.collect, 7).least for _ in range(3))
-
     everything(10, seed)  # all is imported, and has run once
-    before, empty = pages(), collecting()
-    kept = everything(size, seed)
-    print(pages() - before, collecting() - empty)
-    del kept
+    with settled():
+        before = pages()
+        kept = everything(size, seed)
+        after = pages()
+        print(after - before, timed(gc.collect, 15).least)
+        del kept
 
 
 RESIDENT_UNITS = {"resident_mb": "MB", "collect_ms": "ms"}
