--- a/brackenladder/lab/scale/capacity.py
+++ b/brackenladder/lab/scale/capacity.py
@@ -21,6 +21,7 @@
 EPOCHS = 2 * RESTARTS + FAILURES  # changes of who lives: each makes all renew their words
 THINNED = 160  # members from which on the records' beats are thinned (`records.table.Rules`)
 MOST_RATE = 64_000  # bytes a second that the records of one node may send
+WIRE = 33  # bytes around a datagram: IP 20, UDP 8, the shared port 5
 HELLO = 3  # seeds that a newcomer asks
 
 
@@ -120,10 +121,17 @@
         deciders += self.at("membership-rest", "core_percent", fleet, least=True)
         often = CHANGES + EPOCHS
         deciders += often * self.records("change", "processor_ms", scope, least=True) / 10
-        datagrams = self.records("renewal", "datagrams_per_s", scope)
-        datagrams += self.at("membership-rest", "datagrams_per_s", fleet)
-        datagrams += often * self.records("change", "datagrams", scope)
-        return deciders + datagrams * self.datagram() / 1e4
+        return deciders + self.datagrams(fleet, scope) * self.datagram() / 1e4
+
+    def datagrams(self, fleet: float, scope: float) -> float:
+        """Datagrams a second that a node sends."""
+        found = self.records("renewal", "datagrams_per_s", scope)
+        found += self.at("membership-rest", "datagrams_per_s", fleet)
+        return found + (CHANGES + EPOCHS) * self.records("change", "datagrams", scope)
+
+    def on_the_wire(self, fleet: float, scope: float) -> float:
+        """Bytes a second with the heads of IP, UDP and the shared port."""
+        return self.bytes(fleet, scope) + WIRE * self.datagrams(fleet, scope)
 
     def core(self, fleet: float, scope: float) -> float:
         return self.audit(scope) + self.locality(scope) + self.talk(fleet, scope)
--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -152,6 +152,7 @@
         ["the parts' code, in a process alone", "", "", number(book.imports())],
         ["**all**", f"**{number(book.bytes(at, at))}**", f"**{number(book.core(at, at))}**",
          f"**{number(book.memory(at, at))}**"],
+        ["the same with 33 bytes around each datagram", number(book.on_the_wire(at, at)), "", ""],
         ["budget", *(number(b.limit) for b in (BYTES, CORE, MEMORY))],
         ["margin", margin(book.bytes(at, at), BYTES), margin(book.core(at, at), CORE),
          margin(book.memory(at, at), MEMORY)],
@@ -210,9 +211,7 @@
     at = TARGET
     node = [number(book.bytes(at, at)), number(book.core(at, at)), number(book.memory(at, at))]
     sends = book.at("freeze", "coordinator_datagrams_per_s", at)
-    members = book.at("membership-rest", "datagrams_per_s", at)
-    records = book.at("records-renewal", "datagrams_per_s", at)
-    talk = number(members + records)
+    talk = number(book.datagrams(at, at))
     lists = book.at("server-list", "module_mb", at) + book.at("server-list", "holdings_mb", at)
     rows = [
         ["node at the front", f"its tiers' servers (2,800 at most: {number(lists, 2)} MB), all views", talk,
@@ -247,6 +246,8 @@
         ("of these: words renewed under load", lambda fleet, scope: book.renewals(scope), BYTES),
         ("of these: 1,500 changes a day", lambda fleet, scope: book.changes(scope), BYTES),
         ("of these: changes of who lives", lambda fleet, scope: book.epochs(scope), BYTES),
+        ("datagrams/s", book.datagrams, Budget("", "", math.inf)),
+        ("bytes/s with the heads of IP, UDP and the port", book.on_the_wire, BYTES),
         ("% of a core", book.core, CORE),
         ("of these: audit", lambda fleet, scope: book.audit(scope), CORE),
         ("of these: locality", lambda fleet, scope: book.locality(scope), CORE),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from brackenladder.errors import BrackenladderError
-from brackenladder.lab.scale import capacity, fit, measure, page, slopes, writing
+from brackenladder.lab.scale import capacity, fit, measure, page, slopes, verdicts, writing
 from brackenladder.lab.scale.capacity import Book, used_up
 from brackenladder.lab.scale.fit import FigureUnknown, Fit, SlopesOneSize, SlopesTooFew
 from brackenladder.lab.scale.interface import Point, Slopes
@@ -308,6 +308,33 @@
         assert cost(capacity.TARGET, 100) < cost(capacity.TARGET, capacity.TARGET)
 
 
+def test_the_largest_cell_keeps_its_budget_and_one_more_does_not() -> None:
+    book = Book(slopes.every())
+    for cost, budget in ((book.bytes, capacity.BYTES), (book.core, capacity.CORE)):
+        found = book.largest_cell(cost, budget.limit)
+        assert cost(capacity.TARGET, found - 1) < budget.limit <= cost(capacity.TARGET, found + 1)
+    assert book.on_the_wire(capacity.TARGET, 100) > book.bytes(capacity.TARGET, 100)
+
+
+def test_a_verdict_follows_its_figure() -> None:
+    assert verdicts.against(2_999, capacity.BYTES) == "carried (worked out)"
+    assert verdicts.against(3_001, capacity.BYTES, "measured") == "**not carried** (measured)"
+    assert verdicts.against(math.nan, capacity.BYTES) == "unknown"
+
+
+def test_a_call_waits_for_a_tick_as_often_as_the_ticks_are_long() -> None:
+    ticks = {n: [0.48 + n / 100] for n in SIZES}
+    audit, look = made(ticks, name="audit"), made(ticks, name="locality")
+    rename = {"audit": "tick_least_ms", "locality": "look_least_ms"}
+    files = {}
+    for s in (audit, look):
+        figure = rename[s.name]
+        points = [msgspec.structs.replace(p, figures={figure: p.figures["f"]}) for p in s.points]
+        files[s.name] = msgspec.structs.replace(s, points=points, units={figure: "ms"})
+    # Four ticks a second of each, 10.48 ms long: 10 ms of each are waited for longer than 0.48 ms.
+    assert verdicts.waiting(Book(files), 1000) == pytest.approx(2 * 4 * 10 / 1000 * 100)
+
+
 @pytest.mark.parametrize(
     ("value", "told"),
     [(math.nan, writing.MISSING), (math.inf, "never"), (0.0, "0.00"), (0.0123, "0.0123"), (9.876, "9.88"),
