--- a/brackenladder/lab/scale/capacity.py
+++ b/brackenladder/lab/scale/capacity.py
@@ -20,7 +20,8 @@
 FAILURES = 5 / 86_400
 EPOCHS = 2 * RESTARTS + FAILURES  # changes of who lives: each makes all renew their words
 THINNED = 160  # members from which on the records' beats are thinned (`records.table.Rules`)
-MOST_RATE = 64_000  # bytes a second that the records of one node may send
+MOST_RATE = 64_000  # bytes a second that the records of one node may send...
+BURST = 2 * MOST_RATE  # ...and what it saves up (`records.table`)
 WIRE = 33  # bytes around a datagram: IP 20, UDP 8, the shared port 5
 HELLO = 3  # seeds that a newcomer asks
 
@@ -194,10 +195,10 @@
     # ---- a change ----------------------------------------------------------------------------------------
 
     def told(self, scope: float) -> float:
-        """Seconds until all hold all words after a change: as measured, or as long as the bytes of one node
-        take at the most that it may send."""
-        measured = self.records("change", "seconds", scope)
-        return max(measured, self.records("change", "bytes", scope) / MOST_RATE)
+        """Seconds until all hold all words after a change: as in a small fleet, or as long as the bytes of a
+        node take at the most that it may send, what it has saved up aside."""
+        quick = self.median("records-change", "seconds", 100)
+        return max(quick, (self.records("change", "bytes", scope) - BURST) / MOST_RATE)
 
     def largest_cell(self, cost: Callable[[float, float], float], limit: float) -> float:
         """The largest scope that keeps a limit in a fleet of the target's size; infinite where all do."""
