Scale: recorders use names as long as an installation's, which half of the membership's bytes are

The lab's worlds name members m0, m1, ...; a datagram of the membership carries two or three names, so its bytes came out at half.

--- a/brackenladder/lab/scale/gossip.py
+++ b/brackenladder/lab/scale/gossip.py
@@ -13,11 +13,13 @@
 from time import process_time_ns
 
 from brackenladder.lab.membership import Node as MemberNode
+from brackenladder.lab.membership import Settled
 from brackenladder.lab.membership import World as MemberWorld
 from brackenladder.lab.network import Net
 from brackenladder.lab.records import Node, World
-from brackenladder.lab.scale.views import word_of
-from brackenladder.membership.swim import SwimSettings
+from brackenladder.lab.scale.views import name_of, word_of
+from brackenladder.membership.swim import Member, SwimSettings
+from brackenladder.membership.wire import State
 from brackenladder.records.table import Entry, Rules, Send, bucket
 from brackenladder.records.wire import Have, Heads, Want, decode
 from brackenladder.transports.interface import Address
@@ -27,7 +29,8 @@
 
 
 class Records(World):
-    """A settled fleet: each member holds one record of each, beats are spread over their time."""
+    """A settled fleet: each member holds one record of each, beats are spread over their time. Names are as
+    long as an installation's, since some of the bytes are theirs."""
 
     def __init__(self, size: int, seed: int, net: Net | None = None, rules: Rules | None = None) -> None:
         super().__init__(size, seed, net, rules)
@@ -60,6 +63,9 @@
             self.wake(self.nodes[table.name])
         assert self.agreed()
 
+    def start(self, name: str) -> Node:
+        return super().start(name_of(int(name[1:])) if name.startswith("m") else name)
+
     def received(self, node: Node, data: bytes, source: Address) -> None:
         if self.watched:
             self.came[node.name] += len(data)
@@ -212,10 +218,11 @@
     world.watch()
     began = world.now
     spent = world.spent
-    world.start("m0")
-    world.tell(world.nodes, ["m0"])
-    world.put("m0", KIND, word_of(world.rng, 100))
-    fresh = world.nodes["m0"].table
+    name = name_of(0)
+    world.start(name)
+    world.tell(world.nodes, [name])
+    world.put(name, KIND, word_of(world.rng, 100))
+    fresh = world.nodes[name].table
 
     def whole() -> bool:
         return sum(bool(o.records) for o in fresh.owners.values()) == size
@@ -225,7 +232,7 @@
     if not whole():
         raise RuntimeError(f"{size} members, seed {seed}: a newcomer has not all after 120 s")
     return {
-        "received_bytes": float(world.came["m0"]),
+        "received_bytes": float(world.came[name]),
         "sent_bytes": float(fresh.counters.sent_bytes),
         "seconds": (world.now - began) / SECOND,
         "processor_ms_of_all": (world.spent - spent) / 1e6,
@@ -241,7 +248,18 @@
     """A settled membership; processor time by node."""
 
     spent = 0
-    by_node: Counter[str]
+
+    def settle(self, size: int) -> None:
+        """As in the lab, with names as long as an installation's."""
+        shared = {(n := name_of(i)): Member(n, "emu", i + 1, 0, State.ALIVE, 0) for i in range(size)}
+        names = list(shared)
+        for member in shared.values():
+            swim = self.member(member.name, member.port, 0)
+            swim.members, swim.names, swim.live = Settled(shared, member.name), names, size - 1
+            swim.join(0, [])
+            every = self.settings.sync_interval * max(1, size // self.settings.sync_members)
+            swim.next_sync = self.random.randrange(every)
+            self.wake(self.nodes[member.name])
 
     def deliver(self, node: MemberNode, data: bytes, source: tuple[str, int]) -> None:
         began = process_time_ns()
@@ -307,7 +325,7 @@
     world = Members(size, SwimSettings(), seed, settled=True, heard=heard)
     world.run(5 * SECOND)
     rng = Random(seed + 1)
-    names = [n for n in world.nodes if n != "m0"]
+    asked, *names = world.nodes  # the first one is the seed
     back = rng.sample(names, max(1, size // 9))
     others = [n for n in names if n not in set(back)]
     for name in back:
@@ -316,13 +334,13 @@
     def span(seconds: int, done: Callable[[], bool]) -> tuple[float, int, int, float, float]:
         """When it was done, the most bytes in a second of the seed and of another, bytes and ms of one."""
         began, spent, finished, most, most_seed = world.now, world.spent, 0.0, 0, 0
-        last = before = {n: world.nodes[n].swim.counters.sent_bytes for n in (*others, "m0")}
+        last = before = {n: world.nodes[n].swim.counters.sent_bytes for n in (*others, asked)}
         changes.clear()
         for second in range(1, seconds + 1):
             world.run(began + second * SECOND)
             now = {n: world.nodes[n].swim.counters.sent_bytes for n in before}
             gone = {n: now[n] - last[n] for n in now}
-            most_seed = max(most_seed, gone.pop("m0"))
+            most_seed = max(most_seed, gone.pop(asked))
             most, last = max(most, *gone.values()), now
             if not finished and done():
                 finished = float(second)
--- a/brackenladder/lab/scale/views.py
+++ b/brackenladder/lab/scale/views.py
@@ -41,7 +41,7 @@
 SERVICES = 140
 ZONES = tuple(f"z{i}" for i in range(9))
 REGIONS = tuple(f"r{i}" for i in range(3))
-SERVERS = 20  # in a node's list: 2,800 servers in 140 services
+ORIGIN = "10.0.0.9:8500"  # whose numbers the list has
 
 
 def name_of(index: int) -> str:
@@ -72,7 +72,7 @@
 
 def word_of(rng: Random, number: int) -> bytes:
     """The word of a node of a settled fleet: the last four versions of one discovery's list."""
-    lists = tuple(Held("registry.internal:8500", n, f"{n * 0x9E3779B97F4A7C15 % (1 << 64):016x}") for n in
+    lists = tuple(Held(ORIGIN, n, f"{n * 0x9E3779B97F4A7C15 % (1 << 64):016x}") for n in
                   range(number - 3, number + 1))  # fmt: skip
     return encode_word(
         Word(
@@ -92,7 +92,7 @@
 
 def evidence_of(number: int) -> bytes:
     """The same node's report on its attempts: a service's servers lie in a few zones."""
-    lists = ("registry.internal:8500", number, "0123456789abcdef")
+    lists = (ORIGIN, number, "0123456789abcdef")
     return encode_report(Report({"z0": 0, "z4": 0, "z8": 0}, 0, lists))
 
 
@@ -184,7 +184,7 @@
     names = [swim.name, *swim.members]
     table = RecordTable(swim.name, seed, now=1_000 * SECOND)
     fill(table, names, lambda name: {AUDIT: word_of(rng, 100)})
-    host = Plain(swim, table, build({"audit": {"numbering": "registry.internal:8500"}}, "operator.toml"))
+    host = Plain(swim, table, build({"audit": {"numbering": ORIGIN}}, "operator.toml"))
     part = Audit()
 
     def begin() -> Audit:
@@ -193,7 +193,7 @@
         part.records = cast(Any, host)
         lines = tuple(Line(f"s{i}", "10.0.0.1", 80, "z0", "std", 0, State.READY, 1.0, 0) for i in range(20))
         digest = f"{100 * 0x9E3779B97F4A7C15 % (1 << 64):016x}"
-        version = Version(Source.LIST, "registry.internal:8500", 100, digest)
+        version = Version(Source.LIST, ORIGIN, 100, digest)
         part.list_news(ListNews(version, ListKind.FULL, lines, False))
         part.version(version)
         for _ in range(12):
@@ -405,7 +405,7 @@
         [swim.name, *swim.members],
         lambda name: {AUDIT: word_of(rng, 100), EVIDENCE: evidence_of(100), zones.KIND: zones_of(rng)},
     )
-    host = Plain(swim, table, build({"audit": {"numbering": "registry.internal:8500"}}, "operator.toml"))
+    host = Plain(swim, table, build({"audit": {"numbering": ORIGIN}}, "operator.toml"))
     part = Audit()
     part.start(cast(Host, host))
     part.records = cast(Any, host)
