Lab: what a node adds to a call, against going direct, as paired quantiles with an interval

The same Poisson arrivals are now played direct, through a bare relay and through nodes by turns; differences of quantiles come with a bootstrap over blocks, turns in which the system's own count says that others had the cores are left out, and a run whose yardstick is bent says void. The arithmetic is tested on data with known answers; a test run of real processes passes, no figure is claimed yet.

--- /dev/null
+++ b/brackenladder/lab/scale/added.py
@@ -0,0 +1,783 @@
+"""What a node adds to a call: the same arrivals played direct, through a bare relay and through nodes.
+
+    python -m brackenladder.lab.scale.added --rate 393 --seconds 20 --seeds 1-3 --out added-time.json
+
+* An open loop: calls start at the moments of a Poisson process, drawn by the seed, whether or not earlier
+  ones were answered, and a call's time runs from the moment at which it was due. So a stall of the path, or
+  of the load, is in the figure of each call that was due in it (no coordinated omission).
+* Paired: time goes in blocks of a tenth of a second. A block's arrivals are the same on each path; the
+  paths play it one after the other, in an order drawn anew for each block, so that the machine's mood meets
+  all alike.
+* What is told is the difference of the paths' quantiles, with an interval by bootstrap over blocks: a block
+  is drawn for all paths at once, and whole, since calls of one block do not stand apart from each other.
+* Others use the machine too. The system counts how long each process could run and had no core. A turn in
+  which that, or the load's lateness with a call, is over its bound is left out, and with it the other path's
+  turn at the same block from each difference. The same figures over all turns stand beside.
+* A run is void, and says why, if its own yardstick is bent: too few blocks are left, or the direct path's
+  p99, the load's own lateness, or the share of calls that were refused, lost or had no connection is over
+  its bound.
+
+Roles run in processes of their own, one core each: `... added load PLAN OUT`, `... added servers SERVICE_MS`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import math
+import os
+import select
+import socket
+import subprocess
+import sys
+import tempfile
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+from time import perf_counter_ns, sleep
+from typing import Any, cast
+
+import msgspec
+import numpy as np
+import uvloop
+from numpy.typing import NDArray
+
+from brackenladder.errors import BrackenladderError
+from brackenladder.lab.overhead import (
+    OK,
+    READY_TIME,
+    SERVERS,
+    free_port,
+    node_table,
+    ports_of,
+    started,
+    wait_for,
+    words,
+)
+from brackenladder.lab.scale.interface import Point, Slopes
+
+Times = NDArray[np.float64]
+TARGET_MS = 0.48  # added to a call for 99 in 100, by the fleet ahead
+DEPTH = 14  # calls below each other, at most
+BLOCK = 0.1  # seconds of arrivals that each path plays in turn
+LEAD = 0.03  # seconds of a turn that are played and not counted: the path's caches are the others' until then
+CONNECTIONS = 32  # of the load to each path
+WARM_UP = 2.0  # seconds that each path is played, uncounted, before the first block
+SPIN_NS = 120_000  # before a call is due the load asks the clock without rest: sleeps end late
+DRAIN_NS = 1_000_000_000  # a call without an answer for so long is lost
+DRAWS = 500  # of the bootstrap
+DIRECT_BOUND = TARGET_MS  # ms of the direct path's p99 beyond service time: as large as what is looked for
+TIMER_GRAIN = 1.5  # ms by which an answer after a stated time may come late: the loop's timers are coarse
+WAIT_BOUND = 0.3  # ms in a turn that a process may wait for its core; a worse turn is left out
+LATE_MOST = 0.25  # ms by which the load may be late with one call of a turn; the same
+LATE_BOUND = 0.2  # ms of the load's own lateness, p99
+BAD_BOUND = 0.001  # share of calls that may be refused, lost, or without a connection
+LEAST_TAIL = 10  # calls beyond the quantile without which it is none
+QUANTILES = (0.5, 0.9, 0.99)
+SETTLE = 4.0  # seconds that nodes with control have to find each other
+DIRECT, RELAY, NODE, CONTROL = "direct", "relay", "node", "control"
+PATHS = (DIRECT, RELAY, NODE, CONTROL)
+MEMBERS = 3  # real nodes beside the one with control
+
+
+# ---- the arithmetic ------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True)
+class Turn:
+    """One path's turn at one block. Calls stand in the order in which they were due."""
+
+    block: int
+    path: str
+    latency: Times  # ms from the moment a call was due to its answer's last byte; NaN: none came
+    late: Times  # ms by which the load was late to send it; NaN: it had no connection
+    refused: int = 0  # answers but 200
+    cpu: float = 0.0  # seconds of processor time that the path's process used...
+    seconds: float = 0.0  # ...in so long
+    waited: float = (
+        0.0  # ms that one of the processes (load, path, servers) could run and had no core, at most
+    )
+
+    @property
+    def disturbed(self) -> bool:
+        """Whether others had the cores, or the load's, for longer than a figure bears."""
+        late = self.late[~np.isnan(self.late)]
+        return self.waited > WAIT_BOUND or bool(late.size) and float(late.max()) > LATE_MOST
+
+
+@dataclass(frozen=True)
+class Interval:
+    """A figure, and 95 in 100 of what the bootstrap gave."""
+
+    value: float
+    low: float
+    high: float
+
+
+def arrivals(rate: float, seconds: float, seed: int, block: int, lead: float = LEAD) -> Times:
+    """When the calls of a block are due, in seconds; those below 0 are its lead. The same for each path."""
+    random = np.random.default_rng((seed, block, round(rate * 1000)))
+    span = lead + seconds
+    most = int(rate * span + 10 * math.sqrt(rate * span) + 10)
+    due = np.cumsum(random.exponential(1 / rate, most)) - lead
+    return due[due < seconds]
+
+
+def turns_of(paths: Sequence[str], seed: int, block: int) -> list[str]:
+    """In which order the paths play a block."""
+    return [paths[i] for i in np.random.default_rng((seed, block)).permutation(len(paths))]
+
+
+def undisturbed(turns: Sequence[Turn]) -> list[Turn]:
+    """Without the disturbed ones. What others do to the machine is told by the system's own count, not by the
+    latencies, so that no turn goes out for what the path did."""
+    return [t for t in turns if not t.disturbed]
+
+
+def by_block(turns: Sequence[Turn], path: str) -> dict[int, Times]:
+    """A path's latencies by block; calls without an answer count as if they had taken for ever."""
+    return {t.block: np.where(np.isnan(t.latency), np.inf, t.latency) for t in turns if t.path == path}
+
+
+def quantile(values: Times, q: float) -> float:
+    """The value that q of all do not exceed: one of them, as nothing lies between a call and a lost one."""
+    return float(np.quantile(values, q, method="higher")) if values.size else math.nan
+
+
+def difference(
+    one: Mapping[int, Times], other: Mapping[int, Times], q: float, seed: int, draws: int = DRAWS
+) -> Interval:
+    """One path's quantile less the other's, over the blocks that both have played."""
+    blocks = sorted(one.keys() & other.keys())
+    if not blocks:
+        return Interval(math.nan, math.nan, math.nan)
+
+    def over(chosen: Sequence[int]) -> float:
+        of_one = quantile(np.concatenate([one[b] for b in chosen]), q)
+        of_other = quantile(np.concatenate([other[b] for b in chosen]), q)
+        return of_one - of_other if math.isfinite(of_one) and math.isfinite(of_other) else math.inf
+
+    random = np.random.default_rng(seed)
+    drawn = [over([blocks[i] for i in random.integers(len(blocks), size=len(blocks))]) for _ in range(draws)]
+    low, high = np.quantile(drawn, (0.025, 0.975), method="nearest") if draws else (math.nan, math.nan)
+    return Interval(over(blocks), float(low), float(high))
+
+
+def pairs(one: Mapping[int, Times], other: Mapping[int, Times], q: float) -> float:
+    """The quantile of each call's own difference: the same call, due at the same moment, on both paths. It
+    holds the noise of both, so that it is no less than what is added."""
+    blocks = sorted(one.keys() & other.keys())
+    found = [one[b] - other[b] for b in blocks if one[b].size == other[b].size]
+    return quantile(np.concatenate(found), q) if found else math.nan
+
+
+def core_percent(turns: Sequence[Turn], path: str) -> float:
+    """Processor time of a path's process in its own turns, of one core."""
+    seconds = sum(t.seconds for t in turns if t.path == path)
+    return 100 * sum(t.cpu for t in turns if t.path == path) / seconds if seconds else 0.0
+
+
+def figures_of(played: Sequence[Turn], paths: Sequence[str], seed: int) -> dict[str, float]:
+    """A point's figures, times in ms: of the turns that nobody disturbed, and beside them of all."""
+    turns = undisturbed(played)
+    everything = {path: by_block(played, path) for path in paths}
+    latency = {path: by_block(turns, path) for path in paths}
+    found: dict[str, float] = {"blocks": float(len({t.block for t in played}))}
+    for path in paths:
+        whole = np.concatenate([np.empty(0), *latency[path].values()])
+        for q in QUANTILES:
+            found[f"{path}_p{round(q * 100)}_ms"] = quantile(whole, q)
+        if path == DIRECT:
+            continue
+        both = latency[path].keys() & latency[DIRECT].keys()
+        found[f"{path}_blocks"] = float(len(both))
+        found[f"{path}_calls"] = float(sum(latency[path][b].size for b in both))
+        found[f"{path}_core_percent"] = core_percent(turns, path)
+        for q in QUANTILES:
+            added = difference(latency[path], latency[DIRECT], q, seed)
+            put(found, f"{path}_added_p{round(q * 100)}_ms", added)
+        found[f"{path}_pairs_p99_ms"] = pairs(latency[path], latency[DIRECT], 0.99)
+        put(found, f"{path}_all_p99_ms", difference(everything[path], everything[DIRECT], 0.99, seed))
+    if NODE in paths:
+        for path in paths:
+            if path not in (DIRECT, RELAY, NODE):
+                put(found, f"{path}_over_node_p99_ms", difference(latency[path], latency[NODE], 0.99, seed))
+    late = np.concatenate([np.empty(0), *(t.late[~np.isnan(t.late)] for t in turns)])
+    found["late_p99_ms"] = quantile(late, 0.99)
+    found["bad_share"] = bad_share(played)
+    return {name: round(value, 5) for name, value in found.items()}
+
+
+def put(found: dict[str, float], name: str, interval: Interval) -> None:
+    found[name] = interval.value
+    found[f"{name}_low"], found[f"{name}_high"] = interval.low, interval.high
+
+
+def bad_share(turns: Sequence[Turn]) -> float:
+    """Of all calls, those that were refused, got no answer, or found no connection."""
+    bad = sum(t.refused + int(np.isnan(t.latency).sum()) + int(np.isnan(t.late).sum()) for t in turns)
+    return bad / max(1, sum(t.latency.size for t in turns))
+
+
+def void(figures: Mapping[str, float], service_ms: float) -> str:
+    """Why these figures are none; empty if they are some."""
+    direct = figures["direct_p99_ms"] - service_ms
+    bound = DIRECT_BOUND + (TIMER_GRAIN if service_ms else 0.0)
+    for path in PATHS[1:]:
+        calls = figures.get(f"{path}_calls")
+        if calls is not None and calls * (1 - max(QUANTILES)) < LEAST_TAIL:
+            return (
+                f"{path}: {calls:.0f} calls in {figures[f'{path}_blocks']:.0f} of {figures['blocks']:.0f}"
+                f" blocks that others left alone: fewer than {LEAST_TAIL} lie beyond the p99; play for longer"
+            )
+    if not direct <= bound:  # so that no number is no pass
+        return f"the direct path's own p99 is {direct:.2f} ms beyond the service time, over {bound:g} ms"
+    if not figures["late_p99_ms"] <= LATE_BOUND:
+        return f"the load itself was late by {figures['late_p99_ms']:.2f} ms at p99, over {LATE_BOUND:g} ms"
+    if not figures["bad_share"] <= BAD_BOUND:
+        return f"{100 * figures['bad_share']:.2f} % of calls were refused, lost or without a connection"
+    return ""
+
+
+# ---- the servers ---------------------------------------------------------------------------------------
+
+
+class Server(asyncio.Protocol):
+    """Answers each request at once, or after a stated time. Requests have no body: a blank line ends one."""
+
+    def __init__(self, service: float) -> None:
+        self.service = service
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        answers = OK * data.count(b"\r\n\r\n")
+        if self.service:
+            asyncio.get_running_loop().call_later(self.service, self.transport.write, answers)
+        else:
+            self.transport.write(answers)
+
+
+async def serve(service: float) -> None:
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(lambda: Server(service), "127.0.0.1", 0) for _ in range(2 * SERVERS)]
+    print(json.dumps([s.sockets[0].getsockname()[1] for s in servers]), flush=True)
+    gc.collect()
+    gc.freeze()
+    await asyncio.Event().wait()
+
+
+# ---- the load ------------------------------------------------------------------------------------------
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A path as the load knows it."""
+
+    path: str
+    ports: list[int]  # connections are dealt out to these in turn
+    pid: int = 0  # whose processor time is read; 0: nobody's
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What the load plays."""
+
+    targets: list[Target]
+    servers: int  # their process
+    rate: float
+    seed: int
+    blocks: int
+    block_s: float = BLOCK
+    warm_s: float = WARM_UP
+    connections: int = CONNECTIONS
+
+
+class Wire(msgspec.Struct, array_like=True):
+    """A `Turn` on its way from the load."""
+
+    block: int
+    path: str
+    latency: list[float]
+    late: list[float]
+    refused: int
+    cpu: float
+    seconds: float
+    waited: float
+
+    def turn(self) -> Turn:
+        return Turn(
+            self.block, self.path, np.array(self.latency), np.array(self.late), self.refused, self.cpu,
+            self.seconds, self.waited,
+        )  # fmt: skip
+
+
+class Connection:
+    """One connection kept alive, with one call at a time."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.call = -1
+        self.open()
+
+    def open(self) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", self.port), READY_TIME)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setblocking(False)
+        self.buffer = b""
+
+    def fileno(self) -> int:
+        return self.socket.fileno()
+
+    def send(self, data: bytes) -> bool:
+        try:
+            return self.socket.send(data) == len(data)
+        except OSError:
+            return False
+
+    def status(self) -> int | None:
+        """Of the answer, once it is whole; 0 if there will be none."""
+        try:
+            data = self.socket.recv(65536)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return 0
+        if not data:
+            return 0
+        self.buffer += data
+        head, blank, body = self.buffer.partition(b"\r\n\r\n")
+        if not blank:
+            return None
+        size = head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0].strip()
+        if len(body) < int(size or 0):
+            return None
+        self.buffer = b""
+        return int(head[9:12])
+
+    def renew(self) -> None:
+        self.socket.close()
+        self.open()
+
+
+class Load:
+    """Plays blocks on paths, from one thread that waits for nothing but the clock and answers."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.free = {
+            t.path: deque(Connection(t.ports[i % len(t.ports)]) for i in range(plan.connections))
+            for t in plan.targets
+        }
+        self.pids = {t.path: t.pid for t in plan.targets}
+        self.asked = 0
+
+    def request(self) -> bytes:
+        self.asked += 1
+        return b"GET /look HTTP/1.1\r\nHost: lab\r\nX-Call-Id: %x-%x\r\nX-Budget-Ms: 5000\r\n\r\n" % (
+            os.getpid(),
+            self.asked,
+        )
+
+    def turn(self, path: str, block: int, due: Times) -> Turn:
+        """One path's turn at one block."""
+        free, clock, number = self.free[path], perf_counter_ns, len(due)
+        at = (due * 1e9).astype(np.int64)
+        latency, late = np.full(number, np.nan), np.full(number, np.nan)
+        busy: list[Connection] = []
+        waiting: deque[int] = deque()  # calls that are due and have no connection
+        refused = i = 0
+        watched = [p for p in (self.pids[path], self.plan.servers, os.getpid()) if p]
+        before, began = [scheduled(p) for p in watched], clock()
+        start = began - int(at[0] if number else 0) + 2_000_000
+        moments = [int(a) + start for a in at]
+        end = (moments[-1] if moments else began) + DRAIN_NS
+
+        def send(call: int, connection: Connection) -> None:
+            connection.call = call
+            if not connection.send(self.request()):
+                connection.renew()
+                connection.send(self.request())
+            busy.append(connection)
+
+        while i < number or busy or waiting:
+            now = clock()
+            while i < number and now >= moments[i]:
+                if free:
+                    late[i] = (now - moments[i]) / 1e6
+                    send(i, free.popleft())
+                else:
+                    waiting.append(i)
+                i += 1
+                now = clock()
+            if now >= end:
+                break
+            gap = (moments[i] if i < number else end) - now - SPIN_NS
+            ready, _, _ = select.select(busy, (), (), max(0, gap) / 1e9)
+            for connection in ready:
+                status = connection.status()
+                if status is None:
+                    continue
+                if status:
+                    latency[connection.call] = (clock() - moments[connection.call]) / 1e6
+                    refused += status != 200
+                else:
+                    connection.renew()
+                busy.remove(connection)
+                if waiting:
+                    send(waiting.popleft(), connection)
+                else:
+                    free.append(connection)
+        seconds = (clock() - began) / 1e9
+        after = [scheduled(p) for p in watched]
+        cpu = (after[0][0] - before[0][0]) / 1e9 if self.pids[path] else 0.0
+        waited = max(a[1] - b[1] for a, b in zip(after, before, strict=True)) / 1e6
+        for connection in busy:  # their calls are lost
+            connection.renew()
+            free.append(connection)
+        counted = due >= 0
+        return Turn(block, path, latency[counted], late[counted], refused, cpu, seconds, waited)
+
+    def play(self) -> Iterator[Turn]:
+        """All of the plan."""
+        plan, paths = self.plan, [t.path for t in self.plan.targets]
+        for path in paths:
+            self.turn(path, -1, arrivals(plan.rate, plan.warm_s, plan.seed, 1 << 20))
+        gc.collect()
+        gc.freeze()
+        gc.disable()
+        for block in range(plan.blocks):
+            due = arrivals(plan.rate, plan.block_s, plan.seed, block)
+            for path in turns_of(paths, plan.seed, block):
+                yield self.turn(path, block, due)
+
+
+def scheduled(pid: int) -> tuple[int, int]:
+    """Nanoseconds for which a process has run, and for which it could have and had no core; 0 where the
+    system does not count."""
+    try:
+        ran, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+        return int(ran), int(waited)
+    except (OSError, ValueError):
+        return 0, 0
+
+
+def play_load(plan: str, out: str) -> None:
+    """The load's process."""
+    load = Load(msgspec.json.decode(Path(plan).read_bytes(), type=Plan))
+    turns = [
+        Wire(
+            t.block, t.path, t.latency.tolist(), t.late.tolist(), t.refused, t.cpu, t.seconds, t.waited
+        )  # fmt: skip
+        for t in load.play()
+    ]
+    Path(out).write_bytes(msgspec.msgpack.encode(turns))
+    print("played", flush=True)
+
+
+# ---- a run ---------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What is to be measured."""
+
+    rates: tuple[float, ...]
+    seeds: tuple[int, ...]
+    seconds: float  # that each path is played at each rate
+    service_ms: float = 0.0
+    paths: tuple[str, ...] = (DIRECT, RELAY, NODE)
+    members: int = MEMBERS
+    block_s: float = BLOCK
+    warm_s: float = WARM_UP
+
+    def check(self) -> str:
+        """What is wrong with it; empty if nothing is."""
+        if not self.rates or any(not 1 <= r <= 5000 for r in self.rates):
+            return "--rate: from 1 to 5000 calls a second, by commas"
+        if not self.seeds or any(s < 0 for s in self.seeds):
+            return "--seeds: numbers such as 1-3 or 1,4,7"
+        if not 1 <= self.seconds <= 600:
+            return "--seconds: from 1 to 600 for each path at each rate"
+        if not 0.05 <= self.block_s <= self.seconds:
+            return "--block: from 0.05 s to --seconds"
+        if not 0 <= self.service_ms <= 1000:
+            return "--service-ms: from 0 to 1000"
+        if DIRECT not in self.paths or len(self.paths) < 2:
+            return "--paths: direct, and at least one to hold against it"
+        unknown = [p for p in self.paths if p not in PATHS]
+        if unknown or len(set(self.paths)) < len(self.paths):
+            return f"--paths: each once, of {', '.join(PATHS)}"
+        if not 2 <= self.members <= 12:
+            return "--members: from 2 to 12 real nodes beside the one with control"
+        return ""
+
+
+def quiet_cores(wanted: int) -> list[int]:
+    """The cores with the least to do in a fifth of a second; all of them where there are too few."""
+
+    def busy() -> dict[int, int]:
+        found = {}
+        for line in Path("/proc/stat").read_text().splitlines():
+            name, *counts = line.split()
+            if name.startswith("cpu") and name != "cpu":
+                found[int(name[3:])] = sum(map(int, counts)) - int(counts[3]) - int(counts[4])
+        return found
+
+    allowed = os.sched_getaffinity(0)
+    before = busy()
+    sleep(0.2)
+    after = busy()
+    by_use = sorted(allowed, key=lambda c: (after.get(c, 0) - before.get(c, 0), c))
+    return [by_use[i % len(by_use)] for i in range(wanted)]
+
+
+def operators_file(listen: int, seeds: Sequence[int], electors: Sequence[str]) -> str:
+    """Control on: membership, records, audit and freeze."""
+    return (
+        f'[membership]\nlisten = "127.0.0.1:{listen}"\n'
+        f"seeds = {json.dumps([f'127.0.0.1:{s}' for s in seeds])}\n"
+        '[audit]\nnumbering = "lab"\n'
+        f"[freeze]\nelectors = {json.dumps(list(electors))}\n"
+    )
+
+
+def with_peers(table: dict[str, Any], name: str) -> dict[str, Any]:
+    """A node's configuration that allows the talk between nodes."""
+    settings = table["settings"]
+    limits = settings["policy_limits"] | {"peers": True}
+    return table | {"name": name, "settings": settings | {"policy_limits": limits}}
+
+
+class Stage:
+    """The processes of a run. One core each: the load, the servers, relay and node, the node with control."""
+
+    def __init__(self, wish: Wish, stack: ExitStack) -> None:
+        self.wish, self.stack = wish, stack
+        self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="lab-")))
+        wanted = 4 if CONTROL in wish.paths else 3
+        self.load_core, self.servers_core, self.proxy_core, *rest = quiet_cores(wanted)
+        self.control_core = rest[0] if rest else self.proxy_core
+        mine = {self.load_core, self.servers_core, self.proxy_core, self.control_core}
+        self.others = sorted(os.sched_getaffinity(0) - mine) or sorted(os.sched_getaffinity(0))
+        self.servers = self.start(["servers", str(wish.service_ms)], self.servers_core)
+        self.ports = ports_of(self.servers)
+        self.targets = [Target(DIRECT, self.ports)]
+        if RELAY in wish.paths:
+            arguments = ["-m", "brackenladder.lab.overhead", "relay", *map(str, self.ports)]
+            relay = stack.enter_context(started(arguments, [self.proxy_core]))
+            self.targets.append(Target(RELAY, ports_of(relay), relay.pid))
+        if NODE in wish.paths:
+            port, process = self.node(NODE, [self.proxy_core], None)
+            self.targets.append(Target(NODE, [port], process.pid))
+        if CONTROL in wish.paths:
+            self.with_control()
+
+    def start(self, arguments: list[str], core: int) -> subprocess.Popen[str]:
+        return self.stack.enter_context(started(["-m", "brackenladder.lab.scale.added", *arguments], [core]))
+
+    def node(self, name: str, cores: list[int], operators: str | None) -> tuple[int, subprocess.Popen[str]]:
+        """A real node, and where it listens."""
+        listen = free_port()
+        table = node_table(self.ports, listen, free_port())
+        environment = {"LB_CONFIG": str(self.folder / f"{name}.json"), "TMPDIR": str(self.folder)}
+        if operators is not None:
+            table = with_peers(table, name)
+            environment["LB_OPERATOR"] = str(self.folder / f"{name}.toml")
+            Path(environment["LB_OPERATOR"]).write_text(operators)
+        Path(environment["LB_CONFIG"]).write_text(json.dumps(table))
+        process = self.stack.enter_context(started(["-m", "brackenladder"], cores, environment))
+        wait_for(listen, process)
+        return listen, process
+
+    def with_control(self) -> None:
+        """A node with control on, and real members of its fleet on the cores that nobody else here has."""
+        ports = [free_port() for _ in range(self.wish.members + 1)]
+        names = [CONTROL, *(f"member{i}" for i in range(1, self.wish.members + 1))]
+        electors = names[:3]
+        for i in range(len(names) - 1, -1, -1):
+            text = operators_file(ports[i], [p for p in ports[:2] if p != ports[i]], electors)
+            listen, process = self.node(names[i], [self.control_core] if i == 0 else self.others, text)
+        self.targets.append(Target(CONTROL, [listen], process.pid))
+        sleep(SETTLE)
+
+    def play(self, rate: float, seed: int) -> list[Turn]:
+        """One point's turns."""
+        blocks = max(1, round(self.wish.seconds / self.wish.block_s))
+        chosen = [t for t in self.targets if t.path in self.wish.paths]
+        plan = Plan(chosen, self.servers.pid, rate, seed, blocks, self.wish.block_s, self.wish.warm_s)
+        (self.folder / "plan.json").write_bytes(msgspec.json.encode(plan))
+        out = self.folder / "turns"
+        load = self.start(["load", str(self.folder / "plan.json"), str(out)], self.load_core)
+        words(load)
+        load.wait()
+        return [w.turn() for w in msgspec.msgpack.decode(out.read_bytes(), type=list[Wire])]
+
+
+def measure(wish: Wish, told: Callable[[Point], None] | None = None) -> list[Point]:
+    """All points of a run. A MeasureError if one of its processes ends or never listens."""
+    points = []
+    with ExitStack() as stack:
+        stage = Stage(wish, stack)
+        for seed in wish.seeds:
+            for rate in wish.rates:
+                before = os.getloadavg()[0]
+                turns = stage.play(rate, seed)
+                figures = figures_of(turns, wish.paths, seed)
+                figures["service_ms"], figures["others_load"] = wish.service_ms, round(before, 2)
+                point = Point(
+                    size=round(rate), seed=seed, figures=finite(figures), void=void(figures, wish.service_ms)
+                )
+                points.append(point)
+                if told is not None:
+                    told(point)
+    return points
+
+
+def finite(figures: dict[str, float]) -> dict[str, float]:
+    """Without those that are no numbers, as where calls were lost: such a point is void."""
+    return {name: value for name, value in figures.items() if math.isfinite(value)}
+
+
+# ---- the command ---------------------------------------------------------------------------------------
+
+
+def numbers(text: str) -> tuple[int, ...]:
+    """`1-3` or `1,4,7`."""
+    found: list[int] = []
+    for part in text.split(","):
+        low, dash, high = part.partition("-")
+        found += range(int(low), int(high) + 1) if dash else [int(low)]
+    return tuple(found)
+
+
+def commit() -> str:
+    """The text that is measured; `-changed` if it differs from what was committed."""
+    root = Path(__file__).parents[3]
+    try:
+        told = subprocess.run(
+            ["git", "describe", "--always", "--dirty=-changed"], cwd=root, capture_output=True, text=True
+        )
+    except OSError:
+        return "unknown"
+    return told.stdout.strip() or "unknown"
+
+
+def keep(out: Path, name: str, what: str, axis: str, points: list[Point]) -> None:
+    """Writes a file of slopes, or adds to the one that is there. A ValueError if that is another's."""
+    command = "python -m brackenladder.lab.scale.added " + " ".join(sys.argv[1:])
+    machine = f"{os.cpu_count()} cores, shared; load average {os.getloadavg()[0]:.1f} at the end"
+    if out.exists():
+        old = msgspec.json.decode(out.read_bytes(), type=Slopes)
+        if (old.name, old.axis) != (name, axis):
+            raise ValueError(f"holds {old.name} over {old.axis}")
+        points = [*old.points, *points]
+        command = old.command if command in old.command.split(" && ") else f"{old.command} && {command}"
+        machine = old.machine if machine in old.machine else f"{old.machine}; {machine}"
+        what = old.what
+    units = {
+        figure: "ms"
+        if figure.endswith(("_ms", "_low", "_high"))
+        else "%"
+        if figure.endswith("_percent")
+        else ""
+        for point in points
+        for figure in point.figures
+    }
+    slopes = Slopes(
+        name=name, what=what, command=command, commit=commit(), date=datetime.now(UTC).date().isoformat(),
+        machine=machine, axis=axis, units=units, points=points,
+    )  # fmt: skip
+    out.write_bytes(msgspec.json.format(msgspec.json.encode(slopes), indent=1) + b"\n")
+
+
+def line(point: Point) -> str:
+    """A point for people."""
+    f = point.figures
+    parts = [f"{point.size} calls/s, seed {point.seed}: direct p99 {f.get('direct_p99_ms', math.inf):.3f} ms"]
+    for path in PATHS[1:]:
+        if f"{path}_added_p99_ms" in f:
+            low, high = (f.get(f"{path}_added_p99_ms_{end}", math.inf) for end in ("low", "high"))
+            parts.append(
+                f"{path} adds p50 {f[f'{path}_added_p50_ms']:.3f}, p99 {f[f'{path}_added_p99_ms']:.3f}"
+                f" ({low:.3f} to {high:.3f}; all turns {f.get(f'{path}_all_p99_ms', math.inf):.3f}),"
+                f" {f[f'{path}_blocks']:.0f} of {f['blocks']:.0f} blocks,"
+                f" {f[f'{path}_core_percent']:.1f} % of a core"
+            )
+    parts.append(f"late p99 {f.get('late_p99_ms', math.inf):.3f}")
+    return "; ".join(parts) + (f"; VOID: {point.void}" if point.void else "")
+
+
+def parser() -> argparse.ArgumentParser:
+    found = argparse.ArgumentParser(
+        "brackenladder.lab.scale.added", description="What a node adds to a call, against going direct."
+    )
+    found.add_argument("--rate", "--rates", default="393", help="calls a second, by commas")
+    found.add_argument("--seconds", type=float, default=20.0, help="for each path at each rate")
+    found.add_argument("--seeds", default="1-3")
+    found.add_argument("--service-ms", type=float, default=0.0, help="after which servers answer; 0: at once")
+    found.add_argument("--paths", default=f"{DIRECT},{RELAY},{NODE}")
+    found.add_argument("--members", type=int, default=MEMBERS, help="real nodes beside the one with control")
+    found.add_argument("--block", type=float, default=BLOCK, help="seconds of a path's turn")
+    found.add_argument("--out", help="a file of slopes; what it holds stays")
+    return found
+
+
+def main(arguments: list[str]) -> int:
+    """Status 0: measured, void or not; 2: it could not be."""
+    given = parser().parse_args(arguments)
+    try:
+        wish = Wish(
+            tuple(float(r) for r in given.rate.split(",")),
+            numbers(given.seeds),
+            given.seconds,
+            given.service_ms,
+            tuple(given.paths.split(",")),
+            given.members,
+            given.block,
+        )
+        wrong = wish.check()
+    except ValueError as e:
+        wrong = str(e)
+    if wrong:
+        print(f"added: {wrong}", file=sys.stderr)
+        return 2
+    out = Path(given.out) if given.out else None
+    try:
+        if out is not None and out.exists():
+            msgspec.json.decode(out.read_bytes(), type=Slopes)
+        points = measure(wish, lambda point: print(line(point), flush=True))
+        if out is not None:
+            keep(out, out.stem, WHAT, "calls a second", points)
+    except BrackenladderError as e:
+        print(f"added: {e.line()}", file=sys.stderr)
+        return 2
+    except (msgspec.DecodeError, ValueError, OSError) as e:
+        print(f"added: {out}: not a file of slopes to add to: {e}; name another", file=sys.stderr)
+        return 2
+    return 0
+
+
+WHAT = (
+    "What a path adds to a call: the same Poisson arrivals played direct, through a bare relay and through"
+    " nodes, by turns in blocks; differences of quantiles, intervals by bootstrap over blocks"
+)
+
+
+def role(arguments: list[str]) -> int:
+    """The command, or one of its processes."""
+    if arguments[:1] == ["load"]:
+        play_load(*arguments[1:])
+    elif arguments[:1] == ["servers"]:
+        uvloop.run(serve(float(arguments[1]) / 1000))
+    else:
+        return main(arguments)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(role(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_added_time.py
@@ -0,0 +1,376 @@
+"""What a path adds to a call: the arithmetic on data with known answers, void runs, and a short real run."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from time import perf_counter_ns
+
+import msgspec
+import numpy as np
+import pytest
+import uvloop
+
+from brackenladder.lab.scale import added
+from brackenladder.lab.scale.added import (
+    Connection,
+    Interval,
+    Load,
+    Plan,
+    Target,
+    Times,
+    Turn,
+    arrivals,
+    bad_share,
+    by_block,
+    difference,
+    figures_of,
+    keep,
+    main,
+    numbers,
+    pairs,
+    quantile,
+    turns_of,
+    undisturbed,
+    void,
+)
+from brackenladder.lab.scale.interface import Point, Slopes
+
+PATHS = ("direct", "relay", "node")
+
+
+def turn(block: int, path: str, latency: list[float] | Times, **others: float) -> Turn:
+    """One that went well, but for what is said."""
+    values = np.array(latency, float)
+    late = np.full(values.size, others.pop("late", 0.0))
+    return Turn(block, path, values, late, int(others.pop("refused", 0)), **others)
+
+
+# ---- arrivals and turns --------------------------------------------------------------------------------
+
+
+def test_arrivals_are_the_same_for_each_path_and_others_in_each_block() -> None:
+    one = arrivals(393, 2, 7, 3)
+    assert np.array_equal(one, arrivals(393, 2, 7, 3))
+    assert not np.array_equal(one[:50], arrivals(393, 2, 7, 4)[:50])
+    assert not np.array_equal(one[:50], arrivals(393, 2, 8, 3)[:50])
+    assert (np.diff(one) > 0).all() and one[0] >= -added.LEAD and one[-1] < 2
+
+
+def test_arrivals_are_a_poisson_process_at_the_rate() -> None:
+    gaps = np.concatenate([np.diff(arrivals(393, 1, 1, block)) for block in range(200)])
+    assert abs(gaps.mean() * 393 - 1) < 0.02
+    assert abs(gaps.std() * 393 - 1) < 0.02  # an exponential's deviation is its mean
+    counts = [int((arrivals(393, 1, 1, block) >= 0).sum()) for block in range(400)]
+    assert abs(np.mean(counts) - 393) < 5
+    assert 0.8 < np.var(counts) / np.mean(counts) < 1.2
+
+
+def test_each_path_has_each_place_in_the_order_alike() -> None:
+    orders = [turns_of(PATHS, 1, block) for block in range(300)]
+    assert all(sorted(order) == sorted(PATHS) for order in orders)
+    assert orders == [turns_of(PATHS, 1, block) for block in range(300)]
+    for path in PATHS:
+        for place in range(3):
+            assert 60 < sum(order[place] == path for order in orders) < 140
+
+
+# ---- quantiles, differences, intervals -----------------------------------------------------------------
+
+
+def test_a_quantile_is_one_of_the_values() -> None:
+    assert quantile(np.arange(1, 101, dtype=float), 0.99) == 100
+    assert quantile(np.arange(1, 102, dtype=float), 0.99) == 100
+    assert quantile(np.arange(1, 102, dtype=float), 0.5) == 51
+    assert math.isnan(quantile(np.empty(0), 0.5))
+    lost = np.array([1.0] * 989 + [np.inf] * 11)
+    assert quantile(lost, 0.99) == np.inf and quantile(lost, 0.98) == 1.0
+
+
+def blocks(seed: int, count: int = 40, size: int = 100, shift: float = 0.0) -> dict[int, Times]:
+    random = np.random.default_rng(seed)
+    return {b: random.exponential(0.1, size) + shift for b in range(count)}
+
+
+def test_a_constant_that_is_added_is_found_exactly() -> None:
+    direct = blocks(1)
+    node = {b: values + 0.3 for b, values in direct.items()}
+    for q in (0.5, 0.9, 0.99):
+        found = difference(node, direct, q, 5)
+        assert found.value == pytest.approx(0.3) and found.low == pytest.approx(0.3)
+        assert found.high == pytest.approx(0.3)
+        assert pairs(node, direct, q) == pytest.approx(0.3)
+    assert difference(node, direct, 0.99, 5) == difference(node, direct, 0.99, 5)
+
+
+def test_what_is_added_to_a_few_calls_only_shows_in_the_tail_only() -> None:
+    direct = {b: np.full(100, 0.1) for b in range(20)}
+    node = {b: np.concatenate([np.full(98, 0.2), np.full(2, 5.0)]) for b in range(20)}
+    assert difference(node, direct, 0.5, 1).value == pytest.approx(0.1)
+    assert difference(node, direct, 0.99, 1).value == pytest.approx(4.9)
+    assert pairs(node, direct, 0.97) == pytest.approx(0.1)
+
+
+def test_the_interval_holds_the_truth_as_often_as_it_says() -> None:
+    """Two paths of one distribution, 0.48 apart, drawn 60 times: 95 in 100 intervals would hold it."""
+    held = 0
+    for seed in range(60):
+        found = difference(blocks(2 * seed, shift=0.48), blocks(2 * seed + 1), 0.9, seed, 200)
+        assert found.low <= found.value <= found.high
+        held += found.low <= 0.48 <= found.high
+    assert held >= 50
+
+
+def test_blocks_that_differ_as_a_whole_widen_the_interval() -> None:
+    """Failure prevented: calls of one stall are counted as so many witnesses of it."""
+    direct = {b: np.full(100, 0.1) for b in range(40)}
+    spread = {b: np.concatenate([np.full(96, 0.2), np.full(4, 1.0)]) for b in range(40)}
+    bunched = {b: np.full(100, 1.0 if b == 0 else 0.2) for b in range(40)}
+    assert difference(spread, direct, 0.98, 1) == Interval(*[pytest.approx(0.9)] * 3)
+    found = difference(bunched, direct, 0.98, 1)
+    assert found.value == pytest.approx(0.9)
+    assert found.low == pytest.approx(0.1) and found.high == pytest.approx(0.9)
+
+
+def test_blocks_that_one_of_the_two_lacks_do_not_count() -> None:
+    direct, node = {0: np.full(9, 1.0), 1: np.full(9, 1.0)}, {1: np.full(9, 3.0), 2: np.full(9, 99.0)}
+    assert difference(node, direct, 0.5, 1).value == 2.0
+    assert pairs(node, direct, 0.5) == 2.0
+    assert math.isnan(difference({0: np.ones(3)}, {1: np.ones(3)}, 0.5, 1).value)
+
+
+def test_lost_calls_make_the_tail_endless_and_no_number() -> None:
+    turns = [turn(0, "node", [0.2] * 95 + [math.nan] * 5), turn(0, "direct", [0.1] * 100)]
+    node, direct = by_block(turns, "node"), by_block(turns, "direct")
+    assert difference(node, direct, 0.99, 1).value == math.inf
+    assert difference(node, direct, 0.9, 1).value == pytest.approx(0.1)
+    assert bad_share(turns) == pytest.approx(5 / 200)
+
+
+# ---- disturbed turns, void runs ------------------------------------------------------------------------
+
+
+def test_a_turn_is_left_out_for_what_others_did_and_not_for_its_latencies() -> None:
+    slow = turn(0, "node", [900.0] * 10)
+    waited = turn(1, "node", [0.1] * 10, waited=2 * added.WAIT_BOUND)
+    late = turn(2, "node", [0.1] * 10, late=2 * added.LATE_MOST)
+    unsent = Turn(3, "node", np.full(2, np.nan), np.full(2, np.nan))
+    assert undisturbed([slow, waited, late, unsent]) == [slow, unsent]
+
+
+def played(count: int = 40, node: float = 0.3, **node_turn: float) -> list[Turn]:
+    """Calls of 0.1 ms direct, of 0.2 by the relay."""
+    found = []
+    for b in range(count):
+        found += [turn(b, "direct", [0.1] * 100), turn(b, "relay", [0.2] * 100)]
+        found.append(turn(b, "node", [0.1 + node] * 100, **node_turn))
+    return found
+
+
+def test_a_points_figures() -> None:
+    figures = figures_of(played(cpu=0.05, seconds=0.5), PATHS, 1)
+    assert figures["direct_p99_ms"] == 0.1 and figures["node_p50_ms"] == 0.4
+    assert figures["node_added_p99_ms"] == figures["node_added_p99_ms_low"] == 0.3
+    assert figures["relay_added_p99_ms"] == 0.1 and figures["node_all_p99_ms"] == 0.3
+    assert figures["node_core_percent"] == 10.0
+    assert figures["node_blocks"] == figures["blocks"] == 40 and figures["node_calls"] == 4000
+    assert void(figures, 0) == ""
+
+
+def test_a_disturbed_turn_is_in_the_figure_of_all_turns_alone() -> None:
+    turns = played()
+    turns.append(turn(40, "direct", [0.1] * 100))
+    turns.append(turn(40, "node", [9.0] * 100, waited=50.0))
+    figures = figures_of(turns, PATHS, 1)
+    assert figures["node_added_p99_ms"] == 0.3 and figures["node_blocks"] == 40 and figures["blocks"] == 41
+    assert figures["node_all_p99_ms"] == pytest.approx(8.9)
+
+
+GOOD = {
+    "direct_p99_ms": 0.2,
+    "late_p99_ms": 0.01,
+    "bad_share": 0.0,
+    "blocks": 40.0,
+    "node_blocks": 40.0,
+    "node_calls": 4000.0,
+}
+
+
+@pytest.mark.parametrize(
+    ("changed", "service", "why"),
+    [
+        ({}, 0, ""),
+        ({"direct_p99_ms": 0.6}, 0, "direct path's own p99 is 0.60"),
+        ({"direct_p99_ms": 4.9}, 4, ""),
+        ({"direct_p99_ms": 6.1}, 4, "direct path's own p99 is 2.10 ms beyond"),
+        ({"direct_p99_ms": math.inf}, 0, "direct path's own p99"),
+        ({"direct_p99_ms": math.nan}, 0, "direct path's own p99"),
+        ({"late_p99_ms": 0.3}, 0, "the load itself was late by 0.30"),
+        ({"late_p99_ms": math.nan}, 0, "the load itself was late"),
+        ({"bad_share": 0.002}, 0, "0.20 % of calls were refused"),
+        ({"node_calls": 900.0}, 0, "node: 900 calls in 40 of 40 blocks"),
+        ({"node_calls": 0.0, "node_blocks": 0.0, "direct_p99_ms": math.nan}, 0, "node: 0 calls in 0 of 40"),
+    ],
+)
+def test_a_run_is_void_when_its_own_yardstick_is_bent(
+    changed: dict[str, float], service: float, why: str
+) -> None:
+    found = void(GOOD | changed, service)
+    assert found == "" if not why else why in found
+
+
+def test_a_run_that_was_disturbed_all_the_time_is_void_and_no_error() -> None:
+    turns = [turn(t.block, t.path, t.latency, waited=9.0) for t in played()]
+    figures = added.finite(figures_of(turns, PATHS, 1) | {"x": math.inf})
+    assert "x" not in figures
+    assert "play for longer" in void(figures_of(turns, PATHS, 1), 0)
+    assert "VOID" in added.line(Point(size=393, seed=1, figures=figures, void="others"))
+
+
+# ---- bad input -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("arguments", "says"),
+    [
+        (["--rate", "0"], "--rate"),
+        (["--rate", "fast"], "fast"),
+        (["--rate", "1e9"], "--rate"),
+        (["--rate", "nan"], "--rate"),
+        (["--seeds", "x"], "x"),
+        (["--seeds", "3-1"], "--seeds"),
+        (["--seconds", "0.1"], "--seconds"),
+        (["--seconds", "nan"], "--seconds"),
+        (["--block", "99"], "--block"),
+        (["--service-ms", "-1"], "--service-ms"),
+        (["--paths", "node,relay"], "--paths"),
+        (["--paths", "direct"], "--paths"),
+        (["--paths", "direct,node,node"], "--paths"),
+        (["--paths", "direct,magic"], "--paths"),
+        (["--members", "1"], "--members"),
+    ],
+)
+def test_a_bad_argument_gets_one_line(
+    arguments: list[str], says: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(arguments) == 2
+    told = capsys.readouterr().err
+    assert says in told and told.count("\n") == 1
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"name": "other"}', "[]"])
+def test_a_file_that_is_no_slopes_is_refused_before_anything_is_played(
+    text: str, tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(added, "measure", lambda *_: pytest.fail("played"))
+    path = tmp_path / "added-time.json"
+    path.write_text(text)
+    assert main(["--out", str(path)]) == 2
+    told = capsys.readouterr().err
+    assert str(path) in told and told.count("\n") == 1
+    assert path.read_text() == text
+
+
+def test_runs_are_added_to_a_file_and_another_file_stays_as_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "added-time.json"
+    point = Point(size=393, seed=1, figures={"node_added_p99_ms": 0.4, "node_core_percent": 7.0})
+    keep(path, "added-time", "what", "calls a second", [point])
+    keep(path, "added-time", "what", "calls a second", [msgspec.structs.replace(point, seed=2, void="late")])
+    slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
+    assert [(p.seed, p.void) for p in slopes.points] == [(1, ""), (2, "late")]
+    assert slopes.units == {"node_added_p99_ms": "ms", "node_core_percent": "%"}
+    before = path.read_bytes()
+    with pytest.raises(ValueError, match="over calls a second"):
+        keep(path, "added-time", "what", "members", [point])
+    assert path.read_bytes() == before
+
+
+def test_numbers() -> None:
+    assert numbers("1-3") == (1, 2, 3) and numbers("4,7-8") == (4, 7, 8)
+
+
+# ---- the load ------------------------------------------------------------------------------------------
+
+
+@pytest.fixture
+def stalling() -> Iterator[tuple[int, list[int]]]:
+    """A server that answers nothing while a stall lasts: its port, and when its stall ended."""
+    told: list[int] = []
+    ended: list[int] = []
+    up, down = threading.Event(), asyncio.Event()
+    loop = uvloop.new_event_loop()
+
+    class Held(added.Server):
+        asked = 0
+        held: list[Held] = []
+
+        def data_received(self, data: bytes) -> None:
+            Held.asked += 1
+            if ended or Held.asked < 20:
+                super().data_received(data)
+                return
+            Held.held.append(self)
+            if len(Held.held) == 1:
+                loop.call_later(0.3, self.release)
+
+        def release(self) -> None:
+            ended.append(perf_counter_ns())
+            for held in Held.held:
+                held.transport.write(added.OK)
+
+    async def serve() -> None:
+        server = await loop.create_server(lambda: Held(0.0), "127.0.0.1", 0)
+        told.append(server.sockets[0].getsockname()[1])
+        up.set()
+        await down.wait()
+        server.close()
+
+    thread = threading.Thread(target=loop.run_until_complete, args=(serve(),))
+    thread.start()
+    up.wait()
+    yield told[0], ended
+    loop.call_soon_threadsafe(down.set)
+    thread.join()
+    loop.close()
+
+
+def test_calls_due_in_a_stall_wait_from_the_moment_they_were_due(stalling: tuple[int, list[int]]) -> None:
+    """Failure prevented: a load that waits for answers asks nothing in a stall: one call counts for it."""
+    port, ended = stalling
+    load = Load(Plan([Target("direct", [port])], 0, 200, 1, 1, connections=4))
+    due = arrivals(200, 1.0, 1, 0, lead=0.0)
+    before = perf_counter_ns()
+    found = load.turn("direct", 0, due)
+    assert not np.isnan(found.latency).any() and found.refused == 0
+    start = before + 2_000_000 - due[0] * 1e9  # the turn begins no earlier
+    stalled = (due * 1e9 + start < ended[0] - 100e6) & (np.arange(due.size) >= 20)
+    assert stalled.sum() >= 10
+    # Each of these was due 100 ms or more before the stall's end, whenever it could be sent.
+    assert (found.latency[stalled] >= 95).all()
+    assert np.isnan(found.late).sum() >= 5  # four connections: the others waited for one
+
+
+def test_a_connection_that_the_other_side_closes_is_renewed(stalling: tuple[int, list[int]]) -> None:
+    connection = Connection(stalling[0])
+    first = connection.socket
+    connection.renew()
+    assert first.fileno() == -1 and connection.fileno() >= 0
+    connection.socket.close()
+    assert not connection.send(b"x")
+
+
+# ---- all of it -----------------------------------------------------------------------------------------
+
+
+def test_a_short_run_of_real_processes_writes_its_points(tmp_path: Path) -> None:
+    path = tmp_path / "added-time.json"
+    assert main(["--rate", "100", "--seconds", "1", "--seeds", "5", "--out", str(path)]) == 0
+    slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
+    (point,) = slopes.points
+    assert (point.size, point.seed, slopes.axis) == (100, 5, "calls a second")
+    assert point.void  # a second has too few calls for a p99, whatever the machine does
+    assert point.figures["blocks"] == 10 and point.figures["bad_share"] < 1
+    assert slopes.command.startswith("python -m brackenladder.lab.scale.added")
