Lab: the share of calls that wait for a hold of the loop for longer than the target

A filter on latencies would favour what needs its core for less long, so a run that keeps less than a quarter of a path's turns is void; and the holds, taken as processor time, tell by themselves which share of calls at random a part delays by more than 0.48 ms. Checked against calls drawn at random. The collector's course can be tried otherwise in the node that is watched; nothing on the ordinary path changes.

--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -78,12 +78,14 @@
 TIMER_GRAIN = 1.5  # ms by which an answer after a stated time may come late: the loop's timers are coarse
 WAIT_BOUND = 0.2  # ms in a turn that a process may wait for its core; a worse turn is left out
 LATE_MOST = 0.25  # ms by which the load may be late with one call of a turn; the same
+KEPT_BOUND = 0.25  # share of a path's turns that must be left: of fewer, the short ones are left
 LATE_BOUND = 0.2  # ms of the load's own lateness, p99
 BAD_BOUND = 0.001  # share of calls that may be refused, lost, or without a connection
 LEAST_TAIL = 10  # calls beyond the quantile without which it is none
 QUANTILES = (0.5, 0.9, 0.99)
 FLEET_TIME = 120.0  # seconds in which a node has to know a whole fleet
 SETTLE = 4.0  # seconds that nodes with control have to find each other
+TRIALS = ("freeze", "threshold", "both")  # as `added_within` has them
 DIRECT, RELAY, NODE, CONTROL = "direct", "relay", "node", "control"
 FLEET = "fleet"  # a node with control on, and a stand-in for the other members of a large fleet
 PATHS = (DIRECT, RELAY, NODE, CONTROL, FLEET)
@@ -235,10 +237,15 @@
     bound = DIRECT_BOUND + (TIMER_GRAIN if service_ms else 0.0)
     for path in PATHS:
         calls = figures.get(f"{path}_calls")
+        if calls is not None and figures[f"{path}_blocks"] < KEPT_BOUND * figures["blocks"]:
+            return (
+                f"{path}: others disturbed all but {figures[f'{path}_blocks']:.0f} of"
+                f" {figures['blocks']:.0f} turns; play on a quieter machine"
+            )
         if calls is not None and calls * (1 - max(QUANTILES)) < LEAST_TAIL:
             return (
-                f"{path}: {calls:.0f} calls in {figures[f'{path}_blocks']:.0f} of {figures['blocks']:.0f}"
-                f" blocks that others left alone: fewer than {LEAST_TAIL} lie beyond the p99; play for longer"
+                f"{path}: {calls:.0f} calls in turns that others left alone: fewer than {LEAST_TAIL} lie"
+                " beyond the p99; play for longer"
             )
     if not direct <= bound:  # so that no number is no pass
         return f"the direct path's own p99 is {direct:.2f} ms beyond the service time, over {bound:g} ms"
@@ -500,6 +507,7 @@
     block_s: float = BLOCK
     fleet: int = 0  # members, with the node itself
     words: float = 0.0  # a second that the fleet's members write anew; 0: a fleet at rest
+    trial: str = ""  # what is tried instead of the node's ordinary collector, while it is watched
     watch: bool = False  # take the time of the callbacks of the node in the fleet
     warm_s: float = WARM_UP
 
@@ -526,6 +534,8 @@
             return "--fleet: from 8 to 10000 members, where --paths has fleet, and only there"
         if self.watch and not self.fleet or self.fleet and len(self.rates) * len(self.seeds) > 1:
             return "--fleet: one rate and one seed in a run; --watch: the node in the fleet only"
+        if self.trial and self.trial not in TRIALS:
+            return f"--trial: one of {', '.join(TRIALS)}"
         if not 0 <= self.words <= 1000:
             return "--words: from 0 to 1000 a second"
         return ""
@@ -812,6 +822,7 @@
     found.add_argument("--block", type=float, default=BLOCK, help="seconds of a path's turn")
     found.add_argument("--fleet", type=int, default=0, help="members that the node on the path fleet knows")
     found.add_argument("--words", type=float, default=0.0, help="that the fleet writes anew a second")
+    found.add_argument("--trial", default="", help=f"of the collector: {', '.join(TRIALS)}; watched")
     found.add_argument("--watch", action="store_true", help="what holds that node's loop, and for how long")
     found.add_argument("--out", help="a file of slopes; what it holds stays")
     return found
@@ -831,7 +842,8 @@
             given.block,
             given.fleet,
             given.words,
-            given.watch,
+            given.trial,
+            given.watch or bool(given.trial),
         )
         wrong = wish.check()
     except ValueError as e:
--- a/brackenladder/lab/scale/added_within.py
+++ b/brackenladder/lab/scale/added_within.py
@@ -6,8 +6,8 @@
 pings and pings, tells beats and writes words as often as so many would. So the node's state, and what comes
 in each second, are those of a large fleet, without its processes.
 
-Roles: `python -m brackenladder.lab.scale.added_within node OUT` (environment as `run` has it; SIGUSR1 begins
-the watch, SIGUSR2 plays what is rare and writes OUT) and `... fleet N PORT NODE_PORT WORDS_A_SECOND`.
+Roles: `python -m brackenladder.lab.scale.added_within node OUT [TRIAL]` (environment as `run` has it; SIGUSR1
+begins the watch, SIGUSR2 plays what is rare and writes OUT) and `... fleet N PORT NODE_PORT WORDS_A_SECOND`.
 """
 
 from __future__ import annotations
@@ -67,10 +67,15 @@
 from brackenladder.transports.mux import MARK, Mux
 
 CLUSTER = Membership().cluster
+TARGET_MS = 0.48  # added to a call for 99 in 100, by the fleet ahead
+OUTER = ("timer", "datagram", "soon", "call")  # what the loop calls; the rest lies within these
+ALL = "all of the loop"
 TAGS = {0: "membership", 1: "records", 2: "audit", 3: "keys", 4: "freeze"}
 TIMES = 10  # that what is rare is played
 PROBE = 0.35  # seconds between two pings that a member gets, on the mean
 FAST = 0.004  # the same while the fleet empties a newcomer's queue of news
+TRIALS = ("freeze", "threshold", "both")
+TRIED = (20_000, 20, 50)  # thresholds of the collector, instead of 700, 10, 10
 PACE = 20  # datagrams of an exchange in one go, and...
 PACE_S = 0.01  # ...until the next: a socket's buffer holds no more
 
@@ -95,9 +100,11 @@
         self.began = perf_counter()
 
     def table(self) -> dict[str, dict[str, float]]:
-        """By name: how often a second, and ms of the middle one, of 99 in 100 and of the longest."""
+        """By name: see `row_of`; and under ALL what the loop itself calls, together."""
         seconds = perf_counter() - self.began
-        return {name: row_of(times, seconds) for name, times in sorted(self.rows.items())}
+        whole = [t for name, times in self.rows.items() if name.startswith(OUTER) for t in times]
+        found = {name: row_of(times, seconds) for name, times in sorted(self.rows.items())}
+        return found | ({ALL: row_of(whole, seconds)} if whole else {})
 
     def timed(self, name: str, call: Callable[..., Any]) -> Callable[..., Any]:
         def watched(*args: Any, **named: Any) -> Any:
@@ -115,7 +122,10 @@
 
 
 def row_of(seconds: list[float], watched: float) -> dict[str, float]:
-    """One name's figures."""
+    """One name's figures: how often a second, ms of the middle one, of 99 in 100 and of the longest, and the
+    calls in a hundred that come while it has the loop and wait for its end for longer than the target.
+
+    Calls come at random, so their share is that of the time: of a hold of h ms, h less the target's."""
     ms = 1000 * np.array(seconds)
     return {
         "per_s": round(len(seconds) / watched, 3) if watched > 0 else 0.0,
@@ -123,6 +133,9 @@
         "p99_ms": round(float(np.quantile(ms, 0.99, method="higher")), 4),
         "longest_ms": round(float(ms.max()), 4),
         "core_percent": round(float(ms.sum()) / watched / 10, 4) if watched > 0 else 0.0,
+        "over_percent": round(float(np.maximum(0, ms - TARGET_MS).sum()) / watched / 10, 4)
+        if watched > 0
+        else 0.0,
     }
 
 
@@ -259,8 +272,18 @@
     return monotonic_ns() // 1000
 
 
-async def watch(out: Path) -> None:
-    """The node, until SIGTERM; then what was seen."""
+def begin(trial: str) -> None:
+    """The watch begins, with what is tried instead of the ordinary course of the collector."""
+    if trial in ("freeze", "both"):
+        gc.collect()
+        gc.freeze()  # the fleet is known by now: it lives as long as the node
+    if trial in ("threshold", "both"):
+        gc.set_threshold(*TRIED)
+    HOLDS.reset()
+
+
+async def watch(out: Path, trial: str) -> None:
+    """The node, until SIGTERM; at SIGUSR2 what was seen."""
     loop = asyncio.get_running_loop()
 
     def rare() -> None:
@@ -273,16 +296,16 @@
         coming.write_text(json.dumps(seen | forced))
         coming.rename(out)
 
-    loop.add_signal_handler(signal.SIGUSR1, HOLDS.reset)
+    loop.add_signal_handler(signal.SIGUSR1, begin, trial)
     loop.add_signal_handler(signal.SIGUSR2, rare)
     await process.serve(load(os.environ), process.wishes(os.environ))
 
 
-def run_node(out: str) -> None:
+def run_node(out: str, trial: str = "") -> None:
     vars(process)["Node"] = Kept
     wrap_all()
     with asyncio.Runner(loop_factory=WatchedLoop) as runner:
-        runner.run(watch(Path(out)))
+        runner.run(watch(Path(out), trial))
 
 
 # ---- the fleet -----------------------------------------------------------------------------------------
@@ -445,7 +468,7 @@
     """One of the processes."""
     name, *rest = arguments
     if name == "node":
-        run_node(rest[0])
+        run_node(*rest)
     else:
         uvloop.run(run_fleet(int(rest[0]), int(rest[1]), int(rest[2]), float(rest[3])))
     return 0
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -37,7 +37,7 @@
     undisturbed,
     void,
 )
-from brackenladder.lab.scale.added_within import Holds, named, row_of
+from brackenladder.lab.scale.added_within import ALL, TARGET_MS, TRIALS, Holds, named, row_of
 from brackenladder.lab.scale.interface import Point, Slopes
 
 PATHS = ("direct", "relay", "node")
@@ -217,9 +217,10 @@
         ({"late_p99_ms": 0.3}, 0, "the load itself was late by 0.30"),
         ({"late_p99_ms": math.nan}, 0, "the load itself was late"),
         ({"bad_share": 0.002}, 0, "0.20 % of calls were refused"),
-        ({"direct_calls": 900.0}, 0, "direct: 900 calls in 40 of 40 blocks"),
-        ({"node_calls": 900.0}, 0, "node: 900 calls in 40 of 40 blocks"),
-        ({"node_calls": 0.0, "node_blocks": 0.0, "direct_p99_ms": math.nan}, 0, "node: 0 calls in 0 of 40"),
+        ({"direct_calls": 900.0}, 0, "direct: 900 calls in turns"),
+        ({"node_calls": 900.0}, 0, "node: 900 calls in turns that others left alone"),
+        ({"node_blocks": 9.0}, 0, "node: others disturbed all but 9 of 40 turns"),
+        ({"node_calls": 0.0, "node_blocks": 0.0, "direct_p99_ms": math.nan}, 0, "node: others disturbed all"),
     ],
 )
 def test_a_run_is_void_when_its_own_yardstick_is_bent(
@@ -233,7 +234,7 @@
     turns = [turn(t.block, t.path, t.latency, waited=9.0) for t in played()]
     figures = added.finite(figures_of(turns, PATHS, 1) | {"x": math.inf})
     assert "x" not in figures
-    assert "play for longer" in void(figures_of(turns, PATHS, 1), 0)
+    assert "all but 0 of 40 turns" in void(figures_of(turns, PATHS, 1), 0)
     assert "VOID" in added.line(Point(size=393, seed=1, figures=figures, void="others"))
 
 
@@ -263,6 +264,7 @@
         (["--paths", "direct,fleet", "--fleet", "7", "--seeds", "1"], "--fleet"),
         (["--paths", "direct,fleet", "--fleet", "8"], "--fleet"),
         (["--watch"], "--watch"),
+        (["--paths", "direct,fleet", "--fleet", "8", "--seeds", "1", "--trial", "off"], "--trial"),
         (["--words", "-1"], "--words"),
     ],
 )
@@ -422,6 +424,31 @@
     assert row_of([0.001], 0.0)["per_s"] == 0
 
 
+def test_the_calls_that_wait_for_longer_than_the_target_are_the_share_of_the_time_that_is_left() -> None:
+    """4 holds of 22.48 ms a second: 4 * 22 ms in which a call that comes waits for more than 0.48 ms."""
+    assert row_of([0.02248] * 40, 10.0)["over_percent"] == pytest.approx(8.8)
+    assert row_of([0.00048] * 4000, 10.0)["over_percent"] == 0
+    random = np.random.default_rng(1)
+    begins, hold = np.arange(0, 100, 0.25), 0.005  # four a second for 100 s, played against calls at random
+    calls = random.uniform(0, 100, 200_000)
+    waits = np.maximum(0, begins[np.searchsorted(begins, calls, "right") - 1] + hold - calls)
+    share = 100 * float((waits > 0.00048).mean())
+    assert row_of([hold] * begins.size, 100.0)["over_percent"] == pytest.approx(share, rel=0.05)
+
+
+def test_what_lies_within_another_is_not_counted_twice() -> None:
+    holds = Holds()
+    holds.note("timer Audit.tick", 0.010)
+    holds.note("within audit: the fleet judged", 0.008)
+    holds.note("collector generation 2", 0.005)
+    holds.note("datagram records", 0.002)
+    table = holds.table()
+    assert table[ALL]["longest_ms"] == 10
+    assert table[ALL]["core_percent"] == pytest.approx(
+        table["timer Audit.tick"]["core_percent"] + table["datagram records"]["core_percent"], rel=0.01
+    )
+
+
 def test_what_raises_is_timed_and_still_raises() -> None:
     holds = Holds()
 
@@ -437,6 +464,10 @@
     assert holds.table() == {}
 
 
+def test_both_modules_mean_the_same_target_and_trials() -> None:
+    assert (added.TARGET_MS, added.TRIALS) == (TARGET_MS, TRIALS)
+
+
 def test_callbacks_are_named_for_people() -> None:
     class Part:
         def tick(self) -> None: ...
