Scale: a whole fleet's control in virtual time, at rest and through changes of the list

The cost of a node's control by fleet size can be had on real time only as far as one machine goes. The world plays membership, records and a sample of judging observers of each member with the real deciders on one schedule, flat or in cells, on the same seeds.

--- /dev/null
+++ b/brackenladder/lab/scale/world.py
@@ -0,0 +1,371 @@
+"""Plays scenes of a whole fleet's control in virtual time, and writes what a node of it costs as `Slopes`.
+
+    python -m brackenladder.lab.scale.world rest --sizes 50 100 200 --seeds 1 2 3 --out FILE
+
+`world_fleet.py` has the fleet, docs/scale-worlds.md what is played and how far to believe it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import os
+import random
+import subprocess
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+from time import process_time
+from typing import NoReturn
+
+import msgspec
+
+from brackenladder.audit.fleet import WRONG, State
+from brackenladder.cells.layout import Layout
+from brackenladder.lab.network import Net
+from brackenladder.lab.scale.interface import Point, Slopes
+from brackenladder.lab.scale.world_fleet import PARTS, SECOND, Fleet, Scope
+from brackenladder.records.table import Rules
+
+STEP = 0.05  # seconds between two looks at whether something holds: how exact the times are
+Figures = dict[str, float]
+Check = Callable[[], bool]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Wish:
+    """What a play is of. A ValueError for what cannot be played."""
+
+    size: int
+    seed: int
+    cells: int = 0  # 0: flat
+    loss: float = 0.0  # part of all datagrams
+    observers: int = 16
+    swim: bool = True  # False: the membership is handed in
+
+    def __post_init__(self) -> None:
+        if not 10 <= self.size <= 10_000:
+            raise ValueError(f"{self.size} members: 10 to 10,000")
+        if not 0 <= self.loss < 1:
+            raise ValueError(f"loss of {self.loss:g}: a part from 0 to below 1")
+        if not 0 <= self.cells <= self.size // 3:
+            raise ValueError(f"{self.cells} cells of {self.size} members: at most one for three members")
+        if self.observers < 1:
+            raise ValueError("at least one observer")
+
+    def scope(self) -> Scope | None:
+        if not self.cells:
+            return None
+        return Layout(self.cells).cell_of
+
+    @property
+    def cell(self) -> int:
+        """Members in a cell, about."""
+        return self.size // max(1, self.cells)
+
+    @property
+    def beat(self) -> float:
+        """Seconds between two beats of an owner."""
+        return max(Rules().beat, Rules().beat_a_member * self.cell) / SECOND
+
+    def draw(self) -> random.Random:
+        return random.Random(f"scene/{self.seed}")
+
+    def fleet(self, witness: bool = False, more: int = 0) -> Fleet:
+        return Fleet(
+            self.size, self.seed, Net(loss=self.loss), self.scope(), self.observers, self.swim, witness,
+            self.size + more,
+        )  # fmt: skip
+
+
+class Meter:
+    """Runs a fleet and counts what each member sends, second by second, and when something first holds."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.began = fleet.now
+        self.first = self.read()
+        self.last = self.first
+        self.worst_second = 0  # bytes that one member sent in any second
+        self.worst_received = 0  # the same of what came to it
+        self.times: dict[str, float] = {}
+        self.checks: dict[str, Check] = {}
+        self.always: list[Callable[[], object]] = []  # called at each look
+        self.spent = dict(fleet.spent)
+        self.judged = fleet.judged
+
+    def read(self) -> list[tuple[int, ...]]:
+        return [(*m.bytes, *m.datagrams, sum(m.received)) for m in self.fleet.members.values()]
+
+    @property
+    def seconds(self) -> float:
+        return (self.fleet.now - self.began) / SECOND
+
+    def run(self, seconds: float, enough: bool = False) -> None:
+        """Runs for so long; with `enough`, only until all checks have held and a second is full."""
+        for step in range(round(seconds / STEP)):
+            self.fleet.run(STEP)
+            for look in self.always:
+                look()
+            for name in [n for n, check in self.checks.items() if n not in self.times and check()]:
+                self.times[name] = round(self.seconds, 2)
+            if (step + 1) % round(1 / STEP) == 0:
+                self.sample()
+                if enough and len(self.times) == len(self.checks):
+                    return
+
+    def sample(self) -> None:
+        read = self.read()
+        for now, then in zip(read, self.last, strict=True):
+            self.worst_second = max(self.worst_second, now[0] + now[1] - then[0] - then[1])
+            self.worst_received = max(self.worst_received, now[4] - then[4])
+        self.last = read
+
+    def sent(self) -> list[tuple[int, int]]:
+        """Bytes by member since the beginning: membership, records."""
+        return [(n[0] - f[0], n[1] - f[1]) for n, f in zip(self.read(), self.first, strict=True)]
+
+    def figures(self) -> Figures:
+        read, many, seconds = self.read(), len(self.fleet.members), self.seconds
+        sums = [
+            [n - f for n, f in zip(now, first, strict=True)]
+            for now, first in zip(read, self.first, strict=True)
+        ]
+        mean = [sum(s[i] for s in sums) / many / seconds for i in range(4)]
+        found = {
+            "bytes_per_s": mean[0] + mean[1],
+            "worst_bytes_per_s": max(s[0] + s[1] for s in sums) / seconds,
+            "datagrams_per_s": mean[2] + mean[3],
+            "worst_second_bytes": self.worst_second,
+            "worst_second_received_bytes": self.worst_received,
+        }
+        for i, part in enumerate(PARTS):
+            found[f"{part}_bytes_per_s"] = mean[i]
+            found[f"{part}_worst_bytes_per_s"] = max(s[i] for s in sums) / seconds
+            found[f"{part}_datagrams_per_s"] = mean[2 + i]
+            spent = self.fleet.spent[part] - self.spent[part]
+            found[f"{part}_processor_us_per_s"] = spent / 1e3 / many / seconds
+        judged = self.fleet.judged - self.judged
+        if judged:
+            found["judgement_ms"] = (self.fleet.spent["judging"] - self.spent["judging"]) / judged / 1e6
+        found["false_deaths"] = self.fleet.false_deaths
+        found["unfinished"] = len(self.checks) - len(self.times)  # what did not come to hold in time
+        return found | self.times
+
+
+def rested(wish: Wish, fleet: Fleet, least: float = 10.0) -> Figures:
+    """What the fleet sends at rest, over `least` seconds or more, once beats go round evenly."""
+    fleet.run(max(5.0, 1.5 * wish.beat))
+    meter = Meter(fleet)
+    meter.run(max(least, 2 * wish.beat))
+    return meter.figures()
+
+
+# ---- scenes --------------------------------------------------------------------------------------------
+
+
+def rest(wish: Wish) -> Figures:
+    """Nothing happens, and nobody has anything to tell but that it lives."""
+    return rested(wish, wish.fleet(), 30.0)
+
+
+def busy(wish: Wish) -> Figures:
+    """No change, but calls pass: every ledger grows, and each member tells its head every 30 s."""
+    fleet = wish.fleet(witness=True)
+    fleet.run(max(30.0, 1.5 * wish.beat))
+    meter = Meter(fleet)
+    meter.run(max(30.0, 2 * wish.beat))
+    return meter.figures()
+
+
+def watched(wish: Wish, fleet: Fleet) -> tuple[str, Check, Callable[[], int]]:
+    """A straggler; whether all observers, drawn in its cell, hold it for one; and how many others one did."""
+    draw = wish.draw()
+    straggler = draw.choice(list(fleet.members))
+    cell = [m.place.name for m in fleet.cells[fleet.members[straggler].cell] if m.place.name != straggler]
+    fleet.observe(draw.sample(cell, min(wish.observers, len(cell))))
+    wrong: set[tuple[str, str]] = set()
+
+    def known() -> bool:
+        pictures = [fleet.members[n].process.picture for n in fleet.observers]
+        return all(
+            p is not None and straggler in p.standings and p.standings[straggler].state == State.STRAGGLER
+            for p in pictures
+        )
+
+    def wrongly() -> int:
+        for name in fleet.observers:
+            picture = fleet.members[name].process.picture
+            for of, standing in picture.standings.items() if picture is not None else ():
+                if standing.state in WRONG and of != straggler:
+                    wrong.add((name, of))
+        return len(wrong)
+
+    return straggler, known, wrongly
+
+
+def changes(wish: Wish, moments: Sequence[float], over: float) -> Figures:
+    """New versions at moments, each taken up within a second by all but one, which keeps the first."""
+    fleet = wish.fleet()
+    straggler, known, wrongly = watched(wish, fleet)
+    before = rested(wish, fleet)
+    meter = Meter(fleet)
+    meter.always.append(wrongly)
+    meter.checks["straggler_known_s"] = known
+    began = fleet.now
+    for moment in moments:
+        meter.run(round((moment - meter.seconds) / STEP) * STEP)
+        version = fleet.change(but=straggler)
+    last = (fleet.now - began) / SECOND
+    meter.checks["all_hold_s"] = lambda: fleet.words_agree(version, straggler)
+    meter.run(over - last)
+    meter.run(60.0, enough=True)
+    found = meter.figures()
+    if "all_hold_s" in found:
+        found["all_hold_s"] -= last
+    rest_ = before["records_bytes_per_s"] * meter.seconds
+    records = [r for _, r in meter.sent()]
+    found["change_bytes"] = (sum(records) / len(records) - rest_) / len(moments)
+    found["worst_change_bytes"] = (max(records) - rest_) / len(moments)
+    found["wrongly_straggler"] = wrongly()
+    return found | {f"rest_{k}": before[k] for k in ("bytes_per_s", "records_bytes_per_s")}
+
+
+def change(wish: Wish) -> Figures:
+    """One change of the list that all but one take up within a second; 15 s."""
+    return changes(wish, [0.0], 15.0)
+
+
+def changes20(wish: Wish) -> Figures:
+    """20 changes at drawn moments of a minute."""
+    draw = wish.draw()
+    return changes(wish, sorted(draw.uniform(0, 60) for _ in range(20)), 60.0)
+
+
+def overlap(wish: Wish) -> Figures:
+    """A change half a second after an earlier one; 15 s. Times count from the later one."""
+    return changes(wish, [0.0, 0.5], 15.0)
+
+
+SCENES: dict[str, Callable[[Wish], Figures]] = {
+    s.__name__: s for s in (rest, busy, change, changes20, overlap)
+}
+
+
+def unit(figure: str) -> str:
+    for end, found in (
+        ("us_per_s", "us of a core a second"),
+        ("bytes_per_s", "bytes/s"),
+        ("datagrams_per_s", "1/s"),
+        ("bytes", "bytes"),
+        ("_ms", "ms"),
+        ("_s", "s"),
+        ("_share", "part"),
+    ):
+        if figure.endswith(end):
+            return found
+    return "count"
+
+
+def play(scene: str, wish: Wish) -> Figures:
+    """One scene; how much processor time the play took is among its figures. The collector of cycles rests
+    meanwhile: it would be the larger part of a large fleet's play."""
+    gc.collect()
+    gc.disable()
+    began = process_time()
+    try:
+        figures = SCENES[scene](wish)
+    finally:
+        gc.enable()
+    figures = {name: round(value, 3) for name, value in figures.items()}
+    return figures | {"play_processor_s": round(process_time() - began, 1)}
+
+
+class Parser(argparse.ArgumentParser):
+    """Bad arguments are one line."""
+
+    def error(self, message: str) -> NoReturn:
+        self.exit(2, f"{self.prog}: {message}\n")
+
+
+def commit() -> str:
+    here = Path(__file__).parent
+    git = ["git", "-C", str(here)]
+    try:
+        name = subprocess.run(
+            [*git, "rev-parse", "--short=12", "HEAD"], capture_output=True, text=True, check=True
+        )
+        changed = subprocess.run(
+            [*git, "status", "--porcelain", "--", "*.py"], capture_output=True, text=True
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+    return name.stdout.strip() + (" and changes" if changed.stdout.strip() else "")
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Plays, prints a line for each play, and writes the file anew after each."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    ask = Parser(prog="world", description=__doc__)
+    ask.add_argument("scene", choices=sorted(SCENES))
+    ask.add_argument("--sizes", type=int, nargs="+", required=True)
+    ask.add_argument("--seeds", type=int, nargs="+", required=True)
+    ask.add_argument("--cells", type=int, default=0, help="so many cells; 0: flat")
+    ask.add_argument(
+        "--cell-size", type=int, default=0, help="cells of about so many members, in place of --cells"
+    )
+    ask.add_argument("--loss", type=float, default=0.0)
+    ask.add_argument("--observers", type=int, default=16)
+    ask.add_argument("--no-swim", action="store_true", help="the membership is handed in")
+    ask.add_argument("--out", type=Path)
+    wish = ask.parse_args(arguments)
+    if wish.cells and wish.cell_size:
+        ask.error("--cells and --cell-size: one of them")
+    if wish.cell_size < 0:
+        ask.error("--cell-size: at least 1")
+    plays = []
+    for size in wish.sizes:
+        cells = max(1, round(size / wish.cell_size)) if wish.cell_size else wish.cells
+        for seed in wish.seeds:
+            try:
+                plays.append(
+                    Wish(
+                        size=size, seed=seed, cells=cells, loss=wish.loss, observers=wish.observers,
+                        swim=not wish.no_swim,
+                    )
+                )  # fmt: skip
+            except ValueError as error:
+                ask.error(str(error))
+    scene = SCENES[wish.scene]
+    what = " ".join((scene.__doc__ or "").split())
+    if wish.cells:
+        what += f" {wish.cells} cells."
+    elif wish.cell_size:
+        what += f" Cells of about {wish.cell_size} members."
+    what += f" Virtual time; {wish.observers} observers judge; {wish.loss:.0%} loss"
+    what += "; the membership is handed in." if wish.no_swim else "."
+    name = f"world-{wish.scene}".lower() if wish.out is None else wish.out.stem
+    machine = f"{os.cpu_count()} cores, one used; load {os.getloadavg()[0]:.0f} at the start"
+    made = commit()
+    points: list[Point] = []
+    for one in plays:
+        figures = play(wish.scene, one)
+        points.append(Point(size=one.size, seed=one.seed, figures=figures))
+        print(
+            f"{wish.scene} {one.size} seed {one.seed}:",
+            *(f"{k} {v:g}" for k, v in figures.items()),
+            flush=True,
+        )
+        slopes = Slopes(
+            name=name, what=what, command=f"python -m brackenladder.lab.scale.world {' '.join(arguments)}",
+            commit=made, date=datetime.now(UTC).strftime("%Y-%m-%d"), machine=machine,
+            units={f: unit(f) for p in points for f in p.figures}, points=points,
+        )  # fmt: skip
+        if wish.out is not None:
+            wish.out.write_bytes(msgspec.json.format(msgspec.json.encode(slopes), indent=1) + b"\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_scale_world.py
@@ -0,0 +1,131 @@
+"""The whole fleet's control in virtual time: what holds in any world, with any seed, flat and in cells."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.lab.scale.interface import Slopes
+from brackenladder.lab.scale.world import SCENES, Wish, main, play, unit
+from brackenladder.lab.scale.world_fleet import Fleet
+
+MEASURED = ("processor", "judgement")  # by this machine's clock
+
+
+def played(scene: str, **wish: object) -> dict[str, float]:
+    """The figures that follow from the seed."""
+    given = {"size": 12, "seed": 1, **wish}
+    figures = play(scene, msgspec.convert(given, Wish))
+    return {k: v for k, v in figures.items() if not any(part in k for part in MEASURED)}
+
+
+def strangers(fleet: Fleet) -> set[tuple[str, str]]:
+    """Records that a member holds of one outside its cell."""
+    return {
+        (name, owner)
+        for name, member in fleet.members.items()
+        for owner in member.process.table.owners
+        if fleet.members[owner].cell != member.cell
+    }
+
+
+def test_a_play_follows_from_its_seed() -> None:
+    assert played("change") == played("change")
+    assert played("change") != played("change", seed=2)
+    assert played("change", cells=3) == played("change", cells=3) != played("change")
+
+
+@settings(derandomize=True, max_examples=12, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    size=st.integers(10, 30),
+    cells=st.sampled_from([0, 2, 3]),
+    loss=st.sampled_from([0.0, 0.05]),
+)
+def test_at_rest_nobody_is_held_dead_and_no_record_leaves_its_cell(
+    seed: int, size: int, cells: int, loss: float
+) -> None:
+    wish = Wish(size=size, seed=seed, cells=cells, loss=loss)
+    fleet = wish.fleet()
+    assert fleet.words_agree(1)  # it begins settled
+    fleet.run(20)
+    assert (fleet.deaths, fleet.false_deaths) == (0, 0)
+    assert fleet.members_agree() and fleet.words_agree(1)
+    assert not strangers(fleet)
+
+
+@settings(derandomize=True, max_examples=8, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    size=st.integers(12, 30),
+    cells=st.sampled_from([0, 2]),
+    loss=st.sampled_from([0.0, 0.05]),
+    scene=st.sampled_from(["change", "overlap"]),
+)
+def test_all_hold_all_words_of_a_change_and_all_observers_know_the_straggler(
+    seed: int, size: int, cells: int, loss: float, scene: str
+) -> None:
+    figures = played(scene, seed=seed, size=size, cells=cells, loss=loss)
+    assert figures["unfinished"] == figures["false_deaths"] == figures["wrongly_straggler"] == 0
+    assert figures["all_hold_s"] < figures["straggler_known_s"] < 10
+    assert figures["change_bytes"] > 0
+
+
+def test_cells_carry_less_and_a_fleet_in_one_cell_is_the_flat_one() -> None:
+    flat, one, four = (played("change", size=40, cells=cells) for cells in (0, 1, 4))
+    assert flat == one
+    assert four["change_bytes"] < flat["change_bytes"] / 2
+
+
+def test_the_membership_may_be_handed_in() -> None:
+    figures = played("rest", swim=False)
+    assert figures["membership_bytes_per_s"] == 0 < figures["records_bytes_per_s"]
+
+
+def test_a_busy_fleet_tells_the_heads_of_its_ledgers() -> None:
+    assert (
+        played("busy", size=30)["records_bytes_per_s"] > 1.3 * played("rest", size=30)["records_bytes_per_s"]
+    )
+
+
+def test_the_file_has_each_play_with_its_units_and_can_be_played_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    out = tmp_path / "world-rest-cells.json"
+    line = ["rest", "--sizes", "12", "15", "--seeds", "1", "2", "--cell-size", "5", "--out", str(out)]
+    main(line)
+    found = msgspec.json.decode(out.read_bytes(), type=Slopes)
+    assert [(p.size, p.seed) for p in found.points] == [(12, 1), (12, 2), (15, 1), (15, 2)]
+    assert found.name == "world-rest-cells" and found.command.endswith(" ".join(line))
+    assert all(f in found.units for p in found.points for f in p.figures)
+    assert len(capsys.readouterr().out.splitlines()) == 4
+
+
+@pytest.mark.parametrize(
+    "line, told",
+    [
+        ("rest --sizes 5 --seeds 1", "5 members"),
+        ("rest --sizes 20 --seeds 1 --loss 1.5", "loss of 1.5"),
+        ("rest --sizes 20 --seeds 1 --cells 9", "9 cells of 20 members"),
+        ("rest --sizes 20 --seeds 1 --cells 2 --cell-size 5", "one of them"),
+        ("rest --sizes 20 --seeds 1 --observers 0", "observer"),
+        ("rest --sizes x --seeds 1", "invalid int"),
+        ("nothing --sizes 20 --seeds 1", "invalid choice"),
+        ("rest --seeds 1", "--sizes"),
+    ],
+)
+def test_bad_arguments_are_one_clear_line(line: str, told: str, capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as end:
+        main(line.split())
+    said = capsys.readouterr().err
+    assert end.value.code == 2 and len(said.splitlines()) == 1 and told in said
+
+
+def test_figures_have_units() -> None:
+    assert unit("records_bytes_per_s") == "bytes/s" and unit("records_processor_us_per_s").startswith("us")
+    assert unit("all_hold_s") == "s" and unit("judgement_ms") == "ms" and unit("false_deaths") == "count"
+    assert set(SCENES) >= {"rest", "busy", "change", "changes20", "overlap"}
