Scale: the world loses racks, zones and regions, restarts a tenth and meets newcomers

Failures are where control costs most. Each scene runs the real deciders of all members and says worst seconds, times until all agree and false deaths.

--- a/brackenladder/lab/scale/world.py
+++ b/brackenladder/lab/scale/world.py
@@ -60,6 +60,11 @@
             return None
         return Layout(self.cells).cell_of
 
+    def needs_swim(self) -> None:
+        """A ValueError where the membership is handed in."""
+        if not self.swim:
+            raise ValueError("this scene is of the membership too: it cannot be handed in")
+
     @property
     def cell(self) -> int:
         """Members in a cell, about."""
@@ -180,13 +185,27 @@
     return meter.figures()
 
 
-def watched(wish: Wish, fleet: Fleet) -> tuple[str, Check, Callable[[], int]]:
-    """A straggler; whether all observers, drawn in its cell, hold it for one; and how many others one did."""
+class Wrongly:
+    """Counts whom an observer holds for a straggler or diverged who is not: pairs, once each."""
+
+    def __init__(self, fleet: Fleet, but: str = "") -> None:
+        self.fleet, self.but = fleet, but
+        self.pairs: set[tuple[str, str]] = set()
+
+    def look(self) -> None:
+        for name in self.fleet.observers:
+            picture = self.fleet.members[name].process.picture
+            for of, standing in picture.standings.items() if picture is not None else ():
+                if standing.state in WRONG and of != self.but:
+                    self.pairs.add((name, of))
+
+
+def straggling(wish: Wish, fleet: Fleet) -> tuple[str, Check]:
+    """A straggler, and whether all observers, drawn in its cell, hold it for one."""
     draw = wish.draw()
     straggler = draw.choice(list(fleet.members))
     cell = [m.place.name for m in fleet.cells[fleet.members[straggler].cell] if m.place.name != straggler]
     fleet.observe(draw.sample(cell, min(wish.observers, len(cell))))
-    wrong: set[tuple[str, str]] = set()
 
     def known() -> bool:
         pictures = [fleet.members[n].process.picture for n in fleet.observers]
@@ -195,24 +214,17 @@
             for p in pictures
         )
 
-    def wrongly() -> int:
-        for name in fleet.observers:
-            picture = fleet.members[name].process.picture
-            for of, standing in picture.standings.items() if picture is not None else ():
-                if standing.state in WRONG and of != straggler:
-                    wrong.add((name, of))
-        return len(wrong)
-
-    return straggler, known, wrongly
+    return straggler, known
 
 
 def changes(wish: Wish, moments: Sequence[float], over: float) -> Figures:
     """New versions at moments, each taken up within a second by all but one, which keeps the first."""
     fleet = wish.fleet()
-    straggler, known, wrongly = watched(wish, fleet)
+    straggler, known = straggling(wish, fleet)
+    wrongly = Wrongly(fleet, straggler)
     before = rested(wish, fleet)
     meter = Meter(fleet)
-    meter.always.append(wrongly)
+    meter.always.append(wrongly.look)
     meter.checks["straggler_known_s"] = known
     began = fleet.now
     for moment in moments:
@@ -229,7 +241,7 @@
     records = [r for _, r in meter.sent()]
     found["change_bytes"] = (sum(records) / len(records) - rest_) / len(moments)
     found["worst_change_bytes"] = (max(records) - rest_) / len(moments)
-    found["wrongly_straggler"] = wrongly()
+    found["wrongly_straggler"] = len(wrongly.pairs)
     return found | {f"rest_{k}": before[k] for k in ("bytes_per_s", "records_bytes_per_s")}
 
 
@@ -249,8 +261,130 @@
     return changes(wish, [0.0, 0.5], 15.0)
 
 
+def faults(wish: Wish, victims: Sequence[str], fleet: Fleet, down: float) -> Figures:
+    """All of these are killed at once and start anew at once, so long after, knowing nothing."""
+    before = rested(wish, fleet)
+    wrongly = Wrongly(fleet)
+    lost = Meter(fleet)
+    lost.always.append(wrongly.look)
+    for name in victims:
+        fleet.stop(name)
+    if down > 5:
+        lost.checks["dead_known_s"] = fleet.members_agree
+    lost.run(down)
+    back = Meter(fleet)
+    back.always.append(wrongly.look)
+    back.checks = {"members_agree_s": fleet.members_agree, "words_agree_s": fleet.words_agree}
+    for name in victims:
+        fleet.start(name)
+    back.run(30.0)
+    back.run(120.0, enough=True)
+    found = back.figures()
+    found["unfinished"] += len(lost.checks) - len(lost.times)
+    found |= lost.times | {f"lost_{k}": v for k, v in lost.figures().items() if k in SHORT}
+    found |= {f"rest_{k}": v for k, v in before.items() if k in SHORT}
+    return found | {"victims": len(victims), "wrongly_straggler": len(wrongly.pairs)}
+
+
+def restart10(wish: Wish) -> Figures:
+    """10 in a hundred, drawn, are killed at once and start anew a second later."""
+    wish.needs_swim()
+    fleet = wish.fleet()
+    return faults(wish, wish.draw().sample(list(fleet.members), wish.size // 10), fleet, 1.0)
+
+
+def place_lost(wish: Wish, kind: str, down: float) -> Figures:
+    wish.needs_swim()
+    fleet = wish.fleet()
+    places = {n: getattr(m.place, kind) for n, m in fleet.members.items()}
+    drawn = wish.draw().choice(sorted(set(places.values())))
+    return faults(wish, [n for n, place in places.items() if place == drawn], fleet, down)
+
+
+def rack(wish: Wish) -> Figures:
+    """A rack, about a seventieth of all, is lost for 30 s and comes back at once."""
+    return place_lost(wish, "rack", 30.0)
+
+
+def zone(wish: Wish) -> Figures:
+    """A zone, a ninth of all, is lost for 30 s and comes back at once."""
+    return place_lost(wish, "zone", 30.0)
+
+
+def region(wish: Wish, apart: float) -> Figures:
+    """A region is cut off for so long; the list changes on its side, and then on the other. Once they are
+    joined again, all take up the latest within a second."""
+    wish.needs_swim()
+    fleet = wish.fleet()
+    before = rested(wish, fleet)
+    regions = {n: m.place.region for n, m in fleet.members.items()}
+    drawn = wish.draw().choice(sorted(set(regions.values())))
+    sides = [{n for n, r in regions.items() if (r == drawn) is inside} for inside in (True, False)]
+    cut = Meter(fleet)
+    fleet.net.groups = sides
+    fleet.parted = lambda one, other: (one in sides[0]) is not (other in sides[0])
+    cut.checks["dead_known_s"] = lambda: all(
+        m.process.lost == sides[n not in sides[0]] ^ set(fleet.members) for n, m in fleet.members.items()
+    )
+    cut.run(20.0)
+    fleet.change(only=sides[0])
+    cut.run(20.0)
+    fleet.change(only=sides[1])
+    cut.run(apart - 40.0)
+    fleet.net.groups, fleet.parted = None, lambda one, other: False
+    during = fleet.false_deaths
+    back = Meter(fleet)
+    version = fleet.change()
+    back.checks = {
+        "members_agree_s": fleet.members_agree,
+        "words_agree_s": lambda: fleet.words_agree(version) and fleet.members_agree(),
+    }
+    back.run(30.0)
+    back.run(90.0, enough=True)
+    found = back.figures()
+    found["unfinished"] += len(cut.checks) - len(cut.times)
+    found["false_deaths_apart"] = during
+    found["false_deaths"] -= during
+    pairs = len(fleet.members) * (len(fleet.members) - 1)
+    found["apart_share"] = sum(len(m.process.lost) for m in fleet.running()) / pairs  # at the end
+    found |= cut.times | {f"cut_{k}": v for k, v in cut.figures().items() if k in SHORT}
+    return found | {f"rest_{k}": v for k, v in before.items() if k in SHORT}
+
+
+def region70(wish: Wish) -> Figures:
+    """A region, a third of all, is cut off for 70 s, with changes on both sides, and joined again."""
+    return region(wish, 70.0)
+
+
+def region400(wish: Wish) -> Figures:
+    """A region, a third of all, is cut off for 400 s, with changes on both sides, and joined again."""
+    return region(wish, 400.0)
+
+
+def newcomer(wish: Wish) -> Figures:
+    """One that nobody knows starts, and asks the seeds."""
+    wish.needs_swim()
+    fleet = wish.fleet(more=1)
+    before = rested(wish, fleet)
+    name = list(fleet.members)[-1]
+    member = fleet.members[name]
+    meter = Meter(fleet)
+    fleet.start(name)
+    meter.checks = {
+        "sees_all_s": lambda: not member.process.lost,
+        "seen_by_all_s": fleet.members_agree,
+        "words_agree_s": fleet.words_agree,
+    }
+    meter.run(30.0)
+    found = meter.figures()
+    found["newcomer_sent_bytes"], found["newcomer_received_bytes"] = sum(member.bytes), sum(member.received)
+    return found | {f"rest_{k}": v for k, v in before.items() if k in SHORT}
+
+
+SHORT = ("bytes_per_s", "worst_bytes_per_s", "worst_second_bytes", "records_bytes_per_s")
 SCENES: dict[str, Callable[[Wish], Figures]] = {
-    s.__name__: s for s in (rest, busy, change, changes20, overlap)
+    s.__name__: s
+    for s in (rest, busy, change, changes20, overlap, restart10, rack, zone, region70, region400, newcomer)
 }
 
 
