Scale: words of the world tell four versions, as those of nodes that run for a while

The first words named one version and had 87 bytes where a node that has seen four tells 159 (the issue says some 150), so a change came out too cheap.

--- a/brackenladder/lab/scale/world_fleet.py
+++ b/brackenladder/lab/scale/world_fleet.py
@@ -18,7 +18,7 @@
 
 from brackenladder.audit import word
 from brackenladder.audit.fleet import Heard, Picture, View
-from brackenladder.audit.word import KIND, Held, Word
+from brackenladder.audit.word import HISTORY, KIND, Held, Word
 from brackenladder.lab.network import Emulated, Net, Network, Schedule
 from brackenladder.membership.swim import Change, Member, Swim, SwimSettings
 from brackenladder.membership.wire import State
@@ -188,8 +188,7 @@
         self.cells: dict[int, list[FleetMember]] = {}
         self.parted: Callable[[str, str], bool] = lambda one, other: False  # by the cut that is played
         self.false_deaths = self.deaths = 0
-        self.version = 1
-        self.straggler = ""
+        self.version = HISTORY  # of the list; who has run for a while tells those before it too
         self.words: dict[tuple[bytes, bool], Heard] = {}
         self.spent = dict.fromkeys(("membership", "records", "judging"), 0)  # nanoseconds of the deciders
         self.longest = dict(self.spent)  # the same of one call, since somebody began to measure
@@ -218,7 +217,7 @@
         }
         for member in members:
             process = self.process(member, life=1)
-            process.lists = (self.held(self.version),)
+            process.lists = tuple(self.held(n) for n in range(1, HISTORY + 1))
             process.lost = set(self.members) - names
             process.known = sum(m.place.name in names for m in self.cells[member.cell])
             swim = process.swim
--- a/tests/test_scale_world.py
+++ b/tests/test_scale_world.py
@@ -53,10 +53,10 @@
 ) -> None:
     wish = Wish(size=size, seed=seed, cells=cells, loss=loss)
     fleet = wish.fleet()
-    assert fleet.words_agree(1)  # it begins settled
+    assert fleet.words_agree(fleet.version)  # it begins settled
     fleet.run(20)
     assert (fleet.deaths, fleet.false_deaths) == (0, 0)
-    assert fleet.members_agree() and fleet.words_agree(1)
+    assert fleet.members_agree() and fleet.words_agree(fleet.version)
     assert not strangers(fleet)
 
 
@@ -150,10 +150,15 @@
     for name in [*zone, list(fleet.members)[-1]]:
         fleet.start(name)
     fleet.run(40)
-    assert fleet.members_agree() and fleet.words_agree(2)
+    assert fleet.members_agree() and fleet.words_agree(fleet.version)
     assert not strangers(fleet)
 
 
+def test_a_word_is_as_long_as_that_of_a_node_that_has_run_for_a_while() -> None:
+    said = [len(m.process.said) for m in Fleet(12, 1, swim=False).members.values()]
+    assert 150 <= min(said) <= max(said) <= 180
+
+
 def test_the_membership_may_be_handed_in() -> None:
     figures = played("rest", swim=False)
     assert figures["membership_bytes_per_s"] == 0 < figures["records_bytes_per_s"]
