Scale: what it costs an observer to gather the words, beside what judging them costs

The audit's host reads all records of its kind before each judgement; the world read them by a shorter way of its own and so hid that cost.

--- a/brackenladder/lab/scale/world.py
+++ b/brackenladder/lab/scale/world.py
@@ -156,8 +156,9 @@
             found[f"{part}_longest_processor_ms"] = self.fleet.longest[part] / 1e6
         judged = self.fleet.judged - self.judged
         if judged:
-            found["judgement_longest_ms"] = self.fleet.longest["judging"] / 1e6
-            found["judgement_ms"] = (self.fleet.spent["judging"] - self.spent["judging"]) / judged / 1e6
+            for name, part in (("judgement", "judging"), ("hearing", "hearing")):
+                found[f"{name}_ms"] = (self.fleet.spent[part] - self.spent[part]) / judged / 1e6
+                found[f"{name}_longest_ms"] = self.fleet.longest[part] / 1e6
         found["false_deaths"] = self.fleet.false_deaths
         found["unfinished"] = len(self.checks) - len(self.times)  # what did not come to hold in time
         return found | self.times
--- a/brackenladder/lab/scale/world_fleet.py
+++ b/brackenladder/lab/scale/world_fleet.py
@@ -190,7 +190,7 @@
         self.false_deaths = self.deaths = 0
         self.version = HISTORY  # of the list; who has run for a while tells those before it too
         self.words: dict[tuple[bytes, bool], Heard] = {}
-        self.spent = dict.fromkeys(("membership", "records", "judging"), 0)  # nanoseconds of the deciders
+        self.spent = dict.fromkeys((*PARTS, "hearing", "judging"), 0)  # nanoseconds of the deciders
         self.longest = dict(self.spent)  # the same of one call, since somebody began to measure
         self.judged = 0
         for index in range(places or size):
@@ -432,11 +432,10 @@
         if process.down or process.view is not view:
             return
         self.schedule.at(self.now + TICK, partial(self.judge, process, view))
-        words, table = {}, process.table
-        for name, owner in table.owners.items():
-            entry = owner.records.get(KIND)
-            if entry is not None and entry.body:
-                words[name] = self.heard(entry.body, table.stale(owner))
+        began = thread_time_ns()
+        records = process.table.of(KIND)
+        self.took("hearing", began)
+        words = {r.owner: self.heard(r.body, r.stale) for r in records}
         live = [m.place.name for m in self.cells[process.member.cell] if m.place.name not in process.lost]
         began = thread_time_ns()
         process.picture = view.judge(self.now, live, words)
--- a/tests/test_scale_world.py
+++ b/tests/test_scale_world.py
@@ -15,7 +15,7 @@
 from brackenladder.membership.swim import Member
 from brackenladder.membership.wire import State
 
-MEASURED = ("processor", "judgement")  # by this machine's clock
+MEASURED = ("processor", "judgement", "hearing")  # by this machine's clock
 
 
 def played(scene: str, **wish: object) -> dict[str, float]:
