--- a/brackenladder/lab/scale/world.py
+++ b/brackenladder/lab/scale/world.py
@@ -417,7 +417,7 @@
     finally:
         gc.enable()
     figures = {name: round(value, 3) for name, value in figures.items()}
-    return figures | {"play_processor_s": round(process_time() - began, 1)}
+    return figures | {"cells": wish.cells, "play_processor_s": round(process_time() - began, 1)}
 
 
 class Parser(argparse.ArgumentParser):
--- a/tests/test_scale_world.py
+++ b/tests/test_scale_world.py
@@ -9,9 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenladder.lab.scale.interface import Slopes
+from brackenladder.lab.scale.interface import Point, Slopes
 from brackenladder.lab.scale.world import SCENES, Wish, main, play, unit
 from brackenladder.lab.scale.world_fleet import Fleet, Known
+from brackenladder.lab.scale.world_table import cell, page
 from brackenladder.membership.swim import Member
 from brackenladder.membership.wire import State
 
@@ -79,7 +80,7 @@
 
 def test_cells_carry_less_and_a_fleet_in_one_cell_is_the_flat_one() -> None:
     flat, one, four = (played("change", size=40, cells=cells) for cells in (0, 1, 4))
-    assert flat == one
+    assert flat | {"cells": 1} == one
     assert four["change_bytes"] < flat["change_bytes"] / 2
 
 
@@ -208,3 +209,19 @@
     assert unit("records_bytes_per_s") == "bytes/s" and unit("records_processor_us_per_s").startswith("us")
     assert unit("all_hold_s") == "s" and unit("judgement_ms") == "ms" and unit("false_deaths") == "count"
     assert set(SCENES) >= {"rest", "busy", "change", "changes20", "overlap"}
+
+
+def test_the_tables_come_from_the_files(tmp_path: Path) -> None:
+    for name, more in (("world-rest", []), ("world-rest-cells", ["--cells", "2"])):
+        main(["rest", "--sizes", "12", "--seeds", "1", "2", *more, "--out", str(tmp_path / f"{name}.json")])
+    found = page(tmp_path).splitlines()
+    assert found[0].startswith("**At rest** (`world-rest.json` at ")
+    rows = [line.split(" | ") for line in found if line.startswith("| 12 ")]
+    assert [row[1] for row in rows] == ["flat", "2"] and {row[2] for row in rows} == {"1 2"}
+    assert all(len(row) == len(found[2].split(" | ")) for row in rows)
+
+
+def test_a_table_tells_the_spread_and_what_never_came() -> None:
+    points = [Point(size=12, seed=s, figures=f) for s, f in enumerate([{"a_s": 1.0}, {"a_s": 2.0}, {}])]
+    assert cell(points, "a_s") == "1.5 (1 to 2), 1 never"
+    assert cell(points, "b_s") == "never" and cell(points, "b") == "-"
