Audit: words are renewed the more seldom the more hear them, and not for each that dies

Change: heads go every 30 s or 2 s for each member that hears them, if that is more; the members' epoch goes with them. The coordinator's evidence looks names up in a set, where a list was gone through for each report. Worked out from records-renewal-small.json: 17 N bytes/s at 30 s come to some 260 in any fleet from 15 on; the page's tables are to be worked out anew.

--- a/brackenladder/audit/word.py
+++ b/brackenladder/audit/word.py
@@ -15,6 +15,8 @@
 KIND = "audit"
 FORM = 1
 HISTORY = 4  # list versions told: the present one, and those before it
+RENEW = 30_000_000  # microseconds after which the ledger's head and the members' epoch are told anew, or...
+RENEW_A_MEMBER = 2_000_000  # ...so many for each member that hears it, if that is more
 
 
 class Held(NamedTuple):
@@ -82,6 +84,15 @@
     return word if word.form == FORM else None
 
 
+def renew_after(hearers: int) -> int:
+    """Microseconds after which a word is told anew though nothing that is judged by has changed.
+
+    Failure prevented: each word costs each member that hears it some 500 bytes, so one from each every 30 s
+    is the largest cost of a quiet fleet and grows with it (`benchmarks/slopes/records-renewal-small.json`).
+    So thinned, all of them together cost a member the same in any fleet."""
+    return max(RENEW, RENEW_A_MEMBER * hearers)
+
+
 def history(lists: tuple[Held, ...], new: Held) -> tuple[Held, ...]:
     """The versions to tell once `new` is in force: after a move, or a number that falls, from it alone."""
     if lists and lists[-1] == new:
--- a/brackenladder/freeze/evidence.py
+++ b/brackenladder/freeze/evidence.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Set
 from dataclasses import dataclass
 
 import msgspec
@@ -129,7 +129,8 @@
 
     def judge(self, now: int, reports: Mapping[str, Report], live: Collection[str]) -> list[Verdict]:
         """What is to be opened and closed now."""
-        heard = {n: r for n, r in reports.items() if n in live}
+        alive = live if isinstance(live, Set) else frozenset(live)  # a list is looked through for each report
+        heard = {n: r for n, r in reports.items() if n in alive}
         if 2 * len(heard) <= len(live):
             for known in self.matters.values():  # too few to say that something is, or is over
                 known.since = known.gone = 0
--- a/brackenladder/net/audit.py
+++ b/brackenladder/net/audit.py
@@ -30,8 +30,6 @@
 TAG = 2  # of the channel
 TICK = 0.25  # seconds between two judgements
 FLEET_AGAIN = 1.0  # seconds before a membership that could not be had is looked for again
-WITNESS = 30_000_000  # microseconds after which the ledger's head is told anew
-EPOCH = 5_000_000  # the same for the members' epoch, which moves all the time while many start
 MOST_WRITING = 20  # the ledger is written at most one part in so many of the time
 COUNTS = (
     *("asked_own", "asked_agents", "asked_peers", "told", "brought_up", "by_agent", "by_peers"),
@@ -60,7 +58,7 @@
         self.words: dict[str, tuple[int, Word | None]] = {}  # by owner: the record's version, decoded
         self.said = b""
         self.witnessed = (0, 0, b"")  # when the head was last told, entries, head
-        self.epoch = (0, 0)  # of the members, as told, and when
+        self.epoch = 0  # of the members, as told with the head
         self.heads: dict[str, tuple[int, int]] = {}  # life and entries, by owner
         self.picture: Picture | None = None
         self.states: dict[str, State] = {}
@@ -285,7 +283,7 @@
             settings=files.get(Source.SETTINGS, (0, "")),
             operation=files.get(Source.OPERATION, (0, "")),
             program=brackenladder.__version__,
-            members=self.epoch[0],
+            members=self.epoch,
             known=self.picture.known if self.picture is not None else 0,
             term=term.number if term is not None else 0,
             ready=self.own.list is not None,
@@ -301,11 +299,11 @@
         assert self.records is not None
         if not self.said:
             self.claim_life(now)
-        if now - self.witnessed[0] >= WITNESS:
+        if now - self.witnessed[0] >= word.renew_after(len(self.host.cell())):
             self.witnessed = (now, self.ledger.book.entries, self.ledger.book.head[:8])
-        members = self.versions.get(Source.MEMBERS)
-        if members is not None and now - self.epoch[1] >= EPOCH:
-            self.epoch = (members.number, now)
+            # With the head alone. Failure prevented: one that dies anywhere has all nodes write anew.
+            members = self.versions.get(Source.MEMBERS)
+            self.epoch = members.number if members is not None else self.epoch
         body = word.encode(self.word())
         if body != self.said:
             self.said = body
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -11,6 +11,7 @@
 import pytest
 from loopback import play, until
 
+from brackenladder.audit import word
 from brackenladder.audit.ledger import Ledger
 from brackenladder.interface import ListKind, Outcome, State
 from brackenladder.net.audit import Audit
@@ -406,3 +407,46 @@
 def test_a_table_that_cannot_be_used_says_where(wish: dict[str, Any], words: str) -> None:
     with pytest.raises(OperationError, match=words):
         build({"audit": wish}, "operator.toml")
+
+
+def test_members_that_come_and_go_have_nobody_write_its_word_anew() -> None:
+    """Failure prevented: one node that dies anywhere makes each of thousands write, and each fetch all."""
+
+    async def scene() -> None:
+        hosts = await fleet(Net(), 3)
+        await asyncio.sleep(0.6)  # what the first judgements have changed is told by now
+        before = {h.name: h.get(h.name, word.KIND) for h in hosts}
+        entries = hosts[0].part.ledger.book.entries
+        for number in range(1, 5):
+            for host in hosts:
+                host.part.version(Version(Source.MEMBERS, host.name, number, f"{number:016x}"))
+            await asyncio.sleep(0.3)
+        assert hosts[0].part.ledger.book.entries > entries  # its own ledger has them
+        assert {h.name: h.get(h.name, word.KIND) for h in hosts} == before
+        await close(hosts)
+
+    play(scene)
+
+
+def test_the_head_and_the_members_epoch_are_told_anew_now_and_then(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(word, "RENEW", 500_000)
+    monkeypatch.setattr(word, "RENEW_A_MEMBER", 0)
+
+    async def scene() -> None:
+        hosts = await fleet(Net(), 3)
+        hosts[0].part.version(Version(Source.MEMBERS, "n0", 7, "e" * 16))
+
+        def heard() -> word.Word | None:
+            record = hosts[1].get("n0", word.KIND)
+            return word.decode(record.body) if record is not None else None
+
+        await until(lambda: (w := heard()) is not None and w.members == 7 and w.entries > 1)
+        await close(hosts)
+
+    play(scene)
+
+
+def test_words_are_renewed_the_more_seldom_the_more_hear_them() -> None:
+    assert [word.renew_after(n) / 1e6 for n in (1, 15, 40, 70, 2_800)] == [30, 30, 80, 140, 5_600]
+    # Each hears n words in a time that grows with n: no more of them in a large fleet than in a small one.
+    assert all(1e6 * n / word.renew_after(n) <= 0.5 for n in range(1, 10_000))
