Cells: what cells tell of themselves, collectors' sums of it, and /admin/cells at every node

In cells no node sees the whole fleet: whether a change is in force everywhere, or a cell is behind. A number counts only where two cells hold it; the sum can do no more than have a node ask its own discovery, seldom. Without collectors nothing is told.

--- a/brackenladder/cells/census.py
+++ b/brackenladder/cells/census.py
@@ -6,21 +6,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from brackenladder.cells.layout import Layout
 
-
-class Row(NamedTuple):
-    """One known member."""
-
-    name: str
-    zone: str
-    lives: bool  # alive or merely suspected
-    left: bool = False
+Row = tuple[str, str, bool, bool]  # a known member: name, zone, whether it lives, whether it has left
 
 
 @dataclass(frozen=True)
@@ -50,19 +41,19 @@
 
 
 def count(layout: Layout, me: str, rows: Iterable[Row]) -> Census:
-    """Counts all known members; `me` is among them."""
-    mine = layout.cell_of(me)
+    """Counts all known members; `me` is among them. Once for each change of them: a pass over thousands."""
+    cell_of, mine = layout.cell_of, layout.cell_of(me)
     cell, known = [], []
-    zones: Counter[str] = Counter()
+    zones: dict[str, int] = {}
     fleet = 0
-    for row in rows:
-        near = layout.cell_of(row.name) == mine
-        if row.lives:
-            zones[row.zone] += 1
+    for name, zone, lives, left in rows:
+        near = cell_of(name) == mine
+        if lives:
+            zones[zone] = zones.get(zone, 0) + 1
             if near:
-                cell.append(row.name)
-        if not row.left:
+                cell.append(name)
+        if not left:
             fleet += 1
             if near:
-                known.append(row.name)
+                known.append(name)
     return Census(tuple(cell), frozenset(known), zones, fleet)
--- a/brackenladder/cells/layout.py
+++ b/brackenladder/cells/layout.py
@@ -17,7 +17,7 @@
 from hashlib import blake2b
 
 MOST_CELLS = 4_096
-MOST_KEPT = 16_384  # labels whose cell is kept at hand; beyond them all are worked out anew
+MOST_KEPT = 16_384  # names whose cell is kept at hand; beyond them all are worked out anew
 
 
 class Layout:
@@ -48,13 +48,13 @@
 
     def cell_of(self, name: str) -> int:
         """A member's cell."""
-        label = self.label_of(name)
-        cell = self.kept.get(label)
+        cell = self.kept.get(name)
         if cell is None:
             if len(self.kept) >= MOST_KEPT:
                 self.kept.clear()
-            digest = blake2b(label.encode(errors="surrogatepass"), digest_size=8).digest()
-            cell = self.kept[label] = jump(int.from_bytes(digest, "big"), self.count)
+            label = self.label_of(name).encode(errors="surrogatepass")
+            key = int.from_bytes(blake2b(label, digest_size=8).digest(), "big")
+            cell = self.kept[name] = jump(key, self.count)
         return cell
 
     def scope(self, me: str, live: Iterable[str]) -> list[str]:
--- a/brackenladder/net/members.py
+++ b/brackenladder/net/members.py
@@ -201,13 +201,14 @@
 
     def census(self) -> Census:
         """The members by the layout. A ValueError without one."""
-        from brackenladder.cells.census import Row, count
+        from brackenladder.cells.census import count
 
         if self.layout is None:
             raise ValueError("there are no cells")
         at = now()
         if self.counted is None or at - self.counted[0] > COUNT_AGAIN:
-            rows = (Row(m.name, m.zone, m.state <= State.SUSPECT, m.state == State.LEFT) for m in self.view())
+            known = [] if self.swim is None else [self.swim.me, *self.swim.members.values()]
+            rows = ((m.name, m.zone, m.state <= State.SUSPECT, m.state == State.LEFT) for m in known)
             self.counted = (at, count(self.layout, self.node.name, rows))
         return self.counted[1]
 
--- a/brackenladder/net/registry.py
+++ b/brackenladder/net/registry.py
@@ -39,6 +39,8 @@
 # In the order of their start; they are stopped in reverse.
 PARTS: list[Entry] = [
     Entry("membership", "brackenladder.net.places:MembershipPart", needs_peers=True, anew=True),
+    # Cells: what a part of the fleet tells of itself; that records keep to it is the membership's doing.
+    Entry("cells", "brackenladder.net.cells:CellsPart", needs_peers=True, needs="membership", anew=True),
     Entry("spread", "brackenladder.net.places:SpreadPart", needs="membership"),
     Entry("zones", "brackenladder.net.judges:ZonesPart"),
     # Locality: the state of zones and regions that all nodes hold in common.
--- a/brackenladder/operation.py
+++ b/brackenladder/operation.py
@@ -190,6 +190,7 @@
 
     count: Annotated[int, Meta(ge=1, le=4_096)]
     label: Annotated[str, Meta(max_length=8)] = ""
+    collectors: Annotated[list[Annotated[str, Meta(min_length=1, max_length=64)]], Meta(max_length=64)] = []
 
     def layout(self) -> Layout:
         """Which member belongs to which cell."""
@@ -496,6 +497,9 @@
     """An OperationError where cells cannot be had."""
     if found.membership is None:
         raise OperationConflict("parts the members; [membership] is missing", f"{where}: cells")
+    named = found.cells.collectors if found.cells is not None else []
+    if len(set(named)) < len(named):
+        raise OperationValue("names a node twice", f"{where}: cells.collectors")
     if found.spread is not None and found.spread.weights:
         raise OperationConflict(
             "needs the rates of all members, of which [cells] lets only the own cell's come; set it to false"
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -56,6 +56,8 @@
         self.wrongly: set[tuple[str, str]] = set()  # who held whom for a straggler that was none
         self.most_out = 0
         self.out: set[str] = set()
+        self.cells: dict[str, list[str]] = {}  # whose records come to each
+        self.decoded: dict[bytes, Word | None] = {}
         self.due: list[tuple[int, str, Held]] = []  # what agents are about to tell
         for name in self.world.nodes:
             self.sit(name)
@@ -129,7 +131,8 @@
     def retell(self) -> None:
         for name in self.seats:
             if name not in self.down:
-                self.world.tell(self.cell(name), to=[name])
+                self.cells[name] = self.cell(name)
+                self.world.tell(self.cells[name], to=[name])
 
     # ---- the course -----------------------------------------------------------------------------------
 
@@ -154,13 +157,16 @@
         seat.renewed = self.now
 
     def tick(self, seat: Seat) -> None:
-        now, table = self.now, self.world.nodes[seat.name].table
-        cell = self.cell(seat.name)
+        now, table, cell = self.now, self.world.nodes[seat.name].table, self.cells[seat.name]
         words = {}
-        for record in table.of(KIND):
-            word = decode(record.body)
-            if word is not None:
-                words[record.owner] = Heard(word, record.stale)
+        for name in cell:
+            record = table.get(name, KIND)
+            if record is not None:
+                if record.body not in self.decoded:
+                    self.decoded[record.body] = decode(record.body)
+                word = self.decoded[record.body]
+                if word is not None:
+                    words[name] = Heard(word, record.stale)
         words[seat.name] = Heard(self.word(seat))
         picture = seat.picture = seat.view.judge(now, cell, words)
         for deed in seat.mender.tick(now, picture, seat.own):
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -12,7 +12,7 @@
 
 from brackenladder.audit.fleet import State
 from brackenladder.audit.word import Held
-from brackenladder.cells.census import Census, Row, count
+from brackenladder.cells.census import Census, count
 from brackenladder.cells.layout import MOST_CELLS, MOST_KEPT, Layout, jump
 from brackenladder.lab.records import World
 
@@ -100,11 +100,11 @@
 
 def test_the_census_counts_the_cell_and_the_fleet() -> None:
     layout = Layout(4)
-    rows = [Row(f"n{i}", "ab"[i % 2], i % 10 != 0, i % 20 == 0) for i in range(400)]
+    rows = [(f"n{i}", "ab"[i % 2], i % 10 != 0, i % 20 == 0) for i in range(400)]
     found = count(layout, "n1", rows)
-    mine = [r for r in rows if layout.cell_of(r.name) == layout.cell_of("n1")]
-    assert found.cell == tuple(r.name for r in mine if r.lives)
-    assert found.known == {r.name for r in mine if not r.left}
+    mine = [r for r in rows if layout.cell_of(r[0]) == layout.cell_of("n1")]
+    assert found.cell == tuple(name for name, _, lives, _ in mine if lives)
+    assert found.known == {name for name, _, _, left in mine if not left}
     assert found.zones == {"a": 160, "b": 200}
     assert found.fleet == 380
     assert found.part == 380 / len(found.known)
--- /dev/null
+++ b/tests/test_cells_fleet.py
@@ -0,0 +1,480 @@
+"""What cells tell of themselves, collectors' sums of it, and what of these is taken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.cells.fleet import MOST_NUMBERINGS, Collector, Event
+from brackenladder.cells.layout import Layout
+from brackenladder.cells.speaker import (
+    ASK_LEAST,
+    ASK_MOST,
+    REFRESH,
+    Answers,
+    Asker,
+    collectors,
+    speakers,
+    worth_telling,
+)
+from brackenladder.cells.summary import (
+    FORM,
+    LARGEST,
+    MOST_FRONTS,
+    Answered,
+    FleetFront,
+    Front,
+    Refused,
+    Sum,
+    Summary,
+    Told,
+    decode,
+    decode_sum,
+    encode,
+    encode_sum,
+)
+
+LOOK = settings(derandomize=True, max_examples=200, deadline=None)
+SECOND = 1_000_000
+PERIOD = 2 * SECOND
+LAYOUT = Layout(4)
+NAMES = [f"n{i}" for i in range(80)]
+CELLS = {c: [n for n in NAMES if LAYOUT.cell_of(n) == c] for c in range(4)}
+
+
+def summary(cell: int = 0, which: int = 0, count: int = 1, number: int = 7, **more: Any) -> Summary:
+    """Of a cell of twenty that is well; `which` of its members speaks."""
+    front = Front("prod", number, f"d{number}", more.pop("holders", 20), 20)
+    fields = {"known": 20, "live": 20, "heard": 20, "ready": 20, "fronts": (front,), "life": 1} | more
+    return Summary(FORM, LAYOUT.digest, cell, CELLS[cell][which], fields.pop("life"), count, **fields)
+
+
+class Play:
+    """A collector whose cells tell each period, two speakers each, until somebody says otherwise."""
+
+    def __init__(self) -> None:
+        self.now = SECOND
+        self.collector = Collector("c0", LAYOUT, 1)
+        self.events: list[Event] = []
+        self.count = 0
+        self.word: Callable[[int, int, int], Summary | None] = lambda cell, which, count: summary(
+            cell, which, count
+        )
+
+    def run(self, periods: int) -> Sum:
+        for _ in range(periods):
+            self.now += PERIOD
+            self.count += 1
+            for cell in range(4):
+                for which in (0, 1):
+                    word = self.word(cell, which, self.count)
+                    if word is not None:
+                        self.collector.take(self.now, word)
+            self.events += self.collector.tick(self.now)
+        return self.collector.sum(self.now)
+
+    def said(self) -> list[tuple[str, int]]:
+        return [(e.what, e.cell) for e in self.events]
+
+
+# ---- the sum -----------------------------------------------------------------------------------------
+
+
+def test_the_sum_is_of_all_cells_each_counted_once() -> None:
+    play = Play()
+    total = play.run(2)
+    assert (total.cells, total.heard, total.live, total.ready, total.out) == (4, 4, 80, 80, 0)
+    (front,) = total.fronts
+    assert (front.origin, front.number, front.digest) == ("prod", 7, "d7")
+    assert (front.holders, front.of, front.cells, front.behind) == (80, 80, 4, 0)
+    assert front.in_force_s == 0.0
+    assert not play.events
+
+
+def test_a_change_is_in_force_once_the_last_member_of_the_last_cell_holds_it() -> None:
+    play = Play()
+    play.run(2)
+    moved = {0: 2, 1: 3, 2: 4, 3: 9}  # the period in which each cell's quorum holds it
+
+    def word(cell: int, which: int, count: int) -> Summary:
+        held = count >= 2 + moved[cell]
+        holders = 20 if count >= 3 + moved[cell] else 15
+        return summary(cell, which, count, 8 if held else 7, holders=holders if held else 20)
+
+    play.word = word
+    (front,) = play.run(6).fronts
+    assert (front.number, front.behind, front.in_force_s) == (8, 1, None)
+    assert play.said() == [("cell behind", 3)]
+    (front,) = play.run(8).fronts
+    assert (front.behind, front.holders) == (0, 80)
+    assert front.in_force_s == pytest.approx(14.0)  # from the second cell's word until the last one's last
+    assert play.said() == [("cell behind", 3), ("cell not behind", 3)]
+
+
+def test_one_cell_that_claims_a_billion_moves_nothing_also_if_it_is_heard_first() -> None:
+    for first in (True, False):
+        play = Play()
+        honest = play.word
+
+        def liar(cell: int, which: int, count: int) -> Summary:
+            return summary(cell, which, count, 10**9 if cell == 2 else 7)
+
+        def alone(cell: int, which: int, count: int) -> Summary | None:
+            return liar(cell, which, count) if cell == 2 else None
+
+        play.word = alone if first else honest
+        play.run(3)
+        play.word = liar
+        assert play.run(1).fronts[0].number == 7
+        (front,) = play.run(10).fronts
+        assert (front.number, front.behind) == (7, 0)
+        assert "cell behind" not in {what for what, _ in play.said()}
+
+
+def test_a_cell_is_unheard_after_three_periods_and_heard_again() -> None:
+    play = Play()
+    play.run(3)
+    honest = play.word
+    play.word = lambda cell, which, count: None if cell == 1 else honest(cell, which, count)
+    total = play.run(3)
+    assert total.heard == 4  # what it told last still counts
+    total = play.run(2)
+    assert (total.cells, total.heard, total.live, total.unheard) == (4, 3, 60, (1,))
+    play.word = honest
+    assert play.run(1).heard == 4
+    assert play.said() == [("cell unheard", 1), ("cell heard again", 1)]
+
+
+def test_a_speaker_that_is_paused_or_killed_leaves_the_other() -> None:
+    play = Play()
+    honest = play.word
+    play.run(2)
+    play.word = lambda cell, which, count: honest(cell, which, count) if which else None
+    total = play.run(10)
+    assert (total.heard, total.live) == (4, 80)
+    assert not play.events
+    assert all(len(cell.speakers) == 2 for cell in play.collector.cells.values())
+    play.run(30)
+    assert all(len(cell.speakers) == 1 for cell in play.collector.cells.values())
+
+
+def test_who_hears_the_most_of_its_cell_counts_and_two_at_odds_are_shown() -> None:
+    play = Play()
+    play.run(2)
+
+    def word(cell: int, which: int, count: int) -> Summary:  # cut off one way: it hears two of its cell
+        if cell == 3 and which == 0:
+            return summary(cell, which, count, 6, heard=2, live=20, ready=2)
+        return summary(cell, which, count, 7)
+
+    play.word = word
+    total = play.run(6)
+    assert total.ready == 80 and total.fronts[0].behind == 0
+    assert total.odds == 1
+    assert play.said() == [("cell at odds", 3)]
+    play.word = summary
+    assert play.run(1).odds == 0
+    assert play.said()[-1] == ("cell agrees", 3)
+
+
+def test_the_word_of_one_that_hears_few_counts_less_though_it_is_later() -> None:
+    collector = Collector("c0", LAYOUT, 1)
+    collector.take(0, summary(0, 0, number=7))
+    collector.take(SECOND, summary(0, 1, number=9, heard=2, ready=2))
+    assert collector.chosen(SECOND)[0].fronts[0].number == 7
+    collector.take(2 * SECOND, summary(0, 1, 2, number=9))
+    assert collector.chosen(2 * SECOND)[0].fronts[0].number == 9  # they hear as many: the later one
+
+
+def test_a_number_is_not_lost_while_one_that_held_it_is_not_heard_for_a_moment() -> None:
+    play = Play()
+    play.run(2)
+    play.word = lambda cell, which, count: summary(cell, which, count, 8 if cell < 2 else 7)
+    assert play.run(3).fronts[0].number == 8
+    play.word = lambda cell, which, count: summary(cell, which, count, 8 if cell < 1 else 7)
+    (front,) = play.run(2).fronts
+    assert (front.number, front.behind) == (8, 3)
+    (front,) = play.run(3).fronts
+    assert (front.number, front.behind) == (7, 0)
+
+
+def test_two_contents_under_one_number_are_at_odds_too() -> None:
+    play = Play()
+
+    def word(cell: int, which: int, count: int) -> Summary:
+        told = summary(cell, which, count)
+        if cell == 0 and which == 1:
+            return msgspec.structs.replace(told, fronts=(Front("prod", 7, "other", 20, 20),))
+        return told
+
+    play.word = word
+    assert play.run(5).odds == 1
+    assert "two contents of 7" in play.events[0].why
+
+
+def test_speakers_that_differ_only_while_a_change_goes_round_are_not_at_odds() -> None:
+    play = Play()
+    play.word = lambda cell, which, count: summary(
+        cell, which, count, count // 3 + (which and count % 3 == 2)
+    )
+    play.run(30)
+    assert "cell at odds" not in {what for what, _ in play.said()}
+
+
+def test_a_zone_that_is_lost_makes_no_cell_unheard() -> None:
+    play = Play()
+    play.word = lambda cell, which, count: summary(
+        cell, which, count, live=18, heard=18, ready=18, holders=18
+    )
+    total = play.run(3)
+    assert (total.known, total.live, total.heard) == (80, 72, 4)
+
+
+def test_numbers_that_begin_anew_are_followed_after_a_while() -> None:
+    play = Play()
+    play.run(3)
+    play.word = lambda cell, which, count: summary(cell, which, count, 1)
+    play.run(1)
+    (front,) = play.run(4).fronts
+    assert front.number == 1
+
+
+def test_a_late_an_older_or_a_foreign_word_is_refused_and_a_new_life_taken() -> None:
+    collector = Collector("c0", LAYOUT, 1)
+    collector.take(0, summary(0, 0, count=5, life=2))
+    for bad, why in (
+        (summary(0, 0, count=5, life=2), "old"),
+        (summary(0, 0, count=9, life=1), "old"),
+        (msgspec.structs.replace(summary(0), cell=1), "cell"),
+    ):
+        with pytest.raises(Refused, match=why):
+            collector.take(SECOND, bad)
+    collector.take(SECOND, summary(0, 0, count=1, life=3))
+    # One that came back with an earlier life (its clock was set) is dropped for three periods, no longer.
+    collector.take(SECOND + 4 * PERIOD, summary(0, 0, count=1, life=1))
+
+
+def test_a_collector_that_begins_anew_has_it_all_within_a_period() -> None:
+    play = Play()
+    play.run(5)
+    play.collector = Collector("c0", LAYOUT, 2)
+    total = play.run(1)
+    assert (total.heard, total.live, total.fronts[0].number) == (4, 80, 7)
+
+
+def test_state_is_bounded_whoever_speaks() -> None:
+    collector = Collector("c0", LAYOUT, 1)
+    for at in range(300):
+        for cell in range(4):
+            told = summary(cell, at % len(CELLS[cell]), count=at)
+            fronts = tuple(Front(f"o{at}-{i}", at, "", 1, 20) for i in range(MOST_FRONTS))
+            collector.take(at * SECOND, msgspec.structs.replace(told, fronts=fronts))
+        collector.tick(at * SECOND)
+        assert len(encode(Answered(collector.sum(at * SECOND)))) <= LARGEST
+    assert len(collector.cells) == 4
+    assert all(len(c.speakers) <= 4 for c in collector.cells.values())
+    assert len(collector.courses) <= 64
+
+
+def test_of_very_many_numberings_only_so_many_are_followed() -> None:
+    layout = Layout(40)
+    collector = Collector("c0", layout, 1)
+    names = {layout.cell_of(f"m{i}"): f"m{i}" for i in range(2_000)}
+    for cell, name in names.items():
+        fronts = tuple(Front(f"o{cell // 2}-{i}", 1, "", 1, 1) for i in range(MOST_FRONTS))
+        word = Summary(FORM, layout.digest, cell, name, 1, 1, known=1, live=1, heard=1, fronts=fronts)
+        collector.take(0, word)
+    collector.tick(0)
+    assert len(collector.courses) == MOST_NUMBERINGS
+    total = collector.sum(0)
+    assert len(total.fronts) == MOST_FRONTS and len(encode(Answered(total))) <= LARGEST
+
+
+# ---- what goes over the wire ------------------------------------------------------------------------------
+
+
+def test_a_summary_and_a_sum_come_through_and_never_exceed_their_size() -> None:
+    told = summary(1, number=9)
+    assert decode(encode(Told(told)), LAYOUT.digest) == told
+    total = Play().run(3)
+    assert decode(encode(Answered(total)), LAYOUT.digest) == total
+    assert decode_sum(encode_sum(total), LAYOUT.digest) == total
+    fronts = tuple(Front("o" * 60 + str(i), (1 << 61) + i, "f" * 16, 20, 20) for i in range(MOST_FRONTS))
+    large = msgspec.structs.replace(
+        told, fronts=fronts, named=tuple("n" * 60 + str(i) for i in range(4)),
+        settings=tuple((str(i) * 16, 9) for i in range(3)),
+    )  # fmt: skip
+    data = encode(Told(large))
+    assert len(data) <= LARGEST
+    found = decode(data, LAYOUT.digest)
+    assert isinstance(found, Summary)
+    assert found.more_fronts == MOST_FRONTS - len(found.fronts) > 0
+
+
+def test_what_is_usually_told_is_under_a_kilobyte_a_second() -> None:
+    # Failure prevented: the speakers' words take what the records have left of 3 KB/s.
+    word = summary(1, number=10**9, standings=(20, 1, 1, 0, 0, 0), named=("cart-17", "cart-18"))
+    word = msgspec.structs.replace(word, settings=(("0" * 16, 20),), operation=(("0" * 16, 20),))
+    assert len(encode(Told(word))) < 200
+    assert 3 * LARGEST / (PERIOD / SECOND) <= 1_500  # at the largest; as it usually is a fifth of that
+
+
+@pytest.mark.parametrize(
+    ("changed", "why"),
+    [
+        ({"form": 2}, "another form"),
+        ({"layout": "x"}, "another layout"),
+        ({"heard": 21}, "cannot be"),
+        ({"live": 30}, "cannot be"),
+        ({"out": 21}, "cannot be"),
+        ({"ready": 21}, "cannot be"),
+        ({"fronts": (Front("prod", 1, "", 5, 4),)}, "cannot be"),
+        ({"fronts": (Front("prod", 1, "", 5, 21),)}, "cannot be"),
+        ({"fronts": (Front("prod", 1), Front("prod", 2))}, "cannot be"),
+        ({"fronts": tuple(Front(f"o{i}", 1) for i in range(9))}, "broken"),
+        ({"settings": tuple((f"{i}", 1) for i in range(4))}, "broken"),
+        ({"live": 30_000, "known": 30_000}, "broken"),
+        ({"cell": -1}, "broken"),
+        ({"fronts": (Front("prod", -1),)}, "broken"),
+        ({"speaker": ""}, "broken"),
+    ],
+)
+def test_a_summary_that_cannot_be_is_refused(changed: dict[str, Any], why: str) -> None:
+    data = msgspec.msgpack.encode(Told(msgspec.structs.replace(summary(), **changed)))
+    with pytest.raises(Refused, match=why):
+        decode(data, LAYOUT.digest)
+
+
+def test_one_that_is_too_large_is_refused() -> None:
+    with pytest.raises(Refused, match="too large"):
+        decode(b"\x00" * (LARGEST + 1), LAYOUT.digest)
+
+
+@LOOK
+@given(st.binary(max_size=200))
+def test_any_datagram_is_refused_or_taken_and_nothing_else(data: bytes) -> None:
+    for read in (decode, decode_sum):
+        with pytest.raises(Refused):
+            read(data, LAYOUT.digest)
+
+
+@LOOK
+@given(st.data())
+def test_a_summary_with_any_bytes_changed_never_raises_anything_else(data: st.DataObject) -> None:
+    whole = bytearray(encode(Told(summary())))
+    for _ in range(data.draw(st.integers(1, 4))):
+        whole[data.draw(st.integers(0, len(whole) - 1))] = data.draw(st.integers(0, 255))
+    collector = Collector("c0", LAYOUT, 1)
+    try:
+        word = decode(bytes(whole), LAYOUT.digest)
+        if isinstance(word, Summary):
+            collector.take(0, word)
+    except Refused:
+        return
+    collector.tick(0)
+    assert len(encode(Answered(collector.sum(0)))) <= LARGEST
+
+
+# ---- who speaks, to whom --------------------------------------------------------------------------------
+
+
+def test_speakers_are_the_same_for_all_and_few_change() -> None:
+    first = speakers(0, CELLS[0])
+    assert len(first) == 2
+    assert speakers(0, reversed(CELLS[0])) == first
+    assert speakers(0, [n for n in CELLS[0] if n != first[0]])[0] == first[1]
+    assert speakers(0, ["a"]) == ["a"] and speakers(0, []) == []
+
+
+def test_collectors_are_the_live_ones_in_as_many_regions_as_there_are() -> None:
+    named = [f"c{i}" for i in range(25)]
+    regions = {n: "abc"[i % 3] for i, n in enumerate(named)}
+    found = collectors(named, named, regions)
+    assert len(found) == 3 and {regions[n] for n in found} == set("abc")
+    first = collectors(named, named, {})  # the first three, whatever their regions
+    near = {n: "a" if n in first else "b" for n in named}
+    assert {near[n] for n in collectors(named, named, near)} == {"a", "b"}
+    left = [n for n in named if regions[n] == "a"]  # two regions are cut off
+    assert len(collectors(named, left, regions)) == 3
+    assert set(collectors(named, left, regions)) <= set(left)
+    assert collectors(named, [], regions) == []
+    assert collectors(["c0", "c0"], ["c0"], {}) == ["c0"]
+    gone = [n for n in named if n != found[0]]
+    assert set(found[1:]) <= set(collectors(named, gone, regions))
+
+
+# ---- answers --------------------------------------------------------------------------------------------
+
+
+def answer(name: str, number: int = 7, count: int = 1, **more: Any) -> Sum:
+    front = FleetFront("prod", number, f"d{number}", 80, 80, 4)
+    fields = {"cells": 4, "heard": 4, "live": 80, "fronts": (front,)} | more
+    return Sum(FORM, LAYOUT.digest, name, 1, count, **fields)
+
+
+def test_a_number_is_taken_only_if_a_second_collector_has_it() -> None:
+    answers = Answers(3 * PERIOD)
+    assert answers.agreed(0) is None
+    answers.take(0, answer("c0", 10**9, heard=5, live=90))
+    found = answers.agreed(0)
+    assert found is not None and found.fronts[0].number == 10**9  # the only one that answers
+    answers.take(0, answer("c1", 7))
+    answers.take(0, answer("c2", 8))
+    found = answers.agreed(0)
+    assert found is not None and found.fronts[0].number == 8
+    assert answers.agreed(3 * PERIOD + 1) is None  # all collectors gone
+
+
+def test_a_numbering_that_one_collector_alone_tells_of_is_left_out() -> None:
+    answers = Answers(3 * PERIOD)
+    answers.take(0, answer("c0", heard=9))
+    answers.take(0, answer("c1", fronts=()))
+    found = answers.agreed(0)
+    assert found is not None and found.heard == 9 and found.fronts == ()
+
+
+def test_an_older_answer_is_refused_while_the_newer_one_is_good() -> None:
+    answers = Answers(3 * PERIOD)
+    answers.take(0, answer("c0", count=5))
+    with pytest.raises(Refused, match="old"):
+        answers.take(SECOND, answer("c0", count=4))
+    answers.take(4 * PERIOD, answer("c0", count=4))
+
+
+def test_a_sum_is_told_at_once_where_it_matters_and_seldom_else() -> None:
+    old = answer("c0")
+    assert worth_telling(0, None, old)
+    assert not worth_telling(REFRESH, (0, old), answer("c1", count=9))
+    assert worth_telling(1, (0, old), answer("c0", 8))
+    assert worth_telling(1, (0, old), answer("c0", unheard=(2,)))
+    assert not worth_telling(REFRESH - 1, (0, old), answer("c0", live=70))
+    assert worth_telling(REFRESH, (0, old), answer("c0", live=70))
+
+
+def test_a_node_behind_other_cells_asks_its_own_discovery_seldom() -> None:
+    asker = Asker(1)
+    fronts = (FleetFront("prod", 10**9), FleetFront("other", 5))
+    asked = [at for at in range(0, 600 * SECOND, SECOND // 4) if asker.tick(at, ("prod", 7), fronts)]
+    assert 2 * SECOND <= asked[0] <= 4.25 * SECOND
+    gaps = [b - a for a, b in zip(asked, asked[1:], strict=False)]
+    assert all(ASK_LEAST <= g <= 1.6 * ASK_MOST for g in gaps)
+    assert len(asked) < 20
+    assert not any(asker.tick(700 * SECOND + i, ("prod", 10**9), fronts) for i in range(10))
+    assert not asker.tick(800 * SECOND, None, fronts)
+    assert not asker.tick(800 * SECOND, ("elsewhere", 1), fronts)
+
+
+def test_nodes_that_are_behind_together_do_not_ask_together() -> None:
+    first = []
+    for seed in range(100):
+        asker = Asker(Random(seed).getrandbits(32))
+        first.append(
+            next(a for a in range(0, 10 * SECOND, 1000) if asker.tick(a, ("p", 1), (FleetFront("p", 2),)))
+        )
+    assert max(first) - min(first) > 1.5 * SECOND
--- a/tests/test_cells_host.py
+++ b/tests/test_cells_host.py
@@ -8,15 +8,21 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
-from loopback import Bench, play, until
-from test_members import node_with
+from loopback import Bench, Server, play, until
+from test_members import asked, node_with
 
+from brackenladder.audit.fleet import State
 from brackenladder.audit.word import KIND
+from brackenladder.cells.fleet import FleetRules
 from brackenladder.cells.layout import Layout
+from brackenladder.cells.speaker import speakers
+from brackenladder.cells.summary import Answered, Told, encode
 from brackenladder.locality.evidence import Report
 from brackenladder.locality.judge import CommonJudge
 from brackenladder.net.audit import Audit
+from brackenladder.net.cells import CellsPart
 from brackenladder.net.locality import LocalityPart
 from brackenladder.operation import Operation, OperationConflict, OperationError, build
 
@@ -34,13 +40,16 @@
 
 async def nodes(cells: dict[str, Any] | None, *names: str, **tables: Any) -> tuple[list[Bench], str]:
     """Nodes that know each other, and the first one's address."""
-    first = await node_with(wish(cells=cells, **tables), peers=True, name=names[0])
+    first = await node_with(wish(cells=cells, **tables), peers=True, name=names[0], control="127.0.0.1:0")
     members = first.node.members
     assert members is not None
     await until(lambda: members.swim is not None)
     assert members.swim is not None
     seed = "{}:{}".format(*members.swim.address)
-    rest = [await node_with(wish(seed, cells, **tables), peers=True, name=n) for n in names[1:]]
+    rest = [
+        await node_with(wish(seed, cells, **tables), peers=True, name=n, control="127.0.0.1:0")
+        for n in names[1:]
+    ]
     benches = [first, *rest]
     await until(lambda: all(len(b.node.parts.live()) == len(names) for b in benches))
     return benches, seed
@@ -127,6 +136,168 @@
     play(scene)
 
 
+# ---- what cells tell of themselves -------------------------------------------------------------------------
+
+THREE = Layout(3)
+MANY = ["n2", "n3", "n5", "n7", "n8", "n10", "n12", "n13"]
+COLLECTORS = ["n2", "n5"]
+TELLING = {"count": 3, "collectors": COLLECTORS}
+QUICK = FleetRules(period=150_000, unheard=6)
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(CellsPart, "rules", QUICK)
+
+
+def part(bench: Bench) -> CellsPart:
+    found = bench.node.parts.parts["cells"]
+    assert isinstance(found, CellsPart)
+    return found
+
+
+async def telling(**tables: Any) -> tuple[list[Bench], str]:
+    """Nodes in three cells that all hold one list, and have told so."""
+    benches, seed = await nodes(TELLING, *MANY, **tables)
+    server = await Server().start()
+    for bench in benches:
+        bench.discovery.say(50, True, server.entry("s0"))
+    await until(lambda: all(front_of(b) == (50, 0) for b in benches))
+    return benches, seed
+
+
+def front_of(bench: Bench) -> tuple[int, int] | None:
+    """Number and cells behind, as a node knows it of the fleet."""
+    found = part(bench).fleet
+    fronts = found[1].fronts if found is not None and found[1].heard == 3 else ()
+    return (fronts[0].number, fronts[0].behind) if fronts else None
+
+
+def test_every_node_knows_the_fleets_sum_and_a_change_that_is_in_force_everywhere(quick: None) -> None:
+    assert sorted(THREE.sizes(MANY)) == [2, 3, 3]
+
+    async def scene() -> None:
+        benches, _ = await telling()
+        await until(lambda: all(b.node.parts.parts["cells"].page()[1]["fleet"]["live"] == 8 for b in benches))
+        for bench in benches:
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 0) for b in benches))
+        await until(lambda: all(p(b)["fleet"]["fronts"][0]["in_force_s"] is not None for b in benches))
+        status, page = await asked(benches[0].node, "/admin/cells")
+        assert status == 200 and page["cells"] == 3
+        assert page["collected"]["standings"]["current"] == 8
+        for number, cell in page["by_cell"].items():  # one that spoke while it knew few may stand there still
+            near = [n for n in MANY if THREE.cell_of(n) == int(number)]
+            assert set(speakers(int(number), near)) <= set(cell["speakers"])
+        assert set(page["members"]) == set(THREE.scope("n2", MANY))
+        figures = (await asked(benches[1].node, "/admin/stats"))[1]["cells"]
+        assert figures["fleet_heard"] == 3 and not figures["collects"] and not figures["refused"]
+        # A speaker's word is some 200 bytes, to each collector in each period.
+        speaker = next(b for b in benches if part(b).counts["told"])
+        assert part(speaker).counts["told_bytes"] < 250 * part(speaker).counts["told"]
+
+    def p(bench: Bench) -> dict[str, Any]:
+        return part(bench).page()[1]
+
+    play(scene)
+
+
+def test_with_all_collectors_gone_cells_go_on_and_their_return_brings_the_sum_back(
+    quick: None, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def scene() -> None:
+        benches, seed = await telling()
+        by_name = {b.node.config.name: b for b in benches}
+        rest = [b for n, b in by_name.items() if n not in COLLECTORS]
+        for name in COLLECTORS:
+            by_name[name].node.parts.stop(farewell=True)
+        await until(lambda: all(part(b).fleet is None for b in rest))
+        assert (await asked(rest[0].node, "/admin/cells"))[0] == 503
+        for bench in rest:  # the cells' own work goes on
+            bench.discovery.say(51, True)
+
+        def frontier(bench: Bench) -> list[int]:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit)
+            return [f.number for f in audit.picture.frontiers.values()] if audit.picture else []
+
+        await until(lambda: all(frontier(b) == [51] for b in rest))
+        near = next(b for b in rest if b.node.members and b.node.members.swim)
+        assert near.node.members is not None and near.node.members.swim is not None
+        seed = "{}:{}".format(*near.node.members.swim.address)
+        back = await node_with(wish(seed, TELLING), peers=True, name="n5")
+        assert part(back).collector is not None
+        await until(lambda: all(front_of(b) == (51, 0) for b in rest))
+
+    play(scene)
+    assert '"event": "cells begins"' in capfd.readouterr().err
+
+
+def test_a_cell_that_other_cells_have_passed_asks_its_own_discovery_and_no_more(quick: None) -> None:
+    async def scene() -> None:
+        benches, _ = await telling()
+        cells = {c: [b for b in benches if THREE.cell_of(b.node.config.name) == c] for c in range(3)}
+        polls = [b.discovery.polls for b in cells[2]]
+        for bench in [*cells[0], *cells[1]]:
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 1) for b in benches))
+        await until(lambda: all(part(b).counts["asked"] for b in cells[2]))
+        await until(lambda: all(b.discovery.polls > n for b, n in zip(cells[2], polls, strict=True)))
+        for bench in cells[2]:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit) and audit.own.list is not None and audit.picture is not None
+            assert audit.own.list.number == 50 and audit.own.taken is None
+            assert not audit.picture.names(State.STRAGGLER)
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 0) for b in benches))
+
+    play(scene)
+
+
+def test_what_cannot_be_read_is_counted_told_once_and_nothing_is_lost(
+    quick: None, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def scene() -> None:
+        benches, _ = await telling()
+        collector = part(benches[0])
+        good = collector.summary()
+        far = ("127.0.0.1", 9)
+        other = msgspec.structs.replace(good, layout=Layout(4).digest)
+        for data in (b"", b"\xc1", b"\x00" * 1_001, encode(Told(other)), encode(Told(good))[:-1]) * 3:
+            collector.received(data, far)
+        collector.received(encode(Told(msgspec.structs.replace(good, cell=(good.cell + 1) % 3))), far)
+        mine = part(benches[1])
+        mine.received(encode(Told(good)), far)
+        liar = collector.sum(0)
+        mine.received(encode(Answered(msgspec.structs.replace(liar, collector="n3"))), far)
+        assert collector.refused == {
+            "broken": 9, "too large": 3, "another layout": 3, "not the speaker's cell": 1
+        }  # fmt: skip
+        assert mine.refused == {"not a collector": 1, "not from a collector": 1}
+        assert collector.collector is not None and len(collector.collector.cells) == 3
+        await until(lambda: all(front_of(b) == (50, 0) for b in benches))
+        assert "cells" not in benches[0].node.parts.failed
+
+    play(scene)
+    lines = [x for x in capfd.readouterr().err.splitlines() if '"cells refused"' in x]
+    assert len([x for x in lines if '"too large"' in x]) == 1
+    assert all('"do": "give all nodes one [cells] table' in x for x in lines)
+
+
+def test_nothing_is_told_without_collectors_or_where_the_platform_forbids_it(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        quiet = await node_with(wish(cells={"count": 3}), peers=True, name="n0", control="127.0.0.1:0")
+        assert part(quiet).timer is None and part(quiet).channel is None
+        assert (await asked(quiet.node, "/admin/cells"))[0] == 200
+        off = await node_with(wish(cells=TELLING), peers=False, name="n2")
+        assert "cells" not in off.node.parts.parts and off.node.members is None
+
+    play(scene)
+    assert "cells: off, since the platform's policy_limits.peers is false" in capfd.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("table", "words"),
     [
@@ -136,6 +307,8 @@
         ({"membership": {}, "cells": {"count": 4_097}}, "cells.count"),
         ({"membership": {}, "cells": {"count": 2, "label": "x" * 9}}, "cells.label"),
         ({"membership": {}, "cells": {"count": 2, "lable": "-"}}, "did you mean label?"),
+        ({"membership": {}, "cells": {"count": 2, "collectors": ["a", "a"]}}, "names a node twice"),
+        ({"membership": {}, "cells": {"count": 2, "collectors": [""]}}, "cells.collectors"),
     ],
 )
 def test_a_table_that_cannot_be_had_is_refused_with_its_key(table: dict[str, Any], words: str) -> None:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -224,7 +224,7 @@
     "locality": {"zone_requests_per_s": {"a": 9.0}, "zone_spill_percent": {"a": 9.0}},
     "storms": {},
     "membership": {"advertise": "127.0.0.1:8", "seeds": ["127.0.0.1:7"], "regions": {"r": ["a", "b"]}},
-    "cells": {"count": 3, "label": "-"},
+    "cells": {"count": 3, "label": "-", "collectors": ["a"]},
     "spread": {},
     "store": {"kind": "directory", "path": "state"},
     "audit": {"agents": ["127.0.0.1:9"]},
