Membership: sides apart for longer than the dead are remembered find each other again

Seen in the lab: 30 members, 20 and 10 apart for 400 s and for 3,600 s, seeds on one side or on both, never came together; after 200 s they did in 2.5 s. Seeds were asked by a member alone (_periodic_sync), the dead pinged until forgotten (_ping_dead, _forget), and then nobody spoke across.

Now a member keeps the addresses of some forgotten dead for 4 h, and asks one of them, or a seed that it does not hold live, at a rate that all of a side share: once a second together. Two tests, seen to fail without the mend.

--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -42,37 +42,46 @@
     def __init__(self, shared: dict[str, Member], but: str) -> None:
         self.shared, self.but = shared, but
         self.own: dict[str, Member] = {}
+        self.gone = {but}  # of the shared ones: the observer itself, and whom it has forgotten
+        self.added: set[str] = set()  # held in its own part alone: new, or come back after being forgotten
 
     def __getitem__(self, name: str) -> Member:
         found = self.own.get(name)
         if found is None:
-            if name == self.but:
+            if name in self.gone:
                 raise KeyError(name)
             found = self.own[name] = copy(self.shared[name])
         return found
 
     def __setitem__(self, name: str, member: Member) -> None:
+        if name in self.gone or name not in self.shared:
+            self.added.add(name)
         self.own[name] = member
 
     def __delitem__(self, name: str) -> None:
-        raise TypeError("nobody is forgotten in a settled world")
+        self.own.pop(name, None)
+        self.added.discard(name)
+        if name in self.shared:
+            self.gone.add(name)
 
     def __len__(self) -> int:
-        return len(self.shared) - 1
+        return len(self.shared) - len(self.gone) + len(self.added)
 
     def __iter__(self) -> Iterator[str]:
-        return (name for name in self.shared if name != self.but)
+        yield from (name for name in self.shared if name not in self.gone)
+        yield from (name for name in self.own if name in self.added)
 
     def items(self) -> ItemsView[str, Member]:  # read only: does not copy what has not changed
-        return {n: self.own.get(n, m) for n, m in self.shared.items() if n != self.but}.items()
+        found = {n: self.own.get(n, m) for n, m in self.shared.items() if n not in self.gone}
+        return (found | self.own).items()
 
     def values(self) -> ValuesView[Member]:
         return dict(self.items()).values()
 
 
 class World(Schedule):
-    """Members `m0` ... on ports 1 ... of one emulated host. They join through `m0` within a second, or, in a
-    world that begins `settled`, all know each other from the start."""
+    """Members `m0` ... on ports 1 ... of one emulated host. They join through `seeds`, ports (`m0`'s, if not
+    said), within a second, or, in a world that begins `settled`, all know each other from the start."""
 
     def __init__(
         self,
@@ -82,8 +91,10 @@
         net: Net | None = None,
         settled: bool = False,
         heard: Callable[[str, Change], None] | None = None,
+        seeds: Sequence[int] = (1,),
     ) -> None:
         super().__init__()
+        self.seeds = [("emu", port) for port in seeds]
         self.settings, self.net, self.random = settings, net or Net(), random.Random(seed)
         self.seed = seed
         self.nodes: dict[str, Node] = {}
@@ -91,6 +102,7 @@
         self.changes: list[tuple[str, Change]] = []  # (observer, change), unless somebody else hears them
         self.heard = heard or (lambda observer, change: self.changes.append((observer, change)))
         self.bytes = 0
+        self.traffic: Callable[[str, str | None, int], None] | None = None  # hears sender, receiver, bytes
         if settled:
             self.settle(size)
             return
@@ -104,7 +116,7 @@
         for member in shared.values():
             swim = self.member(member.name, member.port, 0)
             swim.members, swim.names, swim.live = Settled(shared, member.name), names, size - 1
-            swim.join(0, [])
+            swim.join(0, self.seeds)
             every = self.settings.sync_interval * max(1, size // self.settings.sync_members)
             swim.next_sync = self.random.randrange(every)
             self.wake(self.nodes[member.name])
@@ -123,7 +135,7 @@
         def begin() -> None:
             swim = self.member(name, port, incarnation)
             node = self.nodes[name]
-            self.send(node, swim.join(self.now, [("emu", 1)]))
+            self.send(node, swim.join(self.now, self.seeds))
             self.wake(node)
 
         self.at(at, begin)
@@ -188,6 +200,8 @@
         for send in sends:
             self.bytes += len(send.data)
             target = self.by_port.get(send.address[1])
+            if self.traffic is not None:
+                self.traffic(node.name, target, len(send.data))
             if target is None:
                 continue
             for late in self.net.fate(self.random, node.name, target):
@@ -380,6 +394,138 @@
     )
 
 
+@dataclass(frozen=True)
+class Reunion:
+    """What one play of `reunion` shows: seconds, counts, and bytes of datagrams without their headers."""
+
+    members: int
+    cut_off: int
+    apart: float  # seconds
+    agree: float  # from the heal until all live members hold each other alive; nan: not while watched
+    half: float  # from the heal until half of the pairs across the cut hold each other alive
+    deaths: int  # declared after the heal, of members that live
+    rest: float  # bytes a member and second, sent, before the cut
+    apart_rest: float  # the same in the last minute of the cut
+    sent: int  # the most that one member sent in a second after the heal
+    received: int  # the most that came to one member in a second after the heal
+    seed_sent: int  # the same of the busiest seed
+    seed_received: int
+    mean: int  # the most that members sent in a second after the heal, on the mean
+
+    def row(self) -> str:
+        return (
+            f"{self.members:>5} {self.cut_off:>5} {self.apart:>6g}"
+            f" agree {self.agree:>6.2f} half {self.half:>6.2f}"
+            f" deaths {self.deaths:>4} rest {self.rest:>5.0f} apart {self.apart_rest:>5.0f}"
+            f" worst second: sent {self.sent:>7} received {self.received:>7} seed sent {self.seed_sent:>7}"
+            f" received {self.seed_received:>7} mean {self.mean:>6}"
+        )
+
+
+class Traffic:
+    """Bytes by second and member."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.sent: dict[tuple[int, str], int] = {}
+        self.received: dict[tuple[int, str], int] = {}
+        world.traffic = self.hear
+
+    def hear(self, source: str, target: str | None, size: int) -> None:
+        key = (self.world.now // SECOND, source)
+        self.sent[key] = self.sent.get(key, 0) + size
+        groups = self.world.groups  # what a cut swallows comes to nobody
+        if target is not None and (groups is None or any(source in g and target in g for g in groups)):
+            key = (self.world.now // SECOND, target)
+            self.received[key] = self.received.get(key, 0) + size
+
+    def worst(self, side: dict[tuple[int, str], int], names: Sequence[str] | None = None) -> int:
+        """The most of one member in one second."""
+        return max((n for (_, name), n in side.items() if names is None or name in names), default=0)
+
+    def mean(self) -> int:
+        """The most of all members in one second, by member."""
+        by: dict[int, int] = {}
+        for (second, _), size in self.sent.items():
+            by[second] = by.get(second, 0) + size
+        return max(by.values(), default=0) // len(self.world.nodes)
+
+
+def reunion(
+    size: int,
+    seed: int,
+    cut_off: int,
+    apart: int,
+    seeds: Sequence[int] = (1,),
+    settings: SwimSettings | None = None,
+    watch: int = 60 * SECOND,
+    net: Net | None = None,
+    restarted: bool = False,
+) -> Reunion:
+    """The last `cut_off` members of a settled world are `apart` from the others for so many microseconds,
+    then the cut heals, and it is watched until all agree (and 15 s on) or for `watch`. Where `restarted`,
+    these members are killed instead, and come back all at once, knowing nothing."""
+    world = World(size, settings or SwimSettings(), seed, net, settled=True, seeds=seeds)
+    names = list(world.nodes)
+    far = set(names[size - cut_off :])
+    near = set(names) - far
+    world.run(30 * SECOND)
+    rest = world.bytes / 30 / size
+    if restarted:
+        for name in far:
+            world.kill(name, world.now)
+    else:
+        world.groups = [near, far]
+    start = world.now
+    world.run(start + max(0, apart - 60 * SECOND))
+    before = world.bytes
+    world.run(start + apart)
+    apart_rest = (
+        (world.bytes - before) / (min(apart, 60 * SECOND) / SECOND) / (size if not restarted else len(near))
+    )
+    world.collect()
+    world.changes.clear()
+    world.groups = None
+    if restarted:
+        for name in far:
+            world.restart(name, world.now)
+    traffic = Traffic(world)
+    heal = world.now
+    half = agree = math.nan
+    while world.now < heal + watch:
+        world.run(world.now + SECOND // 4)
+        if half != half:
+            across = sum(
+                world.state(a, b) == State.ALIVE
+                for one, two in ((near, far), (far, near))
+                for a in one
+                for b in two
+            )
+            if across >= len(near) * len(far):
+                half = (world.now - heal) / SECOND
+        if world.agreed(set()):
+            agree = (world.now - heal) / SECOND
+            world.run(world.now + 15 * SECOND)
+            break
+    world.collect()
+    seed_names = [world.by_port[port] for port in seeds if port in world.by_port]
+    return Reunion(
+        members=size,
+        cut_off=cut_off,
+        apart=apart / SECOND,
+        agree=agree,
+        half=half,
+        deaths=sum(c.new == "dead" for _, c in world.changes),
+        rest=rest,
+        apart_rest=apart_rest,
+        sent=traffic.worst(traffic.sent),
+        received=traffic.worst(traffic.received),
+        seed_sent=traffic.worst(traffic.sent, seed_names),
+        seed_received=traffic.worst(traffic.received, seed_names),
+        mean=traffic.mean(),
+    )
+
+
 # A check of small worlds: every sequence of faults up to a depth.
 
 STEP = 2 * SECOND  # between the beginnings of two faults: shorter than a suspicion, so that they overlap
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -30,6 +30,7 @@
 import heapq
 import math
 import random
+import zlib
 from collections.abc import MutableMapping, Sequence
 from dataclasses import dataclass, field
 
@@ -57,6 +58,17 @@
 MEND_PERIODS = 5  # probe periods between two exchanges at a join, alone, or with one held dead that speaks
 DEAD_PERIODS = 5  # probe periods between two pings to one of the dead
 FORGET_EVERY = 10_000_000  # microseconds between two looks for the dead to be forgotten
+# What all members of a side do together, whatever their number: each draws whether it is its turn.
+NEWS_TIME = 10_000  # microseconds by member until gossip should have brought what is new
+ASK_EVERY = 1_000_000  # microseconds between two asks of a seed not held live, or of one forgotten
+DEAD_PINGS = 8  # pings to each of the dead in `DEAD_PERIODS`
+MEND_ASKS = 16  # exchanges with those held dead that speak, in `MEND_PERIODS`, if they all speak to all
+# How many datagrams of lists one member answers with: a burst, then so much time for each.
+ANSWER_BURST = 64
+ANSWER_TIME = 20_000  # microseconds in which all datagrams of an answer have come: the last may come first
+ANSWER_COST = 62_500  # microseconds
+LOST_MOST = 16  # addresses of the forgotten dead that a member keeps
+LOST_KEEP = 4 * 3_600_000_000  # microseconds
 
 
 @dataclass(frozen=True)
@@ -210,6 +222,13 @@
         self.next_dead = 0
         self.next_mend = 0
         self.seeds: list[Address] = []
+        self.seed_names: dict[Address, str] = {}  # who last spoke from a seed's address
+        self.lost: dict[Address, int] = {}  # addresses of some of the forgotten dead, and until when
+        self.check = (
+            0  # microseconds until the next check after the next, doubled while checks find differences
+        )
+        self.answer: tuple[Address, int, int] | None = None  # from whom, its digest, when to compare
+        self.busy_until = 0  # the lists it has answered with would have taken until then
         self.suspicions: dict[str, _Suspicion] = {}
         self.relays: dict[int, _Relay] = {}
         self.queue: dict[str, _Queued] = {}
@@ -223,11 +242,11 @@
     def join(self, now: int, seeds: Sequence[Address]) -> list[Send]:
         """Starts, and asks each seed (not this member's own address) for all it knows."""
         self._at(now)
-        self.seeds = [s for s in seeds if tuple(s) != tuple(self.address)]
+        self.seeds = [(s[0], s[1]) for s in dict.fromkeys(seeds) if tuple(s) != tuple(self.address)]
         self.next_probe = now + self.random.randrange(self.settings.probe_interval)
         # A second exchange soon after the first: members that joined at the same time learn of each other.
         self.next_sync = now + MEND_PERIODS * self.settings.probe_interval
-        return [send for seed in self.seeds for send in self._sync(seed, reply=False)]
+        return [self._ask(seed) for seed in self.seeds]
 
     def leave(self, now: int) -> list[Send]:
         """Says farewell: the news that this member left rides on pings to a few others. Then nothing more."""
@@ -284,10 +303,15 @@
             elif now >= suspicion.next_ping:
                 suspicion.next_ping, suspicion.seq = now + self.settings.probe_interval, self._next_seq()
                 out.append(self._direct(self.members[name], suspicion.seq))
+        if self.answer is not None and now >= self.answer[2]:
+            address, digest, _ = self.answer
+            self.answer = None
+            out.extend(self._compare(address, digest))
         if now >= self.next_sync:
             out.extend(self._periodic_sync())
         if now >= self.next_dead:
             out.extend(self._ping_dead())
+            out.extend(self._ask_lost())
         if now >= self.next_forget:
             self.next_forget = now + FORGET_EVERY
             self._forget()
@@ -308,6 +332,8 @@
         if envelope.sender == self.name:
             self.counters.stale += 1  # our own echo, or another process under our name
             return []
+        if source in self.seeds:
+            self.seed_names[source] = envelope.sender
         self._heard_from(envelope, source)
         merging = isinstance(envelope.message, Sync)
         for item in envelope.gossip:
@@ -317,7 +343,7 @@
                 if item.name not in self.members and item.name != self.name:
                     continue
             self._apply(item)
-        return [*self._handle(envelope, source), *self._mend(envelope.sender, source)]
+        return [*self._handle(envelope, source), *self._mend(envelope, source)]
 
     def _stalled(self) -> None:
         """This member did not run for more than a period (a pause, a slow loop, a clock that jumped): what it
@@ -469,7 +495,9 @@
                 self.probe.nacks.add(envelope.sender)
             return []
         if not message.reply:
-            return self._sync(source, reply=True)
+            return self._answer(source, message.digest)
+        if message.digest != -1:
+            self.answer = (source, message.digest, self.now + ANSWER_TIME)
         return []
 
     def _estranged(self, source: str) -> bool:
@@ -486,14 +514,21 @@
         """Microseconds in which news has surely gone round."""
         return self.settings.probe_interval * (MEND_PERIODS + 2 * math.ceil(math.log2(self.live + 2)))
 
-    def _mend(self, name: str, source: Address) -> list[Send]:
-        """Somebody held dead speaks, as after a partition: all that is known is exchanged, now and then.
+    def _mend(self, envelope: Envelope, source: Address) -> list[Send]:
+        """Somebody held dead speaks, as after a partition: it is asked for all that it knows, now and then.
         Each side then tells its own whom the other holds dead, and these refute: one exchange heals both."""
-        member = self.members.get(name)  # unknown where no more are held
+        member = self.members.get(envelope.sender)  # unknown where no more are held
         if member is None or member.state != State.DEAD or self.now < self.next_mend:
             return []
+        if isinstance(envelope.message, Sync) or self.random.random() * self.live >= MEND_ASKS:
+            return []
         self.next_mend = self.now + MEND_PERIODS * self.settings.probe_interval
-        return self._sync(source, reply=False)
+        return [self._ask(source)]
+
+    def _holds(self, name: str) -> bool:
+        """Whether this member is held alive, or merely suspected."""
+        member = self.members.get(name)
+        return member is not None and member.state <= State.SUSPECT
 
     def _heard_from(self, envelope: Envelope, source: Address) -> None:
         """A datagram from a member we do not know yet makes it known, alive, at its own address."""
@@ -575,6 +610,7 @@
         self.names.append(item.name)
         self.live += 1
         self._insert(item.name)
+        self._newcomer()
         why = "heard from it" if item.source == item.name else "gossip"
         self.changes.append(
             Change(self.now, item.name, "unknown", "alive", item.incarnation, item.source, why)
@@ -633,6 +669,8 @@
         member.state, member.since = state, self.now
         if old in (State.SUSPECT, State.DEAD) and state == State.ALIVE:
             member.returned = self.now
+            if old == State.DEAD:
+                self._newcomer()
         self.live += (state <= State.SUSPECT) - (old <= State.SUSPECT)
         if state != State.SUSPECT:
             self.suspicions.pop(member.name, None)
@@ -645,18 +683,83 @@
     # Syncs: joins, and the way a healed partition comes together.
 
     def _periodic_sync(self) -> list[Send]:
-        self.next_sync = self.now + self.settings.sync_interval * max(
-            1, self.live // self.settings.sync_members
-        )
-        out: list[Send] = []
+        """Asks a member whether it holds the same members live, and all seeds where it is alone."""
         live = self._pick(1)
-        if live:
-            out.extend(self._sync(self._address(live[0]), reply=False))
-        else:  # alone: the seeds are asked until one answers
+        if not live:
             self.next_sync = self.now + MEND_PERIODS * self.settings.probe_interval
-            for seed in self.seeds:
-                out.extend(self._sync(seed, reply=False))
-        return out
+            return [self._ask(seed) for seed in self.seeds]
+        self.check = min(self._rest(), max(2 * self.check, self._soon()))
+        self.next_sync = self.now + self.check
+        return [self._ask(self._address(live[0]))]
+
+    def _rest(self) -> int:
+        """Microseconds between two checks where the last one found no difference."""
+        return self.settings.sync_interval * max(1, self.live // self.settings.sync_members)
+
+    def _soon(self) -> int:
+        """Microseconds in which gossip should have brought what is new, of however many."""
+        return MEND_PERIODS * self.settings.probe_interval + self.live * NEWS_TIME
+
+    def _newcomer(self) -> None:
+        """Somebody came, or came back: where many do, gossip misses some, and a check finds it out."""
+        self.check = soon = self._soon()
+        if self.next_sync > self.now + 2 * soon:
+            self.next_sync = self.now + soon + self.random.randrange(soon)
+
+    def _digest(self) -> int:
+        """Of the names and addresses of all held live, this member among them: a sum of their hashes, so that
+        order does not matter. Incarnations are left out: each datagram bears its sender's."""
+        live = [f"{m.name} {m.host} {m.port}" for m in self.members.values() if m.state <= State.SUSPECT]
+        own = f"{self.name} {self.address[0]} {self.address[1]}"
+        return sum(zlib.crc32(text.encode()) for text in (*live, own)) % (1 << 32)
+
+    def _answer(self, address: Address, digest: int) -> list[Send]:
+        """All that is known, for one that asks; its own digest alone, where that is the same. Of a crowd that
+        asks, most get some members, of which they ask another."""
+        mine = self._digest()
+        if digest == mine:
+            return self._sync_of(address, [self.me], True, mine)
+        if not self._room():
+            return self._sync_of(address, [self.me, *self._pick(LARGEST // SMALLEST_ITEM)], True)[:1]
+        return self._charge(self._sync_of(address, [self.me, *self.view()], True, mine))
+
+    def _compare(self, address: Address, digest: int) -> list[Send]:
+        """After an answer: who still holds others live than the answerer tells it in turn all that it knows.
+        This bears no digest, and ends the exchange."""
+        if digest == self._digest():
+            self.check = self._rest()
+            self.next_sync = self.now + self.check
+            return []
+        return self._charge(self._sync(address, reply=True)) if self._room() else []
+
+    def _room(self) -> bool:
+        return self.busy_until <= self.now + ANSWER_BURST * ANSWER_COST
+
+    def _charge(self, sends: list[Send]) -> list[Send]:
+        self.busy_until = max(self.now, self.busy_until) + len(sends) * ANSWER_COST
+        return sends
+
+    def _ask(self, address: Address) -> Send:
+        """Asks whoever lives at an address for all that it knows, and tells it of this member alone: an
+        address where nobody answers must not cost a list each time."""
+        return self._sync_of(address, [self.me], False, self._digest())[0]
+
+    def _ask_lost(self) -> list[Send]:
+        """A side of a partition that has outlasted the memory of the dead looks for the other: a seed that is
+        not held live, or the last address of one forgotten, is asked. The members of a side ask once in
+        `ASK_EVERY` together, so a member's part shrinks as they are more, and nobody is asked by all."""
+        if not (self.seeds or self.lost):
+            return []
+        if self.random.random() * (self.live + 1) * ASK_EVERY >= DEAD_PERIODS * self.settings.probe_interval:
+            return []
+        self.lost = {a: until for a, until in self.lost.items() if until > self.now}
+        held = {self._address(m) for m in self.members.values() if m.state <= State.SUSPECT}
+        held.add(self.address)
+        for address in held & self.lost.keys():
+            del self.lost[address]
+        seeds = [s for s in self.seeds if s not in held and not self._holds(self.seed_names.get(s, ""))]
+        kinds = [kind for kind in (seeds, list(self.lost)) if kind]
+        return [self._ask(self.random.choice(self.random.choice(kinds)))] if kinds else []
 
     def _ping_dead(self) -> list[Send]:
         """One of the dead is pinged now and then: told that it is held dead, one that lives answers with a
@@ -665,17 +768,24 @@
         if len(self.members) == self.live:
             return []
         dead = [m for m in self.members.values() if m.state == State.DEAD]
-        if not dead:
+        # Of few dead not all members ping one each time: its machine would be flooded when it is back.
+        if not dead or self.random.random() * (self.live + 1) >= DEAD_PINGS * len(dead):
             return []
         return [self._direct(self.random.choice(dead), self._next_seq())]
 
     def _sync(self, address: Address, reply: bool) -> list[Send]:
         """All that is known, in as many datagrams as it takes."""
-        items = [self.me.gossip(self.name), *(m.gossip(self.name) for m in self.view())]
+        return self._sync_of(address, [self.me, *self.view()], reply)
+
+    def _sync_of(self, address: Address, members: list[Member], reply: bool, digest: int = -1) -> list[Send]:
+        """These members, in as many datagrams as it takes; a digest goes with the last."""
+        items = [m.gossip(self.name) for m in members]
         out: list[Send] = []
         while True:
-            head = self._envelope(Sync(reply), [])
-            data, count = fit(head, items)
+            data, count = fit(self._envelope(Sync(reply, digest), []), items)
+            last = count >= len(items)
+            if digest != -1 and not last:  # it may have had room for one more without the digest
+                data, count = fit(self._envelope(Sync(reply), []), items[:count])
             out.append(self._count(Send(address, data)))
             items = items[max(1, count) :]
             reply = True  # one answer is wanted, not one to each datagram
@@ -745,6 +855,11 @@
     def _forget(self) -> None:
         keep = self.settings.dead_keep
         gone = [n for n, m in self.members.items() if m.state > State.SUSPECT and self.now - m.since > keep]
+        lost = [self._address(m) for m in map(self.members.__getitem__, gone) if m.state == State.DEAD]
+        if lost:  # some of all, whoever died first: members keep different ones
+            self.lost |= dict.fromkeys(lost, self.now + LOST_KEEP)
+            kept = self.random.sample(sorted(self.lost), min(LOST_MOST, len(self.lost)))
+            self.lost = {address: self.lost[address] for address in kept}
         for name in gone:
             del self.members[name]
             self.queue.pop(name, None)
--- a/brackenladder/membership/wire.py
+++ b/brackenladder/membership/wire.py
@@ -76,9 +76,13 @@
 
 
 class Sync(msgspec.Struct, tag=5, array_like=True, frozen=True):
-    """A join: take what I know and answer with what you know (`reply` says this is the answer)."""
+    """An exchange: take what I know and answer with what you know (`reply` says this is the answer). `digest`
+    is of all that the sender holds live, -1 where it does not say: an ask with the receiver's own digest
+    needs no list, and the last datagram of an answer has it. (Members of an earlier text neither send nor
+    read it; theirs is an ask with the whole list.)"""
 
     reply: bool = False
+    digest: int = -1
 
 
 Message = Ping | PingReq | Ack | Nack | Sync
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 from hypothesis import given, settings
@@ -278,3 +279,31 @@
             c for o, c in world.changes if o == node.name and c.old == "dead" and c.new == "alive"
         ]:
             assert change.incarnation > 0  # a dead member comes back only with a higher incarnation
+
+
+def apart(size: int, cut_off: int, seconds: int, seeds: Sequence[int], seed: int = 1) -> World:
+    """A settled world whose last members have been cut off for so long, and are joined again."""
+    world = World(size, BASE, seed, settled=True, seeds=seeds)
+    names = list(world.nodes)
+    world.run(3 * SECOND)
+    world.groups = [set(names[:-cut_off]), set(names[-cut_off:])]
+    world.run(world.now + seconds * SECOND)
+    assert not world.agreed(set())
+    world.groups = None
+    return world
+
+
+def test_sides_that_were_apart_for_longer_than_the_dead_are_remembered_come_together() -> None:
+    # The seeds on the larger side, on the smaller, on both, and decommissioned: nobody has port 900.
+    for seeds in ((1, 2), (11, 12), (1, 12), (900,)):
+        world = apart(12, 4, 400, seeds)
+        assert all(len(n.swim.members) < 11 for n in world.live())  # forgotten indeed
+        world.run(world.now + 30 * SECOND)
+        assert world.agreed(set()), f"seeds {seeds}"
+
+
+def test_sides_that_were_apart_for_an_hour_come_together() -> None:
+    for seeds in ((1,), (900,)):
+        world = apart(9, 3, 3_600, seeds)
+        world.run(world.now + 30 * SECOND)
+        assert world.agreed(set()), f"seeds {seeds}"
