--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -3,7 +3,9 @@
 
 `World` is the network and the schedule; `measure` plays one script and returns the figures that
 docs/membership.md reports: time to detect a death (by the first member, and by all), false suspicions and
-false deaths per member-hour, time until all agree, bytes a second per member. Times are microseconds.
+false deaths per member-hour, time until all agree, bytes a second per member. `reunion` plays a side that is
+cut off, or whose processes die, and comes back at once: time until all agree, and the worst second's bytes.
+Times are microseconds.
 """
 
 from __future__ import annotations
@@ -18,7 +20,7 @@
 from itertools import product
 
 from brackenladder.lab.network import Net, Schedule
-from brackenladder.membership.swim import Change, Member, Send, Swim, SwimSettings
+from brackenladder.membership.swim import Change, Member, Send, Swim, SwimSettings, fingerprint
 from brackenladder.membership.wire import State
 
 SECOND = 1_000_000
@@ -113,9 +115,11 @@
         """All members at once, each with all others known."""
         shared = {f"m{i}": Member(f"m{i}", "emu", i + 1, 0, State.ALIVE, 0) for i in range(size)}
         names = list(shared)
+        digest = sum(map(fingerprint, shared.values())) % (1 << 32)
         for member in shared.values():
             swim = self.member(member.name, member.port, 0)
             swim.members, swim.names, swim.live = Settled(shared, member.name), names, size - 1
+            swim.digest = digest
             swim.join(0, self.seeds)
             every = self.settings.sync_interval * max(1, size // self.settings.sync_members)
             swim.next_sync = self.random.randrange(every)
--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -54,7 +54,7 @@
 )
 
 Address = tuple[str, int]
-SMALLEST_ITEM = 16  # bytes: no gossip item encodes in fewer
+MOST_ITEMS = LARGEST // 16  # in one datagram: no gossip item encodes in fewer bytes
 MEND_PERIODS = 5  # probe periods between two exchanges at a join, alone, or with one held dead that speaks
 DEAD_PERIODS = 5  # probe periods between two pings to one of the dead
 FORGET_EVERY = 10_000_000  # microseconds between two looks for the dead to be forgotten
@@ -62,7 +62,8 @@
 NEWS_TIME = 10_000  # microseconds by member until gossip should have brought what is new
 ASK_EVERY = 1_000_000  # microseconds between two asks of a seed not held live, or of one forgotten
 DEAD_PINGS = 8  # pings to each of the dead in `DEAD_PERIODS`
-MEND_ASKS = 16  # exchanges with those held dead that speak, in `MEND_PERIODS`, if they all speak to all
+DEAD_LEAST = 0.125  # pings a member at least: it may be the only one that holds somebody dead
+MEND_ASKS = 64  # exchanges with those held dead that speak, in `MEND_PERIODS`, if they all speak to all
 # How many datagrams of lists one member answers with: a burst, then so much time for each.
 ANSWER_BURST = 64
 ANSWER_TIME = 20_000  # microseconds in which all datagrams of an answer have come: the last may come first
@@ -150,6 +151,8 @@
     check: int = 0  # one by hearsay is tried then
     next_ping: int = 0  # an own suspicion is tried again each period
     seq: int = 0  # of that ping
+    not_before: int = 0  # it does not end before
+    waited: bool = False  # once, since a cut may have healed
 
 
 @dataclass
@@ -214,6 +217,7 @@
         self.seq = 0
         self.names: list[str] = []  # of all known members, to draw from
         self.live = 0  # known members that are alive or suspected
+        self.digest = fingerprint(self.me)  # of these and this one: the sum, so that order does not matter
         self.round: list[str] = []
         self.probe: _Probe | None = None
         self.next_probe = 0
@@ -329,11 +333,11 @@
             setattr(self.counters, kind, getattr(self.counters, kind) + 1)
             return []
         self.counters.received += 1
+        if source in self.seeds:
+            self.seed_names[source] = envelope.sender
         if envelope.sender == self.name:
             self.counters.stale += 1  # our own echo, or another process under our name
             return []
-        if source in self.seeds:
-            self.seed_names[source] = envelope.sender
         self._heard_from(envelope, source)
         merging = isinstance(envelope.message, Sync)
         for item in envelope.gossip:
@@ -526,9 +530,9 @@
         return [self._ask(source)]
 
     def _holds(self, name: str) -> bool:
-        """Whether this member is held alive, or merely suspected."""
+        """Whether this member is held alive, or merely suspected, or is this one."""
         member = self.members.get(name)
-        return member is not None and member.state <= State.SUSPECT
+        return name == self.name or member is not None and member.state <= State.SUSPECT
 
     def _heard_from(self, envelope: Envelope, source: Address) -> None:
         """A datagram from a member we do not know yet makes it known, alive, at its own address."""
@@ -571,12 +575,8 @@
             member.zone, member.region = item.zone, item.region
         if item.state == State.ALIVE:
             if item.incarnation > member.incarnation:
-                member.host, member.port, member.zone, member.region = (
-                    item.host,
-                    item.port,
-                    item.zone,
-                    item.region,
-                )
+                member.zone, member.region = item.zone, item.region
+                self._move(member, item)
                 self._set(member, State.ALIVE, item.incarnation, item.source, "higher incarnation")
                 self._enqueue(item)
             elif (
@@ -585,7 +585,7 @@
                 and (item.host, item.port) != self._address(member)
             ):
                 # Its incarnation came ahead, in a datagram of its own that named no address.
-                member.host, member.port = item.host, item.port
+                self._move(member, item)
                 self._enqueue(item)
             else:
                 self.counters.stale += 1
@@ -609,6 +609,7 @@
         self.members[item.name] = member
         self.names.append(item.name)
         self.live += 1
+        self._sum(member, +1)
         self._insert(item.name)
         self._newcomer()
         why = "heard from it" if item.source == item.name else "gossip"
@@ -618,6 +619,17 @@
         self._enqueue(member.gossip(self.name))
         return member
 
+    def _move(self, member: Member, item: Gossip) -> None:
+        if (item.host, item.port) == self._address(member):
+            return
+        lives = member.state <= State.SUSPECT
+        self._sum(member, -lives)
+        member.host, member.port = item.host, item.port
+        self._sum(member, +lives)
+
+    def _sum(self, member: Member, sign: int) -> None:
+        self.digest = (self.digest + sign * fingerprint(member)) % (1 << 32)
+
     def _suspect(
         self, member: Member, incarnation: int, source: str, why: str, probe: _Probe | None = None
     ) -> None:
@@ -636,8 +648,11 @@
                     suspicion.start, max(probe.start, self.now - self.settings.probe_interval)
                 )
                 suspicion.next_ping = self.now
+                # It may be due by what others saw: one more ping, for this probe may have begun in a cut.
+                suspicion.not_before = max(suspicion.not_before, self.now + self.settings.probe_timeout)
         if len(suspicion.confirmers) > before or probe is not None:
-            suspicion.deadline = suspicion.start + self._suspicion_time(len(suspicion.confirmers) - 1)
+            ends = suspicion.start + self._suspicion_time(len(suspicion.confirmers) - 1)
+            suspicion.deadline = max(ends, suspicion.not_before)
         if len(suspicion.confirmers) > before:
             self._enqueue(member.gossip(source))
 
@@ -671,7 +686,10 @@
             member.returned = self.now
             if old == State.DEAD:
                 self._newcomer()
-        self.live += (state <= State.SUSPECT) - (old <= State.SUSPECT)
+                self._healed()
+        lives = (state <= State.SUSPECT) - (old <= State.SUSPECT)
+        self.live += lives
+        self._sum(member, lives)
         if state != State.SUSPECT:
             self.suspicions.pop(member.name, None)
         if state == State.ALIVE and old > State.SUSPECT and member.name not in self.round:
@@ -700,33 +718,35 @@
         """Microseconds in which gossip should have brought what is new, of however many."""
         return MEND_PERIODS * self.settings.probe_interval + self.live * NEWS_TIME
 
+    def _healed(self) -> None:
+        """Somebody came back from the dead: a cut may have healed just now. A suspicion that would end before
+        its subject could be pinged once more, and answer, waits for that; once, for no death is held up."""
+        grace = self.now + self.settings.probe_interval + self.settings.probe_timeout
+        for suspicion in self.suspicions.values():
+            if suspicion.deadline < grace and not suspicion.waited:
+                suspicion.deadline = suspicion.not_before = grace
+                suspicion.waited = True
+
     def _newcomer(self) -> None:
         """Somebody came, or came back: where many do, gossip misses some, and a check finds it out."""
         self.check = soon = self._soon()
         if self.next_sync > self.now + 2 * soon:
             self.next_sync = self.now + soon + self.random.randrange(soon)
 
-    def _digest(self) -> int:
-        """Of the names and addresses of all held live, this member among them: a sum of their hashes, so that
-        order does not matter. Incarnations are left out: each datagram bears its sender's."""
-        live = [f"{m.name} {m.host} {m.port}" for m in self.members.values() if m.state <= State.SUSPECT]
-        own = f"{self.name} {self.address[0]} {self.address[1]}"
-        return sum(zlib.crc32(text.encode()) for text in (*live, own)) % (1 << 32)
-
     def _answer(self, address: Address, digest: int) -> list[Send]:
         """All that is known, for one that asks; its own digest alone, where that is the same. Of a crowd that
         asks, most get some members, of which they ask another."""
-        mine = self._digest()
-        if digest == mine:
-            return self._sync_of(address, [self.me], True, mine)
+        if digest == self.digest:
+            return self._sync_of(address, [self.me], True, digest)
         if not self._room():
-            return self._sync_of(address, [self.me, *self._pick(LARGEST // SMALLEST_ITEM)], True)[:1]
-        return self._charge(self._sync_of(address, [self.me, *self.view()], True, mine))
+            some = [m.gossip(self.name) for m in (self.me, *self._pick(MOST_ITEMS))]
+            return [self._count(Send(address, fit(self._envelope(Sync(True), []), some)[0]))]
+        return self._charge(self._sync_of(address, [self.me, *self.view()], True, self.digest))
 
     def _compare(self, address: Address, digest: int) -> list[Send]:
         """After an answer: who still holds others live than the answerer tells it in turn all that it knows.
         This bears no digest, and ends the exchange."""
-        if digest == self._digest():
+        if digest == self.digest:
             self.check = self._rest()
             self.next_sync = self.now + self.check
             return []
@@ -742,7 +762,7 @@
     def _ask(self, address: Address) -> Send:
         """Asks whoever lives at an address for all that it knows, and tells it of this member alone: an
         address where nobody answers must not cost a list each time."""
-        return self._sync_of(address, [self.me], False, self._digest())[0]
+        return self._sync_of(address, [self.me], False, self.digest)[0]
 
     def _ask_lost(self) -> list[Send]:
         """A side of a partition that has outlasted the memory of the dead looks for the other: a seed that is
@@ -769,7 +789,8 @@
             return []
         dead = [m for m in self.members.values() if m.state == State.DEAD]
         # Of few dead not all members ping one each time: its machine would be flooded when it is back.
-        if not dead or self.random.random() * (self.live + 1) >= DEAD_PINGS * len(dead):
+        share = max(DEAD_PINGS * len(dead) / (self.live + 1), DEAD_LEAST)
+        if not dead or self.random.random() >= share:
             return []
         return [self._direct(self.random.choice(dead), self._next_seq())]
 
@@ -782,10 +803,10 @@
         items = [m.gossip(self.name) for m in members]
         out: list[Send] = []
         while True:
-            data, count = fit(self._envelope(Sync(reply, digest), []), items)
-            last = count >= len(items)
-            if digest != -1 and not last:  # it may have had room for one more without the digest
-                data, count = fit(self._envelope(Sync(reply), []), items[:count])
+            some = items[:MOST_ITEMS]
+            data, count = fit(self._envelope(Sync(reply, digest), []), some)
+            if digest != -1 and count < len(items):  # not the last
+                data, count = fit(self._envelope(Sync(reply), []), some[:count])
             out.append(self._count(Send(address, data)))
             items = items[max(1, count) :]
             reply = True  # one answer is wanted, not one to each datagram
@@ -804,7 +825,7 @@
     ) -> Send:
         """One datagram with what news fits; first of all what the receiver should hear `about` itself."""
         # No more items are weighed than could fit: a join of hundreds must not encode them all each time.
-        queued = heapq.nlargest(LARGEST // SMALLEST_ITEM, self.queue.values(), key=lambda q: q.left)
+        queued = heapq.nlargest(MOST_ITEMS, self.queue.values(), key=lambda q: q.left)
         first = [] if about is None else [about.gossip(self.name)]
         data, count = fit(self._envelope(message, []), [*first, *(q.gossip for q in queued)])
         for q in queued[: max(0, count - len(first))]:
@@ -867,6 +888,11 @@
             self.names = list(self.members)
 
 
+def fingerprint(member: Member) -> int:
+    """32 bits of a member's name and address; not of its incarnation, which all datagrams of its own bear."""
+    return zlib.crc32(f"{member.name} {member.host} {member.port}".encode())
+
+
 def unwell(member: Member | None) -> Member | None:
     """A member that is not held alive, and should hear so."""
     return member if member is not None and member.state != State.ALIVE else None
