--- a/brackenladder/lab/scale/world.py
+++ b/brackenladder/lab/scale/world.py
@@ -11,6 +11,7 @@
 import gc
 import os
 import random
+import re
 import subprocess
 import sys
 from collections.abc import Callable, Sequence
@@ -460,6 +461,10 @@
     wish = ask.parse_args(arguments)
     if wish.cells and wish.cell_size:
         ask.error("--cells and --cell-size: one of them")
+    if wish.out is not None and not wish.out.parent.is_dir():
+        ask.error(f"--out {wish.out}: there is no such folder")
+    if wish.out is not None and not re.fullmatch(r"[a-z0-9-]+\.json", wish.out.name):
+        ask.error(f"--out {wish.out}: name the file by small letters, digits and -, and .json")
     if wish.cell_size < 0:
         ask.error("--cell-size: at least 1")
     plays = []
