--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -93,6 +93,9 @@
     ("membership-return", "seed_most_bytes_in_a_second", False, "its return: seed's worst second", None, 1),
     ("server-list", "change_us", True, "one line of a list of N servers, the module", HOLD, 0.001),
     ("server-list", "holdings_change_us", True, "the same, the digest that the parts tell", HOLD, 0.001),
+    ("server-list", "read_change_us", True, "reading an agent's answer with one line", HOLD, 0.001),
+    ("server-list", "read_whole_ms", True, "reading a whole list of N servers at once", HOLD, 1),
+    ("server-list", "whole_bytes", False, "a whole list of N servers as an agent tells it", None, 1),
     ("server-list", "module_mb", False, "memory: a list of N servers in the module", MEMORY, 1),
 ]  # fmt: skip
 
@@ -336,6 +339,26 @@
     return table(["budget", "limit", "largest cell", "so many cells"], rows)
 
 
+def of_mends(book: Book) -> str:
+    """What small changes of today's text would do, alone and with cells."""
+    n, cell = TARGET, CELLS[0]
+
+    def spent(scope: float, seldom: float = 1, epochs: bool = True) -> list[str]:
+        found = book.bytes(n, scope) - book.renewals(scope) * (1 - 1 / seldom)
+        found -= 0 if epochs else book.epochs(scope)
+        return [number(found), margin(found, BYTES)]
+
+    rows = [
+        ["as today", *spent(n), *spent(cell)],
+        ["words renewed every 2 min for every 30 s", *spent(n, 4), *spent(cell, 4)],
+        ["words renewed every 5 min", *spent(n, 10), *spent(cell, 10)],
+        ["no new word where only who lives has changed", *spent(n, epochs=False), *spent(cell, epochs=False)],
+        ["both: every 5 min, and none for who lives", *spent(n, 10, False), *spent(cell, 10, False)],
+    ]
+    head = ["change", "flat: bytes/s", "margin", f"cells of {cell}: bytes/s", "margin"]
+    return table(head, rows)
+
+
 OWN = frozenset(file for file, *_ in FIGURES) | {"process", "datagram"}
 
 
@@ -383,6 +406,7 @@
     "roles": of_roles,
     "cells": of_cells,
     "cell-sizes": of_cell_sizes,
+    "mends": of_mends,
     "processes": of_processes,
     "slopes": of_slopes,
     "others": of_others,
--- a/brackenladder/lab/scale/roles.py
+++ b/brackenladder/lab/scale/roles.py
@@ -33,7 +33,7 @@
 from brackenladder.lab.scale.clocks import held, settled, timed
 from brackenladder.lab.scale.views import ZONES
 from brackenladder.net.holdings import Holdings
-from brackenladder.net.listing import Line, Listing
+from brackenladder.net.listing import Line, Listing, decode
 from brackenladder.net.udp import Udp
 from brackenladder.transports.mux import Mux
 
@@ -205,7 +205,16 @@
             kept.take(Listing(ListKind.CHANGES, now[0], (line(i, state),)), "agent", False)
             kept.digest()
 
+    def body(some: list[int], whole: bool) -> bytes:
+        """What an agent of discovery answers."""
+        told = [{"id": line(i).id, "addr": f"{line(i).host}:8080", "state": "ready", "zone": line(i).zone}
+                for i in some]  # fmt: skip
+        return json.dumps({"version": 7, "full": whole, "servers": told}).encode()
+
+    one, all_of_them = body(ids[:1], False), body(ids, True)
     with settled():
+        read = timed(lambda: decode(one), 100)
+        read_whole = timed(lambda: decode(all_of_them), 9)
         changed = timed(change, 100)
         digested = timed(noted, 100)
         whole = timed(lambda: balancer.server_list(now[0], ListKind.FULL, entries), 9)
@@ -215,12 +224,18 @@
         "change_us": changed.median * 500,
         "holdings_change_us": digested.median * 500,
         "whole_list_ms": whole.median,
+        "read_change_us": read.median * 1e3,
+        "read_whole_ms": read_whole.median,
+        "whole_bytes": float(len(all_of_them)),
     }
 
 
 LIST_UNITS = {
     "module_mb": "MB", "holdings_mb": "MB", "change_us": "us", "holdings_change_us": "us",
     "whole_list_ms": "ms",
+    "read_change_us": "us",
+    "read_whole_ms": "ms",
+    "whole_bytes": "bytes",
 }  # fmt: skip
 
 
--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -48,6 +48,7 @@
         "waiting": waiting(book, n),
         "lists": book.at("server-list", "module_mb", n) + book.at("server-list", "holdings_mb", n),
         "line": book.at("server-list", "change_us", n, True),
+        "read": book.at("server-list", "read_change_us", n, True),
         "digest": book.at("server-list", "holdings_change_us", n, True),
         "bytes": book.bytes(n, n),
         "beats100": book.beats(100),
@@ -105,7 +106,8 @@
     )
     rows = [
         ("2,800 servers in 140 services", against(lists, MEMORY, "measured"),
-         "a list of all 2,800 takes {lists} MB, a change of a line {line} us and its digest {digest} us;"
+         "a list of all 2,800 takes {lists} MB; a change of a line is read in {read} us, taken in {line} and"
+         " told to the parts in {digest};"
          " a service's list is 20 (arithmetic)"),
         ("1.1 million calls a second", "unknown",
          "393 a node and second (arithmetic: over 2,800); what a call costs is not of these slopes: {added}"),
