Scale: points added to a file keep the units that only the earlier ones have

Adding sizes at which a recorder leaves a figure out lost the figure's unit, and the file was refused after the run with all its points. Units are joined now; a test fails without it.

--- a/brackenladder/lab/scale/slopes.py
+++ b/brackenladder/lab/scale/slopes.py
@@ -114,4 +114,4 @@
     The command, date, commit and machine are the new run's."""
     fresh = {(p.size, p.seed) for p in new.points}
     kept: list[Point] = [p for p in old.points if (p.size, p.seed) not in fresh]
-    return msgspec.structs.replace(new, points=[*kept, *new.points])
+    return msgspec.structs.replace(new, units={**old.units, **new.units}, points=[*kept, *new.points])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -146,6 +146,13 @@
     assert points == {(100, 0): 9, (100, 1): 2, (200, 0): 3}
 
 
+def test_a_figure_that_only_the_earlier_points_have_keeps_its_unit(tmp_path: Path) -> None:
+    old, new = made({100: [1.0]}), made({200: [1.0]})
+    more = [msgspec.structs.replace(p, figures={**p.figures, "g": 2.0}) for p in old.points]
+    both = slopes.merged(msgspec.structs.replace(old, points=more, units={"f": "ms", "g": "MB"}), new)
+    assert slopes.load(slopes.save(both, tmp_path)).units == {"f": "ms", "g": "MB"}
+
+
 @pytest.mark.parametrize(
     ("change", "words"),
     [
