Cells: the view of the fleet played through faults; a record that stands still gives way

Played in virtual time with 60 nodes, 5 % loss and six collectors, a paused speaker's old record hid the newer one until it was stale (16 s), and a cell heard for the first time or a zone lost was told only after 30 s. The record that came last counts now, and these are told at once. A collector that speaks for its own cell no more fails where another process under its name told more. The summary is made by a pure function.

--- a/brackenladder/cells/speaker.py
+++ b/brackenladder/cells/speaker.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from brackenladder.cells.summary import FleetFront, Refused, Sum
+from brackenladder.records.interface import Record
 
 SPEAKERS = 2  # of each cell
 COLLECTORS = 3  # that each speaker tells
@@ -24,6 +25,7 @@
 ASK_MOST = 60_000_000  # ...and, after asks that brought nothing, up to so long
 BEHIND = 2_000_000  # the own discovery has so long to tell by itself
 MOST_ANSWERS = 16  # collectors whose answers are kept
+MANY = 20  # one in so many of the live members is a change that is told at once
 REFRESH = 30_000_000  # a record of the same sum with other counts is written so often at most
 
 
@@ -86,11 +88,12 @@
 
 def worth_telling(now: int, before: tuple[int, Sum] | None, total: Sum) -> bool:
     """Whether a cell is to be told of a sum: at once for another number, one that has come into force
-    everywhere, a cell unheard or heard again; else now and then, if anything has changed."""
+    everywhere, a cell unheard or heard again, members out, or many that live no more or again; else now and
+    then, if anything has changed."""
     if before is None:
         return True
     at, old = before
-    if matters(old) != matters(total):
+    if matters(old) != matters(total) or abs(old.live - total.live) * MANY > old.live:
         return True
     blank = {"collector": "", "life": 0, "count": 0, "fronts": ()}
     same = msgspec.structs.replace(old, **blank) == msgspec.structs.replace(total, **blank)
@@ -100,7 +103,14 @@
 def matters(total: Sum) -> object:
     """Of a sum, what is told at once."""
     fronts = sorted((f.origin, f.number, f.digest, f.in_force_s is not None) for f in total.fronts)
-    return fronts, total.unheard, total.odds
+    return fronts, total.heard, total.unheard, total.odds, total.out
+
+
+def latest(records: Iterable[Record]) -> Record | None:
+    """Of the speakers' records the one that came last: of two, one may stand still, and its cell goes on to
+    hold its record for a while."""
+    fresh = [r for r in records if not r.stale]
+    return max(fresh, key=lambda r: (r.heard, r.owner)) if fresh else None
 
 
 class Asker:
--- a/brackenladder/net/cells.py
+++ b/brackenladder/net/cells.py
@@ -15,16 +15,12 @@
 
 import msgspec
 
-from brackenladder.audit.fleet import WRONG, Frontier, Heard, Picture, State
-from brackenladder.audit.word import Service
+from brackenladder.audit.fleet import Picture
 from brackenladder.cells.fleet import Collector, FleetRules
-from brackenladder.cells.speaker import Answers, Asker, collectors, speakers, worth_telling
+from brackenladder.cells.speaker import Answers, Asker, collectors, latest, speakers, worth_telling
+from brackenladder.cells.summarize import STATES, summarize
 from brackenladder.cells.summary import (
-    FORM,
-    MOST_FRONTS,
-    MOST_NAMES,
     Answered,
-    Front,
     Refused,
     Sum,
     Summary,
@@ -33,7 +29,6 @@
     decode_sum,
     encode,
     encode_sum,
-    groups,
 )
 from brackenladder.errors import BrackenladderError
 from brackenladder.membership.wire import State as MemberState
@@ -48,8 +43,6 @@
 KIND = "fleet"  # of the record by which a speaker tells its cell the fleet's sum
 SUM_AGAIN = 500_000  # microseconds for which a collector gives the same sum to all who ask
 LINE_AGAIN = 60_000_000  # microseconds between two lines on words refused for one reason
-HIGHEST = 1 << 62  # of a list's number that is told
-STATES = tuple(State)
 
 
 class CellsPart(Inner):
@@ -77,7 +70,7 @@
         self.summed: tuple[int, Sum] | None = None  # the collector's last sum, and when
         self.told: tuple[int, Sum] | None = None  # what this speaker has told its cell, and when
         self.fleet: tuple[int, Sum] | None = None  # the fleet's sum as it is known here, and since when
-        self.read: dict[str, tuple[int, Sum | None]] = {}  # records of it, by owner: version, decoded
+        self.read = ("", 0)  # the record that this is from: owner, version
         self.chosen: tuple[list[str], list[str]] = ([], [])  # the cell's live members, its speakers
         self.counts = Counter[str]()
         self.refused = Counter[str]()
@@ -156,8 +149,11 @@
         data = encode(Told(summary))
         for name in self.collectors():
             if name == self.hosting.name:
-                self.take(now, summary)
-                self.answers.take(now, self.sum(now))
+                try:
+                    self.take(now, summary)
+                    self.answers.take(now, self.sum(now))
+                except Refused as e:  # another process under this node's name has told more
+                    self.refuse(now, str(e), self.hosting.member_address(name) or ("", 0))
                 continue
             address = self.hosting.member_address(name)
             if address is not None and self.channel is not None and self.channel.send(data, address):
@@ -173,35 +169,10 @@
 
     def summary(self) -> Summary:
         """This node's word on its cell."""
-        live = self.hosting.cell()
         members = self.hosting.members
         known = len(members.census().known) if members is not None and members.layout is not None else 0
-        summary = Summary(
-            FORM, self.layout.digest, self.cell, self.hosting.name[:64], self.life, self.count,
-            known=max(known, len(live)), live=len(live), heard=len(live),
-        )  # fmt: skip
-        picture = self.picture()
-        if picture is None:
-            return summary
-        words = {n: h for n in live if (h := picture.words.get(n)) is not None and not h.stale}
-        states = Counter(s.state for n in live if (s := picture.standings.get(n)) is not None)
-        a, b, c, d, e, f = (states[state] for state in STATES)
-        wrong = [n for n in live if n in picture.standings and picture.standings[n].state in WRONG]
-        silent = [n for n in live if n in picture.standings and picture.standings[n].state == State.SILENT]
-        frontiers = sorted(picture.frontiers.values(), key=lambda f: (-f.of, f.origin))
-        fronts = [front(f, words, len(live)) for f in frontiers if picture.awake and 0 <= f.number <= HIGHEST]
-        return msgspec.structs.replace(
-            summary,
-            heard=len(words),
-            ready=sum(h.word.ready and h.word.service == Service.IN for h in words.values()),
-            out=sum(h.word.service == Service.OUT for h in words.values()),
-            standings=(a, b, c, d, e, f),
-            fronts=tuple(fronts[:MOST_FRONTS]),
-            more_fronts=len(fronts[MOST_FRONTS:]),
-            named=tuple(n[:64] for n in [*wrong, *silent][:MOST_NAMES]),
-            settings=groups(Counter(h.word.settings[1][:16] for h in words.values())),
-            operation=groups(Counter(h.word.operation[1][:16] for h in words.values())),
-        )
+        order = (self.life, self.count)
+        return summarize(self.layout, self.hosting.name, order, known, self.hosting.cell(), self.picture())
 
     def picture(self) -> Picture | None:
         """The audit's, if there is one."""
@@ -261,25 +232,17 @@
 
     def hear(self, now: int, records: Records) -> None:
         """The fleet's sum, as this cell's speakers tell it."""
-        found = None
-        for owner in self.speakers():
-            record = records.get(owner, KIND)
-            if record is None or (record.stale and owner != self.hosting.name):
-                self.read.pop(owner, None)
-                continue
-            known = self.read.get(owner)
-            if known is None or known[0] != record.version:
-                total: Sum | None = None
-                try:
-                    total = decode_sum(record.body, self.layout.digest)
-                except Refused as e:
-                    self.refuse(now, str(e), self.hosting.member_address(owner) or ("", 0))
-                known = self.read[owner] = (record.version, total)
-            if found is None and known[1] is not None:
-                found = (record.heard, known[1])
-        self.fleet = found
-        for owner in self.read.keys() - set(self.speakers()):
-            del self.read[owner]
+        told = [r for n in self.speakers() if (r := records.get(n, KIND)) is not None]
+        record = latest(told)
+        if record is None:
+            self.fleet, self.read = None, ("", 0)
+        elif (record.owner, record.version) != self.read:
+            self.read = (record.owner, record.version)
+            try:
+                self.fleet = (record.heard, decode_sum(record.body, self.layout.digest))
+            except Refused as e:
+                self.fleet = None
+                self.refuse(now, str(e), self.hosting.member_address(record.owner) or ("", 0))
 
     # ---- for operators --------------------------------------------------------------------------------
 
@@ -336,13 +299,6 @@
 COUNTS = ("told", "told_bytes", "answered", "answered_bytes", "taken", "asked")
 
 
-def front(f: Frontier, words: dict[str, Heard], live: int) -> Front:
-    """A frontier of the audit's, with how many hold it, by their discovery's word or their peers'."""
-    holders = sum(f.held in (h.word.list, h.word.taken) for h in words.values())
-    of = min(f.of, live)
-    return Front(f.origin[:64], f.number, f.digest[:16], min(holders, of), of)
-
-
 def plain(word: Summary | Sum) -> dict[str, Any]:
     """A word with its fields named, for people."""
     found = msgspec.structs.asdict(word)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from random import Random
+from typing import Any
 
 from brackenladder.audit.fleet import WRONG, Heard, Picture, State, View
 from brackenladder.audit.mend import Do, Mender, MendRules, Own
 from brackenladder.audit.word import KIND, Held, Service, Word, decode, encode, history
+from brackenladder.cells.fleet import Collector, Event
 from brackenladder.cells.layout import Layout
+from brackenladder.cells.speaker import Answers, Asker, collectors, latest, speakers, worth_telling
+from brackenladder.cells.summarize import summarize
+from brackenladder.cells.summary import Refused, Sum, Summary, Told, decode_sum, encode_sum
+from brackenladder.cells.summary import decode as read_message
+from brackenladder.cells.summary import encode as encode_message
 from brackenladder.lab.network import Net
 from brackenladder.lab.records import World
 
 SECOND = 1_000_000
 TICK = 250_000
+PERIOD = 2 * SECOND
 
 
 @dataclass
@@ -209,3 +219,95 @@
 
     def sent(self) -> int:
         return sum(n.table.counters.sent_bytes for n in self.world.nodes.values())
+
+
+class Telling(Fleet):
+    """The same with `collectors`: what `net/cells.py` does each period, over a network that loses words."""
+
+    def __init__(self, size: int, layout: Layout, named: Sequence[str], **more: Any) -> None:
+        self.layout, self.named, self.region = layout, list(named), {n: n[-1] for n in named}
+        self.collectors: dict[str, Collector] = {}
+        self.answers: dict[str, Answers] = {}
+        self.askers: dict[str, Asker] = {}
+        self.told: dict[str, tuple[int, Sum]] = {}
+        self.asked: Counter[str] = Counter()
+        self.events: list[Event] = []
+        self.silent: set[str] = set()  # paused: neither speaks nor hears
+        self.forge: Callable[[Summary], Summary] = lambda summary: summary
+        self.count = 0
+        self.spoken = 0  # bytes of summaries
+        super().__init__(size, lambda name: layout, **more)
+
+    def passes(self, source: str, target: str) -> bool:
+        down = {source, target} & (self.down | self.silent)
+        return not down and bool(self.net.fate(self.random, source, target))
+
+    def period(self) -> None:
+        """All nodes' steps of one period."""
+        self.count += 1
+        now = self.now
+        for name in self.named:
+            if name in self.down:
+                self.collectors.pop(name, None)
+                continue
+            collector = self.collectors.setdefault(name, Collector(name, self.layout, now // SECOND))
+            if name not in self.silent:
+                self.events += collector.tick(now)
+        for name in self.seats:
+            if name in self.down | self.silent:
+                continue
+            cell = self.cells[name]
+            if name in speakers(self.layout.cell_of(name), cell):
+                self.speak(name, cell)
+            elif name in self.told:
+                del self.told[name]
+                self.world.put(name, "fleet", b"")
+            total, seat = self.fleet(name), self.seats[name]
+            own = seat.own.list
+            asker = self.askers.setdefault(name, Asker(self.random.getrandbits(32)))
+            fronts = total.fronts if total is not None else ()
+            if asker.tick(now, (own.origin, own.number) if own is not None else None, fronts):
+                self.asked[name] += 1
+                if seat.agent == "well":
+                    self.due.append((now, name, self.truth))
+
+    def speak(self, name: str, cell: list[str]) -> None:
+        now = self.now
+        order = (now // SECOND, self.count)
+        known = len(self.layout.scope(name, self.seats))
+        word = self.forge(summarize(self.layout, name, order, known, cell, self.seats[name].picture))
+        data = encode_message(Told(word))
+        answers = self.answers.setdefault(name, Answers(3 * PERIOD))
+        for to in collectors(self.named, self.live(name), self.region):
+            self.spoken += len(data)
+            with suppress(Refused):
+                if self.passes(name, to):
+                    heard = read_message(data, self.layout.digest)
+                    assert isinstance(heard, Summary)
+                    self.collectors[to].take(now, heard)
+                    if self.passes(to, name):
+                        self.collectors[to].follow(now)
+                        answers.take(now, self.collectors[to].sum(now))
+        total = answers.agreed(now)
+        if total is None and name in self.told:
+            del self.told[name]
+            self.world.put(name, "fleet", b"")
+        elif total is not None and worth_telling(now, self.told.get(name), total):
+            self.told[name] = (now, total)
+            self.world.put(name, "fleet", encode_sum(total))
+
+    def fleet(self, name: str) -> Sum | None:
+        """The fleet's sum as a node knows it."""
+        table = self.world.nodes[name].table
+        told = (table.get(n, "fleet") for n in speakers(self.layout.cell_of(name), self.cells[name]))
+        record = latest(r for r in told if r is not None)
+        return decode_sum(record.body, self.layout.digest) if record is not None else None
+
+    def play(self, seconds: float) -> None:
+        """Runs, with a period every two seconds."""
+        for _ in range(int(seconds / 2)):
+            self.run(2.0)
+            self.period()
+
+    def sums(self) -> list[Sum | None]:
+        return [self.fleet(n) for n in self.seats if n not in self.down | self.silent]
--- a/tests/test_cells_host.py
+++ b/tests/test_cells_host.py
@@ -275,6 +275,11 @@
         }  # fmt: skip
         assert mine.refused == {"not a collector": 1, "not from a collector": 1}
         assert collector.collector is not None and len(collector.collector.cells) == 3
+        # Another process under this node's name has told more: what it tells itself is old for a while.
+        later = msgspec.structs.replace(good, life=good.life + 9)
+        collector.received(encode(Told(later)), far)
+        collector.speak(collector.hosting.now(), collector.hosting.records())
+        assert collector.refused["old"] == 1
         await until(lambda: all(front_of(b) == (50, 0) for b in benches))
         assert "cells" not in benches[0].node.parts.failed
 
