Cells: who is shut out counts for no list that is in force; mixed fleets on real nodes

A cell's holders counted a node that is out, which the quorum does not: with one out and one behind the fleet's sum called a list in force everywhere too early. Found by a test of the summary from pictures with every state. The part takes its channel and records at its start, so that no other part is begun anew with the membership for it.

Further tests: half of the nodes without cells on one port, a node that is out as its cell changes.

--- a/brackenladder/cells/summarize.py
+++ b/brackenladder/cells/summarize.py
@@ -52,7 +52,9 @@
 
 
 def front(f: Frontier, words: Mapping[str, Heard], live: int) -> Front:
-    """A frontier of the audit's, with how many hold it, by their discovery's word or their peers'."""
-    holders = sum(f.held in (h.word.list, h.word.taken) for h in words.values())
+    """A frontier of the audit's, with how many hold it, by their discovery's word or their peers', of those
+    that it is a quorum of: who is out is none of them."""
+    voters = (h.word for h in words.values() if h.word.service != Service.OUT)
+    holders = sum(f.held in (word.list, word.taken) for word in voters)
     of = min(f.of, live)
     return Front(f.origin[:64], f.number, f.digest[:16], min(holders, of), of)
--- a/brackenladder/net/cells.py
+++ b/brackenladder/net/cells.py
@@ -30,7 +30,6 @@
     encode,
     encode_sum,
 )
-from brackenladder.errors import BrackenladderError
 from brackenladder.membership.wire import State as MemberState
 from brackenladder.net.inner import Inner
 from brackenladder.records.interface import Records
@@ -80,7 +79,9 @@
         self.timer: asyncio.TimerHandle | None = None
         hosting.say("cells begins", cell=self.cell, cells=wish.count, layout=self.layout.digest,
                     collector=self.collector is not None)  # fmt: skip
-        if wish.collectors:
+        if wish.collectors:  # both end with the membership, and this part with them
+            self.channel = hosting.channel(TAG, self.received)
+            self.records = hosting.records()
             self.wait()
 
     def stop(self, farewell: bool) -> None:
@@ -102,11 +103,8 @@
         self.hosting.tell(self, self.step)
 
     def step(self) -> None:
-        try:
-            self.channel = self.channel or self.hosting.channel(TAG, self.received)
-            self.records = self.records or self.hosting.records()
-        except BrackenladderError:
-            return  # there is no membership yet
+        if self.records is None:
+            return
         now = self.hosting.now()
         if self.collector is not None:
             for event in self.collector.tick(now):
--- a/tests/test_cells_fleet.py
+++ b/tests/test_cells_fleet.py
@@ -12,7 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenladder.audit.word import Held
+from brackenladder.audit.fleet import Heard, Picture, State, View
+from brackenladder.audit.word import Held, Service, Word
 from brackenladder.cells.fleet import MOST_NUMBERINGS, Collector, Event
 from brackenladder.cells.layout import Layout
 from brackenladder.cells.speaker import (
@@ -25,6 +26,7 @@
     speakers,
     worth_telling,
 )
+from brackenladder.cells.summarize import summarize
 from brackenladder.cells.summary import (
     FORM,
     LARGEST,
@@ -485,6 +487,73 @@
     assert max(first) - min(first) > 1.5 * SECOND
 
 
+# ---- the summary, from the audit's picture -------------------------------------------------------------
+
+
+def judged(words: dict[str, Heard], times: int = 20) -> Picture:
+    """A picture after so many quarters of a second."""
+    view = View(CELLS[0][0])
+    return [view.judge(SECOND + i * SECOND // 4, CELLS[0], words) for i in range(times)][-1]
+
+
+def held(number: int, origin: str = "prod") -> tuple[Held, ...]:
+    return (Held(origin, number, f"d{number}"),)
+
+
+def said(picture: Picture | None, live: list[str] = CELLS[0]) -> Summary:
+    """The summary as it arrives."""
+    made = summarize(LAYOUT, CELLS[0][0], (1, 1), len(CELLS[0]), live, picture)
+    assert decode(encode(Told(made)), LAYOUT.digest) == made
+    return made
+
+
+def test_a_summary_counts_who_is_heard_ready_out_and_current() -> None:
+    names, size = CELLS[0], len(CELLS[0])
+    words = {n: Heard(Word(lists=held(7), settings=(1, "s"), operation=(1, "o"))) for n in names}
+    words[names[1]] = Heard(Word(lists=held(7)), stale=True)
+    words[names[2]] = Heard(Word(lists=held(7), service=Service.OUT, settings=(2, "t"), operation=(1, "o")))
+    words[names[3]] = Heard(Word(lists=held(6), settings=(1, "s"), operation=(1, "o")))
+    words[names[4]] = Heard(Word(lists=held(6), taken=held(7)[0], ready=False, operation=(1, "o")))
+    found = said(judged(words, 60))
+    assert (found.known, found.live, found.heard) == (size, size, size - 1)
+    assert (found.ready, found.out) == (size - 3, 1)
+    counts = dict(zip(State, found.standings, strict=True))
+    assert counts[State.CURRENT] == size - 2 and counts[State.STRAGGLER] == counts[State.SILENT] == 1
+    assert found.named == (names[3], names[1])  # who is behind comes first
+    (front,) = found.fronts
+    # The one that is out is counted in no quorum; the one that is silent is, and holds nothing.
+    assert (front.number, front.digest, front.of) == (7, "d7", size - 1)
+    assert front.holders == size - 3
+    assert dict(found.settings) == {"s": size - 3, "t": 1, "": 1}
+    assert dict(found.operation) == {"o": size - 1}
+
+
+def test_a_speaker_that_has_begun_or_has_no_audit_says_nothing_of_lists() -> None:
+    words = {n: Heard(Word(lists=held(7))) for n in CELLS[0]}
+    assert said(judged(words, 1)).fronts == ()
+    assert said(judged(words)).fronts != ()
+    found = said(None)
+    assert (found.live, found.heard, found.fronts) == (len(CELLS[0]), len(CELLS[0]), ())
+
+
+def test_a_summary_of_very_many_numberings_tells_the_most_used() -> None:
+    words = {n: Heard(Word(lists=held(1 + i, f"o{i // 2:02}"))) for i, n in enumerate(CELLS[0])}
+    for n in CELLS[0][:12]:
+        words[n] = Heard(Word(lists=held(1 << 63, "huge")))
+    found = said(judged(words))
+    assert found.fronts == ()  # a number that no list has is not told
+    long = {n: Heard(Word(lists=held(1, "x" * 900))) for n in CELLS[0]}
+    assert said(judged(long)).fronts[0].origin == "x" * 64
+
+
+def test_counts_hold_while_members_come_and_go() -> None:
+    words = {n: Heard(Word(lists=held(7))) for n in CELLS[0]}
+    picture = judged(words)
+    for live in (CELLS[0][:1], CELLS[0][:3], [*CELLS[0], "new"]):
+        found = said(picture, live)
+        assert found.heard <= found.live == len(live) <= found.known
+
+
 # ---- a fleet that tells, in virtual time ---------------------------------------------------------------
 
 SIX = [f"m{i}" for i in (3, 14, 25, 36, 47, 58)]  # collectors, in regions by their last digit
--- a/tests/test_cells_host.py
+++ b/tests/test_cells_host.py
@@ -5,16 +5,19 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 from loopback import Bench, Server, play, until
+from test_audit import NEXT, Net, close, fleet
+from test_audit import QUICK as QUICK_AUDIT
 from test_members import asked, node_with
 
 from brackenladder.audit.fleet import State
-from brackenladder.audit.word import KIND
+from brackenladder.audit.word import KIND, Service
 from brackenladder.cells.fleet import FleetRules
 from brackenladder.cells.layout import Layout
 from brackenladder.cells.speaker import speakers
@@ -87,6 +90,62 @@
     play(scene)
 
 
+def test_a_node_that_is_out_comes_in_when_its_cell_changes_and_keeps_its_ledger() -> None:
+    async def scene() -> None:
+        wished = {"out_after_s": 0.5, "out_share_percent": 25.0, "in_after_s": 30.0}
+        hosts = await fleet(Net(), **wished)
+        for host in hosts:
+            host.part.mender.rules = replace(host.part.mender.rules, abstain=0, claim=300_000, tries=1)
+        behind = hosts[3]
+        for host in hosts[:3]:
+            host.told(2, NEXT)
+            host.part.takeover.channel = None  # nobody hands over anything
+        await until(lambda: behind.out is True)
+        claims, entries = behind.part.mender.claim, behind.part.ledger.book.entries
+        changed = {"audit": QUICK_AUDIT | wished, "membership": {}, "cells": {"count": 2}}
+        behind.part.reload(build(changed, "operator.toml"))
+        assert behind.out is False
+        assert behind.part.mender.service == Service.IN and behind.part.mender.claim != claims
+        assert not behind.part.mender.votes
+        assert behind.part.ledger.book.acts[-1].what == "let-in"
+        assert behind.part.ledger.book.entries > entries
+        await until(lambda: behind.part.picture is not None and behind.part.picture.awake)
+        before = behind.part.view
+        behind.part.reload(build(changed | {"audit": QUICK_AUDIT | {"lag_s": 9.0}}, "operator.toml"))
+        assert behind.part.view is before  # the same cells: what was seen holds
+        await close(hosts)
+
+    play(scene)
+
+
+def test_nodes_with_and_without_cells_hear_whom_they_need_on_one_port() -> None:
+    async def scene() -> None:
+        benches, seed = await nodes(None, *NAMES)
+        await until(lambda: all(heard(b) == set(NAMES) for b in benches))
+        half, rest = benches[::2], benches[1::2]
+        for bench in half:
+            bench.node.reload(bench.node.config, wish(seed if bench is not benches[0] else "", {"count": 2}))
+        server = await Server().start()
+        for bench in benches:
+            bench.discovery.say(60, True, server.entry("s0"))
+
+        def told(bench: Bench) -> set[str]:
+            """Who is held current with the new list."""
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit)
+            words = audit.picture.words if audit.picture is not None else {}
+            return {n for n, h in words.items() if h.word.list is not None and h.word.list.number == 60}
+
+        await until(lambda: all(told(b) == set(TWO.scope(b.node.config.name, NAMES)) for b in half))
+        await until(lambda: all(told(b) == set(NAMES) for b in rest))
+        for bench in benches:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit) and audit.picture is not None
+            assert not audit.picture.names(State.STRAGGLER) and audit.mender.service == Service.IN
+
+    play(scene)
+
+
 def test_what_is_asked_of_zones_is_made_up_to_the_fleets() -> None:
     """Failure prevented: a cell's nodes take the room of a zone as if they were the whole fleet's."""
     zones = {"zones": {"server_requests_per_s": 50.0}, "locality": {}}
