--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -59,7 +59,7 @@
 DEAD_PERIODS = 5  # probe periods between two pings to one of the dead
 FORGET_EVERY = 10_000_000  # microseconds between two looks for the dead to be forgotten
 # What all members of a side do together, whatever their number: each draws whether it is its turn.
-NEWS_TIME = 10_000  # microseconds by member until gossip should have brought what is new
+NEWS_TIME = 5_000  # microseconds by member until gossip should have brought what is new
 ASK_EVERY = 1_000_000  # microseconds between two asks of a seed not held live, or of one forgotten
 DEAD_PINGS = 8  # pings to each of the dead in `DEAD_PERIODS`
 DEAD_LEAST = 0.125  # pings a member at least: it may be the only one that holds somebody dead
@@ -232,6 +232,7 @@
             0  # microseconds until the next check after the next, doubled while checks find differences
         )
         self.answer: tuple[Address, int, int] | None = None  # from whom, its digest, when to compare
+        self.fresh = True  # knew nobody when it asked last
         self.busy_until = 0  # the lists it has answered with would have taken until then
         self.suspicions: dict[str, _Suspicion] = {}
         self.relays: dict[int, _Relay] = {}
@@ -750,7 +751,9 @@
             self.check = self._rest()
             self.next_sync = self.now + self.check
             return []
-        return self._charge(self._sync(address, reply=True)) if self._room() else []
+        if self.fresh or not self._room():  # who knew nobody when it asked has nothing to tell
+            return []
+        return self._charge(self._sync(address, reply=True))
 
     def _room(self) -> bool:
         return self.busy_until <= self.now + ANSWER_BURST * ANSWER_COST
@@ -762,6 +765,7 @@
     def _ask(self, address: Address) -> Send:
         """Asks whoever lives at an address for all that it knows, and tells it of this member alone: an
         address where nobody answers must not cost a list each time."""
+        self.fresh = not self.members
         return self._sync_of(address, [self.me], False, self.digest)[0]
 
     def _ask_lost(self) -> list[Send]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -443,6 +443,22 @@
     assert len(seed.receive(60 * SECOND, ask.data, back.address)) > 10  # it has room again
 
 
+def test_a_member_that_has_just_begun_does_not_tell_its_seeds_their_own_list() -> None:
+    one, seed = (Swim(n, ("10.0.0.1", p), BASE, seed=1) for n, p in (("a", 1), ("b", 2)))
+    seed.join(0, [])
+    known = [Gossip("c", "10.0.0.1", 3, 0, State.ALIVE, "c")]
+    seed.receive(1, encode(Envelope(VERSION, BASE.cluster, "c", 0, Sync(True), known)), ("10.0.0.1", 3))
+    (ask,) = one.join(0, [seed.address])
+    for answer in seed.receive(SECOND, ask.data, one.address):
+        one.receive(SECOND, answer.data, seed.address)
+    other = [Gossip("d", "10.0.0.1", 4, 0, State.ALIVE, "d")]  # so that their digests differ
+    one.receive(SECOND, encode(Envelope(VERSION, BASE.cluster, "d", 0, Ping(1, "a"), other)), ("10.0.0.1", 4))
+    assert one.digest != seed.digest
+    sends = [s for _ in range(3) for s in one.tick(one.next_deadline()) if s.address == seed.address]
+    messages = [decode(s.data, BASE.cluster).message for s in sends]
+    assert not [m for m in messages if isinstance(m, Sync) and m.reply]
+
+
 def test_members_that_got_a_part_alone_know_all_soon() -> None:
     world = World(150, BASE, 1, settled=True)
     world.run(SECOND)
