Lab: what a crowd of processes that begin at once costs the seed they ask

The bound on answers needs a figure at the target size, which no emulated network of 2,800 gives in time: one seed alone is played with as many askers. 933 that ask one which holds 1,867 live, within a second: 1,055 datagrams, 1.47 MB, 0.13 s of processor time on a busy machine; each learns 30 members at least.

--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -18,10 +18,11 @@
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import product
+from time import process_time
 
 from brackenladder.lab.network import Net, Schedule
 from brackenladder.membership.swim import Change, Member, Send, Swim, SwimSettings, fingerprint
-from brackenladder.membership.wire import State
+from brackenladder.membership.wire import VERSION, Envelope, Gossip, State, Sync, encode
 
 SECOND = 1_000_000
 GONE = (None, State.DEAD, State.LEFT)
@@ -530,6 +531,47 @@
     )
 
 
+@dataclass(frozen=True)
+class Crowd:
+    """What a crowd of processes that begin at once costs the one seed that they all ask."""
+
+    datagrams: int  # that the seed sent
+    sent: int  # bytes of these
+    least: int  # members that the one which got fewest then knew
+    processor: float  # seconds of processor time that the seed took
+
+
+def crowd(known: int, askers: int, within: int = SECOND, settings: SwimSettings | None = None) -> Crowd:
+    """One seed that holds `known` members live is asked by `askers` new ones, evenly over so many
+    microseconds. No network is played: the seed's part alone."""
+    swim = settings or SwimSettings()
+    seed = Swim("seed", ("10.0.0.1", 7946), swim, seed=1)
+    seed.join(0, [])
+    items = [
+        Gossip(f"node-{i:04d}", f"10.1.{i // 250}.{i % 250}", 7946, 0, State.ALIVE, "x", "zone-1", "north")
+        for i in range(known)
+    ]
+    for i in range(0, known, 20):
+        told = Envelope(VERSION, swim.cluster, "node-0000", 0, Sync(True), items[i : i + 20])
+        seed.receive(1, encode(told), ("10.1.0.0", 7946))
+    datagrams = sent = 0
+    processor = 0.0
+    least = known
+    for i in range(askers):
+        address, now = (f"10.2.{i // 250}.{i % 250}", 7946), 2 * SECOND + i * within // askers
+        asker = Swim(f"back-{i:04d}", address, swim, seed=i, zone="zone-2", region="south")
+        (ask,) = asker.join(now, [seed.address])
+        began = process_time()
+        answers = seed.receive(now, ask.data, address)
+        processor += process_time() - began
+        datagrams += len(answers)
+        sent += sum(len(a.data) for a in answers)
+        for answer in answers:
+            asker.receive(now, answer.data, seed.address)
+        least = min(least, len(asker.members))
+    return Crowd(datagrams, sent, least, processor)
+
+
 # A check of small worlds: every sequence of faults up to a depth.
 
 STEP = 2 * SECOND  # between the beginnings of two faults: shorter than a suspicion, so that they overlap
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenladder.lab.membership import GONE, SECOND, Net, Node, World, reunion, violations, worlds
+from brackenladder.lab.membership import GONE, SECOND, Net, Node, World, crowd, reunion, violations, worlds
 from brackenladder.membership.swim import ANSWER_BURST, Send, Swim, SwimSettings, _Probe, fingerprint
 from brackenladder.membership.wire import VERSION, Ack, Envelope, Gossip, Ping, State, Sync, decode, encode
 
@@ -459,6 +459,12 @@
     assert not [m for m in messages if isinstance(m, Sync) and m.reply]
 
 
+def test_what_a_crowd_costs_its_seed_grows_with_the_crowd_and_not_with_lists() -> None:
+    small, large = (crowd(known, 100) for known in (200, 800))
+    assert max(small.datagrams, large.datagrams) < 100 + 2 * ANSWER_BURST
+    assert min(small.least, large.least) >= 15
+
+
 def test_members_that_got_a_part_alone_know_all_soon() -> None:
     world = World(150, BASE, 1, settled=True)
     world.run(SECOND)
