--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -337,6 +337,21 @@
                 assert (member.zone, member.region) == world.place(member.port), f"{node.name}, {member.name}"
 
 
+def test_a_check_tells_a_zone_to_one_that_holds_the_same_members_without_it() -> None:
+    one, two = (Swim(n, ("10.0.0.1", p), BASE, seed=1) for n, p in (("a", 1), ("b", 2)))
+    for swim, zone in ((one, ""), (two, "north")):
+        swim.join(0, [])
+        known = [Gossip("c", "10.0.0.1", 3, 0, State.ALIVE, "c", zone, zone and "region")]
+        for name, port in (("c", 3), ("a", 1), ("b", 2)):
+            if name != swim.name:
+                data = encode(Envelope(VERSION, BASE.cluster, name, 0, Ack(1, name), known))
+                swim.receive(SECOND, data, ("10.0.0.1", port))
+    assert [m.name for m in one.alive()][1:] == ["b", "c"] and not one.members["c"].zone
+    for answer in two.receive(SECOND, one._ask(two.address).data, one.address):
+        one.receive(SECOND, answer.data, two.address)
+    assert (one.members["c"].zone, one.members["c"].region) == ("north", "region")
+
+
 def test_the_play_of_a_reunion_tells_times_and_bytes() -> None:
     for restarted in (False, True):
         figures = reunion(12, 1, 4, 20 * SECOND, (1, 2), restarted=restarted)
