--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -35,6 +35,7 @@
     quantile,
     turns_of,
     undisturbed,
+    used_up,
     void,
 )
 from brackenladder.lab.scale.added_within import ALL, TARGET_MS, TRIALS, Holds, named, row_of
@@ -307,6 +308,56 @@
     assert numbers("1-3") == (1, 2, 3) and numbers("4,7-8") == (4, 7, 8)
 
 
+# ---- the page ------------------------------------------------------------------------------------------
+
+
+def slopes_of(points: list[Point], axis: str) -> Slopes:
+    return Slopes(
+        name="added-time",
+        what="",
+        command="",
+        commit="",
+        date="2026-12-02",
+        machine="",
+        axis=axis,
+        units={},
+        points=points,
+    )
+
+
+def test_the_size_at_which_one_call_in_a_hundred_is_used_up() -> None:
+    def fleet(size: int, over: float, seed: int = 1) -> Point:
+        figures = {"all of the loop: over_percent": over, "timer Audit.tick: p50_ms": size / 100}
+        return Point(size=size, seed=seed, figures=figures | {"timer Audit.tick: longest_ms": size / 50})
+
+    slopes = slopes_of([fleet(1000, 2.5), fleet(100, 0.25), fleet(400, 1.0), fleet(100, 0.1, 2)], "members")
+    assert used_up(slopes, 1) == 400
+    assert used_up(slopes, 2) is None
+    steep = slopes_of([fleet(100, 0.5), fleet(300, 1.5)], "members")
+    assert used_up(steep, 1) == 200
+    table = added.table_of_parts(steep)
+    assert "| audit: judgement | 1.00, 2.00 | 3.00, 6.00 |" in table
+    assert table.endswith("One call in 100 is used up at 200 to 200 members.")
+
+
+def test_the_table_shows_void_points_as_void() -> None:
+    figures = figures_of(played(), PATHS, 1) | {"rate": 393.0, "service_ms": 0.0}
+    table = added.table_of_added(
+        slopes_of(
+            [
+                Point(
+                    size=393, seed=2, figures={"rate": 393.0, "service_ms": 0.0, "blocks": 9.0}, void="late"
+                ),
+                Point(size=393, seed=1, figures=figures),
+            ],
+            "calls a second",
+        )
+    )
+    first, last = table.splitlines()[2:]
+    assert "0.30 (0.30 to 0.30)" in first and first.endswith("| usable |")
+    assert last.endswith("| 0 of 9 | void |") and "| - |" in last
+
+
 # ---- the load ------------------------------------------------------------------------------------------
 
 
