--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -107,6 +107,9 @@
     added = (
         "unknown" if math.isnan(late) else f"{NOT} ({WORKED})" if late > 1 else "unknown; control leaves room"
     )
+    apart = "; not played here"
+    if "world-region70" in book.slopes:
+        apart = ". After 70 s apart {cut_size} members agree in {cut_members} s, their words in {cut_words} s"
     rows = [
         ("2,800 servers in 140 services", against(lists, MEMORY, "measured"),
          "a list of all 2,800 takes {lists} MB; a change of a line is read in {read} us, taken in {line} and"
@@ -141,8 +144,7 @@
          " other node, each of them {moved} ms of its loop"),
         ("regions apart for an hour", "unknown",
          "members are forgotten after 300 s, records dropped after 60 s: at the return a node of the smaller"
-         " side fetches {region} bytes of words (arithmetic: two thirds of a newcomer's). After 70 s apart"
-         " (`world-region70`) {cut_size} members agree in {cut_members} s, their words in {cut_words} s"),
+         " side fetches {region} bytes of words (arithmetic: two thirds of a newcomer's)" + apart),
     ]  # fmt: skip
     told = values(book)
     return table(["line of the target", "verdict", "by what"], [[a, b, c.format(**told)] for a, b, c in rows])
