Capacity: what was measured at a size comes before the fit

Figures recorded at 2,800 members themselves stood on the page as a fit put them, up to a third off where the form is between two. A size that was measured is told as measured now, and marked so; fits speak for the rest.

--- a/brackenladder/lab/scale/capacity.py
+++ b/brackenladder/lab/scale/capacity.py
@@ -61,18 +61,21 @@
         return self.fits[key]
 
     def at(self, file: str, figure: str, size: float, least: bool = False) -> float:
-        """The fitted figure at a size."""
+        """The figure at a size: as measured there, else as fitted."""
+        seen = self.values(file, figure, size)
+        if seen:
+            return min(seen) if least else sum(seen) / len(seen)
         found = self.fit(file, figure, least)
         return math.nan if found is None else max(0.0, found.at(size))
 
+    def values(self, file: str, figure: str, size: float) -> list[float]:
+        """What was measured at one size, by seeds; void points are none."""
+        points = self.slopes[file].points if file in self.slopes else []
+        return [p.figures[figure] for p in points if p.size == size and not p.void and figure in p.figures]
+
     def median(self, file: str, figure: str, size: int) -> float:
         """What was measured at one size: the middle of its seeds."""
-        if file not in self.slopes:
-            return math.nan
-        points = self.slopes[file].points
-        values = sorted(
-            p.figures[figure] for p in points if p.size == size and not p.void and figure in p.figures
-        )
+        values = sorted(self.values(file, figure, size))
         return values[len(values) // 2] if values else math.nan
 
     def largest(self, file: str, figure: str) -> tuple[int, float]:
--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -122,6 +122,9 @@
             continue
         unit = found.unit if factor == 1 else (budget.unit if budget is not None else "")
         limit = math.inf if budget is None else budget.limit / factor
+        how = (
+            " (measured)" if book.values(file, figure, TARGET) else DOUBT * (found.prediction_error > MISSED)
+        )
         rows.append(
             [
                 words,
@@ -129,9 +132,7 @@
                 f"{formula(found, factor)} {unit}",
                 percent(found.error),
                 percent(found.prediction_error),
-                number(max(0.0, found.at(TARGET)) * factor)
-                + f" {unit}"
-                + DOUBT * (found.prediction_error > MISSED),
+                f"{number(book.at(file, figure, TARGET, least) * factor)} {unit}{how}",
                 "" if budget is None else f"{budget.limit:g} {budget.unit}",
                 "" if budget is None else size(found.used_up(limit)),
             ]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -333,6 +333,15 @@
         assert cost(capacity.TARGET, 100) < cost(capacity.TARGET, capacity.TARGET)
 
 
+def test_what_was_measured_at_a_size_comes_before_the_fit() -> None:
+    book = Book({"made": made({n: [2.0 * n, 2.2 * n] for n in (*SIZES, 2_800)} | {400: [800.0, 900.0]})})
+    assert book.at("made", "f", 400) == 850 and book.at("made", "f", 400, least=True) == 800
+    assert book.median("made", "f", 400) == 900
+    between = book.at("made", "f", 1_000)
+    assert 1_500 < between < 2_500
+    assert math.isnan(book.at("made", "g", 400)) and math.isnan(book.at("none", "f", 400))
+
+
 def test_the_largest_cell_keeps_its_budget_and_one_more_does_not() -> None:
     book = Book(slopes.every())
     for cost, budget in ((book.bytes, capacity.BYTES), (book.core, capacity.CORE)):
