Capacity: the worlds' table keeps to files that say something of the target's size

Files of fewer than four sizes filled the table with rows that had no figure at 2,800; they stand with their own tables below anyway.

--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -416,10 +416,8 @@
                 rows.append(
                     [*line, formula(found, 1), percent(found.prediction_error), number(found.at(TARGET))]
                 )
-            else:
-                rows.append([*line, "", "", "fewer than four sizes"])
     if not rows:
-        return "No file of the emulated worlds is there yet."
+        return "No file of the emulated worlds has four sizes, or the target's, yet."
     return table(["file", "figure", "largest measured", "fit", "largest missed by", f"at {TARGET:,}"], rows)
 
 
