Capacity: what the coordinator sends while an incident is open

The issue's lead names an incident told to all; the recorder played quiet seconds alone. That 32 open incidents are 16 datagrams to each node and second is arithmetic.

--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -86,6 +86,8 @@
     ("freeze", "coordinator_bytes_per_s", False, "coordinator: bytes", BYTES, 1),
     ("freeze", "coordinator_core_percent", True, "coordinator: the decider and the encoding", CORE, 1),
     ("freeze", "coordinator_hold_ms", True, "coordinator: the news to all, without the sending", HOLD, 1),
+    ("freeze", "incident_bytes_per_s", False, "coordinator: bytes while one incident is open", BYTES, 1),
+    ("freeze", "incident_hold_ms", True, "the same: the news to all, without the sending", HOLD, 1),
     ("locality", "evidence_ms", True, "coordinator: all reports put together, 1 a second", HOLD, 1),
     ("locality", "evidence_of_a_set_ms", True, "the same, were the names in a set (trial)", HOLD, 1),
     ("membership-return", "lost_known_s", False, "a ninth is lost: until one holds all of it dead", FORCE, 1),
--- a/brackenladder/lab/scale/roles.py
+++ b/brackenladder/lab/scale/roles.py
@@ -53,7 +53,8 @@
 
 
 def freeze(size: int, seed: int) -> dict[str, float]:
-    """Ten quiet seconds of N nodes with three electors: the coordinator's share, and a holder's."""
+    """Ten quiet seconds of N nodes with three electors, then five with an incident open: the coordinator's
+    share, and a holder's."""
     world = FreezeWorld(size, seed)
     world.until(lambda: world.coordinator() is not None)
     world.run(world.now + 3 * SECOND)
@@ -85,8 +86,16 @@
     machine.tick, machine.datagram = clocked(real_tick), clocked(real_datagram)  # type: ignore[method-assign]
     with settled():
         world.run(world.now + span * SECOND)
+    quiet = (datagrams, sent, spent, longest)
+    world.call(name, "call", "open", "incident")  # some words long: "a test"
+    told = world.until(lambda: "incident" in world.in_force, 10 * SECOND)
+    datagrams = sent = spent = longest = 0
+    with settled():
+        world.run(world.now + 5 * SECOND)
+    open_bytes, open_longest = sent / 5, longest / 1e6
+    datagrams, sent, spent, longest = quiet
     machine.tick, machine.datagram = real_tick, real_datagram  # type: ignore[method-assign]
-    if world.coordinator() != name:
+    if world.coordinator() != name or not told:
         raise RuntimeError(f"{size} nodes, seed {seed}: the coordinator changed")
     follower = world.sites[f"n{size - 1}"]
     holder = follower.machine
@@ -102,13 +111,15 @@
         "coordinator_hold_ms": longest / 1e6,
         "news_bytes": float(len(news)),
         "holder_core_percent": took.median / 10,
+        "incident_bytes_per_s": open_bytes,
+        "incident_hold_ms": open_longest,
     }
 
 
 FREEZE_UNITS = {
     "coordinator_datagrams_per_s": "datagrams/s", "coordinator_bytes_per_s": "bytes/s",
     "coordinator_core_percent": "% of a core", "coordinator_hold_ms": "ms", "news_bytes": "bytes",
-    "holder_core_percent": "% of a core",
+    "holder_core_percent": "% of a core", "incident_bytes_per_s": "bytes/s", "incident_hold_ms": "ms",
 }  # fmt: skip
 
 
--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -83,6 +83,7 @@
         "bare_own": book.median("process", "none_own_mb", 1),
         "news": book.at("freeze", "coordinator_datagrams_per_s", n),
         "news_bytes": book.coordinator_bytes(n),
+        "incident": book.at("freeze", "incident_bytes_per_s", n),
         "coordinator": book.coordinator_core(n),
         "news_hold": book.coordinator_hold(n),
         "holder": book.at("freeze", "holder_core_percent", n, True),
@@ -167,8 +168,9 @@
      "a seed that all ask sends {seed} bytes in its worst second; three would share that"),
     ("a region back after an hour", "open: 70 s of it played", "`world-region70`", "see the verdict above"),
     ("the coordinator tells every node every second", "confirmed", "`freeze`, `datagram`",
-     "{news} datagrams/s, {news_bytes} bytes/s, {coordinator} % of a core with the evidence, a hold of"
-     " {news_hold} ms; a holder spends {holder} % of a core"),
+     "{news} datagrams/s, {news_bytes} bytes/s ({incident} with one incident open; with 32 open, 16 datagrams"
+     " to each node: arithmetic), {coordinator} % of a core with the evidence, a hold of {news_hold} ms; a"
+     " holder spends {holder} % of a core"),
     ("a process of 35 to 40 MB, one without parts of 15", "confirmed; the 15 are its own, not resident",
      "`process`",
      "all parts {alone} MB resident; none {bare}, of which {bare_own} its own; so the parts' code is {code}"),
