--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -38,6 +38,8 @@
 
 MISSED = 0.25  # a fit that misses the largest size by more says little of a larger one
 DOUBT = " (doubtful)"
+MOST_ROWS = 24  # of the table of a file that is not ours
+TRIAL = "-trial"  # in the name of a file: its figures are trials, and stand in no table but that of the files
 PAGE = files.ROOT / "docs" / "CAPACITY.md"
 CELLS = (70, 100, 160)
 
@@ -430,7 +432,7 @@
     """Files of other runs, as they are: by size the middle of the seeds, void points told."""
     parts = []
     for name, s in sorted(book.slopes.items()):
-        if name not in OWN:
+        if name not in OWN and TRIAL not in name:
             origin = f"`{s.command}`, commit `{s.commit}`, {s.date}, {s.machine}"
             head = f"<details><summary>{name}: {s.what}</summary>\n\n{origin}"
             parts.append(f"{head}\n\n{any_file(s)}\n\n</details>")
@@ -441,7 +443,8 @@
     """Any file as a table: a row a figure, a column a size."""
     sizes = sorted({p.size for p in s.points})
     rows = []
-    for figure in dict.fromkeys([*s.units, *(f for p in s.points for f in p.figures)]):
+    figures = list(dict.fromkeys([*s.units, *(f for p in s.points for f in p.figures)]))
+    for figure in figures[:MOST_ROWS]:
         unit = s.units.get(figure, "")
         row = [f"{figure}, {unit}" if unit else figure]
         for n in sizes:
@@ -460,6 +463,8 @@
         rows.append(row)
     void_rows = sorted({f"{p.size}: {p.void}" for p in s.points if p.void})
     text = table([f"figure, by {s.axis}", *(f"{n:,}" for n in sizes)], rows)
+    if len(figures) > MOST_ROWS:
+        text += f"\n\nThe file has {len(figures) - MOST_ROWS} figures more."
     return text + ("\n\nVoid: " + "; ".join(void_rows) + "." if void_rows else "")
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -282,6 +282,8 @@
     shown = page.worked(text, {"world-made": msgspec.structs.replace(other, points=void)})
     assert "world-made: a test" in shown and "400: a loop was late by 2 s" in shown
     assert "| f, ms | 2.00 (1.00 to 3.00) | 7.00 | void (1) |" in shown
+    trial = page.worked(text, {"world-trial": msgspec.structs.replace(other, name="world-trial")})
+    assert "| f, ms |" not in trial and "| `world-trial` | a test |" in trial
 
 
 def test_a_figure_without_a_unit_is_a_bare_number(tmp_path: Path) -> None:
@@ -291,6 +293,13 @@
     assert "| f | 7.00 |" in page.any_file(again)
 
 
+def test_a_file_of_hundreds_of_figures_does_not_fill_the_page() -> None:
+    many = {f"g{i:03}": float(i) for i in range(200)}
+    wide = msgspec.structs.replace(made({100: [7.0]}), points=[Point(size=100, seed=1, figures=many)])
+    told = page.any_file(wide)
+    assert told.count("\n| ") < 40 and f"The file has {201 - page.MOST_ROWS} figures more." in told
+
+
 def test_a_seed_that_was_played_again_is_no_run_told_twice(tmp_path: Path) -> None:
     first = made({100: [7.0]})
     again = [*first.points, *(msgspec.structs.replace(p, figures={"f": 8.0}) for p in first.points)]
