--- /dev/null
+++ b/tests/test_cells_host.py
@@ -0,0 +1,424 @@
+"""Cells on real nodes: whose records come, what operators see, and a layout that changes at a SIGHUP."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from loopback import Bench, Server, play, until
+from test_audit import NEXT, Net, close, fleet
+from test_audit import QUICK as QUICK_AUDIT
+from test_members import asked, node_with
+
+from brackenladder.audit.fleet import State
+from brackenladder.audit.word import KIND, Service
+from brackenladder.cells.fleet import FleetRules
+from brackenladder.cells.layout import Layout
+from brackenladder.cells.speaker import speakers
+from brackenladder.cells.summary import Answered, Told, encode
+from brackenladder.locality.evidence import Report
+from brackenladder.locality.judge import CommonJudge
+from brackenladder.net.audit import Audit
+from brackenladder.net.cells import CellsPart
+from brackenladder.net.locality import LocalityPart
+from brackenladder.operation import Operation, OperationConflict, OperationError, build
+
+NAMES = ["n2", "n3", "n4", "n5", "n6", "n8"]
+TWO = Layout(2)
+
+
+def wish(seed: str = "", cells: dict[str, Any] | None = None, **tables: Any) -> Operation:
+    table: dict[str, Any] = {"membership": {"listen": "127.0.0.1:0", "seeds": [seed] if seed else []}}
+    table |= {"audit": {"numbering": "d"}, **tables}
+    if cells is not None:
+        table["cells"] = cells
+    return build(table, "operator.toml")
+
+
+async def nodes(cells: dict[str, Any] | None, *names: str, **tables: Any) -> tuple[list[Bench], str]:
+    """Nodes that know each other, and the first one's address."""
+    first = await node_with(wish(cells=cells, **tables), peers=True, name=names[0], control="127.0.0.1:0")
+    members = first.node.members
+    assert members is not None
+    await until(lambda: members.swim is not None)
+    assert members.swim is not None
+    seed = "{}:{}".format(*members.swim.address)
+    rest = [
+        await node_with(wish(seed, cells, **tables), peers=True, name=n, control="127.0.0.1:0")
+        for n in names[1:]
+    ]
+    benches = [first, *rest]
+    await until(lambda: all(len(b.node.parts.live()) == len(names) for b in benches))
+    return benches, seed
+
+
+def heard(bench: Bench) -> set[str]:
+    """Whose audit it hears."""
+    return {r.owner for r in bench.node.parts.records().of(KIND)}
+
+
+def test_records_come_from_the_own_cell_and_the_membership_stays_whole() -> None:
+    assert sorted(TWO.sizes(NAMES)) == [2, 4]
+
+    async def scene() -> None:
+        benches, seed = await nodes({"count": 2}, *NAMES)
+        for bench in benches:
+            scope = set(TWO.scope(bench.node.config.name, NAMES))
+            assert set(bench.node.parts.cell()) == scope
+            assert set(bench.node.parts.live()) == set(NAMES)
+        await until(lambda: all(heard(b) == set(TWO.scope(b.node.config.name, NAMES)) for b in benches))
+        audit = benches[0].node.parts.parts["audit"]
+        assert isinstance(audit, Audit)
+        await until(lambda: audit.picture is not None and set(audit.picture.live) == set(heard(benches[0])))
+        mender, ledger = audit.mender, audit.ledger
+        for bench, s in zip(benches, ["", *[seed] * 5], strict=True):  # one cell, at a SIGHUP
+            bench.node.reload(bench.node.config, wish(s, {"count": 1}))
+        assert audit.mender is not mender  # among others than before it knows no votes...
+        assert audit.ledger is ledger  # ...and its ledger goes on
+        await until(lambda: all(heard(b) == set(NAMES) for b in benches))
+        assert set(benches[0].node.parts.cell()) == set(NAMES)
+        for bench, s in zip(benches, ["", *[seed] * 5], strict=True):
+            bench.node.reload(bench.node.config, wish(s))
+        assert benches[0].node.members is not None and benches[0].node.members.layout is None
+
+    play(scene)
+
+
+def test_a_node_that_is_out_comes_in_when_its_cell_changes_and_keeps_its_ledger() -> None:
+    async def scene() -> None:
+        wished = {"out_after_s": 0.5, "out_share_percent": 25.0, "in_after_s": 30.0}
+        hosts = await fleet(Net(), **wished)
+        for host in hosts:
+            host.part.mender.rules = replace(host.part.mender.rules, abstain=0, claim=300_000, tries=1)
+        behind = hosts[3]
+        for host in hosts[:3]:
+            host.told(2, NEXT)
+            host.part.takeover.channel = None  # nobody hands over anything
+        await until(lambda: behind.out is True)
+        claims, entries = behind.part.mender.claim, behind.part.ledger.book.entries
+        changed = {"audit": QUICK_AUDIT | wished, "membership": {}, "cells": {"count": 2}}
+        behind.part.reload(build(changed, "operator.toml"))
+        assert behind.out is False
+        assert behind.part.mender.service == Service.IN and behind.part.mender.claim != claims
+        assert not behind.part.mender.votes
+        assert behind.part.ledger.book.acts[-1].what == "let-in"
+        assert behind.part.ledger.book.entries > entries
+        await until(lambda: behind.part.picture is not None and behind.part.picture.awake)
+        before = behind.part.view
+        behind.part.reload(build(changed | {"audit": QUICK_AUDIT | {"lag_s": 9.0}}, "operator.toml"))
+        assert behind.part.view is before  # the same cells: what was seen holds
+        await close(hosts)
+
+    play(scene)
+
+
+def test_nodes_with_and_without_cells_hear_whom_they_need_on_one_port() -> None:
+    async def scene() -> None:
+        benches, seed = await nodes(None, *NAMES)
+        await until(lambda: all(heard(b) == set(NAMES) for b in benches))
+        half, rest = benches[::2], benches[1::2]
+        for bench in half:
+            bench.node.reload(bench.node.config, wish(seed if bench is not benches[0] else "", {"count": 2}))
+        server = await Server().start()
+        for bench in benches:
+            bench.discovery.say(60, True, server.entry("s0"))
+
+        def told(bench: Bench) -> set[str]:
+            """Who is held current with the new list."""
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit)
+            words = audit.picture.words if audit.picture is not None else {}
+            return {n for n, h in words.items() if h.word.list is not None and h.word.list.number == 60}
+
+        await until(lambda: all(told(b) == set(TWO.scope(b.node.config.name, NAMES)) for b in half))
+        await until(lambda: all(told(b) == set(NAMES) for b in rest))
+        for bench in benches:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit) and audit.picture is not None
+            assert not audit.picture.names(State.STRAGGLER) and audit.mender.service == Service.IN
+
+    play(scene)
+
+
+def test_what_is_asked_of_zones_is_made_up_to_the_fleets() -> None:
+    """Failure prevented: a cell's nodes take the room of a zone as if they were the whole fleet's."""
+    zones = {"zones": {"server_requests_per_s": 50.0}, "locality": {}}
+
+    async def scene() -> None:
+        tables = zones | {"membership": {"listen": "127.0.0.1:0", "regions": {"r": ["here"]}}}
+        first = await node_with(build(tables | {"cells": {"count": 2}}, "f"), peers=True, name=NAMES[0])
+        members = first.node.members
+        assert members is not None
+        await until(lambda: members.swim is not None)
+        assert members.swim is not None
+        tables["membership"]["seeds"] = ["{}:{}".format(*members.swim.address)]
+        more = build(tables | {"cells": {"count": 2}}, "f")
+        rest = [await node_with(more, peers=True, name=n) for n in NAMES[1:]]
+        judges = [b.node.balancer.judge for b in [first, *rest]]
+        near = {b.node.config.name: len(TWO.scope(b.node.config.name, NAMES)) for b in [first, *rest]}
+
+        def whole() -> bool:
+            return all(isinstance(j, CommonJudge) and j.common and j.common.nodes == 6 for j in judges)
+
+        await until(whole)
+        part = first.node.parts.parts["locality"]
+        assert isinstance(part, LocalityPart)
+        await until(lambda: len(part.common.heard) == near[NAMES[0]] < len(NAMES))
+        assert not part.common.minority
+        judge = judges[0]
+        assert isinstance(judge, CommonJudge) and members.layout is not None
+        for name, report in list(part.common.heard.items()):
+            part.common.heard[name] = Report("here", 10.0, report.zones)
+        view = part.view(judge, len(part.common.heard), members.census())
+        assert view.asked[first.node.zones["here"]] == pytest.approx(60.0)
+
+    play(scene)
+
+
+def test_a_member_that_dies_leaves_the_cell_at_once() -> None:
+    async def scene() -> None:
+        benches, _ = await nodes({"count": 2}, *NAMES)
+        largest = max(NAMES, key=lambda n: (len(TWO.scope(n, NAMES)), n))
+        near = TWO.scope(largest, NAMES)
+        by_name = {b.node.config.name: b for b in benches}
+        await until(lambda: heard(by_name[near[0]]) == set(near))
+        by_name[near[1]].node.parts.stop(farewell=True)
+        await until(lambda: near[1] not in by_name[near[0]].node.parts.cell())
+        assert set(by_name[near[0]].node.parts.cell()) == set(near) - {near[1]}
+
+    play(scene)
+
+
+# ---- what cells tell of themselves -------------------------------------------------------------------------
+
+THREE = Layout(3)
+MANY = ["n2", "n3", "n5", "n7", "n8", "n10", "n12", "n13"]
+COLLECTORS = ["n2", "n5"]
+TELLING = {"count": 3, "collectors": COLLECTORS}
+QUICK = FleetRules(period=150_000, unheard=6)
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(CellsPart, "rules", QUICK)
+
+
+def part(bench: Bench) -> CellsPart:
+    found = bench.node.parts.parts["cells"]
+    assert isinstance(found, CellsPart)
+    return found
+
+
+async def telling(**tables: Any) -> tuple[list[Bench], str]:
+    """Nodes in three cells that all hold one list, and have told so."""
+    benches, seed = await nodes(TELLING, *MANY, **tables)
+    server = await Server().start()
+    for bench in benches:
+        bench.discovery.say(50, True, server.entry("s0"))
+    await until(lambda: all(front_of(b) == (50, 0) for b in benches))
+    return benches, seed
+
+
+def front_of(bench: Bench) -> tuple[int, int] | None:
+    """Number and cells behind, as a node knows it of the fleet."""
+    found = part(bench).fleet
+    fronts = found[1].fronts if found is not None and found[1].heard == 3 else ()
+    return (fronts[0].number, fronts[0].behind) if fronts else None
+
+
+def test_every_node_knows_the_fleets_sum_and_a_change_that_is_in_force_everywhere(quick: None) -> None:
+    assert sorted(THREE.sizes(MANY)) == [2, 3, 3]
+
+    async def scene() -> None:
+        benches, _ = await telling()
+        await until(lambda: all(b.node.parts.parts["cells"].page()[1]["fleet"]["live"] == 8 for b in benches))
+        for bench in benches:
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 0) for b in benches))
+        await until(lambda: all(p(b)["fleet"]["fronts"][0]["in_force_s"] is not None for b in benches))
+        status, page = await asked(benches[0].node, "/admin/cells")
+        assert status == 200 and page["cells"] == 3
+        assert page["collected"]["standings"]["current"] == 8
+        for number, cell in page["by_cell"].items():  # one that spoke while it knew few may stand there still
+            near = [n for n in MANY if THREE.cell_of(n) == int(number)]
+            assert set(speakers(int(number), near)) <= set(cell["speakers"])
+        assert set(page["members"]) == set(THREE.scope("n2", MANY))
+        figures = (await asked(benches[1].node, "/admin/stats"))[1]["cells"]
+        assert figures["fleet_heard"] == 3 and not figures["collects"] and not figures["refused"]
+        # A speaker's word is some 200 bytes, to each collector in each period.
+        speaker = next(b for b in benches if part(b).counts["told"])
+        assert part(speaker).counts["told_bytes"] < 250 * part(speaker).counts["told"]
+
+    def p(bench: Bench) -> dict[str, Any]:
+        return part(bench).page()[1]
+
+    play(scene)
+
+
+def test_with_all_collectors_gone_cells_go_on_and_their_return_brings_the_sum_back(
+    quick: None, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def scene() -> None:
+        benches, seed = await telling()
+        by_name = {b.node.config.name: b for b in benches}
+        rest = [b for n, b in by_name.items() if n not in COLLECTORS]
+        for name in COLLECTORS:
+            by_name[name].node.parts.stop(farewell=True)
+        await until(lambda: all(part(b).fleet is None for b in rest))
+        assert (await asked(rest[0].node, "/admin/cells"))[0] == 503
+        for bench in rest:  # the cells' own work goes on
+            bench.discovery.say(51, True)
+
+        def frontier(bench: Bench) -> list[int]:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit)
+            return [f.number for f in audit.picture.frontiers.values()] if audit.picture else []
+
+        await until(lambda: all(frontier(b) == [51] for b in rest))
+        near = next(b for b in rest if b.node.members and b.node.members.swim)
+        assert near.node.members is not None and near.node.members.swim is not None
+        seed = "{}:{}".format(*near.node.members.swim.address)
+        back = await node_with(wish(seed, TELLING), peers=True, name="n5")
+        assert part(back).collector is not None
+        await until(lambda: all(front_of(b) == (51, 0) for b in rest))
+
+    play(scene)
+    assert '"event": "cells begins"' in capfd.readouterr().err
+
+
+def test_a_cell_that_other_cells_have_passed_asks_its_own_discovery_and_no_more(quick: None) -> None:
+    async def scene() -> None:
+        benches, _ = await telling()
+        cells = {c: [b for b in benches if THREE.cell_of(b.node.config.name) == c] for c in range(3)}
+        polls = [b.discovery.polls for b in cells[2]]
+        for bench in [*cells[0], *cells[1]]:
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 1) for b in benches))
+        await until(lambda: all(part(b).counts["asked"] for b in cells[2]))
+        await until(lambda: all(b.discovery.polls > n for b, n in zip(cells[2], polls, strict=True)))
+        for bench in cells[2]:
+            audit = bench.node.parts.parts["audit"]
+            assert isinstance(audit, Audit) and audit.own.list is not None and audit.picture is not None
+            assert audit.own.list.number == 50 and audit.own.taken is None
+            assert not audit.picture.names(State.STRAGGLER)
+            bench.discovery.say(51, True)
+        await until(lambda: all(front_of(b) == (51, 0) for b in benches))
+
+    play(scene)
+
+
+def test_what_cannot_be_read_is_counted_told_once_and_nothing_is_lost(
+    quick: None, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def scene() -> None:
+        benches, _ = await telling()
+        collector = part(benches[0])
+        good = collector.summary()
+        far = ("127.0.0.1", 9)
+        other = msgspec.structs.replace(good, layout=Layout(4).digest)
+        for data in (b"", b"\xc1", b"\x00" * 1_001, encode(Told(other)), encode(Told(good))[:-1]) * 3:
+            collector.received(data, far)
+        collector.received(encode(Told(msgspec.structs.replace(good, cell=(good.cell + 1) % 3))), far)
+        mine = part(benches[1])
+        mine.received(encode(Told(good)), far)
+        liar = collector.sum(0)
+        mine.received(encode(Answered(msgspec.structs.replace(liar, collector="n3"))), far)
+        assert collector.refused == {
+            "broken": 9, "too large": 3, "another layout": 3, "not the speaker's cell": 1
+        }  # fmt: skip
+        assert mine.refused == {"not a collector": 1, "not from a collector": 1}
+        assert collector.collector is not None and len(collector.collector.cells) == 3
+        # Another process under this node's name has told more: what it tells itself is old for a while.
+        later = msgspec.structs.replace(good, life=good.life + 9)
+        collector.received(encode(Told(later)), far)
+        collector.speak(collector.hosting.now(), collector.hosting.records())
+        assert collector.refused["old"] == 1
+        await until(lambda: all(front_of(b) == (50, 0) for b in benches))
+        assert "cells" not in benches[0].node.parts.failed
+
+    play(scene)
+    lines = [x for x in capfd.readouterr().err.splitlines() if '"cells refused"' in x]
+    assert len([x for x in lines if '"too large"' in x]) == 1
+    assert all('"do": "give all nodes one [cells] table' in x for x in lines)
+
+
+def test_nothing_is_told_without_collectors_or_where_the_platform_forbids_it(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        quiet = await node_with(wish(cells={"count": 3}), peers=True, name="n0", control="127.0.0.1:0")
+        assert part(quiet).timer is None and part(quiet).channel is None
+        assert (await asked(quiet.node, "/admin/cells"))[0] == 200
+        off = await node_with(wish(cells=TELLING), peers=False, name="n2")
+        assert "cells" not in off.node.parts.parts and off.node.members is None
+
+    play(scene)
+    assert "cells: off, since the platform's policy_limits.peers is false" in capfd.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("table", "words"),
+    [
+        ({"cells": {"count": 2}}, "[membership] is missing"),
+        ({"membership": {}, "cells": {}}, "count"),
+        ({"membership": {}, "cells": {"count": 0}}, "cells.count"),
+        ({"membership": {}, "cells": {"count": 4_097}}, "cells.count"),
+        ({"membership": {}, "cells": {"count": 2, "label": "x" * 9}}, "cells.label"),
+        ({"membership": {}, "cells": {"count": 2, "lable": "-"}}, "did you mean label?"),
+        ({"membership": {}, "cells": {"count": 2, "collectors": ["a", "a"]}}, "names a node twice"),
+        ({"membership": {}, "cells": {"count": 2, "collectors": [""]}}, "cells.collectors"),
+    ],
+)
+def test_a_table_that_cannot_be_had_is_refused_with_its_key(table: dict[str, Any], words: str) -> None:
+    with pytest.raises(OperationError) as failed:
+        build(table, "operator.toml")
+    assert words in failed.value.line()
+
+
+def test_weights_need_all_members_rates() -> None:
+    with pytest.raises(OperationConflict, match="spread.weights"):
+        build({"membership": {}, "cells": {"count": 2}, "spread": {"weights": True}}, "operator.toml")
+    build({"membership": {}, "cells": {"count": 2}, "spread": {}}, "operator.toml")
+
+
+def test_without_cells_all_is_as_before() -> None:
+    async def scene() -> None:
+        benches, _ = await nodes(None, "n0", "n1", "n2")
+        for bench in benches:
+            assert bench.node.parts.cell() == bench.node.parts.live()
+        await until(lambda: all(heard(b) == {"n0", "n1", "n2"} for b in benches))
+
+    play(scene)
+
+
+# Each node's record has the digest of its operators' file: so it was in the release before cells.
+BEFORE = "8a68ca2dcce8f57f"
+
+
+def test_without_cells_the_files_digest_is_as_before_and_nothing_is_imported() -> None:
+    code = f"""
+import sys
+from loopback import play
+from test_members import node_with
+from brackenladder.net.parts import Source
+from brackenladder.operation import build
+TABLE = {{"membership": {{"listen": "127.0.0.1:0", "seeds": []}}, "audit": {{"numbering": "d"}}}}
+async def scene():
+    bench = await node_with(build(TABLE, "operator.toml"), peers=True, name="n0")
+    assert bench.node.parts.versions[Source.OPERATION].digest == "{BEFORE}"
+    assert not [m for m in sys.modules if m.startswith("brackenladder.cells")]
+    print("well")
+play(scene)
+"""
+    paths = os.pathsep.join(str(p) for p in (Path(__file__).parent, Path(__file__).parent.parent))
+    environ = {**os.environ, "PYTHONPATH": paths}
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, timeout=60, env=environ, check=False
+    )
+    assert done.stdout == "well\n", done.stderr
