--- a/brackenladder/lab/scale/measure.py
+++ b/brackenladder/lab/scale/measure.py
@@ -73,6 +73,10 @@
         "gossip", "renewal", "RENEWAL_UNITS", "each of a small fleet renews its audit record every 30 s",
         "40,70,100,130,160",
     ),
+    "records-renewed": Recorder(
+        "gossip", "renewed", "RENEWED_UNITS", "words renewed as often as the audit does it in a fleet of N",
+        "40,70,100,160,400",
+    ),
     "records-change": Recorder(
         "gossip", "change", "CHANGE_UNITS", "a change that each of N takes up and tells in its record",
         "100,200,400,800",
--- a/brackenladder/lab/scale/views.py
+++ b/brackenladder/lab/scale/views.py
@@ -143,6 +143,9 @@
     def live(self) -> list[str]:
         return [m.name for m in self.swim.alive()]
 
+    def cell(self) -> list[str]:
+        return self.live()
+
     def member_address(self, name: str) -> tuple[str, int] | None:
         member = self.swim.members.get(name)
         return (member.host, member.port) if member is not None else None
