Lab: shorter turns of added time, and each point is written as it comes

Turns are of 40 ms from now on; a figure tells whether only the easy turns are left; and a run that is cut off keeps the points it has.

--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -5,7 +5,7 @@
 * An open loop: calls start at the moments of a Poisson process, drawn by the seed, whether or not earlier
   ones were answered, and a call's time runs from the moment at which it was due. So a stall of the path, or
   of the load, is in the figure of each call that was due in it (no coordinated omission).
-* Paired: time goes in blocks of a twentieth of a second. A block's arrivals are the same on each path; the
+* Paired: time goes in blocks of 25 ms. A block's arrivals are the same on each path; the
   paths play it one after the other, in an order drawn anew for each block, so that the machine's mood meets
   all alike.
 * What is told is the difference of the paths' quantiles, with an interval by bootstrap over blocks: a block
@@ -69,8 +69,10 @@
 Times = NDArray[np.float64]
 TARGET_MS = 0.48  # added to a call for 99 in 100, by the fleet ahead
 DEPTH = 14  # calls below each other, at most
-BLOCK = 0.05  # seconds of arrivals that each path plays in turn
-LEAD = 0.02  # seconds of a turn that are played and not counted: the path's caches are the others' until then
+BLOCK = 0.025  # seconds of arrivals that each path plays in turn
+LEAD = (
+    0.015  # seconds of a turn that are played and not counted: the path's caches are the others' until then
+)
 CONNECTIONS = 32  # of the load to each path
 WARM_UP = 2.0  # seconds that each path is played, uncounted, before the first block
 SPIN_NS = 120_000  # before a call is due the load asks the clock without rest: sleeps end late
@@ -204,6 +206,7 @@
             found[f"{path}_p{round(q * 100)}_ms"] = quantile(whole, q)
         found[f"{path}_blocks"] = float(len(latency[path]))
         found[f"{path}_calls"] = float(whole.size)
+        found[f"{path}_kept_rate"] = kept_rate(everything[path], latency[path])
         if path == DIRECT:
             continue
         found[f"{path}_core_percent"] = core_percent(turns, path)
@@ -222,6 +225,14 @@
     return {name: round(value, 5) for name, value in found.items()}
 
 
+def kept_rate(played: Mapping[int, Times], kept: Mapping[int, Times]) -> float:
+    """Calls in a turn that is kept, by those in any: well below 1, only the easy turns are left."""
+    if not kept:
+        return math.nan
+    of_kept, of_all = (sum(v.size for v in x.values()) / len(x) for x in (kept, played))
+    return of_kept / of_all if of_all else math.nan
+
+
 def put(found: dict[str, float], name: str, interval: Interval) -> None:
     found[name] = interval.value
     found[f"{name}_low"], found[f"{name}_high"] = interval.low, interval.high
@@ -521,8 +532,10 @@
             return "--seeds: numbers such as 1-3 or 1,4,7"
         if not 1 <= self.seconds <= 600:
             return "--seconds: from 1 to 600 for each path at each rate"
-        if not 0.05 <= self.block_s <= self.seconds:
-            return "--block: from 0.05 s to --seconds"
+        if not 0.02 <= self.block_s <= self.seconds:
+            return "--block: from 0.02 s to --seconds"
+        if not 0.1 <= self.warm_s <= 60:
+            return "--warm: from 0.1 to 60 s"
         if not 0 <= self.service_ms <= 1000:
             return "--service-ms: from 0 to 1000"
         if DIRECT not in self.paths or len(self.paths) < 2:
@@ -937,6 +950,7 @@
     found.add_argument("--paths", default=f"{DIRECT},{RELAY},{NODE}")
     found.add_argument("--members", type=int, default=MEMBERS, help="real nodes beside the one with control")
     found.add_argument("--block", type=float, default=BLOCK, help="seconds of a path's turn")
+    found.add_argument("--warm", type=float, default=WARM_UP, help="seconds that a path is played before")
     found.add_argument("--fleet", type=int, default=0, help="members that the node on the path fleet knows")
     found.add_argument("--words", type=float, default=0.0, help="that the fleet writes anew a second")
     found.add_argument("--trial", default="", help=f"of the collector: {', '.join(TRIALS)}; watched")
@@ -961,6 +975,7 @@
             given.words,
             given.trial,
             given.watch or bool(given.trial),
+            given.warm,
         )
         wrong = wish.check()
     except ValueError as e:
@@ -969,13 +984,17 @@
         print(f"added: {wrong}", file=sys.stderr)
         return 2
     out = Path(given.out) if given.out else None
+    what, axis = (WATCHED, "members") if wish.watch else (WHAT, "calls a second")
+
+    def told(point: Point) -> None:
+        print(line(point), flush=True)
+        if out is not None:  # at once: a run that is cut off keeps what it has
+            keep(out, out.stem, what, "members" if wish.fleet else axis, [point])
+
     try:
         if out is not None and out.exists():
             msgspec.json.decode(out.read_bytes(), type=Slopes)
-        points = measure(wish, lambda point: print(line(point), flush=True))
-        if out is not None:
-            what, axis = (WATCHED, "members") if wish.watch else (WHAT, "calls a second")
-            keep(out, out.stem, what, "members" if wish.fleet else axis, points)
+        measure(wish, told)
     except BrackenladderError as e:
         print(f"added: {e.line()}", file=sys.stderr)
         return 2
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -194,6 +194,13 @@
     assert figures["node_all_p99_ms"] == pytest.approx(8.9)
 
 
+def test_easy_turns_that_alone_are_kept_show_in_their_rate() -> None:
+    turns = [turn(b, "direct", [0.1] * 10) for b in range(8)]
+    turns += [turn(b, "node", [0.2] * (5 if b < 4 else 15), waited=0.0 if b < 4 else 9.0) for b in range(8)]
+    figures = figures_of(turns, ("direct", "node"), 1)
+    assert figures["direct_kept_rate"] == 1.0 and figures["node_kept_rate"] == 0.5
+
+
 GOOD = {
     "direct_p99_ms": 0.2,
     "late_p99_ms": 0.01,
@@ -255,6 +262,7 @@
         (["--seconds", "nan"], "--seconds"),
         (["--block", "99"], "--block"),
         (["--service-ms", "-1"], "--service-ms"),
+        (["--warm", "nan"], "--warm"),
         (["--paths", "node,relay"], "--paths"),
         (["--paths", "direct"], "--paths"),
         (["--paths", "direct,node,node"], "--paths"),
@@ -433,19 +441,21 @@
 
 def test_a_short_run_of_real_processes_writes_its_points(tmp_path: Path) -> None:
     path = tmp_path / "added-time.json"
-    assert main(["--rate", "100", "--seconds", "1", "--seeds", "5", "--out", str(path)]) == 0
+    short = ["--seconds", "1", "--warm", "0.2", "--seeds", "5", "--out", str(path)]
+    assert main(["--rate", "100", *short]) == 0
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     (point,) = slopes.points
     assert (point.size, point.seed, slopes.axis) == (100, 5, "calls a second")
     assert point.void  # a second has too few calls for a p99, whatever the machine does
-    assert point.figures["blocks"] == 20 and point.figures["bad_share"] < 1
+    assert point.figures["blocks"] == 40 and point.figures["bad_share"] < 1
     assert slopes.command.startswith("python -m brackenladder.lab.scale.added")
 
 
 def test_a_short_run_in_a_fleet_tells_what_held_the_loop(tmp_path: Path) -> None:
     path = tmp_path / "added-time-parts.json"
     fleet = ["--paths", "direct,fleet", "--fleet", "8", "--watch", "--words", "5"]
-    assert main([*fleet, "--rate", "50", "--seconds", "1", "--seeds", "5", "--out", str(path)]) == 0
+    short = ["--seconds", "1", "--warm", "0.2", "--seeds", "5", "--out", str(path)]
+    assert main([*fleet, "--rate", "50", *short]) == 0
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     (point,) = slopes.points
     assert (point.size, slopes.axis) == (8, "members")
