--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -735,7 +735,9 @@
                     figures = figures_of(turns, wish.paths, seed)
                     why = void(figures, wish.service_ms)
                 figures["service_ms"], figures["others_load"] = wish.service_ms, round(before, 2)
-                figures["rate"] = rate
+                figures["rate"], figures["words_per_s"] = rate, wish.words
+                if wish.trial:
+                    figures[f"trial of {wish.trial}"] = 1.0
                 size = wish.fleet or round(rate)
                 point = Point(size=size, seed=seed, figures=finite(figures), void=why)
                 points.append(point)
@@ -780,7 +782,9 @@
 
 def keep(out: Path, name: str, what: str, axis: str, points: list[Point]) -> None:
     """Writes a file of slopes, or adds to the one that is there. A ValueError if that is another's."""
-    command = "python -m brackenladder.lab.scale.added " + " ".join(sys.argv[1:])
+    named = f"benchmarks/slopes/{out.name}"  # where the file ends up, wherever this run writes it
+    words_of = [named if word == str(out) else word for word in sys.argv[1:]]
+    command = " ".join(["python -m brackenladder.lab.scale.added", *words_of])
     machine = f"{os.cpu_count()} cores, shared; load average {os.getloadavg()[0]:.1f} at the end"
     if out.exists():
         old = msgspec.json.decode(out.read_bytes(), type=Slopes)
@@ -841,6 +845,9 @@
     "records: timer": "timer Spreading.due",
     "records: datagram": "datagram records",
     "freeze: look": "timer FreezePart.look",
+    "clients' connections: sweep": "timer Callers.sweep",
+    "servers' connections: sweep": "timer Pool.sweep",
+    "discovery (nobody answers here)": "timer Discovery.ask",
     "collector, youngest": "collector generation 0",
     "collector, middle": "collector generation 1",
     "collector, all": "collector generation 2",
@@ -867,25 +874,24 @@
 
 
 def table_of_added(slopes: Slopes) -> str:
-    """What paths add, one line a point."""
-    paths = [p for p in PATHS[1:] if any(f"{p}_added_p99_ms" in x.figures for x in slopes.points)]
-    heads = ["calls/s", "service ms", "seed", "direct p50, p99"]
-    for path in paths:
-        heads += [f"{path} p50", f"{path} p99", f"{path} p99, all turns", "turns kept"]
+    """What paths add, one line a path and point."""
+    heads = ["calls/s", "service", "seed", "path", "p50", "p99", "p99 of all turns", "turns kept", ""]
     rows = []
     for point in sorted(slopes.points, key=lambda x: (x.figures["rate"], x.figures["service_ms"], x.seed)):
-        f = point.figures
+        f, verdict = point.figures, "void" if point.void else "usable"
+        of = [f"{f['rate']:g}", f"{f['service_ms']:g} ms", str(point.seed)]
         direct = [f"{f[name]:.2f}" if name in f else "-" for name in ("direct_p50_ms", "direct_p99_ms")]
-        row = [f"{f['rate']:g}", f"{f['service_ms']:g}", str(point.seed), ", ".join(direct)]
-        for path in paths:
-            row += [
-                interval(f, f"{path}_added_p50_ms"),
-                interval(f, f"{path}_added_p99_ms"),
-                interval(f, f"{path}_all_p99_ms"),
-                f"{f.get(f'{path}_blocks', 0):.0f} of {f['blocks']:.0f}",
-            ]
-        rows.append([*row, "void" if point.void else "usable"])
-    return markdown([*heads, ""], rows)
+        rows.append([*of, "direct itself", *direct, "", kept(f, DIRECT), verdict])
+        for path in PATHS[1:]:
+            if f"{path}_blocks" in f:
+                names = [f"{path}_added_p50_ms", f"{path}_added_p99_ms", f"{path}_all_p99_ms"]
+                rows.append([*of, path, *(interval(f, name) for name in names), kept(f, path), verdict])
+    return markdown(heads, rows)
+
+
+def kept(f: Mapping[str, float], path: str) -> str:
+    """How many of a path's turns nobody disturbed."""
+    return f"{f.get(f'{path}_blocks', 0):.0f} of {f['blocks']:.0f}"
 
 
 def table_of_parts(slopes: Slopes) -> str:
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -42,6 +42,7 @@
 from brackenladder.lab.scale.interface import Point, Slopes
 
 PATHS = ("direct", "relay", "node")
+ROOT = Path(__file__).parent.parent
 
 
 def turn(block: int, path: str, latency: list[float] | Times, **others: float) -> Turn:
@@ -298,13 +299,18 @@
     assert path.read_text() == text
 
 
-def test_runs_are_added_to_a_file_and_another_file_stays_as_it_is(tmp_path: Path) -> None:
+def test_runs_are_added_to_a_file_and_another_file_stays_as_it_is(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "added-time.json"
+    monkeypatch.setattr("sys.argv", ["added", "--rate", "393", "--out", str(path)])
     point = Point(size=393, seed=1, figures={"node_added_p99_ms": 0.4, "node_core_percent": 7.0})
     keep(path, "added-time", "what", "calls a second", [point])
     keep(path, "added-time", "what", "calls a second", [msgspec.structs.replace(point, seed=2, void="late")])
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     assert [(p.seed, p.void) for p in slopes.points] == [(1, ""), (2, "late")]
+    said = "python -m brackenladder.lab.scale.added --rate 393 --out benchmarks/slopes/added-time.json"
+    assert slopes.command == said  # once, and without this machine's paths
     assert slopes.units == {"node_added_p99_ms": "ms", "node_core_percent": "% of a core"}
     before = path.read_bytes()
     with pytest.raises(ValueError, match="over calls a second"):
@@ -361,9 +367,20 @@
             "calls a second",
         )
     )
-    first, last = table.splitlines()[2:]
-    assert "0.30 (0.30 to 0.30)" in first and first.endswith("| usable |")
-    assert last.endswith("| 0 of 9 | void |") and "| - |" in last
+    direct, relay, node, last = table.splitlines()[2:]
+    assert "| direct itself | 0.10 | 0.10 |" in direct and "| relay | 0.10 (0.10 to 0.10) |" in relay
+    assert "| node | 0.30 (0.30 to 0.30) |" in node and node.endswith("| 40 of 40 | usable |")
+    assert last.endswith("| direct itself | - | - |  | 0 of 9 | void |")
+
+
+def test_the_page_has_the_tables_of_the_files() -> None:
+    page = (ROOT / "docs" / "added-time.md").read_text()
+    files = sorted((ROOT / "benchmarks" / "slopes").glob("added-time*.json"))
+    trials = [file for file in files if "-trial-" in file.name]  # these are told, and make no table
+    assert all(added.table_of(file) for file in trials)
+    assert len(files) > len(trials)
+    for file in [file for file in files if file not in trials]:
+        assert added.table_of(file) in page, f"docs/added-time.md differs from {file.name}: write it anew"
 
 
 # ---- the load ------------------------------------------------------------------------------------------
