--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -875,11 +875,14 @@
 
 def table_of_added(slopes: Slopes) -> str:
     """What paths add, one line a path and point."""
+    in_fleet = slopes.axis == "members"
     heads = ["calls/s", "service", "seed", "path", "p50", "p99", "p99 of all turns", "turns kept", ""]
+    heads = ["members", *heads] if in_fleet else heads
     rows = []
     for point in sorted(slopes.points, key=lambda x: (x.figures["rate"], x.figures["service_ms"], x.seed)):
         f, verdict = point.figures, "void" if point.void else "usable"
         of = [f"{f['rate']:g}", f"{f['service_ms']:g} ms", str(point.seed)]
+        of = [str(point.size), *of] if in_fleet else of
         direct = [f"{f[name]:.2f}" if name in f else "-" for name in ("direct_p50_ms", "direct_p99_ms")]
         rows.append([*of, "direct itself", *direct, "", kept(f, DIRECT), verdict])
         for path in PATHS[1:]:
@@ -942,7 +945,8 @@
 def table_of(path: Path) -> str:
     """The page's table of a file."""
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
-    return table_of_parts(slopes) if slopes.axis == "members" else table_of_added(slopes)
+    watched = any(f"{WHOLE}: over_percent" in point.figures for point in slopes.points)
+    return table_of_parts(slopes) if watched else table_of_added(slopes)
 
 
 def parser() -> argparse.ArgumentParser:
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -373,6 +373,15 @@
     assert last.endswith("| direct itself | - | - |  | 0 of 9 | void |")
 
 
+def test_a_table_of_latencies_in_a_fleet_names_its_members(tmp_path: Path) -> None:
+    figures = figures_of(played(), PATHS, 1) | {"rate": 393.0, "service_ms": 0.0}
+    slopes = slopes_of([Point(size=2800, seed=1, figures=figures)], "members")
+    path = tmp_path / "added-time-fleet.json"
+    path.write_bytes(msgspec.json.encode(slopes))
+    heads, _, direct, *_ = added.table_of(path).splitlines()
+    assert heads.startswith("| members | calls/s |") and direct.startswith("| 2800 | 393 |")
+
+
 def test_the_page_has_the_tables_of_the_files() -> None:
     page = (ROOT / "docs" / "added-time.md").read_text()
     files = sorted((ROOT / "benchmarks" / "slopes").glob("added-time*.json"))
