--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -5,7 +5,7 @@
 * An open loop: calls start at the moments of a Poisson process, drawn by the seed, whether or not earlier
   ones were answered, and a call's time runs from the moment at which it was due. So a stall of the path, or
   of the load, is in the figure of each call that was due in it (no coordinated omission).
-* Paired: time goes in blocks of a twentieth of a second. A block's arrivals are the same on each path; the
+* Paired: time goes in blocks of 25 ms. A block's arrivals are the same on each path; the
   paths play it one after the other, in an order drawn anew for each block, so that the machine's mood meets
   all alike.
 * What is told is the difference of the paths' quantiles, with an interval by bootstrap over blocks: a block
@@ -69,8 +69,10 @@
 Times = NDArray[np.float64]
 TARGET_MS = 0.48  # added to a call for 99 in 100, by the fleet ahead
 DEPTH = 14  # calls below each other, at most
-BLOCK = 0.05  # seconds of arrivals that each path plays in turn
-LEAD = 0.02  # seconds of a turn that are played and not counted: the path's caches are the others' until then
+BLOCK = 0.025  # seconds of arrivals that each path plays in turn
+LEAD = (
+    0.015  # seconds of a turn that are played and not counted: the path's caches are the others' until then
+)
 CONNECTIONS = 32  # of the load to each path
 WARM_UP = 2.0  # seconds that each path is played, uncounted, before the first block
 SPIN_NS = 120_000  # before a call is due the load asks the clock without rest: sleeps end late
@@ -204,6 +206,7 @@
             found[f"{path}_p{round(q * 100)}_ms"] = quantile(whole, q)
         found[f"{path}_blocks"] = float(len(latency[path]))
         found[f"{path}_calls"] = float(whole.size)
+        found[f"{path}_kept_rate"] = kept_rate(everything[path], latency[path])
         if path == DIRECT:
             continue
         found[f"{path}_core_percent"] = core_percent(turns, path)
@@ -222,6 +225,14 @@
     return {name: round(value, 5) for name, value in found.items()}
 
 
+def kept_rate(played: Mapping[int, Times], kept: Mapping[int, Times]) -> float:
+    """Calls in a turn that is kept, by those in any: well below 1, only the easy turns are left."""
+    if not kept:
+        return math.nan
+    of_kept, of_all = (sum(v.size for v in x.values()) / len(x) for x in (kept, played))
+    return of_kept / of_all if of_all else math.nan
+
+
 def put(found: dict[str, float], name: str, interval: Interval) -> None:
     found[name] = interval.value
     found[f"{name}_low"], found[f"{name}_high"] = interval.low, interval.high
@@ -521,8 +532,10 @@
             return "--seeds: numbers such as 1-3 or 1,4,7"
         if not 1 <= self.seconds <= 600:
             return "--seconds: from 1 to 600 for each path at each rate"
-        if not 0.05 <= self.block_s <= self.seconds:
-            return "--block: from 0.05 s to --seconds"
+        if not 0.02 <= self.block_s <= self.seconds:
+            return "--block: from 0.02 s to --seconds"
+        if not 0.1 <= self.warm_s <= 60:
+            return "--warm: from 0.1 to 60 s"
         if not 0 <= self.service_ms <= 1000:
             return "--service-ms: from 0 to 1000"
         if DIRECT not in self.paths or len(self.paths) < 2:
@@ -722,7 +735,9 @@
                     figures = figures_of(turns, wish.paths, seed)
                     why = void(figures, wish.service_ms)
                 figures["service_ms"], figures["others_load"] = wish.service_ms, round(before, 2)
-                figures["rate"] = rate
+                figures["rate"], figures["words_per_s"] = rate, wish.words
+                if wish.trial:
+                    figures[f"trial of {wish.trial}"] = 1.0
                 size = wish.fleet or round(rate)
                 point = Point(size=size, seed=seed, figures=finite(figures), void=why)
                 points.append(point)
@@ -767,7 +782,9 @@
 
 def keep(out: Path, name: str, what: str, axis: str, points: list[Point]) -> None:
     """Writes a file of slopes, or adds to the one that is there. A ValueError if that is another's."""
-    command = "python -m brackenladder.lab.scale.added " + " ".join(sys.argv[1:])
+    named = f"benchmarks/slopes/{out.name}"  # where the file ends up, wherever this run writes it
+    words_of = [named if word == str(out) else word for word in sys.argv[1:]]
+    command = " ".join(["python -m brackenladder.lab.scale.added", *words_of])
     machine = f"{os.cpu_count()} cores, shared; load average {os.getloadavg()[0]:.1f} at the end"
     if out.exists():
         old = msgspec.json.decode(out.read_bytes(), type=Slopes)
@@ -828,6 +845,9 @@
     "records: timer": "timer Spreading.due",
     "records: datagram": "datagram records",
     "freeze: look": "timer FreezePart.look",
+    "clients' connections: sweep": "timer Callers.sweep",
+    "servers' connections: sweep": "timer Pool.sweep",
+    "discovery (nobody answers here)": "timer Discovery.ask",
     "collector, youngest": "collector generation 0",
     "collector, middle": "collector generation 1",
     "collector, all": "collector generation 2",
@@ -854,25 +874,27 @@
 
 
 def table_of_added(slopes: Slopes) -> str:
-    """What paths add, one line a point."""
-    paths = [p for p in PATHS[1:] if any(f"{p}_added_p99_ms" in x.figures for x in slopes.points)]
-    heads = ["calls/s", "service ms", "seed", "direct p50, p99"]
-    for path in paths:
-        heads += [f"{path} p50", f"{path} p99", f"{path} p99, all turns", "turns kept"]
+    """What paths add, one line a path and point."""
+    in_fleet = slopes.axis == "members"
+    heads = ["calls/s", "service", "seed", "path", "p50", "p99", "p99 of all turns", "turns kept", ""]
+    heads = ["members", *heads] if in_fleet else heads
     rows = []
     for point in sorted(slopes.points, key=lambda x: (x.figures["rate"], x.figures["service_ms"], x.seed)):
-        f = point.figures
+        f, verdict = point.figures, "void" if point.void else "usable"
+        of = [f"{f['rate']:g}", f"{f['service_ms']:g} ms", str(point.seed)]
+        of = [str(point.size), *of] if in_fleet else of
         direct = [f"{f[name]:.2f}" if name in f else "-" for name in ("direct_p50_ms", "direct_p99_ms")]
-        row = [f"{f['rate']:g}", f"{f['service_ms']:g}", str(point.seed), ", ".join(direct)]
-        for path in paths:
-            row += [
-                interval(f, f"{path}_added_p50_ms"),
-                interval(f, f"{path}_added_p99_ms"),
-                interval(f, f"{path}_all_p99_ms"),
-                f"{f.get(f'{path}_blocks', 0):.0f} of {f['blocks']:.0f}",
-            ]
-        rows.append([*row, "void" if point.void else "usable"])
-    return markdown([*heads, ""], rows)
+        rows.append([*of, "direct itself", *direct, "", kept(f, DIRECT), verdict])
+        for path in PATHS[1:]:
+            if f"{path}_blocks" in f:
+                names = [f"{path}_added_p50_ms", f"{path}_added_p99_ms", f"{path}_all_p99_ms"]
+                rows.append([*of, path, *(interval(f, name) for name in names), kept(f, path), verdict])
+    return markdown(heads, rows)
+
+
+def kept(f: Mapping[str, float], path: str) -> str:
+    """How many of a path's turns nobody disturbed."""
+    return f"{f.get(f'{path}_blocks', 0):.0f} of {f['blocks']:.0f}"
 
 
 def table_of_parts(slopes: Slopes) -> str:
@@ -923,7 +945,8 @@
 def table_of(path: Path) -> str:
     """The page's table of a file."""
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
-    return table_of_parts(slopes) if slopes.axis == "members" else table_of_added(slopes)
+    watched = any(f"{WHOLE}: over_percent" in point.figures for point in slopes.points)
+    return table_of_parts(slopes) if watched else table_of_added(slopes)
 
 
 def parser() -> argparse.ArgumentParser:
@@ -937,6 +960,7 @@
     found.add_argument("--paths", default=f"{DIRECT},{RELAY},{NODE}")
     found.add_argument("--members", type=int, default=MEMBERS, help="real nodes beside the one with control")
     found.add_argument("--block", type=float, default=BLOCK, help="seconds of a path's turn")
+    found.add_argument("--warm", type=float, default=WARM_UP, help="seconds that a path is played before")
     found.add_argument("--fleet", type=int, default=0, help="members that the node on the path fleet knows")
     found.add_argument("--words", type=float, default=0.0, help="that the fleet writes anew a second")
     found.add_argument("--trial", default="", help=f"of the collector: {', '.join(TRIALS)}; watched")
@@ -961,6 +985,7 @@
             given.words,
             given.trial,
             given.watch or bool(given.trial),
+            given.warm,
         )
         wrong = wish.check()
     except ValueError as e:
@@ -969,13 +994,17 @@
         print(f"added: {wrong}", file=sys.stderr)
         return 2
     out = Path(given.out) if given.out else None
+    what, axis = (WATCHED, "members") if wish.watch else (WHAT, "calls a second")
+
+    def told(point: Point) -> None:
+        print(line(point), flush=True)
+        if out is not None:  # at once: a run that is cut off keeps what it has
+            keep(out, out.stem, what, "members" if wish.fleet else axis, [point])
+
     try:
         if out is not None and out.exists():
             msgspec.json.decode(out.read_bytes(), type=Slopes)
-        points = measure(wish, lambda point: print(line(point), flush=True))
-        if out is not None:
-            what, axis = (WATCHED, "members") if wish.watch else (WHAT, "calls a second")
-            keep(out, out.stem, what, "members" if wish.fleet else axis, points)
+        measure(wish, told)
     except BrackenladderError as e:
         print(f"added: {e.line()}", file=sys.stderr)
         return 2
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -42,6 +42,7 @@
 from brackenladder.lab.scale.interface import Point, Slopes
 
 PATHS = ("direct", "relay", "node")
+ROOT = Path(__file__).parent.parent
 
 
 def turn(block: int, path: str, latency: list[float] | Times, **others: float) -> Turn:
@@ -194,6 +195,13 @@
     assert figures["node_all_p99_ms"] == pytest.approx(8.9)
 
 
+def test_easy_turns_that_alone_are_kept_show_in_their_rate() -> None:
+    turns = [turn(b, "direct", [0.1] * 10) for b in range(8)]
+    turns += [turn(b, "node", [0.2] * (5 if b < 4 else 15), waited=0.0 if b < 4 else 9.0) for b in range(8)]
+    figures = figures_of(turns, ("direct", "node"), 1)
+    assert figures["direct_kept_rate"] == 1.0 and figures["node_kept_rate"] == 0.5
+
+
 GOOD = {
     "direct_p99_ms": 0.2,
     "late_p99_ms": 0.01,
@@ -255,6 +263,7 @@
         (["--seconds", "nan"], "--seconds"),
         (["--block", "99"], "--block"),
         (["--service-ms", "-1"], "--service-ms"),
+        (["--warm", "nan"], "--warm"),
         (["--paths", "node,relay"], "--paths"),
         (["--paths", "direct"], "--paths"),
         (["--paths", "direct,node,node"], "--paths"),
@@ -290,13 +299,18 @@
     assert path.read_text() == text
 
 
-def test_runs_are_added_to_a_file_and_another_file_stays_as_it_is(tmp_path: Path) -> None:
+def test_runs_are_added_to_a_file_and_another_file_stays_as_it_is(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "added-time.json"
+    monkeypatch.setattr("sys.argv", ["added", "--rate", "393", "--out", str(path)])
     point = Point(size=393, seed=1, figures={"node_added_p99_ms": 0.4, "node_core_percent": 7.0})
     keep(path, "added-time", "what", "calls a second", [point])
     keep(path, "added-time", "what", "calls a second", [msgspec.structs.replace(point, seed=2, void="late")])
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     assert [(p.seed, p.void) for p in slopes.points] == [(1, ""), (2, "late")]
+    said = "python -m brackenladder.lab.scale.added --rate 393 --out benchmarks/slopes/added-time.json"
+    assert slopes.command == said  # once, and without this machine's paths
     assert slopes.units == {"node_added_p99_ms": "ms", "node_core_percent": "% of a core"}
     before = path.read_bytes()
     with pytest.raises(ValueError, match="over calls a second"):
@@ -353,9 +367,29 @@
             "calls a second",
         )
     )
-    first, last = table.splitlines()[2:]
-    assert "0.30 (0.30 to 0.30)" in first and first.endswith("| usable |")
-    assert last.endswith("| 0 of 9 | void |") and "| - |" in last
+    direct, relay, node, last = table.splitlines()[2:]
+    assert "| direct itself | 0.10 | 0.10 |" in direct and "| relay | 0.10 (0.10 to 0.10) |" in relay
+    assert "| node | 0.30 (0.30 to 0.30) |" in node and node.endswith("| 40 of 40 | usable |")
+    assert last.endswith("| direct itself | - | - |  | 0 of 9 | void |")
+
+
+def test_a_table_of_latencies_in_a_fleet_names_its_members(tmp_path: Path) -> None:
+    figures = figures_of(played(), PATHS, 1) | {"rate": 393.0, "service_ms": 0.0}
+    slopes = slopes_of([Point(size=2800, seed=1, figures=figures)], "members")
+    path = tmp_path / "added-time-fleet.json"
+    path.write_bytes(msgspec.json.encode(slopes))
+    heads, _, direct, *_ = added.table_of(path).splitlines()
+    assert heads.startswith("| members | calls/s |") and direct.startswith("| 2800 | 393 |")
+
+
+def test_the_page_has_the_tables_of_the_files() -> None:
+    page = (ROOT / "docs" / "added-time.md").read_text()
+    files = sorted((ROOT / "benchmarks" / "slopes").glob("added-time*.json"))
+    trials = [file for file in files if "-trial-" in file.name]  # these are told, and make no table
+    assert all(added.table_of(file) for file in trials)
+    assert len(files) > len(trials)
+    for file in [file for file in files if file not in trials]:
+        assert added.table_of(file) in page, f"docs/added-time.md differs from {file.name}: write it anew"
 
 
 # ---- the load ------------------------------------------------------------------------------------------
@@ -433,19 +467,21 @@
 
 def test_a_short_run_of_real_processes_writes_its_points(tmp_path: Path) -> None:
     path = tmp_path / "added-time.json"
-    assert main(["--rate", "100", "--seconds", "1", "--seeds", "5", "--out", str(path)]) == 0
+    short = ["--seconds", "1", "--warm", "0.2", "--seeds", "5", "--out", str(path)]
+    assert main(["--rate", "100", *short]) == 0
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     (point,) = slopes.points
     assert (point.size, point.seed, slopes.axis) == (100, 5, "calls a second")
     assert point.void  # a second has too few calls for a p99, whatever the machine does
-    assert point.figures["blocks"] == 20 and point.figures["bad_share"] < 1
+    assert point.figures["blocks"] == 40 and point.figures["bad_share"] < 1
     assert slopes.command.startswith("python -m brackenladder.lab.scale.added")
 
 
 def test_a_short_run_in_a_fleet_tells_what_held_the_loop(tmp_path: Path) -> None:
     path = tmp_path / "added-time-parts.json"
     fleet = ["--paths", "direct,fleet", "--fleet", "8", "--watch", "--words", "5"]
-    assert main([*fleet, "--rate", "50", "--seconds", "1", "--seeds", "5", "--out", str(path)]) == 0
+    short = ["--seconds", "1", "--warm", "0.2", "--seeds", "5", "--out", str(path)]
+    assert main([*fleet, "--rate", "50", *short]) == 0
     slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
     (point,) = slopes.points
     assert (point.size, slopes.axis) == (8, "members")
