--- a/brackenladder/lab/scale/world.py
+++ b/brackenladder/lab/scale/world.py
@@ -66,15 +66,11 @@
         if not self.swim:
             raise ValueError("this scene is of the membership too: it cannot be handed in")
 
-    @property
-    def cell(self) -> int:
-        """Members in a cell, about."""
-        return self.size // max(1, self.cells)
-
     @property
     def beat(self) -> float:
-        """Seconds between two beats of an owner."""
-        return max(Rules().beat, Rules().beat_a_member * self.cell) / SECOND
+        """Seconds between two beats of an owner in the flat fleet, of 400 members at most; all is timed by
+        it, so that the events of a flat fleet and of one in cells come at the same moments."""
+        return max(Rules().beat, Rules().beat_a_member * min(self.size, 400)) / SECOND
 
     def draw(self) -> random.Random:
         return random.Random(f"scene/{self.seed}")
@@ -333,6 +329,8 @@
     cut.run(20.0)
     fleet.change(only=sides[1])
     cut.run(apart - 40.0)
+    across = 2 * len(sides[0]) * len(sides[1])
+    held = sum(len(sides[n in sides[0]] - m.process.lost) for n, m in fleet.members.items())
     fleet.net.groups, fleet.parted = None, lambda one, other: False
     during = fleet.false_deaths
     back = Meter(fleet)
@@ -347,6 +345,7 @@
     found["unfinished"] += len(cut.checks) - len(cut.times)
     found["false_deaths_apart"] = during
     found["false_deaths"] -= during
+    found["cut_held_live_share"] = held / across  # of the pairs across the cut, at its end
     pairs = len(fleet.members) * (len(fleet.members) - 1)
     found["apart_share"] = sum(len(m.process.lost) for m in fleet.running()) / pairs  # at the end
     found |= cut.times | {f"cut_{k}": v for k, v in cut.figures().items() if k in SHORT}
@@ -417,7 +416,7 @@
         figures = SCENES[scene](wish)
     finally:
         gc.enable()
-    figures = {name: round(value, 3) for name, value in figures.items()}
+    figures = {name: round(value, 6) for name, value in figures.items()}
     return figures | {"cells": wish.cells, "play_processor_s": round(process_time() - began, 1)}
 
 
--- a/brackenladder/lab/scale/world_fleet.py
+++ b/brackenladder/lab/scale/world_fleet.py
@@ -181,6 +181,7 @@
         self.schedule = Schedule()
         self.schedule.now = BEGIN
         self.random = random.Random(f"fleet/{seed}")
+        self.of_records = random.Random(f"records/{seed}")  # apart: the rest is the same flat and in cells
         self.net = net or Net()
         self.networks = [Network(self.schedule, seed * 2 + part, self.net) for part in range(2)]
         self.settings, self.with_swim, self.witness = SwimSettings(), swim, witness
@@ -259,8 +260,8 @@
             table.warm.clear()
             table.asks = 0
             table.tokens = 2.0 * table.rate
-            table.next_beat = self.now + self.random.randrange(table.beat)
-            table.next_exchange = self.now + self.random.randrange(table.rules.exchange_every)
+            table.next_beat = self.now + self.of_records.randrange(table.beat)
+            table.next_exchange = self.now + self.of_records.randrange(table.rules.exchange_every)
 
     def process(self, member: FleetMember, life: int) -> Process:
         """A process that knows nothing yet; what ran in its place has ended."""
--- a/brackenladder/lab/scale/world_table.py
+++ b/brackenladder/lab/scale/world_table.py
@@ -47,6 +47,7 @@
 }
 REGION = {
     "dead known, s": "dead_known_s",
+    "part of pairs held live at the end of the cut": "cut_held_live_share",
     "worst second apart": "cut_worst_second_bytes",
     "members agree, s": "members_agree_s",
     "words agree, s": "words_agree_s",
--- a/tests/test_scale_world.py
+++ b/tests/test_scale_world.py
@@ -165,6 +165,14 @@
     assert figures["membership_bytes_per_s"] == 0 < figures["records_bytes_per_s"]
 
 
+def test_the_membership_is_the_same_flat_and_in_cells() -> None:
+    # so many that a beat is longer in the flat fleet: what that draws must not move anything else
+    flat, cells = (played("restart10", size=180, cells=cells, observers=1) for cells in (0, 60))
+    same = ("members_agree_s", "membership_bytes_per_s", "membership_worst_bytes_per_s", "victims")
+    assert [flat[name] for name in same] == [cells[name] for name in same]
+    assert flat["records_bytes_per_s"] != cells["records_bytes_per_s"]
+
+
 def test_a_busy_fleet_tells_the_heads_of_its_ledgers() -> None:
     assert (
         played("busy", size=30)["records_bytes_per_s"] > 1.3 * played("rest", size=30)["records_bytes_per_s"]
