--- a/tests/test_scale_world.py
+++ b/tests/test_scale_world.py
@@ -165,6 +165,23 @@
     assert figures["membership_bytes_per_s"] == 0 < figures["records_bytes_per_s"]
 
 
+def test_the_membership_is_the_same_flat_and_in_cells() -> None:
+    def sent(cells: int) -> list[int]:
+        # so many that a beat is longer in the flat fleet: what that draws must not move anything else
+        fleet = Wish(size=170, seed=1, cells=cells, observers=1).fleet()
+        victims = list(fleet.members)[:9]
+        for name in victims:
+            fleet.stop(name)
+        fleet.run(1)
+        for name in victims:
+            fleet.start(name)
+        fleet.run(3)
+        return [m.bytes[0] for m in fleet.members.values()]
+
+    assert sent(0) == sent(50)
+    assert Wish(size=300, seed=1).beat == Wish(size=300, seed=1, cells=50).beat  # all is timed by it
+
+
 def test_a_busy_fleet_tells_the_heads_of_its_ledgers() -> None:
     assert (
         played("busy", size=30)["records_bytes_per_s"] > 1.3 * played("rest", size=30)["records_bytes_per_s"]
