Swarm: hollow nodes, many in one process, in one fleet with real ones

Need: a fleet of thousands does not fit as a process for each node. A hollow node is the real host of parts with the real membership, records, audit, freeze and locality on a socket of its own, on a stand-in of a node without listeners or servers; it sees the loop through a view that holds back what falls due, so that one stands still without its neighbours. The fault tool's plan strikes at its socket, both ways towards real nodes, and keeps its matching by member instead of by pair. /admin/stats tells what parts send on channels of their own.

--- a/brackenladder/cli/swarm.py
+++ b/brackenladder/cli/swarm.py
@@ -30,13 +30,22 @@
 @click.argument("script", type=click.Path(path_type=Path))
 @click.option("--seed", type=click.IntRange(0), help="In place of the script's own.")
 @click.option("--nodes", type=click.IntRange(1), help="In place of the script's own.")
+@click.option("--hollow", type=click.IntRange(1), help="Hollow nodes, in place of the script's own count.")
 @click.option("--json", "out", type=click.Path(path_type=Path), help="All figures and faults as JSON.")
 @click.option("--logs", type=click.Path(path_type=Path), help="A folder that keeps the nodes' logs.")
-def run(script: Path, seed: int | None, nodes: int | None, out: Path | None, logs: Path | None) -> None:
-    """Play a script; status 0 if all that it expects holds, 1 if not, 2 if it cannot be played."""
+def run(
+    script: Path,
+    seed: int | None,
+    nodes: int | None,
+    hollow: int | None,
+    out: Path | None,
+    logs: Path | None,
+) -> None:
+    """Play a script; status 0 if all that it expects holds, 1 if not or if the run is void, 2 if it cannot be
+    played."""
     changes = {k: v for k, v in (("seed", seed), ("nodes", nodes)) if v is not None}
     try:
-        found = load(script, changes)
+        found = load(script, changes, {"count": hollow} if hollow is not None else None)
     except BrackenladderError as e:
         stop(e)
     try:
@@ -96,12 +105,15 @@
 
 def table(result: Result) -> None:
     """The figures that were had, then what was expected of them."""
-    title = f"{result.name or 'swarm'}: {result.nodes} nodes, seed {result.seed}"
+    hollow = f" and {result.hollow} hollow ones" if result.hollow else ""
+    title = f"{result.name or 'swarm'}: {result.nodes} nodes{hollow}, seed {result.seed}"
     rows = show.plain_table(title, "figure", "value")
     for name in FIGURES:
         if result.figures.get(name) is not None:
             rows.add_row(name, show.number(result.figures[name]))
     show.out.print(rows)
+    if result.void:
+        show.out.print(f"VOID: {result.void}; no figure of this run counts")
     for expect, held in result.claims:
         value: Any = result.figures.get(expect.figure)
         bounds = [f"at most {expect.at_most:g}"] if expect.at_most is not None else []
--- a/brackenladder/fault/datagrams.py
+++ b/brackenladder/fault/datagrams.py
@@ -23,6 +23,7 @@
 Milliseconds = Annotated[float, Meta(ge=0, le=60_000)]
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
 LARGEST_RULES = 1000
+WILD = frozenset("*?[")  # what makes a name a pattern
 # What each kind needs and may have, beyond what all rules have.
 OWN_KEYS: dict[str, tuple[frozenset[str], frozenset[str]]] = {
     "loss": (frozenset({"rate"}), frozenset({"from", "to"})),
@@ -68,7 +69,7 @@
 
 def matches(name: str, patterns: Sequence[str]) -> bool:
     """Whether a name fits one of the patterns."""
-    return any(fnmatchcase(name, p) for p in patterns)
+    return name in patterns or any(fnmatchcase(name, p) for p in patterns if WILD & set(p))
 
 
 def read_rules(tables: Any, where: str) -> tuple[DatagramRule, ...]:
@@ -102,29 +103,48 @@
         self.seed = seed
         self.draws: dict[tuple[int, str, str], Random] = {}
         self.struck = [0] * len(self.rules)
-        self.pairs: dict[tuple[str, str], tuple[int, ...]] = {}  # the rules that name a pair
+        self.sides: dict[str, tuple[tuple[bool, bool, int], ...]] = {}  # by member and rule: see `side`
+
+    def side(self, name: str) -> tuple[tuple[bool, bool, int], ...]:
+        """By rule, whether a member is among its `source`, among its `to`, and its group in a partition.
+
+        By member and not by pair: thousands of members are millions of pairs.
+        """
+        known = self.sides.get(name)
+        if known is None:
+            known = self.sides[name] = tuple(
+                (False, False, r.group(name))
+                if r.kind == "partition"
+                else (matches(name, r.source), matches(name, r.to), -1)
+                for r in self.rules
+            )
+        return known
+
+    def draw(self, rule: int, source: str, to: str) -> float:
+        """The pair's next random number for a rule, from 0 to 1."""
+        random = self.draws.get((rule, source, to))
+        if random is None:
+            random = self.draws[rule, source, to] = Random(f"{self.seed}/{rule}/{source}>{to}")
+        return random.random()
 
     def fate(self, source: str, to: str, at: float) -> list[float]:
         """After how many seconds each copy of a datagram arrives; none if it is lost."""
-        named = self.pairs.get((source, to))
-        if named is None:
-            named = tuple(i for i, r in enumerate(self.rules) if r.names(source, to))
-            self.pairs[source, to] = named
         copies = [0.0]
-        for i in named:
-            rule = self.rules[i]
+        mine, others = self.side(source), self.side(to)
+        for i, rule in enumerate(self.rules):
             if not rule.active(at):
                 continue
+            (from_me, to_me, group), (from_it, to_it, its) = mine[i], others[i]
+            struck = group != its or from_me and to_it or rule.both and to_me and from_it
+            if not struck:
+                continue
             if rule.kind in ("cut", "partition"):
                 self.struck[i] += 1
                 return []
-            draw = self.draws.get((i, source, to))
-            if draw is None:
-                draw = self.draws[i, source, to] = Random(f"{self.seed}/{i}/{source}>{to}")
             if rule.kind == "delay":
-                late = (rule.ms + rule.jitter_ms * draw.random()) / 1000
+                late = (rule.ms + rule.jitter_ms * self.draw(i, source, to)) / 1000
                 copies = [c + late for c in copies]
-            elif draw.random() >= rule.rate:
+            elif self.draw(i, source, to) >= rule.rate:
                 continue
             elif rule.kind == "loss":
                 self.struck[i] += 1
--- a/brackenladder/lab/swarm/nodes.py
+++ b/brackenladder/lab/swarm/nodes.py
@@ -74,9 +74,14 @@
 ADDRESSES = count()  # of this process's nodes, in all of its swarms
 
 
+def own_host(index: int) -> str:
+    """An address of loopback that nobody else on this machine is likely to use."""
+    return f"127.{128 + os.getpid() % 100}.{os.getpid() // 100 % 250 ^ index // 250}.{1 + index % 250}"
+
+
 def own_address(kind: socket.SocketKind, index: int) -> Address:
     """A free port of an address that no other node of any swarm on this machine is likely to have."""
-    host = f"127.{128 + os.getpid() % 100}.{os.getpid() // 100 % 250 ^ index // 250}.{1 + index % 250}"
+    host = own_host(index)
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind((host, 0))
         return host, probe.getsockname()[1]
--- a/brackenladder/lab/swarm/observe.py
+++ b/brackenladder/lab/swarm/observe.py
@@ -5,6 +5,7 @@
 import statistics
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Any
 
 from brackenladder.fault.datagrams import DatagramRule
@@ -40,12 +41,18 @@
 class Observer:
     """Follows all views. Times are seconds on the harness's clock; datagram rules count from `zero`."""
 
-    def __init__(self, names: Sequence[str], rules: Sequence[DatagramRule]) -> None:
-        self.names = list(names)
+    def __init__(
+        self, names: Sequence[str], rules: Sequence[DatagramRule], quiet: Sequence[str] = ()
+    ) -> None:
+        self.names = [*names, *quiet]
+        self.quiet = frozenset(quiet)  # nodes whose lines do not come here: `heard` has what they told
         self.rules = rules
         self.zero = 0.0
         self.views: dict[str, dict[str, str]] = {}
-        self.lives: dict[str, list[Life]] = {name: [] for name in names}
+        self.heard: list[Said] = []
+        self.holding: dict[str, frozenset[str]] = {}  # quiet nodes that do not hold an ended one dead
+        self.sides: dict[tuple[int, str], tuple[bool, bool]] = {}
+        self.lives: dict[str, list[Life]] = {name: [] for name in self.names}
         self.said: list[Said] = []
         self.refuted = 0
         self.reach = {"indirect": 0, "inbound": 0}
@@ -55,7 +62,8 @@
     def started(self, name: str, at: float) -> None:
         """A process has started; in an upgrade it knows what the one before it knew only when it is told."""
         self.lives[name].append(Life(at))
-        self.views[name] = {}
+        if name not in self.quiet:
+            self.views[name] = {}
 
     def ended(self, name: str, at: float, how: str) -> None:
         life = next(x for x in self.lives[name] if x.end is None)
@@ -86,11 +94,11 @@
         return [n for n, lives in self.lives.items() if lives and lives[-1].end is None]
 
     def disagreements(self) -> int:
-        """Pairs of a live node and another of which it holds what is not so."""
+        """Pairs of a live node and another of which it holds what is not so; quiet nodes' are not counted."""
         living = self.living()
         alive = set(living)
         wrong = 0
-        for observer in living:
+        for observer in (n for n in living if n not in self.quiet):
             view = self.views[observer]
             if view.keys() - {observer} <= alive and len(view) == len(alive) - 1:
                 wrong += sum(1 for state in view.values() if state != "alive")
@@ -100,6 +108,12 @@
             wrong += len((alive - {observer}) ^ held) + len(suspected - alive)
         return wrong
 
+    def holds(self, observer: str, name: str) -> bool:
+        """Whether a node holds another alive, or merely suspects it."""
+        if observer in self.quiet:
+            return observer in self.holding.get(name, ())
+        return self.views[observer].get(name, "dead") in ("alive", "suspect")
+
     # ---- figures --------------------------------------------------------------------------------------
 
     def lived(self, name: str, at: float) -> Life | None:
@@ -119,15 +133,22 @@
 
     def mute(self, rule: DatagramRule, name: str, observer: str) -> bool:
         """Whether a cut leaves no way from `name` to anybody, or from anybody to `observer`."""
-        others = [n for n in self.names if n not in (name, observer)]
-        silent = all(rule.names(name, n) for n in (*others, observer))
-        deaf = all(rule.names(n, observer) for n in (*others, name))
-        return silent or deaf
+        return self.cut_off(rule, name)[0] or self.cut_off(rule, observer)[1]
+
+    def cut_off(self, rule: DatagramRule, name: str) -> tuple[bool, bool]:
+        """Whether nothing that one sends comes anywhere, and whether nothing comes to it."""
+        key = (id(rule), name)
+        known = self.sides.get(key)
+        if known is None:
+            others = [n for n in self.names if n != name]
+            silent = all(rule.names(name, n) for n in others)
+            known = self.sides[key] = silent, all(rule.names(n, name) for n in others)
+        return known
 
     def false(self, new: str) -> tuple[int, int]:
         """Changes to a state that is not so: without a reason, and with a partition between the two."""
         plain = cut = 0
-        for s in self.said:
+        for s in chain(self.said, self.heard):
             if s.new != new or s.at < self.zero or s.name not in self.lives:
                 continue
             life = self.lived(s.name, s.at)
@@ -149,22 +170,22 @@
         pairs: list[float] = []
         firsts: list[float] = []
         missing = 0
+        told: dict[str, list[Said]] = {}
+        for s in chain(self.said, self.heard):
+            if s.new in ("dead", "left"):
+                told.setdefault(s.name, []).append(s)
         for name, lives in self.lives.items():
             if not lives or lives[-1].end is None or lives[-1].how not in ("kill", "leave"):
                 continue
             end = lives[-1].end
             seen: dict[str, float] = {}
-            for s in self.said:
-                if s.name == name and s.new in ("dead", "left") and s.at >= end:
+            for s in told.get(name, ()):
+                if s.at >= end:
                     seen.setdefault(s.observer, s.at - end)
             watching = [n for n in self.living() if self.lives[n][-1].start < end]
             times = [seen[n] for n in watching if n in seen]
             # One that had been cut off and held it dead before has nothing left to say.
-            missing += sum(
-                1
-                for n in watching
-                if n not in seen and self.views[n].get(name, "dead") in ("alive", "suspect")
-            )
+            missing += sum(1 for n in watching if n not in seen and self.holds(n, name))
             pairs += times
             if times:
                 firsts.append(min(times))
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -24,12 +24,20 @@
 from brackenladder.audit.ledger import named, read
 from brackenladder.errors import BrackenladderError
 from brackenladder.lab.live.wire import Broken, Pool, Unreached
+from brackenladder.lab.scale.interface import NodeCost
 from brackenladder.lab.swarm import cold
 from brackenladder.lab.swarm.agents import Agents
 from brackenladder.lab.swarm.audits import AuditObserver, Held, matched
 from brackenladder.lab.swarm.freezes import Called, FreezeObserver
+from brackenladder.lab.swarm.hollows import (
+    Hollows,
+    SwarmLate,
+    SwarmOutgrown,
+    bound_mb,
+    check_fits,
+)
 from brackenladder.lab.swarm.localities import ZoneObserver
-from brackenladder.lab.swarm.nodes import END_TIME, PACKAGES, SETTINGS, NodeProcess, SwarmError
+from brackenladder.lab.swarm.nodes import END_TIME, PACKAGES, SETTINGS, START_TIME, NodeProcess, SwarmError
 from brackenladder.lab.swarm.observe import Observer
 from brackenladder.lab.swarm.script import Call, Expect, Fault, Swarm
 from brackenladder.operation import build
@@ -43,6 +51,7 @@
 WRITE_WAIT = 2.0  # seconds that a kill waits for a write
 CALL_AGAIN = 0.25  # seconds between two tries of an operators' call
 LOOK = 0.25  # seconds between two looks at whether all agree
+GUARD = 1.0  # seconds between two looks at the memory of a run with hollow nodes
 
 Tell = Callable[[str, float, float], None]  # what is going on, how far, of how much
 
@@ -59,10 +68,13 @@
     faults: list[dict[str, Any]]  # one line each, in order
     servers: list[dict[str, Any]] = field(default_factory=list)  # what each had done, by second
     load: dict[str, Any] = field(default_factory=dict)
+    hollow: int = 0  # hollow nodes, beside the real ones
+    costs: list[NodeCost] = field(default_factory=list)  # of a real and of a hollow node
+    void: str = ""  # why this run measured the machine and says nothing of nodes
 
     @property
     def good(self) -> bool:
-        return all(held for _, held in self.claims)
+        return not self.void and all(held for _, held in self.claims)
 
 
 def toml_of(name: str, table: dict[str, Any]) -> str:
@@ -84,11 +96,15 @@
         self.swarm, self.folder, self.tell = swarm, folder, tell
         self.faults: list[dict[str, Any]] = []
         self.network: asyncio.subprocess.Process | None = None
-        self.observer = Observer(swarm.names, swarm.datagrams)
+        self.observer = Observer(swarm.names, swarm.datagrams, swarm.hollow_names)
+        self.hollows = Hollows(swarm, self.helper) if swarm.hollow is not None else None
+        self.costs: list[NodeCost] = []
+        self.void = ""
+        self.outgrown = ""
         self.nodes: dict[str, NodeProcess] = {}
         self.agents: Agents | None = None
         self.audits = AuditObserver(swarm.names)
-        self.freezes = FreezeObserver(swarm.membership.get("regions", {}))
+        self.freezes = FreezeObserver(swarm.members.get("regions", {}))
         self.localities = ZoneObserver(swarm)
         self.helpers: list[asyncio.subprocess.Process] = []
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -135,7 +151,7 @@
         wish |= {"entries": s.servers.entries, "hit_ms": s.servers.hit_ms}
         servers = await self.helper("servers", wish)
         addresses = await self.said(servers, 30.0)
-        zones = s.world.zones
+        zones = s.zone_names
         lines = [
             {"id": f"s{i}", "addr": a, "state": "ready", "zone": zones[i % len(zones)], "kind": "std"}
             for i, a in enumerate(addresses)
@@ -152,27 +168,36 @@
         for name, front in (await self.said(self.network, 30.0)).items():
             self.nodes[name].front = (front[0], front[1])
         seeds = ["{}:{}".format(*self.nodes[n].front) for n in s.names[: s.world.seeds]]
-        operator = toml_of("membership", {"seeds": seeds} | s.membership)
+        tables = {"membership": {"seeds": seeds} | s.members}
         for table, wish in s.tables.items():
-            operator += toml_of(table, {"numbering": "swarm"} | wish if table == "audit" else wish)
+            tables[table] = {"numbering": "swarm"} | wish if table == "audit" else wish
+        operator = "".join(toml_of(table, wish) for table, wish in tables.items())
         upgraded = {
             n for f, names in zip(s.faults, s.struck(), strict=True) if f.kind == "upgrade" for n in names
         }
+        shared: dict[str, Any] = {
+            "limits": {"memory_mb": 128, "sockets": 512},
+            "known": self.agents.first(),
+            "settings": {**SETTINGS, "dcs": zones}
+            | ({"rules": cold.rules(s.servers.cold_s)} if s.servers.cold_s else {}),
+        }
         for index, (name, node) in enumerate(self.nodes.items()):
             if name in upgraded:
                 node.accept()
-            config = {
+            config = shared | {
                 "name": name,
                 "listen": "{}:{}".format(*node.clients),
                 "control": "127.0.0.1:0",
                 "discovery": "{}:{}".format(*self.agents.agents[name].address),
                 "seed": f"{s.world.seed * 1000 + index:x}",
-                "limits": {"memory_mb": 128, "sockets": 512},
-                "known": self.agents.first(),
-                "settings": {**SETTINGS, "dcs": zones, "zone": index % len(zones), **s.place(index)}
-                | ({"rules": cold.rules(s.servers.cold_s)} if s.servers.cold_s else {}),
+                "settings": shared["settings"] | {"zone": index % len(zones)} | s.place(index),
             }
             node.configure(config, operator)
+        if self.hollows is not None:
+            silent = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}  # neither is used
+            config = shared | silent | {"settings": shared["settings"] | {"zone": 0} | s.place(0)}
+            fronts = {name: (node.front, node.members) for name, node in self.nodes.items()}
+            await self.hollows.build(config, tables, fronts, self.agents.first()["servers"], self.said)
         return servers
 
     def heard(self, name: str, record: dict[str, Any], at: float) -> None:
@@ -203,8 +228,13 @@
             self.tell("starting", up, len(self.nodes))
 
         await asyncio.gather(*(one(name) for name in self.nodes))
+        if self.hollows is not None:
+            self.tell("starting hollow nodes", 0, 1)
+            for name in self.swarm.hollow_names:
+                self.observer.started(name, monotonic())
+            await self.hollows.start()
         limit = monotonic() + self.swarm.world.settle_s
-        while self.observer.disagreements():
+        while await self.disagree():
             if monotonic() > limit:
                 return None
             self.tell(
@@ -213,6 +243,13 @@
             await asyncio.sleep(LOOK)
         return monotonic() - began
 
+    async def disagree(self) -> int:
+        """Pairs of a node and another of which it holds what is not so."""
+        wrong = self.observer.disagreements()
+        if self.hollows is not None:
+            wrong += await self.hollows.look(self.observer.living())
+        return wrong
+
     # ---- faults ---------------------------------------------------------------------------------------
 
     def fault(self, fault: Fault, index: int, names: list[str], what: str) -> None:
@@ -225,41 +262,42 @@
         """Does one fault, to its end."""
         await asyncio.sleep(max(0.0, self.zero + fault.at_s - monotonic()))
         if fault.coordinator:
-            names = [n for n in [self.freezes.coordinator()] if n in self.observer.living()]
+            names = [n for n in [self.freezes.coordinator()] if n in self.living()]
         writing: dict[str, Any] = {}
         if fault.writing:
             found = await asyncio.gather(*(self.writes(self.nodes[n]) for n in names))
             writing = {"writing": [n for n, one in zip(names, found, strict=True) if one]}
         self.fault(fault, index, names, "begins")
         self.faults[-1] |= writing
-        nodes = [self.nodes[n] for n in names]
+        nodes = [self.nodes[n] for n in names if n in self.nodes]
+        hollow = [n for n in names if n not in self.nodes]
         if fault.kind == "list":
             assert self.agents is not None
             told = self.agents.change(fault.drain, fault.gone, fault.add, fault.halves)
             self.faults[-1] |= told
+            if self.hollows is not None:
+                self.hollows.listed(self.agents.lists[-1], told["version"], not fault.halves)
             self.audits.listed(told["version"], monotonic(), fault.halves, [*fault.drain, *fault.gone])
             return
         if fault.kind.startswith("zone-"):
             await self.strike_zones(fault, names)
         elif fault.kind.startswith("agent-"):
-            assert self.agents is not None
-            for n in names:
-                self.agents.agents[n].turn(fault.kind)
-                self.audits.agent(n, monotonic(), fault.kind)
+            self.turn(names, fault.kind)
             if not fault.for_s:
                 return
             await asyncio.sleep(fault.for_s)
-            for n in names:
-                self.agents.agents[n].turn("")
-                self.audits.agent(n, monotonic(), "")
+            self.turn(names, "")
         elif fault.kind == "pause":
+            for name in names:
+                self.observer.paused(name, monotonic(), fault.for_s)
             for node in nodes:
-                self.observer.paused(node.name, monotonic(), fault.for_s)
                 node.signal(signal.SIGSTOP)
                 self.freezes.stopped(node.name, time(), killed=False)
+            await self.tell_hollow(hollow, "pause")
             await asyncio.sleep(fault.for_s)
             for node in nodes:
                 node.signal(signal.SIGCONT)
+            await self.tell_hollow(hollow, "resume")
         elif fault.kind == "upgrade":
             await asyncio.gather(*(self.upgrade(node) for node in nodes))
         else:
@@ -267,21 +305,44 @@
                 node.signal(signal.SIGTERM if fault.kind == "leave" else signal.SIGKILL)
                 self.observer.ended(node.name, monotonic(), fault.kind)
                 self.freezes.stopped(node.name, time(), killed=True)
+            await self.tell_hollow(hollow, "leave" if fault.kind == "leave" else "kill")
+            for name in hollow:
+                self.observer.ended(name, monotonic(), fault.kind)
             if fault.kind != "restart":
                 return
             if fault.lose:
                 for node in nodes:
                     shutil.rmtree(node.folder / "store", ignore_errors=True)
             await asyncio.sleep(fault.for_s)
-            await asyncio.gather(*(self.start(n) for n in names))
+            for name in hollow:
+                self.observer.started(name, monotonic())
+            await asyncio.gather(
+                self.tell_hollow(hollow, "start"), *(self.start(node.name) for node in nodes)
+            )
         self.fault(fault, index, names, "ends")
 
+    async def tell_hollow(self, names: list[str], do: str) -> None:
+        """Has something done to hollow nodes."""
+        if names:
+            assert self.hollows is not None
+            await self.hollows.to(names, do)
+
+    def turn(self, names: list[str], mode: str) -> None:
+        """The agents of some nodes break, or are well again."""
+        assert self.agents is not None
+        for n in names:
+            if n in self.agents.agents:
+                self.agents.agents[n].turn(mode)
+                self.audits.agent(n, monotonic(), mode)
+        if self.hollows is not None:
+            self.hollows.turn(names, mode)
+
     async def strike_zones(self, fault: Fault, names: list[str]) -> None:
         """Servers of some zones are in trouble for the calls of some nodes, now and then again."""
         s = self.swarm
-        zones, count = s.world.zones, s.servers.count + s.servers.spare
+        zones, count = s.zone_names, s.servers.count + s.servers.spare
         servers = [i for i in range(count) if zones[i % len(zones)] in fault.zones]
-        nodes = None if len(names) == len(s.names) else names
+        nodes = None if set(names) >= set(s.names) else names
         for turn in range(fault.times):
             await asyncio.sleep(max(0.0, self.zero + fault.at_s + turn * fault.every_s - monotonic()))
             for kind, lasts in ((fault.kind.removeprefix("zone-"), fault.for_s), ("", 0.0)):
@@ -324,7 +385,7 @@
         began = monotonic()
         until = min(began + call.patience_s, self.zero + self.swarm.world.watch_s)
         while monotonic() < until:
-            living = self.observer.living()
+            living = self.living()
             if name == "coordinator":
                 made.node = self.freezes.coordinator() or living[0]
             if made.node not in living:
@@ -373,13 +434,17 @@
         return dict(json.loads(answer.body))
 
     async def all_stats(self) -> dict[str, dict[str, Any]]:
-        names = self.observer.living()
+        names = self.living()
         found = await asyncio.gather(*(self.stats(self.nodes[n]) for n in names))
         return {n: f for n, f in zip(names, found, strict=True) if f is not None}
 
+    def living(self) -> list[str]:
+        """Real nodes that live."""
+        return [name for name in self.observer.living() if name in self.nodes]
+
     def processes(self) -> dict[str, psutil.Process]:
         found = {}
-        for name in self.observer.living():
+        for name in self.living():
             process = self.nodes[name].process
             if process is not None and process.returncode is None:
                 found[name] = psutil.Process(process.pid)
@@ -407,6 +472,24 @@
                     continue  # ended between two looks
             await asyncio.sleep(SAMPLE)
 
+    async def guard(self, play: asyncio.Task[Any]) -> None:
+        """Ends a run with hollow nodes that comes to use more memory than it may."""
+        bound = bound_mb(self.swarm)
+        while True:
+            await asyncio.sleep(GUARD)
+            used = 0.0
+            pids = [p.pid for p in self.helpers if p.returncode is None]
+            pids += [n.process.pid for n in self.nodes.values() if n.process and n.process.returncode is None]
+            for pid in (os.getpid(), *pids):
+                try:
+                    used += psutil.Process(pid).memory_info().rss / 1e6
+                except psutil.Error:
+                    continue
+            if used > bound:
+                self.outgrown = f"{used:.0f} MB in use where {bound:.0f} are the most"
+                play.cancel()
+                return
+
     def cpu(self) -> dict[int, float]:
         found = {}
         for process in self.processes().values():
@@ -420,7 +503,36 @@
     # ---- the whole ------------------------------------------------------------------------------------
 
     async def play(self) -> Result:
-        """All of it. A SwarmError if the surroundings cannot be had."""
+        """All of it. A SwarmError if the surroundings cannot be had, or hollow nodes do not fit in."""
+        check_fits(self.swarm)
+        if self.swarm.hollow is None:
+            return await self.played()
+        task = asyncio.ensure_future(self.played())
+        guard = asyncio.ensure_future(self.guard(task))
+        longest = self.longest()
+        try:
+            async with asyncio.timeout(longest):
+                return await task
+        except TimeoutError:
+            raise SwarmLate(f"not over after {longest:.0f} s") from None
+        except asyncio.CancelledError:
+            if self.outgrown:
+                raise SwarmOutgrown(self.outgrown) from None
+            raise
+        finally:
+            guard.cancel()
+
+    def longest(self) -> float:
+        """Seconds that a run with hollow nodes may take at the most."""
+        s = self.swarm
+        assert s.hollow is not None
+        w = s.world
+        starts = START_TIME * (1 + w.nodes / STARTS) + 3 * s.hollow.count / s.hollow.start_per_s
+        ends = max((f.at_s + f.for_s for f in s.faults), default=0.0)
+        return starts + w.settle_s + max(w.watch_s, ends) + w.agree_s + 120.0
+
+    async def played(self) -> Result:
+        """All of it, from the first process to the last figure."""
         s = self.swarm
         try:
             self.servers = await self.build()
@@ -429,10 +541,15 @@
             figures["settle_s"] = settled
             load = figures.pop("load", None)
             figures |= of_servers(self.looks)
-            claims = [(e, e.holds(figures.get(e.figure))) for e in s.expects]
-            return Result(
+            if self.void:  # a figure of the machine is none of the nodes
+                figures = {k: v for k, v in figures.items() if k.startswith("loop_late")}
+            claims = [(e, e.holds(figures.get(e.figure))) for e in s.expects if not self.void]
+            result = Result(
                 s.name, s.world.seed, s.world.nodes, figures, claims, self.faults, self.looks, load or {}
             )
+            result.hollow, result.void = len(s.hollow_names), self.void
+            result.costs = self.costs if not self.void else []
+            return result
         finally:
             await self.end()
 
@@ -443,6 +560,8 @@
         self.observer.zero = self.zero = self.last_fault = monotonic()
         assert self.network is not None and self.network.stdin is not None
         self.network.stdin.write(b"begin\n")
+        if self.hollows is not None:
+            await self.hollows.begin(self.zero)
         self.spawn(self.follow(self.network))
         load = await self.load() if s.load is not None else None
         await self.look()
@@ -464,8 +583,9 @@
         watched = monotonic() - self.zero
         assert self.servers is not None and self.servers.stdin is not None
         after, cpu_after = await self.all_stats(), self.cpu()
+        of_hollow = await self.hollow_costs(before, after, cpu_before, cpu_after, watched)
         agree = await self.agree()
-        figures: dict[str, Any] = self.observer.figures(monotonic())
+        figures: dict[str, Any] = self.observer.figures(monotonic()) | of_hollow
         sent = [
             (after[n]["membership"]["sent_bytes"] - before[n]["membership"]["sent_bytes"]) / watched
             for n in after
@@ -484,6 +604,11 @@
             missed = counts.pop("missed")
             figures |= {"load": counts, "failed": counts["failed"]}
             figures["served"] = counts["served"] / max(1, counts["asked"])
+        if self.hollows is not None:
+            lives = self.observer.lives
+            stayed = [n for n in s.hollow_names if len(lives[n]) == 1 and lives[n][0].end is None]
+            figures |= self.hollows.of_told([n for n in stayed if not lives[n][0].pauses])
+            figures["disagreements"] += self.hollows.wrong
         if s.forecast is not None:
             pages = await asyncio.gather(*(self.stats(node, "forecast") for node in self.nodes.values()))
             figures |= of_forecasts([page for page in pages if page is not None])
@@ -508,6 +633,70 @@
                 figures |= await self.ledgers(arrivals)
         return figures
 
+    async def hollow_costs(
+        self,
+        before: dict[str, dict[str, Any]],
+        after: dict[str, dict[str, Any]],
+        cpu_before: dict[int, float],
+        cpu_after: dict[int, float],
+        watched: float,
+    ) -> dict[str, float | None]:
+        """What a hollow and a real node of the same run have used, beside each other."""
+        if self.hollows is None:
+            return {}
+        cost, figures, self.void = await self.hollows.costs()
+        real = self.real_cost(before, after, cpu_before, cpu_after, watched)
+        self.costs = [c for c in (real, cost) if c is not None]
+        if real is not None:
+            figures |= {
+                "real_core_percent": real.core_percent,
+                "real_memory_mb": real.memory_mb,
+                "real_bytes_per_s": real.bytes_per_s,
+            }
+        if real is not None and cost is not None:
+            figures["share_core"] = cost.core_percent / real.core_percent if real.core_percent else None
+            figures["share_bytes"] = cost.bytes_per_s / real.bytes_per_s if real.bytes_per_s else None
+        return figures
+
+    def real_cost(
+        self,
+        before: dict[str, dict[str, Any]],
+        after: dict[str, dict[str, Any]],
+        cpu_before: dict[int, float],
+        cpu_after: dict[int, float],
+        watched: float,
+    ) -> NodeCost | None:
+        """The mean of the real nodes that lived throughout: processor and memory as the system has it."""
+        processes = self.processes()
+        names = [n for n in after if n in before and n in processes and len(self.observer.lives[n]) == 1]
+        if not names:
+            return None
+        sums: dict[str, list[float]] = {}
+        worst = core = memory = 0.0
+        for name in names:
+            then, mine = sent_by(before[name]), 0.0
+            for part, (number, size) in sent_by(after[name]).items():
+                entry = sums.setdefault(part, [0.0, 0.0])
+                entry[0] += number - then.get(part, (0, 0))[0]
+                entry[1] += size - then.get(part, (0, 0))[1]
+                mine += size - then.get(part, (0, 0))[1]
+            worst = max(worst, mine / watched)
+            pid = processes[name].pid
+            core += cpu_after.get(pid, 0.0) - cpu_before.get(pid, 0.0)
+            memory += processes[name].memory_info().rss / 1e6
+        each = watched * len(names)
+        return NodeCost(
+            kind="real",
+            nodes=len(names),
+            core_percent=100 * core / each,
+            memory_mb=memory / len(names),
+            bytes_per_s=sum(size for _, size in sums.values()) / each,
+            bytes_by_part={part: size / each for part, (_, size) in sums.items()},
+            datagrams_per_s=sum(number for number, _ in sums.values()) / each,
+            datagrams_by_part={part: number / each for part, (number, _) in sums.items()},
+            worst_bytes_per_s=worst,
+        )
+
     async def ledgers(self, arrivals: dict[str, list[tuple[float, int]]]) -> dict[str, float | None]:
         """What the stand-in servers counted, held against the nodes' ledgers."""
         lived, killed = [0, 0], [0, 0]
@@ -564,13 +753,33 @@
         ends = [self.zero + r.at_s + r.for_s for r in self.swarm.datagrams if r.for_s is not None]
         last = max([self.last_fault, *ends])
         limit = monotonic() + self.swarm.world.agree_s
-        while self.observer.disagreements():
-            if monotonic() > limit:
-                return None
+        agreed = True
+        while agreed and await self.disagree():
+            agreed = monotonic() <= limit
             self.tell("agreeing", self.swarm.world.agree_s - (limit - monotonic()), self.swarm.world.agree_s)
             await asyncio.sleep(LOOK)
+        if self.hollows is not None:
+            await self.hear_hollow()
+            if agreed:
+                told = max((t["last"] for t in self.hollows.told), default=last)
+                told = max([told, *(x.at for x in self.observer.said[-1:])])
+                return max(0.0, told - last)
+        if not agreed:
+            return None
         return max(0.0, max((x.at for x in self.observer.said if x.at > last), default=last) - last)
 
+    async def hear_hollow(self) -> None:
+        """What the hollow nodes have told of members comes to the observer."""
+        assert self.hollows is not None
+        self.observer.heard = await self.hollows.hear()
+        if left := sum(t["left_out"] for t in self.hollows.told):
+            self.void = self.void or f"{left} changes of members were more than a process keeps"
+        self.observer.refuted += sum(t["refuted"] for t in self.hollows.told)
+        for kind in self.observer.reach:
+            self.observer.reach[kind] += sum(t["reach"][kind] for t in self.hollows.told)
+        ended = [n for n, lives in self.observer.lives.items() if lives and lives[-1].end is not None]
+        self.observer.holding = await self.hollows.holding(ended)
+
     async def load(self) -> asyncio.subprocess.Process:
         """Clients before all nodes; one node in ten may get more than the others."""
         load = self.swarm.load
@@ -602,10 +811,19 @@
             if process.returncode is None:
                 process.kill()
         await asyncio.gather(*(p.wait() for p in self.helpers), *(n.end() for n in self.nodes.values()))
+        if self.hollows is not None:
+            await self.hollows.end()
         if self.agents is not None:
             self.agents.close()
 
 
+def sent_by(stats: dict[str, Any]) -> dict[str, tuple[float, float]]:
+    """Datagrams and bytes that a node has sent, by part, from its `/admin/stats`."""
+    membership = stats.get("membership", {})
+    tables = {"membership": membership, "records": membership.get("records", {})} | stats.get("channels", {})
+    return {part: (t["sent"], t["sent_bytes"]) for part, t in tables.items() if "sent_bytes" in t}
+
+
 def count_at(times: list[float], at: float) -> int:
     """Calls that had come until a moment."""
     return bisect_left(times, at)
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -1,12 +1,14 @@
 """Scripts of swarms: TOML, checked whole before a process starts. `docs/swarm.md` shows each key.
 
-Nodes are named n0, n1, ...; node i lies in zone i modulo the number of zones. Times count from the moment at
-which all nodes hold each other alive.
+Nodes are named n0, n1, ..., hollow ones h0, h1, ...; node i lies in zone i modulo the number of zones. Times
+count from the moment at which all nodes hold each other alive.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from functools import cached_property
 from pathlib import Path
 from random import Random
 from typing import Annotated, Any, Literal
@@ -61,6 +63,17 @@
     services: Annotated[int, Meta(ge=1, le=10_000)] = 140
     late_ms: Annotated[float, Meta(gt=0, le=60_000)] = 250.0  # a shared loop's p99 above it: void
     memory_mb: Annotated[float, Meta(gt=0)] | None = None  # of all processes; None: half of the machine's
+    start_per_s: Annotated[float, Meta(gt=0, le=10_000)] = 50.0  # that start in a second, of all
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where a node of a world with hollow ones stands."""
+
+    zone: str
+    region: str
+    rack: str  # ZONE/N
+    service: int
 
 
 class Servers(Form, frozen=True):
@@ -137,7 +150,7 @@
         )
 
 
-class Swarm(Form, frozen=True):
+class Swarm(Form, frozen=True, dict=True):
     """A whole script."""
 
     world: World
@@ -166,16 +179,71 @@
         found = {name: getattr(self, name) for name in names}
         return {name: table for name, table in found.items() if table is not None}
 
+    @property
+    def members(self) -> dict[str, Any]:
+        """The operators' file's `[membership]`, without addresses."""
+        return self.membership | ({"regions": self.regions} if self.hollow is not None else {})
+
     @property
     def names(self) -> list[str]:
+        """Nodes that are processes of their own."""
         return [f"n{i}" for i in range(self.world.nodes)]
 
+    @property
+    def hollow_names(self) -> list[str]:
+        return [f"h{i}" for i in range(self.hollow.count)] if self.hollow is not None else []
+
+    @property
+    def all_names(self) -> list[str]:
+        return self.names + self.hollow_names
+
+    @property
+    def zone_names(self) -> list[str]:
+        """The zones: the script's, or those of a world with hollow nodes, z0, z1, ..."""
+        if self.hollow is not None:
+            return [f"z{i}" for i in range(self.hollow.zones)]
+        return self.world.zones
+
+    @property
+    def regions(self) -> dict[str, list[str]]:
+        """The zones of each region, with hollow nodes: zone i lies in region i modulo their number."""
+        if self.hollow is None:
+            return {}
+        count, zones = self.hollow.regions, self.zone_names
+        return {f"r{i}": zones[i::count] for i in range(min(count, len(zones)))}
+
     def zone(self, name: str) -> str:
-        return self.world.zones[int(name[1:]) % len(self.world.zones)]
+        zones = self.zone_names
+        return zones[int(name[1:]) % len(zones)]
+
+    def stand(self, name: str) -> Place | None:
+        """Where a node stands, in a world with hollow ones."""
+        if self.hollow is None:
+            return None
+        index, wish = int(name[1:]), self.hollow
+        zone = index % wish.zones
+        rack = index // wish.zones % wish.racks
+        return Place(f"z{zone}", f"r{zone % wish.regions}", f"z{zone}/{rack}", index % wish.services)
+
+    @cached_property
+    def groups(self) -> Mapping[str, frozenset[str]]:
+        """The nodes of each zone, and of each region, rack and service, by the pattern that means them."""
+        found: dict[str, set[str]] = {f"@{zone}": set() for zone in self.zone_names}
+        for name in self.all_names:
+            found.setdefault(f"@{self.zone(name)}", set()).add(name)
+            stand = self.stand(name)
+            if stand is not None:
+                for kind, value in (
+                    ("region", stand.region),
+                    ("rack", stand.rack),
+                    ("service", stand.service),
+                ):
+                    found.setdefault(f"@{kind}:{value}", set()).add(name)
+        return {pattern: frozenset(names) for pattern, names in found.items()}
 
     def place(self, index: int) -> dict[str, int]:
         """What the platform tells a node of its place."""
-        count = self.world.nodes
+        count = len(self.all_names)
         if self.world.platform == "same":
             return {"group_size": count, "self_index": 0}
         if self.world.platform == "half":
@@ -183,10 +251,12 @@
         return {"group_size": count, "self_index": index}
 
     def resolve(self, patterns: Sequence[str]) -> list[str]:
-        """The nodes that names, patterns and zones (`@a`) mean."""
-        zones = {p[1:] for p in patterns if p.startswith("@")}
+        """The nodes that names, patterns and places (`@a`, `@region:r1`) mean."""
+        meant: set[str] = set()
+        for pattern in patterns:
+            meant |= self.groups.get(pattern, frozenset())
         plain = [p for p in patterns if not p.startswith("@")]
-        return [n for n in self.names if matches(n, plain) or self.zone(n) in zones]
+        return [n for n in self.all_names if n in meant or matches(n, plain)]
 
     def struck(self) -> list[list[str]]:
         """The nodes that each fault strikes: the same in each run with the same seed."""
@@ -200,11 +270,15 @@
         return found
 
 
-def load(path: Path, changes: dict[str, Any] | None = None) -> Swarm:
-    """Reads a script; `changes` of `[world]` take precedence. A ScriptError says what is wrong with it."""
+def load(path: Path, changes: dict[str, Any] | None = None, hollow: dict[str, Any] | None = None) -> Swarm:
+    """Reads a script; `changes` of `[world]`, and `hollow` of `[hollow]`, take precedence. A ScriptError says
+    what is wrong with it."""
     table = read_table(path)
-    if isinstance(table.get("world"), dict):
-        table["world"] |= changes or {}
+    for key, wish in (("world", changes), ("hollow", hollow)):
+        if isinstance(table.get(key), dict):
+            table[key] |= wish or {}
+        elif wish and key == "hollow":
+            raise ScriptKey("missing; the wish is about hollow nodes", f"{path}: hollow")
     return read(table, str(path))
 
 
@@ -212,11 +286,11 @@
     """A Swarm from decoded TOML; a ScriptError otherwise."""
     known = (
         *("name", "world", "membership", "spread", "audit", "store", "freeze", "zones", "locality"),
-        *("shards", "forecast", "servers", "load"),
+        *("shards", "forecast", "servers", "hollow", "load"),
         *("fault", "datagram", "call", "expect"),
     )
     known_keys(table, known, where, "")
-    parts = {"world": World, "servers": Servers, "load": Load}
+    parts = {"world": World, "servers": Servers, "hollow": Hollow, "load": Load}
     for key, form in parts.items():
         if isinstance(table.get(key), dict):
             known_keys(table[key], form.__struct_fields__, where, f"{key}.")
@@ -226,11 +300,12 @@
                 known_keys(entry, many.__struct_fields__, where, f"{key}[{i}].")
     try:
         swarm = msgspec.convert({k: v for k, v in table.items() if k != "datagram"}, Swarm)
-        build({"membership": swarm.membership} | swarm.tables, where)
+        build({"membership": swarm.members} | swarm.tables, where)
     except msgspec.ValidationError as e:
         raise invalid(e, where) from None
     except OperationError as e:
         raise ScriptValue(e.what, e.where) from None
+    check_hollow(swarm, where)
     taken = {"listen", "advertise", "seeds"} & swarm.membership.keys()
     if taken:
         raise ScriptKey(
@@ -246,14 +321,17 @@
         rules.append(rule | named)
     for i, fault in enumerate(swarm.faults):
         if not swarm.resolve(fault.nodes):
+            raise ScriptValue(f"no node of {span(swarm)} is meant", f"{where}: fault[{i}].nodes")
+        if fault.kind == "upgrade" and set(swarm.resolve(fault.nodes)) - set(swarm.names):
             raise ScriptValue(
-                f"no node of n0 to n{swarm.world.nodes - 1} is meant", f"{where}: fault[{i}].nodes"
+                "a hollow node has no socket to hand on; name real ones, such as n*",
+                f"{where}: fault[{i}].nodes",
             )
         if fault.kind in ("pause", "restart") and fault.for_s <= 0:
             raise ScriptKey(f"missing; a {fault.kind} needs it", f"{where}: fault[{i}].for_s")
         if fault.kind.startswith("zone-"):
-            if not fault.zones or set(fault.zones) - set(swarm.world.zones):
-                raise ScriptValue("some of world.zones", f"{where}: fault[{i}].zones")
+            if not fault.zones or set(fault.zones) - set(swarm.zone_names):
+                raise ScriptValue(f"some of {', '.join(swarm.zone_names)}", f"{where}: fault[{i}].zones")
             if fault.for_s <= 0 or fault.times > 1 and fault.every_s <= fault.for_s:
                 raise ScriptKey("needs for_s, and every_s above it", f"{where}: fault[{i}].for_s")
         servers = {f"s{n}" for n in range(swarm.servers.count + swarm.servers.spare)}
@@ -275,6 +353,41 @@
     return msgspec.structs.replace(swarm, datagrams=read_rules(rules, where))
 
 
+def span(swarm: Swarm) -> str:
+    """The nodes that there are, in words."""
+    words = f"n0 to n{swarm.world.nodes - 1}"
+    return words + (f" and h0 to h{swarm.hollow.count - 1}" if swarm.hollow is not None else "")
+
+
+def check_hollow(swarm: Swarm, where: str) -> None:
+    """A ScriptError for a `[hollow]` that contradicts the rest."""
+    hollow = swarm.hollow
+    if hollow is None:
+        return
+    if swarm.world.zones != ["a"]:
+        raise ScriptKey(
+            f"[hollow] names the zones, z0 to z{hollow.zones - 1}; take it out", f"{where}: world.zones"
+        )
+    if hollow.regions > hollow.zones:
+        raise ScriptValue(f"more than the {hollow.zones} zones", f"{where}: hollow.regions")
+    if hollow.processes > hollow.count:
+        raise ScriptValue(f"more than the {hollow.count} nodes", f"{where}: hollow.processes")
+    if "regions" in swarm.membership:
+        raise ScriptKey("[hollow] says which zones a region has; take it out", f"{where}: membership.regions")
+    for table in ("shards", "forecast"):
+        if getattr(swarm, table) is not None:
+            raise ScriptKey(
+                "is about clients' requests, and hollow nodes get none; take it out", f"{where}: {table}"
+            )
+    if (swarm.spread or {}).get("weights"):
+        raise ScriptKey("goes by what nodes send, and hollow ones send nothing", f"{where}: spread.weights")
+    strange = set((swarm.freeze or {}).get("electors", ())) - set(swarm.names)
+    if strange:
+        raise ScriptValue(
+            f"{min(strange)} is no real node, and electors need a store", f"{where}: freeze.electors"
+        )
+
+
 # What a run reports, with what each means.
 FIGURES = {
     "settle_s": "from the first start until all hold each other alive",
@@ -359,6 +472,25 @@
     "zone_kept_most": "part of its calls that a node of a struck zone kept near, from 3 s after the fault's "
     "begin to its end, most",
     "zone_kept_apart": "the same, most less least of a zone's nodes, worst fault",
+    "hollow_core_percent": "of one core, that a hollow node uses: its share of its process",
+    "hollow_memory_mb": "of a hollow node: its share of its process",
+    "hollow_bytes_per_s": "that a hollow node sends, all parts, mean",
+    "hollow_worst_bytes_per_s": "the same, of the one that sends most",
+    "hollow_datagrams_per_s": "that a hollow node sends, mean",
+    "hollow_dropped": "datagrams that found a hollow node's socket full",
+    "hollow_faults": "callbacks of hollow nodes that raised: faults of the program",
+    "real_core_percent": "of one core, that a real node beside hollow ones uses, mean",
+    "real_memory_mb": "of a real node's process at the end of the watch, mean",
+    "real_bytes_per_s": "that a real node sends, all parts, mean",
+    "share_core": "hollow_core_percent over real_core_percent",
+    "share_bytes": "hollow_bytes_per_s over real_bytes_per_s",
+    "loop_late_p99_ms": "by how much a shared loop calls late what is due, 99th percentile, worst process",
+    "loop_late_worst_ms": "the same, the latest",
+    "change_p99_s": "from a list's change until a hollow node acts on it, 99th percentile, worst list",
+    "change_last_s": "the same, the last node",
+    "change_missing": "pairs of a list and a node that lived throughout and never acted on it or a later one",
+    "wrong_standings": "times that a hollow node held another for a straggler or the like",
+    "hollow_shut_out": "times that a hollow node was shut out",
     "calls_unanswered": "operators' calls that were not answered for good in time",
     "call_s": "until an operators' call was answered, longest",
 }
--- a/brackenladder/net/hosting.py
+++ b/brackenladder/net/hosting.py
@@ -372,12 +372,20 @@
                 continue
             if figures is not None:
                 found[table] = figures
+        sent = self.sent()
+        if sent:
+            found["channels"] = {t: {"sent": count, "sent_bytes": size} for t, (count, size) in sent.items()}
         if self.changes.waiting:
             found["waiting"] = self.changes.figures()
         if self.failed:
             found["stopped_parts"] = sorted(self.failed)
         return found
 
+    def sent(self) -> dict[str, tuple[int, int]]:
+        """Datagrams and bytes that parts have sent on channels of their own, by table."""
+        counts = {table: [c.counters for c in channels] for table, channels in self.channels.items()}
+        return {t: (sum(c.sent for c in of), sum(c.sent_bytes for c in of)) for t, of in counts.items()}
+
     def zone(self) -> str:
         """The name of this node's zone."""
         here = self.node.settings.zone
