--- a/brackenladder/cli/swarm.py
+++ b/brackenladder/cli/swarm.py
@@ -18,6 +18,7 @@
 from brackenladder.errors import BrackenladderError
 from brackenladder.lab.swarm.nodes import SwarmEnded, SwarmError
 from brackenladder.lab.swarm.play import Result, play
+from brackenladder.lab.swarm.record import append
 from brackenladder.lab.swarm.script import FIGURES, Swarm, load
 
 
@@ -32,6 +33,11 @@
 @click.option("--nodes", type=click.IntRange(1), help="In place of the script's own.")
 @click.option("--hollow", type=click.IntRange(1), help="Hollow nodes, in place of the script's own count.")
 @click.option("--json", "out", type=click.Path(path_type=Path), help="All figures and faults as JSON.")
+@click.option(
+    "--slopes",
+    type=click.Path(path_type=Path),
+    help="A file benchmarks/slopes/NAME.json, to which the costs of this run are added as a point.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), help="A folder that keeps the nodes' logs.")
 def run(
     script: Path,
@@ -39,6 +45,7 @@
     nodes: int | None,
     hollow: int | None,
     out: Path | None,
+    slopes: Path | None,
     logs: Path | None,
 ) -> None:
     """Play a script; status 0 if all that it expects holds, 1 if not or if the run is void, 2 if it cannot be
@@ -60,6 +67,15 @@
     except OSError as e:  # TimeoutError is one
         stop(SwarmError(e.strerror or str(e) or type(e).__name__, str(script)))
     table(result)
+    if slopes is not None:
+        what = f"{script}: {found.world.nodes} real nodes and hollow ones, real time on loopback"
+        command = f"brackenladder swarm run {script} --hollow N --seed S --slopes {slopes}"
+        try:
+            append(result, what, command, slopes)
+        except BrackenladderError as e:
+            stop(e)
+        except (OSError, msgspec.ValidationError) as e:
+            stop(NotWritable(str(e), str(slopes)))
     if out is not None:
         try:
             out.write_text(json.dumps(msgspec.to_builtins(result), indent=1) + "\n")
--- a/brackenladder/lab/swarm/hollow.py
+++ b/brackenladder/lab/swarm/hollow.py
@@ -33,7 +33,6 @@
 from brackenladder.lab.swarm.wide import WidePlan
 from brackenladder.membership.wire import State
 from brackenladder.net import config as node_config
-from brackenladder.net.parts import Source
 from brackenladder.operation import build
 from brackenladder.transports.interface import Address
 
@@ -84,7 +83,7 @@
 
     def take(self, node: HollowNode, fields: dict[str, Any]) -> None:
         """One change line, as `observe.Observer` reads it."""
-        at = self.last = monotonic()
+        at = monotonic()
         name, old, new = fields["name"], fields["old"], fields["new"]
         if not self.on:
             return
@@ -92,6 +91,7 @@
             self.reach[new] += 1
         if new not in STATES or old not in STATES | {"unknown", "suspected"}:
             return
+        self.last = at
         if name == node.name:
             self.refuted += 1
         elif new != "alive":
@@ -154,6 +154,7 @@
         self.nodes: dict[str, HollowNode] = {}  # those that live
         self.changes = Changes()
         self.lateness = Lateness(loop)
+        self.lateness.begin()  # so that a world that never settles tells why
         self.acted: dict[int, tuple[array[float], array[int]]] = {}  # when who took up a version of the list
         self.said: dict[str, int] = {}  # by event and state
         self.dead: list[HollowNode] = []
@@ -169,11 +170,9 @@
         if event == "member":
             self.changes.take(node, fields)
         elif event == "acts on":
-            version = fields["version"]
-            if version.source is Source.LIST:
-                times, nodes = self.acted.setdefault(version.number, (array("d"), array("H")))
-                times.append(monotonic())
-                nodes.append(node.index)
+            times, nodes = self.acted.setdefault(fields["number"], (array("d"), array("H")))
+            times.append(monotonic())
+            nodes.append(node.index)
         elif event in COUNTED:
             key = f"{event} {fields.get('new', '')}".strip()
             self.said[key] = self.said.get(key, 0) + 1
@@ -276,7 +275,7 @@
 
     def costs(self) -> dict[str, Any]:
         """What the nodes that have lived since the begin have used, as sums, and how late the loop was."""
-        span = monotonic() - self.began
+        span = max(monotonic() - self.began, BEAT)
         sums: dict[str, list[int]] = {}
         worst = 0.0
         for name in self.whole:
--- a/brackenladder/lab/swarm/hollows.py
+++ b/brackenladder/lab/swarm/hollows.py
@@ -250,9 +250,9 @@
 
     def listed(self, halves: Sequence[dict[str, Any]], version: int, whole: bool) -> None:
         """The list has its next version."""
-        self.write({"list": list(halves)})
         if whole:
-            self.lists.append((version, monotonic()))
+            self.lists.append((version, monotonic()))  # before anybody can act on it
+        self.write({"list": list(halves)})
 
     def turn(self, names: Sequence[str], mode: str) -> None:
         """Agents of hollow nodes break, or are well again."""
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -10,7 +10,7 @@
 import statistics
 import sys
 from bisect import bisect_left
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
@@ -272,12 +272,11 @@
         nodes = [self.nodes[n] for n in names if n in self.nodes]
         hollow = [n for n in names if n not in self.nodes]
         if fault.kind == "list":
-            assert self.agents is not None
-            told = self.agents.change(fault.drain, fault.gone, fault.add, fault.halves)
-            self.faults[-1] |= told
-            if self.hollows is not None:
-                self.hollows.listed(self.agents.lists[-1], told["version"], not fault.halves)
-            self.audits.listed(told["version"], monotonic(), fault.halves, [*fault.drain, *fault.gone])
+            self.change(fault)
+            for turn in range(1, fault.times):
+                await asyncio.sleep(max(0.0, self.zero + fault.at_s + turn * fault.every_s - monotonic()))
+                self.fault(fault, index, names, "begins")
+                self.change(fault)
             return
         if fault.kind.startswith("zone-"):
             await self.strike_zones(fault, names)
@@ -321,6 +320,15 @@
             )
         self.fault(fault, index, names, "ends")
 
+    def change(self, fault: Fault) -> None:
+        """The list has its next version."""
+        assert self.agents is not None
+        told = self.agents.change(fault.drain, fault.gone, fault.add, fault.halves)
+        self.faults[-1] |= told
+        if self.hollows is not None:
+            self.hollows.listed(self.agents.lists[-1], told["version"], not fault.halves)
+        self.audits.listed(told["version"], monotonic(), fault.halves, [*fault.drain, *fault.gone])
+
     async def tell_hollow(self, names: list[str], do: str) -> None:
         """Has something done to hollow nodes."""
         if names:
@@ -537,7 +545,7 @@
         try:
             self.servers = await self.build()
             settled = await self.settle()
-            figures = await self.watch() if settled is not None else {}
+            figures = await self.watch() if settled is not None else await self.unsettled()
             figures["settle_s"] = settled
             load = figures.pop("load", None)
             figures |= of_servers(self.looks)
@@ -553,6 +561,17 @@
         finally:
             await self.end()
 
+    async def unsettled(self) -> dict[str, Any]:
+        """Figures of a world that never settled; void if that may be the machine's doing."""
+        if self.hollows is None:
+            return {}
+        _, figures, late = await self.hollows.costs()
+        if late:
+            self.void = f"the nodes did not settle in {self.swarm.world.settle_s:g} s, and {late}"
+        return {k: v for k, v in figures.items() if k.startswith("loop_late")} | {
+            "disagreements": self.observer.disagreements() + self.hollows.wrong
+        }
+
     async def watch(self) -> dict[str, Any]:
         """From the settled world to the last figure."""
         s = self.swarm
@@ -645,7 +664,16 @@
         if self.hollows is None:
             return {}
         cost, figures, self.void = await self.hollows.costs()
-        real = self.real_cost(before, after, cpu_before, cpu_after, watched)
+        # Electors do what no hollow node does, so a real one that is none is what hollow ones stand beside.
+        names = self.swarm.names
+        electors = [n for n in (self.swarm.freeze or {}).get("electors", ()) if n in names]
+        plain = [n for n in names if n not in electors] or names
+        spans = (before, after, cpu_before, cpu_after, watched)
+        real, elector = self.real_cost(plain, *spans), self.real_cost(electors, *spans)
+        if elector is not None:
+            figures["elector_core_percent"] = elector.core_percent
+            figures["elector_bytes_per_s"] = elector.bytes_per_s
+            figures["coordinator_bytes_per_s"] = elector.worst_bytes_per_s
         self.costs = [c for c in (real, cost) if c is not None]
         if real is not None:
             figures |= {
@@ -660,15 +688,18 @@
 
     def real_cost(
         self,
+        names: Sequence[str],
         before: dict[str, dict[str, Any]],
         after: dict[str, dict[str, Any]],
         cpu_before: dict[int, float],
         cpu_after: dict[int, float],
         watched: float,
     ) -> NodeCost | None:
-        """The mean of the real nodes that lived throughout: processor and memory as the system has it."""
+        """The mean of those of some real nodes that lived throughout: processor and memory as the system has
+        it."""
         processes = self.processes()
-        names = [n for n in after if n in before and n in processes and len(self.observer.lives[n]) == 1]
+        names = [n for n in names if n in after and n in before and n in processes]
+        names = [n for n in names if len(self.observer.lives[n]) == 1]
         if not names:
             return None
         sums: dict[str, list[float]] = {}
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -118,7 +118,7 @@
     lose: bool = False  # of a restart: the store is gone
     zones: list[str] = msgspec.field(default_factory=list)  # of `zone-`: whose servers, for calls of `nodes`
     slow_ms: Annotated[float, Meta(gt=0, le=60_000)] = 500.0  # of `zone-slow`: answers come so much later
-    times: Annotated[int, Meta(ge=1, le=1_000)] = 1  # of `zone-`: so often,
+    times: Annotated[int, Meta(ge=1, le=1_000)] = 1  # of `zone-` and `list`: so often,
     every_s: Seconds = 0.0  # from begin to begin
 
 
@@ -338,7 +338,7 @@
         strange = {*fault.drain, *fault.gone} - servers
         if strange:
             raise ScriptValue(f"{min(strange)} is none of s0 to s{len(servers) - 1}", f"{where}: fault[{i}]")
-    if sum(f.add for f in swarm.faults) > swarm.servers.spare:
+    if sum(f.add * f.times for f in swarm.faults) > swarm.servers.spare:
         raise ScriptValue("fewer than all lists add together", f"{where}: servers.spare")
     for i, call in enumerate(swarm.calls):
         if call.node not in ("any", "coordinator", *swarm.names):
@@ -479,7 +479,10 @@
     "hollow_datagrams_per_s": "that a hollow node sends, mean",
     "hollow_dropped": "datagrams that found a hollow node's socket full",
     "hollow_faults": "callbacks of hollow nodes that raised: faults of the program",
-    "real_core_percent": "of one core, that a real node beside hollow ones uses, mean",
+    "elector_core_percent": "of one core, that an elector of the freeze uses, mean",
+    "elector_bytes_per_s": "that an elector of the freeze sends, all parts, mean",
+    "coordinator_bytes_per_s": "the same, of the one that sends most",
+    "real_core_percent": "of one core, that a real node beside hollow ones uses, mean; no elector",
     "real_memory_mb": "of a real node's process at the end of the watch, mean",
     "real_bytes_per_s": "that a real node sends, all parts, mean",
     "share_core": "hollow_core_percent over real_core_percent",
--- a/brackenladder/lab/swarm/shell.py
+++ b/brackenladder/lab/swarm/shell.py
@@ -40,6 +40,7 @@
 
 MOST_AT_ONCE = 32  # datagrams that are read in one go, as the node's own loop does
 LARGEST_READ = 1 << 16
+MOST_HOSTS = 10_000  # that are known to be numbers
 
 
 class Timer:
@@ -250,6 +251,7 @@
         self.fronts: dict[Address, Address] = {}  # of real nodes, by where their process listens
         self.reals: dict[Address, Address] = {}  # the other way
         self.names: dict[Address, str] = {}  # of members, by the address that others are told
+        self.hosts: set[str] = set()  # that are numbers
         self.plan: Plan | None = None
         self.zero: float | None = None  # when the plan's time began, monotonic seconds
 
@@ -273,6 +275,12 @@
         return 0
 
     def sendto(self, data: bytes, to: Address) -> None:
+        """Sends to a numeric address; an OSError or ValueError for any other."""
+        known = self.wire.hosts
+        if to[0] not in known:
+            socket.inet_pton(socket.AF_INET, to[0])  # a name would be looked up while all nodes wait
+            if len(known) < MOST_HOSTS:
+                known.add(to[0])
         with suppress(BlockingIOError):  # as on a network, what finds no room is lost
             self.held.sendto(data, self.wire.reals.get(to, to))
 
@@ -392,11 +400,6 @@
     def say(self, event: str, **fields: Any) -> None:
         self.hollow.heard(self.hollow, event, fields)
 
-    def acts_on(self, version: Any) -> None:
-        if self.versions.get(version.source) != version:
-            self.hollow.heard(self.hollow, "acts on", {"version": version})
-        super().acts_on(version)
-
 
 class Deciders:
     """In place of the balancer: it holds the judges that parts give it, and never asks them."""
@@ -574,6 +577,8 @@
         if listing is not None:
             self.take(self.parts.listed(listing, more), more)
             self.parts.settled()
+            if not more:
+                self.heard(self, "acts on", {"number": listing.version})
 
     def take(self, listing: Listing, more: bool = False) -> None:
         """Keeps which servers are listed."""
--- a/tests/contracts/test_transports.py
+++ b/tests/contracts/test_transports.py
@@ -21,6 +21,7 @@
 from brackenladder.fault.switch import Switch
 from brackenladder.lab.network import Net, Schedule
 from brackenladder.lab.network import Network as Emulation
+from brackenladder.lab.swarm.shell import HollowUdp, NodeLoop, Wire
 from brackenladder.net.udp import MOST_WAITING, Udp
 from brackenladder.transports.interface import LARGEST, Address, TransportError
 from brackenladder.transports.memory import Network
@@ -122,6 +123,20 @@
         return super().lost([e.mux.transport for e in ends])
 
 
+class HollowKit(Kit):
+    """The socket of one node of many in a process."""
+
+    def begin(self) -> None:
+        self.wire = Wire()
+
+    def end(self, at: Address | None = None) -> Any:
+        view = NodeLoop(asyncio.get_running_loop(), lambda what: None)
+        return HollowUdp(at or ("127.0.0.1", 0), f"n{len(self.names)}", self.wire, view)
+
+    def still(self, end: Any, still: bool) -> None:
+        end.read(not still)
+
+
 class SwitchKit(Kit):
     """UDP through the fronts of the fault tool's switch."""
 
@@ -164,6 +179,7 @@
     "udp through the switch": SwitchKit,
     "memory through a plan": faulty(LoopKit),
     "emulated through a plan": faulty(EmulatedKit),
+    "hollow through a plan": faulty(HollowKit),
 }
 KITS: dict[str, type[Any]] = {
     "memory": PumpKit,
@@ -171,6 +187,7 @@
     "emulated": EmulatedKit,
     "udp": Kit,
     "a channel of a shared udp": SharedKit,
+    "hollow": HollowKit,
     **FAULTS,
 }
 
