--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -518,10 +518,13 @@
         task = asyncio.ensure_future(self.played())
         guard = asyncio.ensure_future(self.guard(task))
         longest = self.longest()
+        timer = asyncio.timeout(longest)
         try:
-            async with asyncio.timeout(longest):
+            async with timer:
                 return await task
         except TimeoutError:
+            if not timer.expired():
+                raise  # of something within
             raise SwarmLate(f"not over after {longest:.0f} s") from None
         except asyncio.CancelledError:
             if self.outgrown:
