Tests: runs that outgrow memory or time are ended whole, and points of slopes from runs

Need: the bounds that a run keeps while it goes, and what becomes of a void run in a file of slopes, had no test. Both endings leave no process behind; a broken file of slopes stays as it is.

--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -20,13 +20,17 @@
 from brackenladder.errors import BrackenladderError
 from brackenladder.fault.datagrams import DatagramRule, Plan
 from brackenladder.fault.script import ScriptError
+from brackenladder.lab.scale import slopes
+from brackenladder.lab.scale.interface import NodeCost
 from brackenladder.lab.swarm import hollows
+from brackenladder.lab.swarm import play as swarm_play
 from brackenladder.lab.swarm.agents import Agents
 from brackenladder.lab.swarm.hollow import BEAT, Lateness, Process
-from brackenladder.lab.swarm.hollows import SwarmTooLarge, check_fits, estimate_mb
+from brackenladder.lab.swarm.hollows import SwarmLate, SwarmOutgrown, SwarmTooLarge, check_fits, estimate_mb
 from brackenladder.lab.swarm.nodes import ADDRESSES, PACKAGES, SETTINGS, own_host
 from brackenladder.lab.swarm.play import Play, Result
 from brackenladder.lab.swarm.play import play as play_swarm
+from brackenladder.lab.swarm.record import append
 from brackenladder.lab.swarm.script import read
 from brackenladder.lab.swarm.shell import HollowNode, HollowUdp, NodeLoop, Wire
 from brackenladder.lab.swarm.wide import WidePlan
@@ -525,6 +529,76 @@
     assert run.helpers == [] and run.nodes == {} and list(tmp_path.iterdir()) == []
 
 
+@pytest.mark.parametrize(
+    ("bound", "kind", "words"),
+    [("bound_mb", SwarmOutgrown, "MB in use where 1 are the most"), ("longest", SwarmLate, "not over after")],
+)
+async def test_a_run_that_outgrows_its_bounds_is_ended_with_all_its_processes(
+    bound: str, kind: type[BrackenladderError], words: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    swarm = read(world({"count": 4, "processes": 1}) | {"world": {"nodes": 1, "watch_s": 60.0}}, "s.toml")
+    run = Play(swarm, tmp_path, lambda words, at, of: None)
+    if bound == "longest":
+        monkeypatch.setattr(run, "longest", lambda: 3.0)
+    else:
+        monkeypatch.setattr(swarm_play, "bound_mb", lambda swarm: 1.0)
+    with pytest.raises(kind) as found:
+        await run.play()
+    assert words in found.value.line() and "\n" not in found.value.line()
+    assert run.helpers and all(p.returncode is not None for p in run.helpers)
+    assert all(p.returncode is not None for node in run.nodes.values() for p in node.every)
+
+
+# ---- files of slopes ---------------------------------------------------------------------------------------
+
+
+def run_of(hollow: int, seed: int, **changes: Any) -> Result:
+    """A result as a run makes it."""
+    cost = NodeCost(
+        kind="hollow",
+        nodes=hollow,
+        core_percent=0.5,
+        memory_mb=2.0,
+        bytes_per_s=900.0,
+        bytes_by_part={"membership": 300.0, "records": 600.0},
+        datagrams_per_s=9.0,
+        datagrams_by_part={"membership": 6.0, "records": 3.0},
+        worst_bytes_per_s=1_000.0,
+    )
+    figures = {"settle_s": 4.0, "false_deaths": 0, "change_p99_s": None}
+    result = Result("x", seed, 4, figures, [], [], hollow=hollow, costs=[cost])
+    for key, value in changes.items():
+        setattr(result, key, value)
+    return result
+
+
+def test_a_run_is_a_point_by_its_members_and_one_that_is_void_says_why(tmp_path: Path) -> None:
+    path = tmp_path / "rest.json"
+    append(run_of(60, 1), "what", "command", path)
+    append(run_of(96, 1, void="a shared loop was late"), "what", "command", path)
+    append(run_of(60, 2, figures={"settle_s": None}), "what", "command", path)
+    found = slopes.load(path)
+    points = {(p.size, p.seed): p for p in found.points}
+    figures = points[64, 1].figures
+    assert figures["hollow_core_percent"] == 0.5 and figures["hollow_records_bytes_per_s"] == 600.0
+    assert figures["settle_s"] == 4.0 and "change_p99_s" not in figures
+    assert found.units["hollow_memory_mb"] == "MB" and found.units["hollow_records_bytes_per_s"] == "bytes/s"
+    assert points[100, 1].void == "a shared loop was late" and points[100, 1].figures == {}
+    assert "never held each other" in points[64, 2].void and points[64, 2].figures == {}
+    again = run_of(60, 1)
+    again.costs = []
+    append(again, "what", "command", path)  # the same run once more takes the old one's place
+    assert "hollow_core_percent" not in slopes.load(path).points[0].figures
+
+
+def test_a_broken_file_of_slopes_stays_as_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "rest.json"
+    path.write_text("{")
+    with pytest.raises(slopes.SlopesUnreadable):
+        append(run_of(60, 1), "what", "command", path)
+    assert path.read_text() == "{"
+
+
 # ---- processes ---------------------------------------------------------------------------------------------
 
 
