--- a/brackenladder/cli/swarm.py
+++ b/brackenladder/cli/swarm.py
@@ -18,6 +18,7 @@
 from brackenladder.errors import BrackenladderError
 from brackenladder.lab.swarm.nodes import SwarmEnded, SwarmError
 from brackenladder.lab.swarm.play import Result, play
+from brackenladder.lab.swarm.record import append
 from brackenladder.lab.swarm.script import FIGURES, Swarm, load
 
 
@@ -30,13 +31,28 @@
 @click.argument("script", type=click.Path(path_type=Path))
 @click.option("--seed", type=click.IntRange(0), help="In place of the script's own.")
 @click.option("--nodes", type=click.IntRange(1), help="In place of the script's own.")
+@click.option("--hollow", type=click.IntRange(1), help="Hollow nodes, in place of the script's own count.")
 @click.option("--json", "out", type=click.Path(path_type=Path), help="All figures and faults as JSON.")
+@click.option(
+    "--slopes",
+    type=click.Path(path_type=Path),
+    help="A file benchmarks/slopes/NAME.json, to which the costs of this run are added as a point.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), help="A folder that keeps the nodes' logs.")
-def run(script: Path, seed: int | None, nodes: int | None, out: Path | None, logs: Path | None) -> None:
-    """Play a script; status 0 if all that it expects holds, 1 if not, 2 if it cannot be played."""
+def run(
+    script: Path,
+    seed: int | None,
+    nodes: int | None,
+    hollow: int | None,
+    out: Path | None,
+    slopes: Path | None,
+    logs: Path | None,
+) -> None:
+    """Play a script; status 0 if all that it expects holds, 1 if not or if the run is void, 2 if it cannot be
+    played."""
     changes = {k: v for k, v in (("seed", seed), ("nodes", nodes)) if v is not None}
     try:
-        found = load(script, changes)
+        found = load(script, changes, {"count": hollow} if hollow is not None else None)
     except BrackenladderError as e:
         stop(e)
     try:
@@ -51,6 +67,15 @@
     except OSError as e:  # TimeoutError is one
         stop(SwarmError(e.strerror or str(e) or type(e).__name__, str(script)))
     table(result)
+    if slopes is not None:
+        what = f"{script}: {found.world.nodes} real nodes and hollow ones, real time on loopback"
+        command = f"brackenladder swarm run {script} --hollow N --seed S --slopes {slopes}"
+        try:
+            append(result, what, command, slopes)
+        except BrackenladderError as e:
+            stop(e)
+        except (OSError, msgspec.ValidationError) as e:
+            stop(NotWritable(str(e), str(slopes)))
     if out is not None:
         try:
             out.write_text(json.dumps(msgspec.to_builtins(result), indent=1) + "\n")
@@ -96,12 +121,15 @@
 
 def table(result: Result) -> None:
     """The figures that were had, then what was expected of them."""
-    title = f"{result.name or 'swarm'}: {result.nodes} nodes, seed {result.seed}"
+    hollow = f" and {result.hollow} hollow ones" if result.hollow else ""
+    title = f"{result.name or 'swarm'}: {result.nodes} nodes{hollow}, seed {result.seed}"
     rows = show.plain_table(title, "figure", "value")
     for name in FIGURES:
         if result.figures.get(name) is not None:
             rows.add_row(name, show.number(result.figures[name]))
     show.out.print(rows)
+    if result.void:
+        show.out.print(f"VOID: {result.void}; no figure of this run counts")
     for expect, held in result.claims:
         value: Any = result.figures.get(expect.figure)
         bounds = [f"at most {expect.at_most:g}"] if expect.at_most is not None else []
