--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -157,6 +157,7 @@
     name: str = ""
     membership: dict[str, Any] = msgspec.field(default_factory=dict)  # as in the operators' file
     spread: dict[str, Any] | None = None  # the same
+    cells: dict[str, Any] | None = None
     audit: dict[str, Any] | None = None
     store: dict[str, Any] | None = None
     freeze: dict[str, Any] | None = None
@@ -175,7 +176,7 @@
     @property
     def tables(self) -> dict[str, dict[str, Any]]:
         """Further tables of the operators' file."""
-        names = ("spread", "audit", "store", "freeze", "shards", "forecast", "zones", "locality")
+        names = ("spread", "cells", "audit", "store", "freeze", "shards", "forecast", "zones", "locality")
         found = {name: getattr(self, name) for name in names}
         return {name: table for name, table in found.items() if table is not None}
 
@@ -285,7 +286,7 @@
 def read(table: dict[str, Any], where: str) -> Swarm:
     """A Swarm from decoded TOML; a ScriptError otherwise."""
     known = (
-        *("name", "world", "membership", "spread", "audit", "store", "freeze", "zones", "locality"),
+        *("name", "world", "membership", "spread", "cells", "audit", "store", "freeze", "zones", "locality"),
         *("shards", "forecast", "servers", "hollow", "load"),
         *("fault", "datagram", "call", "expect"),
     )
