Membership: the digest is worked out at its first use, also of a view handed in whole

Worlds that begin settled put members into the decider before its first datagram; a sum kept from the start would have missed them, and every check would have found a difference and exchanged lists. It is now summed when first asked for, and kept by increments from then on. Test seen to fail on the text before: the digests of two such views differed.

--- a/brackenladder/membership/swim.py
+++ b/brackenladder/membership/swim.py
@@ -217,7 +217,7 @@
         self.seq = 0
         self.names: list[str] = []  # of all known members, to draw from
         self.live = 0  # known members that are alive or suspected
-        self.digest = fingerprint(self.me)  # of these and this one: the sum, so that order does not matter
+        self.summed: int | None = None  # `digest`, kept by increments once it was asked for
         self.round: list[str] = []
         self.probe: _Probe | None = None
         self.next_probe = 0
@@ -375,6 +375,14 @@
         """The members taken to be alive or merely suspected, this one included."""
         return [self.me, *(m for m in self.view() if m.state <= State.SUSPECT)]
 
+    @property
+    def digest(self) -> int:
+        """Of all held live, this member among them: the sum of their fingerprints, whatever their order."""
+        if self.summed is None:
+            live = (m for m in self.members.values() if m.state <= State.SUSPECT)
+            self.summed = sum(map(fingerprint, (self.me, *live))) % (1 << 32)
+        return self.summed
+
     # Probes.
 
     def _start_probe(self) -> list[Send]:
@@ -629,7 +637,8 @@
         self._sum(member, +lives)
 
     def _sum(self, member: Member, sign: int) -> None:
-        self.digest = (self.digest + sign * fingerprint(member)) % (1 << 32)
+        if self.summed is not None:
+            self.summed = (self.summed + sign * fingerprint(member)) % (1 << 32)
 
     def _suspect(
         self, member: Member, incarnation: int, source: str, why: str, probe: _Probe | None = None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from brackenladder.lab.membership import GONE, SECOND, Net, Node, World, crowd, reunion, violations, worlds
-from brackenladder.membership.swim import ANSWER_BURST, Send, Swim, SwimSettings, _Probe, fingerprint
+from brackenladder.membership.swim import ANSWER_BURST, Member, Send, Swim, SwimSettings, _Probe, fingerprint
 from brackenladder.membership.wire import VERSION, Ack, Envelope, Gossip, Ping, State, Sync, decode, encode
 
 BASE = SwimSettings()
@@ -395,6 +395,23 @@
     return found
 
 
+def test_the_digest_of_a_view_that_was_handed_in_is_that_of_its_members() -> None:
+    # As worlds that begin settled do: members are put in before the first datagram.
+    one, two = (Swim(n, ("10.0.0.1", p), BASE, seed=1) for n, p in (("a", 1), ("b", 2)))
+    for swim in (one, two):
+        swim.members = {
+            n: Member(n, "10.0.0.1", p, 0, State.ALIVE, 0)
+            for n, p in (("a", 1), ("b", 2), ("c", 3))
+            if n != swim.name
+        }
+        swim.members["d"] = Member("d", "10.0.0.1", 4, 0, State.DEAD, 0)
+        swim.names, swim.live = list(swim.members), 2
+        swim.join(0, [])
+    assert one.digest == two.digest
+    (answer,) = two.receive(1, one._ask(two.address).data, one.address)
+    assert len(answer.data) < 100
+
+
 def test_seeds_that_are_gone_for_ever_are_asked_once_a_second_by_all_together() -> None:
     # The first is a member, the others are nobody's; each member has its own address among them too.
     for size in (6, 24):
