Swarm: a rest before the watch, and a process that does not answer makes the run void

Need: the first 30 s after all hold each other alive still carry news of the starts (membership 733 bytes/s at 106 members where the lab has some 290 at rest), so rest_s parts the two. At 806 members in six processes on a busy machine (load 11) a look was not answered for 60 s: that is told as void with what to do.

--- a/brackenladder/lab/swarm/hollows.py
+++ b/brackenladder/lab/swarm/hollows.py
@@ -51,6 +51,14 @@
     )
 
 
+class SwarmHeld(SwarmError):
+    """A process of hollow nodes whose loop was held for so long that it did not answer: the run is void."""
+
+    remedy: ClassVar[str] = (
+        "give them more `hollow.processes`, or a lower `hollow.start_per_s`, or play fewer; no figure was had"
+    )
+
+
 class SwarmLate(SwarmError):
     """A swarm that was not over in the time that its script allows; all its processes were ended."""
 
@@ -132,7 +140,8 @@
             async with asyncio.timeout(seconds):
                 answer = await future
         except TimeoutError:
-            raise SwarmError(f"a process of hollow nodes did not answer {wish['do']!r} in time") from None
+            what = f"VOID: a process of hollow nodes did not answer {wish['do']!r} for {seconds:.0f} s"
+            raise SwarmHeld(what) from None
         except ConnectionError:
             raise SwarmError("a process of hollow nodes ended by itself") from None
         if isinstance(answer, dict) and "error" in answer:
--- a/brackenladder/lab/swarm/play.py
+++ b/brackenladder/lab/swarm/play.py
@@ -540,7 +540,7 @@
         w = s.world
         starts = START_TIME * (1 + w.nodes / STARTS) + 3 * s.hollow.count / s.hollow.start_per_s
         ends = max((f.at_s + f.for_s for f in s.faults), default=0.0)
-        return starts + w.settle_s + max(w.watch_s, ends) + w.agree_s + 120.0
+        return starts + w.settle_s + w.rest_s + max(w.watch_s, ends) + w.agree_s + 120.0
 
     async def played(self) -> Result:
         """All of it, from the first process to the last figure."""
@@ -578,6 +578,7 @@
     async def watch(self) -> dict[str, Any]:
         """From the settled world to the last figure."""
         s = self.swarm
+        await asyncio.sleep(s.world.rest_s)
         before, cpu_before = await self.all_stats(), self.cpu()
         self.observer.zero = self.zero = self.last_fault = monotonic()
         assert self.network is not None and self.network.stdin is not None
--- a/brackenladder/lab/swarm/script.py
+++ b/brackenladder/lab/swarm/script.py
@@ -47,6 +47,7 @@
     seeds: Annotated[int, Meta(ge=1)] = 3  # the first so many nodes are the others' seeds
     platform: Literal["right", "same", "half"] = "right"  # what it says of places: see docs/swarm.md
     settle_s: Seconds = 60.0  # at most, until all hold each other alive
+    rest_s: Seconds = 0.0  # from then until the watch begins, so that news of the starts has gone round
     watch_s: Seconds = 20.0  # from then on
     agree_s: Seconds = 30.0  # at most, after the watch, until all agree
 
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -553,6 +553,22 @@
     assert all(p.returncode is not None for node in run.nodes.values() for p in node.every)
 
 
+async def test_a_process_that_does_not_answer_makes_the_run_void() -> None:
+    process = await started()
+    try:
+        process.send_signal(signal.SIGSTOP)
+        worker = hollows.Worker(process, ["h0"], {})
+        worker.reading = asyncio.ensure_future(worker.read())
+        with pytest.raises(hollows.SwarmHeld, match="VOID") as found:
+            await worker.ask(9, {"do": "memory"}, 0.2)
+        assert "'memory'" in found.value.line()
+        process.send_signal(signal.SIGCONT)
+        assert (await worker.ask(10, {"do": "memory"}, PATIENCE))["rss_mb"] > 0  # the late answer is nobody's
+    finally:
+        process.kill()
+        await process.wait()
+
+
 # ---- files of slopes ---------------------------------------------------------------------------------------
 
 
