--- a/brackenladder/lab/scale/gossip.py
+++ b/brackenladder/lab/scale/gossip.py
@@ -296,7 +296,7 @@
         for member in shared.values():
             swim = self.member(member.name, member.port, 0)
             swim.members, swim.names, swim.live = Settled(shared, member.name), names, size - 1
-            swim.digest = digest
+            swim.summed = digest
             swim.join(0, self.seeds)
             every = self.settings.sync_interval * max(1, size // self.settings.sync_members)
             swim.next_sync = self.random.randrange(every)
