--- /dev/null
+++ b/brackenladder/lab/scale/collector.py
@@ -0,0 +1,111 @@
+"""What a collector of cells (`docs/cells.md`), a machine set aside, spends on the words of N cells."""
+
+from __future__ import annotations
+
+from functools import partial
+from itertools import count
+from random import Random
+from statistics import median
+
+from brackenladder.cells.fleet import Collector
+from brackenladder.cells.layout import Layout
+from brackenladder.cells.summary import FORM, Answered, Front, Summary, Told, decode, encode
+from brackenladder.lab.scale.clocks import held, settled, timed
+
+SECOND = 1_000_000
+
+CELL = 70  # members of one
+SPEAKERS = 2  # of each cell
+PERIOD = 2 * SECOND  # between two words of a speaker
+
+
+def collector(size: int, seed: int) -> dict[str, float]:
+    """A collector of N cells of 70 members, two speakers each, one numbering: a word decoded and taken, the
+    sum made and encoded for an answer, a tick. The host makes a sum at most twice a second and ticks once in
+    two."""
+    draw = Random(seed)
+    layout = Layout(size)
+    names: dict[int, list[str]] = {n: [] for n in range(size)}
+    for i in count():
+        name = f"n{i}"
+        there = names[layout.cell_of(name)]
+        if len(there) < SPEAKERS:
+            there.append(name)
+        if all(len(found) == SPEAKERS for found in names.values()):
+            break
+
+    def words(order: int, number: int) -> list[bytes]:
+        front = Front("discovery", number, "0123456789abcdef", CELL, CELL)
+        told = [
+            encode(
+                Told(
+                    Summary(
+                        FORM, layout.digest, cell, name, 1_790_000_000, order, CELL, CELL, CELL, CELL, 0,
+                        (CELL, 0, 0, 0, 0, 0), (front,), 0, (), (("0123456789abcdef", CELL),),
+                        (("0123456789abcdef", CELL),),
+                    )
+                )
+            )
+            for cell, found in names.items()
+            for name in found
+        ]  # fmt: skip
+        draw.shuffle(told)
+        return told
+
+    def taken(into: Collector, now: int, told: list[bytes]) -> None:
+        for data in told:
+            word = decode(data, layout.digest)
+            assert isinstance(word, Summary)
+            into.take(now, word)
+
+    def summed(of: Collector, now: int) -> bytes:
+        of.follow(now)
+        return encode(Answered(of.sum(now)))
+
+    def begun() -> Collector:
+        made = Collector("aside-1", layout, 1)
+        taken(made, SECOND, words(1, 7))
+        made.tick(SECOND)
+        made.sum(SECOND)
+        return made
+
+    made, megabytes = held(begun)
+    takes, ticks, sums = [], [], []
+    told, answer = words(1, 7), b""
+    with settled():
+        for round_ in range(2, 32):
+            now = round_ * PERIOD
+            told = words(round_, 7 + round_ // 4)
+            takes.append(timed(partial(taken, made, now, told), 1).least)
+            ticks.append(timed(partial(made.tick, now), 1).least)
+            sums.append(timed(partial(summed, made, now), 1).least)
+            answer = summed(made, now)
+    assert answer
+    words_per_s = size * SPEAKERS * SECOND / PERIOD
+    take_us = min(takes) * 1e3 / (size * SPEAKERS)
+    return {
+        "words_per_s": words_per_s,
+        "word_bytes": sum(map(len, told)) / len(told),
+        "answer_bytes": float(len(answer)),
+        "received_bytes_per_s": sum(map(len, told)) * SECOND / PERIOD,
+        "sent_bytes_per_s": words_per_s * len(answer),
+        "take_us": take_us,
+        "tick_ms": min(ticks),
+        "sum_ms": min(sums),
+        "sum_middle_ms": median(sums),
+        "memory_mb": megabytes,
+    }
+
+
+COLLECTOR_UNITS = {
+    "words_per_s": "words/s",
+    "word_bytes": "bytes",
+    "answer_bytes": "bytes",
+    "received_bytes_per_s": "bytes/s",
+    "sent_bytes_per_s": "bytes/s",
+    "take_us": "us",
+    "tick_ms": "ms",
+    "sum_ms": "ms",
+    "sum_middle_ms": "ms",
+    "memory_mb": "MB",
+}
--- a/brackenladder/lab/scale/measure.py
+++ b/brackenladder/lab/scale/measure.py
@@ -100,6 +100,10 @@
     "freeze": Recorder(
         "roles", "freeze", "FREEZE_UNITS", "what the coordinator of the freeze does for N members each second"
     ),
+    "collector": Recorder(
+        "collector", "collector", "COLLECTOR_UNITS",
+        "what a collector of N cells of 70 members does, two speakers each", "10,40,100,400", "cells",
+    ),
     "datagram": Recorder(
         "roles", "datagram", "DATAGRAM_UNITS",
         "a datagram of so many bytes over loopback: socket, loop and transport", "100,300,600,900,1200",
