Capacity: a recorder of a node's count of its own cell

The count of the own cell is a pass over all members after each change of who lives, and docs/cells.md had one timing of it.

--- a/brackenladder/lab/scale/collector.py
+++ b/brackenladder/lab/scale/collector.py
@@ -7,10 +7,13 @@
 from random import Random
 from statistics import median
 
+from brackenladder.cells.census import count as count_cell
 from brackenladder.cells.fleet import Collector
 from brackenladder.cells.layout import Layout
 from brackenladder.cells.summary import FORM, Answered, Front, Summary, Told, decode, encode
 from brackenladder.lab.scale.clocks import held, settled, timed
+from brackenladder.lab.scale.views import membership
+from brackenladder.membership.wire import State
 
 SECOND = 1_000_000
 
@@ -109,3 +112,26 @@
     "sum_middle_ms": "ms",
     "memory_mb": "MB",
 }
+
+
+# ---- what each node does for cells ------------------------------------------------------------------------
+
+
+def census(size: int, seed: int) -> dict[str, float]:
+    """A node's count of the own cell among N members, cells of 70: after each change of the members, and each
+    ten seconds (`net.members`)."""
+    swim = membership(size, seed)
+    layout = Layout(max(1, size // CELL))
+
+    def counted() -> None:
+        known = [swim.me, *swim.members.values()]
+        rows = ((m.name, m.zone, m.state <= State.SUSPECT, m.state == State.LEFT) for m in known)
+        count_cell(layout, swim.name, rows)
+
+    counted()
+    with settled():
+        found = timed(counted, max(9, min(60, 20_000 // size)))
+    return {"count_least_ms": found.least, "count_ms": found.median}
+
+
+CENSUS_UNITS = {"count_least_ms": "ms", "count_ms": "ms"}
--- a/brackenladder/lab/scale/measure.py
+++ b/brackenladder/lab/scale/measure.py
@@ -104,6 +104,9 @@
         "collector", "collector", "COLLECTOR_UNITS",
         "what a collector of N cells of 70 members does, two speakers each", "10,40,100,400", "cells",
     ),
+    "census": Recorder(
+        "collector", "census", "CENSUS_UNITS", "a node's count of its own cell among N members, cells of 70"
+    ),
     "datagram": Recorder(
         "roles", "datagram", "DATAGRAM_UNITS",
         "a datagram of so many bytes over loopback: socket, loop and transport", "100,300,600,900,1200",
