--- a/brackenladder/lab/scale/capacity.py
+++ b/brackenladder/lab/scale/capacity.py
@@ -25,6 +25,13 @@
 AFTER = 3  # seconds for which a change is played on once all hold it (`gossip.change`)
 WIRE = 33  # bytes around a datagram: IP 20, UDP 8, the shared port 5
 HELLO = 3  # seeds that a newcomer asks
+CELLS = 40  # of the target's fleet
+CELL = TARGET // CELLS  # members of one on the mean
+LARGEST = 85  # members of the largest of 40 cells by name (`docs/cells.md`: 48 to 85)
+SPEAKERS = 2  # of a cell
+HEARERS = 3  # collectors that a speaker tells
+TOLD = 2  # seconds between two words of a speaker
+SUM_TOLD = 30  # seconds after which a sum is told anew though nothing has moved (`cells.speaker`)
 
 
 @dataclass(frozen=True)
@@ -126,6 +133,42 @@
         found = self.at("membership-rest-before", "bytes_per_s", fleet) + self.beats(scope)
         return found + self.renewals_before(scope) + self.changes(scope) + self.epochs_before(scope)
 
+    # ---- what cells add (`docs/cells.md`) ----------------------------------------------------------------
+
+    def sums(self, scope: float) -> float:
+        """Bytes a second by which the records of the fleet's sum go round in a cell: both speakers write one
+        when a number moves, when it is in force, and each 30 s. Each costs what a word of a change does."""
+        return SPEAKERS * (1 / SUM_TOLD + 2 * CHANGES) * self.change(scope) / scope
+
+    def in_cells(self, fleet: float, scope: float) -> float:
+        """A node's bytes a second, the sums' records among them."""
+        return self.bytes(fleet, scope) + self.sums(scope)
+
+    def in_cells_on_the_wire(self, fleet: float, scope: float) -> float:
+        """The same with the heads of IP, UDP and the shared port."""
+        return self.on_the_wire(fleet, scope) + self.sums(scope)
+
+    def speaker(self, fleet: float) -> float:
+        """Bytes a second that a speaker sends more: its words to three collectors."""
+        return HEARERS / TOLD * self.at("collector", "word_bytes", fleet / CELL)
+
+    def speaker_on_the_wire(self, fleet: float) -> float:
+        """The same with the heads of IP, UDP and the shared port."""
+        return self.speaker(fleet) + WIRE * HEARERS / TOLD
+
+    def collector_core(self, fleet: float) -> float:
+        """Beyond a node's: words taken, two sums a second, a tick each two seconds, the datagrams below."""
+        cells = fleet / CELL
+        words = self.at("collector", "words_per_s", cells)
+        found = words * self.at("collector", "take_us", cells, least=True) / 1e4
+        found += 0.2 * self.at("collector", "sum_ms", cells, least=True)
+        found += 0.05 * self.at("collector", "tick_ms", cells, least=True)
+        return found + words * self.datagram() / 1e4
+
+    def collector_hold(self, fleet: float) -> float:
+        """The sum, or the tick, whichever is longer."""
+        return max(self.at("collector", f, fleet / CELL, least=True) for f in ("sum_ms", "tick_ms"))
+
     # ---- a node's processor time, % of a core ------------------------------------------------------------
 
     def audit(self, scope: float) -> float:
@@ -229,12 +272,12 @@
 
     # ---- roles -------------------------------------------------------------------------------------------
 
-    def coordinator_core(self, fleet: float) -> float:
-        """Beyond a node's: the decider, the encoding, the sending."""
+    def coordinator_core(self, fleet: float, scope: float | None = None) -> float:
+        """Beyond a node's: the decider, the encoding, the sending. Evidence comes from its own cell."""
         sends = self.at("freeze", "coordinator_datagrams_per_s", fleet)
         us = [self.median("datagram", "send_us", size) for size in (100, 300)]
         found = self.at("freeze", "coordinator_core_percent", fleet, least=True)
-        found += self.at("locality", "evidence_core_percent", fleet, least=True)
+        found += self.at("locality", "evidence_core_percent", fleet if scope is None else scope, least=True)
         return found + sends * sum(us) / len(us) / 1e4
 
     def coordinator_hold(self, fleet: float) -> float:
--- a/brackenladder/lab/scale/page.py
+++ b/brackenladder/lab/scale/page.py
@@ -21,10 +21,13 @@
 from brackenladder.lab.scale import verdicts
 from brackenladder.lab.scale.capacity import (
     BYTES,
+    CELL,
+    CELLS,
     CHANGES,
     CORE,
     FORCE,
     HOLD,
+    LARGEST,
     MEMORY,
     TARGET,
     Book,
@@ -40,7 +43,7 @@
 MOST_ROWS = 24  # of the table of a file that is not ours
 TRIAL = "-trial"  # in the name of a file: its figures are trials, and stand in no table but that of the files
 PAGE = files.ROOT / "docs" / "CAPACITY.md"
-CELLS = (70, 100, 160)
+SIZES = (70, 85, 100, 160)
 
 
 class PageUnmarked(BrackenladderError):
@@ -97,6 +100,7 @@
     ("membership-return", "back_changes_a_node", False, "its return: changes at each other node", None, 1),
     ("membership-return", "back_processor_ms", True, "its return: processor time of a node", None, 1),
     ("membership-return", "seed_most_bytes_in_a_second", False, "its return: seed's worst second", None, 1),
+    ("census", "count_least_ms", True, "the count of the own cell, cells of 70", HOLD, 1),
     ("server-list", "change_us", True, "one line of a list of N servers, the module", HOLD, 0.001),
     ("server-list", "holdings_change_us", True, "the same, the digest that the parts tell", HOLD, 0.001),
     ("server-list", "read_change_us", True, "reading an agent's answer with one line", HOLD, 0.001),
@@ -193,9 +197,46 @@
 
 
 def of_first(book: Book) -> str:
+    return what_is_first(first(book))
+
+
+def of_first_cells(book: Book) -> str:
+    """The same as the fleet grows in cells of one size, so that there are more of them."""
+    lines: list[tuple[str, Budget, Callable[[float], float]]] = [
+        (f"bytes, cells of {CELL}", BYTES, lambda n: book.in_cells(n, CELL)),
+        (f"bytes with the heads of IP, UDP and the port, cells of {CELL}", BYTES,
+         lambda n: book.in_cells_on_the_wire(n, CELL)),
+        (f"bytes, the largest cell, of {LARGEST}", BYTES, lambda n: book.in_cells(n, LARGEST)),
+        (f"bytes with the heads, the largest cell, of {LARGEST}", BYTES,
+         lambda n: book.in_cells_on_the_wire(n, LARGEST)),
+        ("of these: the membership", BYTES, book.membership),
+        (f"processor, cells of {CELL}", CORE, lambda n: book.core(n, CELL)),
+        ("memory of control: the code, the membership of all, the views of a cell", MEMORY,
+         lambda n: book.memory(n, CELL)),
+        (f"hold of the loop, 4 a second, the largest cell, of {LARGEST}", HOLD, lambda n: book.hold(LARGEST)),
+        ("hold, seldom: a full exchange of the membership", HOLD,
+         lambda n: book.at("view", "sync_ms", n, least=True)),
+        ("hold, seldom: a change of who lives", HOLD,
+         lambda n: book.at("view", "change_least_ms", n, least=True)),
+        ("hold, seldom: the count of the own cell (census)", HOLD,
+         lambda n: book.at("census", "count_least_ms", n, least=True)),
+        ("a change, until all of a cell hold all words", FORCE, lambda n: book.told(CELL)),
+        ("coordinator, on a machine set aside: bytes, against a node's", BYTES, book.coordinator_bytes),
+        ("coordinator: processor beyond a node's", CORE, lambda n: book.coordinator_core(n, CELL)),
+        ("coordinator: hold of its loop, once a second", HOLD, book.coordinator_hold),
+        ("collector, on a machine set aside: bytes out, against a node's", BYTES,
+         lambda n: book.at("collector", "sent_bytes_per_s", n / CELL)),
+        ("collector: processor beyond a node's", CORE, book.collector_core),
+        ("collector: hold of its loop, twice a second", HOLD, book.collector_hold),
+    ]  # fmt: skip
+    found = [(used_up(cost, b.limit), words, b, cost(TARGET)) for words, b, cost in lines]
+    return what_is_first(sorted(found, key=lambda row: (math.isnan(row[0]), row[0])))
+
+
+def what_is_first(found: list[tuple[float, str, Budget, float]]) -> str:
     rows = [
         [words, f"{b.limit:g} {b.unit}", size(at), f"{number(value)} {b.unit}", margin(value, b)]
-        for at, words, b, value in first(book)
+        for at, words, b, value in found
     ]
     return table(["what", "budget", "used up at N", f"at {TARGET:,}", "margin there"], rows)
 
@@ -219,20 +260,35 @@
 
 def of_roles(book: Book) -> str:
     """By role: messages, bytes, processor time, memory at the target size, the fleet flat."""
-    at = TARGET
-    node = [number(book.bytes(at, at)), number(book.core(at, at)), number(book.memory(at, at))]
+    return roles(book, TARGET)
+
+
+def of_roles_cells(book: Book) -> str:
+    """The same in cells of the mean size, with the roles that there are only there."""
+    return roles(book, CELL)
+
+
+def roles(book: Book, scope: float) -> str:
+    """The table of roles, records going as far as `scope`."""
+    at, flat = TARGET, scope == TARGET
+    own = book.bytes(at, scope) if flat else book.in_cells(at, scope)
+    node = [number(own), number(book.core(at, scope)), number(book.memory(at, scope))]
     sends = book.at("freeze", "coordinator_datagrams_per_s", at)
-    talk = number(book.datagrams(at, at))
+    talk = number(book.datagrams(at, scope))
     lists = book.at("server-list", "module_mb", at) + book.at("server-list", "holdings_mb", at)
+    views = "all views" if flat else f"the membership of all, the views of {scope:g}"
+    news = number(own + book.coordinator_bytes(at))
     rows = [
-        ["node at the front", f"its tiers' servers (2,800 at most: {number(lists, 2)} MB), all views", talk,
+        ["node at the front", f"its tiers' servers (2,800 at most: {number(lists, 2)} MB), {views}", talk,
          *node, "membership, records, audit, locality"],
-        ["node beside a server", "list of 20 or so, all views", talk, *node, "the same"],
-        ["elector", "as a node; term, promises, the replicated state (512 grants, 32 incidents at most)",
-         f"{talk}, 4 beats/s answered", *node, "freeze: election, lease; a write a change"],
-        ["coordinator", "as an elector; who waits, halts", f"{talk}, and {number(sends)}",
-         number(book.bytes(at, at) + book.coordinator_bytes(at)),
-         number(book.core(at, at) + book.coordinator_core(at)), node[2], "freeze: news to all each second"],
+        ["node beside a server", f"list of 20 or so, {views}", talk, *node, "the same"],
+        ["elector (on a machine set aside)", "as a node; term, promises, the replicated state (512 grants, 32"
+         " incidents at most)", f"{talk}, 4 beats/s answered", *node, "freeze: election, lease; a write a"
+         " change"],
+        ["coordinator (one of the electors)", "as an elector; who waits, halts", f"{talk}, and"
+         f" {number(sends)}",
+         news, number(book.core(at, scope) + book.coordinator_core(at, scope)), node[2],
+         f"freeze: news to all each second, a hold of {number(book.coordinator_hold(at))} ms"],
         ["seed", "as a node", f"{talk}, {number(book.at('view', 'sync_datagrams', at))} to each newcomer",
          f"{node[0]}; in its worst second at the return of 311 "
          f"{number(book.at('membership-return', 'seed_most_bytes_in_a_second', at))}",
@@ -240,9 +296,23 @@
         ["agent of discovery (stand-in)", "the list, one watch a node; one agent a node in the swarm",
          "one answer a change and node, one in 58 s", "2,800 answers in 58 s, if one serves all (arithmetic)",
          "unknown", "unknown", "discovery's watch; outside of the program"],
-        ["collector (machine set aside)", "sums of cells", "none: today's text has no such role", "", "", "",
-         "`docs/cells.md`, where it is built"],
     ]  # fmt: skip
+    if not flat:
+        words = book.at("collector", "words_per_s", CELLS)
+        sent, came = (book.at("collector", f"{way}_bytes_per_s", CELLS) for way in ("sent", "received"))
+        memory = book.at("collector", "memory_mb", CELLS)
+        rows[2:2] = [
+            ["speaker (two nodes of each cell)", "as a node; its last word", f"{talk}, and 1.5",
+             f"{number(own + book.speaker(at))}", node[1], node[2],
+             "cells: a word to each of three collectors every 2 s"],
+            [f"collector (machine set aside; {CELLS} cells)", "as a node; four words at most of each cell",
+             f"{talk}, and {number(words)} answered", f"{number(own + sent)}; beyond a node's"
+             f" {number(came)} come"
+             f" in", f"{number(book.core(at, scope) + book.collector_core(at))}, of which"
+             f" {number(book.collector_core(at))} its own",
+             f"{node[2]}, of which {number(memory)} its own",
+             f"cells: the fleet's sum, a hold of {number(book.collector_hold(at))} ms"],
+        ]  # fmt: skip
     head = ["role", "state", "datagrams/s", "bytes/s", "% of a core", "MB for control", "carried by"]
     return table(head, rows)
 
@@ -258,6 +328,9 @@
         ("of these: 1,500 changes a day", lambda fleet, scope: book.changes(scope), BYTES),
         ("datagrams/s", book.datagrams, Budget("", "", math.inf)),
         ("bytes/s with the heads of IP, UDP and the port", book.on_the_wire, BYTES),
+        ("more: records of the fleet's sum, where collectors"
+         " are", lambda fleet, scope: book.sums(scope), BYTES),
+        ("more: the words of a speaker", lambda fleet, scope: book.speaker(fleet), BYTES),
         ("% of a core", book.core, CORE),
         ("of these: audit", lambda fleet, scope: book.audit(scope), CORE),
         ("of these: locality", lambda fleet, scope: book.locality(scope), CORE),
@@ -268,10 +341,10 @@
         ("bytes that come to a newcomer", book.newcomer, Budget("", "", math.inf)),
     ]  # fmt: skip
     for words, cost, budget in parts:
-        values = [cost(TARGET, TARGET), *(cost(TARGET, scope) for scope in CELLS)]
+        values = [cost(TARGET, TARGET), *(cost(TARGET, scope) for scope in SIZES)]
         marked = [f"**{number(v)}**" if v > budget.limit else number(v) for v in values]
         rows.append([words, "" if math.isinf(budget.limit) else number(budget.limit), *marked])
-    head = [f"a node among {TARGET:,}", "budget", "flat", *(f"cells of {scope}" for scope in CELLS)]
+    head = [f"a node among {TARGET:,}", "budget", "flat", *(f"cells of {scope}" for scope in SIZES)]
     return table(head, rows)
 
 
@@ -319,9 +392,14 @@
 def of_cell_sizes(book: Book) -> str:
     """The largest cell that keeps each budget."""
 
+    def speaking(fleet: float, scope: float) -> float:
+        return book.in_cells_on_the_wire(fleet, scope) + book.speaker_on_the_wire(fleet)
+
     lines: list[tuple[str, Callable[[float, float], float], Budget]] = [
         ("bytes", book.bytes, BYTES),
         ("bytes with the heads of IP, UDP and the port", book.on_the_wire, BYTES),
+        ("bytes with the heads, and the fleet's sum", book.in_cells_on_the_wire, BYTES),
+        ("the same, of a speaker", speaking, BYTES),
         ("bytes as it was found", book.bytes_before, BYTES),
         ("processor", book.core, CORE),
         ("memory of control", book.memory, MEMORY),
@@ -344,7 +422,7 @@
 
 def of_mends(book: Book) -> str:
     """What was mended while the page was made: before and after."""
-    n, cell = TARGET, CELLS[0]
+    n, cell = TARGET, SIZES[0]
     rows = [
         ["words renewed under load, bytes/s", number(book.renewals_before(n)), number(book.renewals(n)),
          number(book.renewals_before(cell)), number(book.renewals(cell))],
@@ -477,11 +555,14 @@
 
 BLOCKS: dict[str, Callable[[Book], str]] = {
     "verdicts": verdicts.of_target,
+    "verdicts-cells": verdicts.of_target_cells,
     "leads": verdicts.of_leads,
     "first": of_first,
+    "first-cells": of_first_cells,
     "node": of_node,
     "holds": of_holds,
     "roles": of_roles,
+    "roles-cells": of_roles_cells,
     "cells": of_cells,
     "cell-sizes": of_cell_sizes,
     "mends": of_mends,
--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -1,6 +1,6 @@
 """Each line of the target and each lead of the issue, with its verdict and the figures that it hangs on.
 
-The words stand here, the figures come from the slopes: `{name}` in a text is one of `values`.
+The words stand here, the figures come from the slopes: `{name}` in a lead is one of `values`.
 """
 
 from __future__ import annotations
@@ -9,17 +9,20 @@
 
 from brackenladder.lab.scale.capacity import (
     BYTES,
+    CELL,
+    CELLS,
     CORE,
     EPOCHS,
     FORCE,
     HOLD,
+    LARGEST,
     MEMORY,
     RESTARTS,
     TARGET,
     Book,
     Budget,
 )
-from brackenladder.lab.scale.writing import number, percent, table
+from brackenladder.lab.scale.writing import MISSING, margin, number, percent, table
 
 WORKED = "worked out"
 NOT = "**not carried**"
@@ -41,7 +44,7 @@
 
 
 def values(book: Book) -> dict[str, str]:
-    """The figures of the texts, at the target's size unless the name says otherwise."""
+    """The figures of the leads, at the target's size unless the name says otherwise."""
     n = TARGET
     rest, change, back = "records-rest", "records-change", "membership-return"
     words = book.at("records-newcomer", "received_bytes", n)
@@ -52,15 +55,6 @@
         "tick": book.at("audit", "tick_least_ms", n, True),
         "busy": book.at("audit", "tick_ms", n),
         "audit": book.audit(n),
-        "locality": book.locality(n),
-        "talk": book.talk(n, n),
-        "core": book.core(n, n),
-        "waiting": waiting(book, n),
-        "lists": book.at("server-list", "module_mb", n) + book.at("server-list", "holdings_mb", n),
-        "line": book.at("server-list", "change_us", n, True),
-        "read": book.at("server-list", "read_change_us", n, True),
-        "digest": book.at("server-list", "holdings_change_us", n, True),
-        "bytes": book.bytes(n, n),
         "beats100": book.beats(100),
         "beats200": book.median(rest, "bytes_per_s", 200),
         "beats400": book.median(rest, "bytes_per_s", 400),
@@ -71,26 +65,12 @@
         "renewals_before": book.renewals_before(n),
         "evidence_before": book.at("locality-before", "evidence_ms", n, True),
         "change": book.change(n),
-        "told": book.told(n),
-        "told1600": book.told(1600),
-        "seen1600": book.median(change, "seconds", 1600),
-        "newcomer": book.newcomer(n, n),
         "newcomer_words": words,
-        "newcomers": book.newcomer(n, n) * RESTARTS / n,
-        "region": words * 2 / 3,
-        "cut_members": book.largest("world-region70", "members_agree_s")[1],
-        "cut_words": book.largest("world-region70", "words_agree_s")[1],
         "sync": book.at("view", "sync_bytes", n),
-        "moved": book.at("view", "change_least_ms", n, True),
-        "lost": book.at(back, "lost_known_s", n),
-        "back": book.at(back, "back_known_s", n),
-        "moves": book.at(back, "back_changes_a_node", n),
         "seed": book.at(back, "seed_most_bytes_in_a_second", n),
         "views": book.views(n, n),
         "run": book.views(n, n) * n / 1000,
         "code": book.imports(),
-        "memory": book.memory(n, n),
-        "process": alone + book.views(n, n),
         "alone": alone,
         "bare": bare,
         "bare_own": book.median("process", "none_own_mb", 1),
@@ -105,7 +85,6 @@
     fitted = book.fit(rest, "bytes_per_s")
     return {k: number(v) for k, v in found.items()} | {
         "bodies": percent(bodies),
-        "cut_size": f"{book.largest('world-region70', 'words_agree_s')[0]:,}",
         "epochs_a_day": f"{EPOCHS * 86_400:.0f}",
         "form": "not recorded" if fitted is None else fitted.form,
         "added": added_time(book),
@@ -120,62 +99,235 @@
     good = [p for p in points if not p.void]
     if not good:
         return f"all {len(points)} runs of `added-time` are void, so it is not known"
-    node, control = (book.largest("added-time", f"{path}_added_p99_ms")[1] for path in ("node", "control"))
+    rate, node = book.largest("added-time", "node_added_p99_ms")
+    control = book.largest("added-time", "control_added_p99_ms")[1]
     return (
-        f"{len(good)} of {len(points)} runs of `added-time` count: {number(node)} ms for 99 in 100,"
+        f"{len(good)} of {len(points)} runs of `added-time` count: {number(node)} ms for 99 in 100 at {rate}"
+        " calls a second,"
         f" {number(control)} with control on in a small fleet"
     )
 
 
-def of_target(book: Book) -> str:
-    """Each line of the target."""
+def played(book: Book, scenes: tuple[str, ...], figure: str, unit: str = "") -> str:
+    """What a whole fleet in virtual time showed, at the largest size at which it did, and of which text (its
+    commit); the first of the files that has the figure counts. A count has no unit."""
+    for name in scenes:
+        largest, seen = book.largest(name, figure)
+        if largest:
+            told = f"{number(seen)} {unit}" if unit else f"{seen:g}"
+            return f"{told} at {largest:,} (virtual time, `{book.slopes[name].commit}`)"
+    return MISSING
+
+
+def with_margin(value: float, budget: Budget) -> str:
+    """The margin, with the limit that it is one to."""
+    return f"{margin(value, budget)} ({number(value)} of {number(budget.limit)} {budget.unit})"
+
+
+def apart(book: Book, suffix: str) -> str:
+    """What is known of regions that were apart: the membership's plays by hand, the rest from files."""
+    told = (
+        "the membership alone, in virtual time (`docs/membership.md`): 133 of 400 members cut off for"
+        " 3,600 s,"
+        " all agree after 13.0 s, no false death, worst second of one member 35.8 KB sent; beyond 400 members"
+        " not played after an hour. Members are forgotten after 300 s, records dropped after 60 s"
+    )
+    for scene, seconds in ((f"world-region400{suffix}", 400), (f"world-region70{suffix}", 70)):
+        if scene not in book.slopes:
+            continue
+        if not book.largest(scene, "words_agree_s")[0]:
+            largest, _ = book.largest(scene, "unfinished")
+            commit = book.slopes[scene].commit
+            told += f". With records, after {seconds} s: no agreement at {largest:,}"
+            told += f" (virtual time, `{commit}`)"
+            continue
+        told += (
+            f". With records, after {seconds} s: all agree after"
+            f" {played(book, (scene,), 'members_agree_s', 's')},"
+            f" words after {played(book, (scene,), 'words_agree_s', 's')},"
+            f" false deaths {played(book, (scene,), 'false_deaths')}"
+        )
+    return told
+
+
+def added_verdict(book: Book, scope: float) -> str:
+    late = waiting(book, scope)
+    if math.isnan(late):
+        return "unknown"
+    return f"{NOT} ({WORKED})" if late > 1 else "unknown; control leaves room"
+
+
+def worked(value: float) -> str:
+    """The verdict on a line without a limit of its own: carried, where its figure is there."""
+    return "unknown" if math.isnan(value) else f"carried ({WORKED})"
+
+
+def apart_verdict(book: Book, suffix: str) -> str:
+    """The membership's by hand, as its plays are of no file; with records only what was played whole."""
+    told = "membership: carried (measured in virtual time at 400); "
+    scene = f"world-region400{suffix}"
+    largest, _ = book.largest(scene, "unfinished")
+    whole = all(not any(book.values(scene, f, largest)) for f in ("unfinished", "false_deaths"))
+    if largest and whole and book.values(scene, "words_agree_s", largest):
+        told += f"with records: after 400 s carried (measured in virtual time at {largest:,})"
+        return (
+            told + (", after an hour" if largest == TARGET else ", at 2,800 and after an hour") + " unknown"
+        )
+    return told + "at 2,800, and with records: unknown"
+
+
+NO_LIMIT = "no limit named"
+
+
+def lines(book: Book, scope: float) -> list[tuple[str, str, str, str]]:
+    """Line, verdict, margin and what it hangs on, in a fleet of the target's size whose records go so far."""
     n = TARGET
-    late = waiting(book, n)
+    flat = scope == n
     lists = book.at("server-list", "module_mb", n) + book.at("server-list", "holdings_mb", n)
-    added = (
-        "unknown" if math.isnan(late) else f"{NOT} ({WORKED})" if late > 1 else "unknown; control leaves room"
+    late, told = waiting(book, scope), book.told(scope)
+    talk = book.bytes(n, scope) if flat else book.in_cells(n, scope)
+    wire = book.on_the_wire(n, scope) if flat else book.in_cells_on_the_wire(n, scope)
+    code, views, bare = book.imports(), book.views(n, scope), book.median("process", "none_resident_mb", 1)
+    scenes = ("world-change-cells",)
+    agents = (
+        "Changes come one in 58 s (arithmetic); a node hears of one from its own agent: how soon 2,800 agents"
+        " tell is unknown"
     )
-    apart = "; not played here"
-    if "world-region70" in book.slopes:
-        apart = ". After 70 s apart {cut_size} members agree in {cut_members} s, their words in {cut_words} s"
-    rows = [
-        ("2,800 servers in 140 services", against(lists, MEMORY, "measured"),
-         "a list of all 2,800 takes {lists} MB; a change of a line is read in {read} us, taken in {line} and"
-         " told to the parts in {digest};"
-         " a service's list is 20 (arithmetic)"),
-        ("1.1 million calls a second", "unknown",
-         "393 a node and second (arithmetic: over 2,800); what a call costs is not of these slopes: {added}"),
-        ("up to 14 deep", "unknown",
+    lossy = ("world-change-cells-loss", "world-change-loss-cells")
+    if flat:
+        force = against(told, FORCE)
+        force_by = (
+            f"until all know that all have it: {number(told)} s, as each sends {number(book.change(n))}"
+            f" bytes at"
+            f" 64 KB/s (at 1,600: worked out {number(book.told(1600))}, seen"
+            f" {number(book.median('records-change', 'seconds', 1600))} s)"
+        )
+        bytes_how = WORKED
+        bytes_by = f"{number(talk)} bytes/s are wanted; records stop at 64,000, and then news is late"
+        aside = worked(book.coordinator_bytes(n)), "20 of 25 are left"
+        aside_by = (
+            "3 or 5 electors stand on them, so the coordinator does: "
+            f"{number(book.coordinator_bytes(n))} bytes/s and a hold of"
+            f" {number(book.coordinator_hold(n))} ms each"
+            " second, which no node that serves clients bears"
+        )
+        lost, back = "world-zone", "world-restart10"
+    else:
+        size, seen = book.largest("world-change-cells", "all_hold_s")
+        measured = size == n
+        force = against(seen, FORCE, "measured in virtual time") if measured else against(told, FORCE)
+        force_by = (
+            f"all of a cell hold all words after {played(book, scenes, 'all_hold_s', 's')}, worked out"
+            f" {number(told)}; with 5 % loss {played(book, lossy, 'all_hold_s', 's')};"
+            " the sum says so at every node 5.75 to 8.5 s after a change of 280 nodes with 5 % loss"
+            " (`docs/cells.md`)"
+        )
+        told = seen if measured else told
+        bytes_how = WORKED
+        bytes_by = (
+            f"{number(talk)} bytes/s: membership {number(book.membership(n))}, beats"
+            f" {number(book.beats(scope))},"
+            f" words renewed {number(book.renewals(scope))}, changes {number(book.changes(scope))}, the"
+            f" fleet's sum"
+            f" {number(book.sums(scope))}. A speaker sends"
+            f" {number(book.speaker(n))} more ({number(book.speaker_on_the_wire(n))} with"
+            f" heads). At rest"
+            f" {played(book, ('world-rest-cells',), 'bytes_per_s', 'bytes/s')}"
+        )
+        aside = worked(book.coordinator_bytes(n) + book.collector_core(n)), "14 of 25 are left"
+        aside_by = (
+            "5 electors with the coordinator"
+            f" ({number(book.coordinator_bytes(n))} bytes/s, a hold of {number(book.coordinator_hold(n))}"
+            f" ms each"
+            f" second) and 6 collectors, each"
+            f" {number(book.at('collector', 'received_bytes_per_s', CELLS))} bytes/s"
+            f" in, {number(book.at('collector', 'sent_bytes_per_s', CELLS))} out,"
+            f" {number(book.collector_core(n))} % of a core beyond a node's, a hold of"
+            f" {number(book.collector_hold(n))} ms; seeds, if wanted"
+        )
+        lost, back = "world-zone-cells", "world-restart10-cells"
+    newcomer = book.newcomer(n, scope)
+    suffix = "" if flat else "-cells"
+    words = book.at("records-newcomer", "received_bytes", scope)
+    hour = (
+        f"{apart(book, suffix)}. At the return a node of the smaller side fetches {number(words * 2 / 3)}"
+        f" bytes of"
+        " words (arithmetic: two thirds of a newcomer's)"
+    )
+    dead = book.at("membership-return", "lost_known_s", n)
+    return [
+        ("2,800 servers in 140 services", against(lists, MEMORY, "measured"), with_margin(lists, MEMORY),
+         "the list of all 2,800 in a node; a change of a line is read in"
+         f" {number(book.at('server-list', 'read_change_us', n, True))} us, taken in"
+         f" {number(book.at('server-list', 'change_us', n, True))} and told to the parts in"
+         f" {number(book.at('server-list', 'holdings_change_us', n, True))}; a service's list is 20"
+         f" (arithmetic)"),
+        ("1.1 million calls a second", "unknown", "unknown",
+         "393 a node and second (arithmetic: over 2,800); what a call costs is not of these slopes, see the"
+         " line of the added time"),
+        ("up to 14 deep", "unknown", "unknown",
          "14 times the added time on the mean (arithmetic); what the slowest of 14 adds is not measured"),
-        ("0.48 ms added for 99 in 100", added,
-         "{waiting} % of calls wait over 0.48 ms for a tick of the audit or the locality alone; {added}"),
-        ("3 regions with 9 zones", against(book.locality(n), CORE, "measured, with nothing else on"),
-         "9 of at most 24 zones; the locality's look at all reports takes {locality} % of a core"),
-        ("1,500 changes a day, in force within 12 s", against(book.told(n), FORCE),
-         "one in 58 s (arithmetic). A node hears of it from its own agent: in force at 2,800 agents, unknown."
-         " Until all know that all have it: {told} s, as each sends {change} bytes at 64 KB/s (at 1,600:"
-         " worked out {told1600}, seen {seen1600} s)"),
-        ("at most 3.2 % of a core", against(book.core(n, n), CORE),
-         "{core} %: audit {audit}, locality {locality}, records and membership {talk}"),
-        ("at most 32 MB", against(book.memory(n, n), MEMORY),
-         "{memory} MB: the parts' code {code}, the views {views}. The process has {process} MB in all, {bare}"
-         " of them without any part: taken so, it is over at any size"),
-        ("at most 3 KB a second", against(book.bytes(n, n), BYTES),
-         "{bytes} bytes/s are wanted; records stop at 64,000, and then news is late"),
-        ("25 machines set aside", "not used", "today's text has nothing for them; an elector is a node"),
-        ("5 machines fail, 220 are restarted a day", "carried (worked out)",
-         "one in 6.4 min (arithmetic); a newcomer takes {newcomer} bytes once, {newcomers} bytes/s a node"
-         " on the mean; no word is renewed for who lives"),
-        ("a rack (40) or a zone (311) is lost",
-         against(book.at("membership-return", "lost_known_s", n), FORCE, "worked out, the membership alone"),
-         "a ninth is held dead after {lost} s, alive after {back} s once it is back; {moves} changes at each"
-         " other node, each of them {moved} ms of its loop"),
-        ("regions apart for an hour", "unknown",
-         "members are forgotten after 300 s, records dropped after 60 s: at the return a node of the smaller"
-         " side fetches {region} bytes of words (arithmetic: two thirds of a newcomer's)" + apart),
+        ("0.48 ms added for 99 in 100", added_verdict(book, scope),
+         f"{with_margin(late, Budget('waiting', '% of calls', 1))}, of control alone",
+         f"{number(late)} % of calls wait over 0.48 ms for a tick of the audit or the locality alone, the"
+         f" longest"
+         f" {number(book.hold(scope))} ms; {added_time(book)}"),
+        ("3 regions with 9 zones", against(book.locality(scope), CORE,
+         "measured, with nothing else on" if flat else WORKED), with_margin(book.locality(scope), CORE),
+         "9 of at most 24 zones; the locality's look at the reports of those whose records it holds"),
+        ("1,500 changes a day, in force within 12 s", f"{force}, from the agents"
+         f" on", with_margin(told, FORCE),
+         f"{force_by}. {agents}"),
+        ("at most 3.2 % of a"
+         " core", against(book.core(n, scope), CORE), with_margin(book.core(n, scope), CORE),
+         f"audit {number(book.audit(scope))}, locality {number(book.locality(scope))}, records and membership"
+         f" {number(book.talk(n, scope))}"),
+        ("at most 32 MB", against(code + views, MEMORY), with_margin(code + views, MEMORY),
+         f"the parts' code {number(code)}, the views {number(views)}; the whole process has"
+         f" {number(bare)} more without any part, and taken so is over at any size"),
+        ("at most 3 KB a second", against(talk, BYTES, bytes_how), f"{with_margin(talk, BYTES)}; with the"
+         f" heads of IP, UDP and the port {margin(wire, BYTES)}"
+         f" ({number(wire)})",
+         bytes_by),
+        ("25 machines set aside", *aside, aside_by),
+        ("5 machines fail, 220 are restarted a day", worked(newcomer), NO_LIMIT,
+         f"one in 6.4 min (arithmetic); a newcomer takes {number(newcomer)} bytes once,"
+         f" {number(newcomer * RESTARTS / n)} bytes/s a node on the mean. Ten in a hundred at once: words"
+         f" agree"
+         f" after {played(book, (back,), 'words_agree_s', 's')}, false deaths"
+         f" {played(book, (back,), 'false_deaths')}"),
+        ("a rack (40) or a zone (311) is lost", "carried (worked out, the membership alone)"
+         if not math.isnan(dead) else "unknown", NO_LIMIT,
+         f"a ninth is held dead after {number(dead)} s, alive after"
+         f" {number(book.at('membership-return', 'back_known_s', n))} s once it is back (doubtful: its"
+         f" fit misses by"
+         " a third); "
+         f"{number(book.at('membership-return', 'back_changes_a_node', n))} changes at each other node, each"
+         f" {number(book.at('view', 'change_least_ms', n, True))} ms of its loop. A zone, with records:"
+         f" words agree"
+         f" after {played(book, (lost,), 'words_agree_s', 's')}"),
+        ("regions apart for an hour", apart_verdict(book, suffix), NO_LIMIT, hour),
     ]  # fmt: skip
-    told = values(book)
-    return table(["line of the target", "verdict", "by what"], [[a, b, c.format(**told)] for a, b, c in rows])
+
+
+HEAD = ["line of the target", "verdict", "margin", "by what"]
+
+
+def of_target(book: Book) -> str:
+    """Each line of the target, the fleet flat."""
+    return table(HEAD, [list(line) for line in lines(book, TARGET)])
+
+
+def of_target_cells(book: Book) -> str:
+    """The same in cells: for those of the mean size, and what the largest one has other than these."""
+    largest = lines(book, LARGEST)
+    rows = [
+        [line, verdict, left, "the same" if other == left and also == verdict else f"{also}: {other}", why]
+        for (line, verdict, left, why), (_, also, other, _) in zip(lines(book, CELL), largest, strict=True)
+    ]
+    return table(
+        [HEAD[0], f"verdict, cells of {CELL}", HEAD[2], f"the largest cell, of {LARGEST}", HEAD[3]], rows
+    )
 
 
 LEADS = [
@@ -193,7 +345,8 @@
      "three seeds send {sync} bytes each, members {newcomer_words} bytes of records"),
     ("311 at once", "confirmed for the seed", "`membership-return`",
      "a seed that all ask sends {seed} bytes in its worst second; three would share that"),
-    ("a region back after an hour", "open: 70 s of it played", "`world-region70`", "see the verdict above"),
+    ("a region back after an hour", "the membership: mended; with records at 2,800: open",
+     "`docs/membership.md`, `world-region*`", "see the verdict above"),
     ("the coordinator tells every node every second", "confirmed", "`freeze`, `datagram`",
      "{news} datagrams/s, {news_bytes} bytes/s ({incident} with one incident open; with 32 open, 16 datagrams"
      " to each node: arithmetic), {coordinator} % of a core with the evidence, a hold of {news_hold} ms; a"
@@ -201,7 +354,9 @@
     ("a process of 35 to 40 MB, one without parts of 15", "confirmed; the 15 are its own, not resident",
      "`process`",
      "all parts {alone} MB resident; none {bare}, of which {bare_own} its own; so the parts' code is {code}"),
-    ("added time", "not of these recorders", "`added-time`, where there", "{added}; holds: see above"),
+    ("added time", "a method: done; the figure at 393 a second: open", "`added-time`", "{added}; holds:"
+     " see above;"
+     " `docs/added-time.md` has the method and where the time goes"),
     ("found here: words renewed under load", "the largest; mended", "`records-renewal`, `records-renewed`",
      "each node wrote two words a minute though nothing changed: {renewals_before} bytes/s; now {renewals}"),
     ("found here: a change of who lives renewed all words", "worked out; mended", "`records-change`",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 from pathlib import Path
 from typing import Any
 
@@ -394,6 +395,83 @@
     assert verdicts.against(math.nan, capacity.BYTES) == "unknown"
 
 
+def test_every_line_of_the_target_has_its_verdict_flat_and_in_cells() -> None:
+    book = Book(slopes.every())
+    flat, cells = (verdicts.lines(book, scope) for scope in (capacity.TARGET, capacity.CELL))
+    assert [line[0] for line in flat] == [line[0] for line in cells] and len(flat) == 13
+    told = re.compile(
+        r"carried \(|\*\*not carried\*\* \(|unknown|membership: carried \(measured in virtual time"
+    )
+    assert all(told.match(verdict) for _, verdict, _, _ in (*flat, *cells))
+    assert all(margin and why for _, _, margin, why in (*flat, *cells))
+    for of, scope in ((flat, capacity.TARGET), (cells, capacity.CELL)):
+        core = next(verdict for what, verdict, _, _ in of if "core" in what)
+        assert core == verdicts.against(book.core(capacity.TARGET, scope), capacity.CORE)
+
+
+def test_lines_without_files_are_unknown_and_never_carried_by_a_figure() -> None:
+    for scope in (capacity.TARGET, capacity.CELL):
+        by_line = {line: verdict for line, verdict, _, _ in verdicts.lines(Book({}), scope)}
+        for line in (
+            "at most 3 KB a second",
+            "at most 32 MB",
+            "at most 3.2 % of a core",
+            "25 machines set aside",
+        ):
+            assert by_line[line] == "unknown", line
+        for line in ("5 machines fail, 220 are restarted a day", "a rack (40) or a zone (311) is lost"):
+            assert by_line[line] == "unknown", line
+
+
+def test_a_figure_of_virtual_time_says_size_and_text() -> None:
+    world = made({100: [1.0], 2_800: [1.5]}, name="world-change-cells")
+    points = [msgspec.structs.replace(p, figures={"all_hold_s": p.figures["f"]}) for p in world.points]
+    book = Book({"world-change-cells": msgspec.structs.replace(world, points=points, commit="abc")})
+    told = verdicts.played(book, ("world-none", "world-change-cells"), "all_hold_s", "s")
+    assert told == "1.50 s at 2,800 (virtual time, `abc`)"
+    assert verdicts.played(book, ("world-none",), "all_hold_s", "s") == writing.MISSING
+    force = next(v for line, v, _, _ in verdicts.lines(book, capacity.CELL) if "in force" in line)
+    assert force == "carried (measured in virtual time), from the agents on"
+    small = msgspec.structs.replace(world, points=points[:1])
+    force = next(
+        v
+        for line, v, _, _ in verdicts.lines(Book({"world-change-cells": small}), capacity.CELL)
+        if "in force" in line
+    )
+    assert force.startswith("unknown")
+
+
+@pytest.mark.parametrize(
+    ("figures", "told"),
+    [
+        ({"unfinished": 0.0, "false_deaths": 0.0, "words_agree_s": 9.0}, "after 400 s carried"),
+        ({"unfinished": 1.0, "false_deaths": 0.0, "words_agree_s": 9.0}, "and with records: unknown"),
+        ({"unfinished": 0.0, "false_deaths": 3.0, "words_agree_s": 9.0}, "and with records: unknown"),
+        ({"unfinished": 0.0, "false_deaths": 0.0}, "and with records: unknown"),
+    ],
+)
+def test_regions_apart_are_carried_no_further_than_they_were_played_whole(
+    figures: dict[str, float], told: str
+) -> None:
+    world = made({200: [1.0]}, name="world-region400")
+    points = [msgspec.structs.replace(p, figures=figures) for p in world.points]
+    book = Book({"world-region400": msgspec.structs.replace(world, points=points)})
+    verdict = verdicts.apart_verdict(book, "")
+    assert told in verdict and "unknown" in verdict
+    assert "and with records: unknown" in verdicts.apart_verdict(book, "-cells")
+
+
+def test_cells_cost_a_node_more_than_a_fleet_of_their_size_and_a_speaker_more_than_a_node() -> None:
+    book = Book(slopes.every())
+    n, cell = capacity.TARGET, capacity.CELL
+    assert book.bytes(n, cell) < book.in_cells(n, cell) < book.in_cells_on_the_wire(n, cell)
+    assert 0 < book.speaker(n) < book.speaker_on_the_wire(n)
+    assert book.collector_core(n) < book.collector_core(10 * n)
+    told = page.of_roles_cells(book)
+    assert "collector (machine set aside" in told and "speaker" in told
+    assert "collector" not in page.of_roles(book)
+
+
 def test_a_call_waits_for_a_tick_as_often_as_the_ticks_are_long() -> None:
     ticks = {n: [0.48 + n / 100] for n in SIZES}
     audit, look = made(ticks, name="audit"), made(ticks, name="locality")
