Capacity: the verdicts stand beside what whole fleets in virtual time measured

Bytes of a change, one judgement and the membership's longest call stood in the last tables alone, so that worked-out and measured could not be held side by side. They are in the lines of the target now; a lost zone's verdict follows its figure again.

--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -211,7 +211,7 @@
             f" {number(book.coordinator_hold(n))} ms each"
             " second, which no node that serves clients bears"
         )
-        lost, back = "world-zone", "world-restart10"
+        lost, back, rest = "world-zone", "world-restart10", "world-rest"
     else:
         size, seen = book.largest("world-change-cells", "all_hold_s")
         measured = size == n
@@ -232,7 +232,8 @@
             f" {number(book.sums(scope))}. A speaker sends"
             f" {number(book.speaker(n))} more ({number(book.speaker_on_the_wire(n))} with"
             f" heads). At rest"
-            f" {played(book, ('world-rest-cells',), 'bytes_per_s', 'bytes/s')}"
+            f" {played(book, ('world-rest-cells',), 'bytes_per_s', 'bytes/s')}, a change"
+            f" {played(book, scenes, 'change_bytes', 'bytes')}, worked out {number(book.change(scope))}"
         )
         aside = worked(book.coordinator_bytes(n) + book.collector_core(n)), "14 of 25 are left"
         aside_by = (
@@ -245,7 +246,7 @@
             f" {number(book.collector_core(n))} % of a core beyond a node's, a hold of"
             f" {number(book.collector_hold(n))} ms; seeds, if wanted"
         )
-        lost, back = "world-zone-cells", "world-restart10-cells"
+        lost, back, rest = "world-zone-cells", "world-restart10-cells", "world-rest-cells"
     newcomer = book.newcomer(n, scope)
     suffix = "" if flat else "-cells"
     words = book.at("records-newcomer", "received_bytes", scope)
@@ -271,7 +272,8 @@
          f"{with_margin(late, Budget('waiting', '% of calls', 1))}, of control alone",
          f"{number(late)} % of calls wait over 0.48 ms for a tick of the audit or the locality alone, the"
          f" longest"
-         f" {number(book.hold(scope))} ms; {added_time(book)}"),
+         f" {number(book.hold(scope))} ms; seldom, the membership's longest call"
+         f" {played(book, (rest,), 'membership_longest_processor_ms', 'ms')}; {added_time(book)}"),
         ("3 regions with 9 zones", against(book.locality(scope), CORE,
          "measured, with nothing else on" if flat else WORKED), with_margin(book.locality(scope), CORE),
          "9 of at most 24 zones; the locality's look at the reports of those whose records it holds"),
@@ -281,7 +283,9 @@
         ("at most 3.2 % of a"
          " core", against(book.core(n, scope), CORE), with_margin(book.core(n, scope), CORE),
          f"audit {number(book.audit(scope))}, locality {number(book.locality(scope))}, records and membership"
-         f" {number(book.talk(n, scope))}"),
+         f" {number(book.talk(n, scope))}; one judgement"
+         f" {number(book.at('audit', 'judge_least_ms', scope, True))}"
+         f" ms, {played(book, (rest,), 'judgement_ms', 'ms')}"),
         ("at most 32 MB", against(code + views, MEMORY), with_margin(code + views, MEMORY),
          f"the parts' code {number(code)}, the views {number(views)}; the whole process has"
          f" {number(bare)} more without any part, and taken so is over at any size"),
@@ -296,8 +300,8 @@
          f" agree"
          f" after {played(book, (back,), 'words_agree_s', 's')}, false deaths"
          f" {played(book, (back,), 'false_deaths')}"),
-        ("a rack (40) or a zone (311) is lost", "carried (worked out, the membership alone)"
-         if not math.isnan(dead) else "unknown", NO_LIMIT,
+        ("a rack (40) or a zone (311) is lost", against(dead, FORCE, "worked out, the membership alone"),
+         f"no limit named; by the 12 s of a change: {with_margin(dead, FORCE)}",
          f"a ninth is held dead after {number(dead)} s, alive after"
          f" {number(book.at('membership-return', 'back_known_s', n))} s once it is back (doubtful: its"
          f" fit misses by"
