--- a/brackenladder/lab/scale/world_table.py
+++ b/brackenladder/lab/scale/world_table.py
@@ -76,6 +76,7 @@
     "zone": ("A zone lost for 30 s", FAULT),
     "region70": ("A region cut off for 70 s", REGION),
     "region400": ("A region cut off for 400 s", REGION),
+    "region3600": ("A region cut off for an hour", REGION),
     "newcomer": ("A newcomer", NEWCOMER),
 }
 
