--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -15,6 +15,8 @@
   turns stand beside.
 * A virtual machine's host may take a core away for a while, which no process's own count shows: the kernel
   counts it by core (`steal` in `/proc/stat`, by 10 ms). Its share of the turns' time stands with each point.
+* How fast a core is changes too, with what its host does on the other half of it: before and after a point a
+  process on the path's core does a fixed piece of work (`yard_ms`, processor time). Points compare by it.
 * `--depth 14` plays a chain: each of 14 nodes forwards to a service that calls the next node. The direct path
   is the same chain of services without nodes. All stand on the cores of one machine, so each node is asked at
   a rate at which its core is as busy as one node's would be: a chain's cores are shared.
@@ -48,7 +50,7 @@
 from functools import partial
 from itertools import pairwise
 from pathlib import Path
-from time import monotonic, perf_counter_ns, sleep
+from time import monotonic, perf_counter_ns, process_time_ns, sleep
 from typing import Any, cast
 from urllib.request import urlopen
 
@@ -102,6 +104,7 @@
 DIRECT, RELAY, NODE, CONTROL = "direct", "relay", "node", "control"
 FLEET = "fleet"  # a node with control on, and a stand-in for the other members of a large fleet
 PATHS = (DIRECT, RELAY, NODE, CONTROL, FLEET)
+YARD = 100_000  # steps of the fixed piece of work
 MEMBERS = 3  # real nodes beside the one with control
 
 
@@ -564,6 +567,18 @@
     print("played", flush=True)
 
 
+def yard() -> float:
+    """Milliseconds of processor time that a fixed piece of work takes on this core: the middle of nine."""
+
+    def once() -> float:
+        began, x = process_time_ns(), 0
+        for i in range(YARD):
+            x += i * i % 7
+        return (process_time_ns() - began) / 1e6
+
+    return float(np.median([once() for _ in range(9)]))
+
+
 # ---- a run ---------------------------------------------------------------------------------------------
 
 
@@ -785,6 +800,10 @@
         found: dict[str, dict[str, float]] = json.loads(out.read_text())
         return found
 
+    def yard(self) -> float:
+        """How fast the core of relay and node is just now."""
+        return float(words(self.start(["yard"], self.proxy_core)))
+
     def play(self, rate: float, seed: int) -> list[Turn]:
         """One point's turns."""
         if self.watched is not None:
@@ -821,8 +840,9 @@
         stage = Stage(wish, stack)
         for seed in wish.seeds:
             for rate in wish.rates:
-                before = os.getloadavg()[0]
+                before, yards = os.getloadavg()[0], [stage.yard()]
                 turns = stage.play(rate, seed)
+                yards.append(stage.yard())
                 if wish.watch:  # what is watched is slower: its holds are told, and no latency
                     figures, why = flat(stage.holds()), ""
                 else:
@@ -830,6 +850,7 @@
                     why = void(figures, wish.service_ms)
                 figures["service_ms"], figures["others_load"] = wish.service_ms, round(before, 2)
                 figures["rate"], figures["words_per_s"] = rate, wish.words
+                figures["yard_ms"] = round(sum(yards) / 2, 3)
                 if wish.trial:
                     figures[f"trial of {wish.trial}"] = 1.0
                 size = wish.fleet or (wish.depth if wish.depth > 1 else round(rate))
@@ -923,6 +944,7 @@
                 f" {f[f'{path}_blocks']:.0f} of {f['blocks']:.0f} blocks,"
                 f" {f[f'{path}_core_percent']:.1f} % of a core"
             )
+    parts.append(f"yard {f.get('yard_ms', math.nan):.2f} ms")
     parts.append(
         f"late p99 {f.get('late_p99_ms', math.inf):.3f}, stolen {f.get('stolen_percent', 0.0):.2f} %"
     )
@@ -973,7 +995,7 @@
     """What paths add, one line a path and point."""
     sized = slopes.axis != "calls a second"
     heads = ["calls/s", "service", "seed", "path", "p50", "p99", "p99 of all turns", "turns kept"]
-    heads += ["stolen", ""]
+    heads += ["stolen", "yard", ""]
     heads = [slopes.axis, *heads] if sized else heads
     rows = []
     ordered = sorted(
@@ -984,13 +1006,16 @@
         f, verdict = point.figures, "void" if point.void else "usable"
         of = [f"{f['rate']:g}", f"{f['service_ms']:g} ms", str(point.seed)]
         of = [str(point.size), *of] if sized else of
+        yarded = f"{f['yard_ms']:.1f} ms" if "yard_ms" in f else "not taken"
         stolen = f"{f['stolen_percent']:.2f} %" if "stolen_percent" in f else "not counted"
         direct = [f"{f[name]:.2f}" if name in f else "-" for name in ("direct_p50_ms", "direct_p99_ms")]
-        rows.append([*of, "direct itself", *direct, "", kept(f, DIRECT), stolen, verdict])
+        rows.append([*of, "direct itself", *direct, "", kept(f, DIRECT), stolen, yarded, verdict])
         for path in PATHS[1:]:
             if f"{path}_blocks" in f:
                 names = [f"{path}_added_p50_ms", f"{path}_added_p99_ms", f"{path}_all_p99_ms"]
-                rows.append([*of, path, *(interval(f, name) for name in names), kept(f, path), "", verdict])
+                rows.append(
+                    [*of, path, *(interval(f, name) for name in names), kept(f, path), "", "", verdict]
+                )
     return markdown(heads, rows)
 
 
@@ -1150,6 +1175,8 @@
     """The command, or one of its processes."""
     if arguments[:1] == ["load"]:
         play_load(*arguments[1:])
+    elif arguments[:1] == ["yard"]:
+        print(yard(), flush=True)
     elif arguments[:1] == ["chain"]:
         uvloop.run(serve_chain(msgspec.json.decode(arguments[1], type=list[Chain])))
     elif arguments[:1] == ["servers"]:
--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -413,7 +413,7 @@
     ("a process of 35 to 40 MB, one without parts of 15", "confirmed; the 15 are its own, not resident",
      "`process`",
      "all parts {alone} MB resident; none {bare}, of which {bare_own} its own; so the parts' code is {code}"),
-    ("added time", "a method: done; at 393 a second on a quiet machine kept on four of five seeds",
+    ("added time", "a method: done; at 393 a second kept on four of seven points: the core's speed decides",
      "`added-time`", "{added}; holds: see above;"
      " `docs/added-time.md` has the method and where the time goes"),
     ("found here: words renewed under load", "the largest; mended", "`records-renewal`, `records-renewed`",
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -378,7 +378,7 @@
 
 
 def test_the_table_shows_void_points_as_void() -> None:
-    figures = figures_of(played(), PATHS, 1) | {"rate": 393.0, "service_ms": 0.0}
+    figures = figures_of(played(), PATHS, 1) | {"rate": 393.0, "service_ms": 0.0, "yard_ms": 7.46}
     table = added.table_of_added(
         slopes_of(
             [
@@ -392,9 +392,9 @@
     )
     direct, relay, node, last = table.splitlines()[2:]
     assert "| direct itself | 0.10 | 0.10 |" in direct and "| relay | 0.10 (0.10 to 0.10) |" in relay
-    assert "| node | 0.30 (0.30 to 0.30) |" in node and node.endswith("| 40 of 40 |  | usable |")
-    assert direct.endswith("| 40 of 40 | 0.00 % | usable |")
-    assert last.endswith("| direct itself | - | - |  | 0 of 9 | not counted | void |")
+    assert "| node | 0.30 (0.30 to 0.30) |" in node and node.endswith("| 40 of 40 |  |  | usable |")
+    assert direct.endswith("| 40 of 40 | 0.00 % | 7.5 ms | usable |")
+    assert last.endswith("| direct itself | - | - |  | 0 of 9 | not counted | not taken | void |")
 
 
 def test_a_table_of_latencies_in_a_fleet_names_its_members(tmp_path: Path) -> None:
@@ -498,6 +498,7 @@
     assert (point.size, point.seed, slopes.axis) == (100, 5, "calls a second")
     assert point.void  # a second has too few calls for a p99, whatever the machine does
     assert point.figures["blocks"] == 40 and point.figures["bad_share"] < 1
+    assert point.figures["yard_ms"] > 0 and point.figures["stolen_percent"] >= 0
     assert slopes.command.startswith("python -m brackenladder.lab.scale.added")
 
 
