Capacity: the verdict on added time follows the measured points

Need: the line read unknown in cells, though seven points of one node count.

Change: carried only if every point that counts keeps 0.48 ms; else not carried, with how many did.

--- a/brackenladder/lab/scale/verdicts.py
+++ b/brackenladder/lab/scale/verdicts.py
@@ -201,10 +201,19 @@
 
 
 def added_verdict(book: Book, scope: float) -> str:
+    """Control's share of it, worked out; else what runs of one node, whose control is off, show."""
     late = waiting(book, scope)
     if math.isnan(late):
         return "unknown"
-    return f"{NOT} ({WORKED})" if late > 1 else "unknown; control leaves room"
+    if late > 1:
+        return f"{NOT} ({WORKED})"
+    seen = book.values("added-time", "node_added_p99_ms", RATE)
+    kept = sum(ms <= HOLD.limit for ms in seen)
+    if not seen:
+        return "unknown; control leaves room"
+    if kept == len(seen):
+        return "carried (measured for one node); control leaves room"
+    return f"{NOT} (measured for one node): kept at {kept} of {len(seen)} points; control leaves room"
 
 
 def worked(value: float) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -474,6 +474,29 @@
     assert "With records, after 3600 s: all agree after" in verdicts.apart(book, "-cells")
 
 
+@pytest.mark.parametrize(
+    ("seen", "verdict"),
+    [
+        ([], "unknown; control leaves room"),
+        ([0.3, 0.48], "carried (measured for one node); control leaves room"),
+        (
+            [0.3, 0.49, 0.6],
+            "**not carried** (measured for one node): kept at 1 of 3 points; control leaves room",
+        ),
+        ([0.49], "**not carried** (measured for one node): kept at 0 of 1 points; control leaves room"),
+    ],
+)
+def test_added_time_is_carried_only_if_every_point_that_counts_keeps_it(
+    seen: list[float], verdict: str
+) -> None:
+    files = {
+        "audit": made({n: [0.3] for n in SIZES}, name="audit", figure="tick_least_ms"),
+        "locality": made({n: [0.3] for n in SIZES}, name="locality", figure="look_least_ms"),
+        "added-time": made({393: seen}, name="added-time", figure="node_added_p99_ms"),
+    }
+    assert verdicts.added_verdict(Book(files), 1000) == verdict
+
+
 def test_what_calls_take_of_a_core_is_held_against_the_core() -> None:
     assert verdicts.calls(Book({}))[0] == "unknown"
     seen = made({393: [8.0, 12.0, 9.0]}, name="added-time", figure="node_core_percent")
