--- a/brackenladder/lab/membership.py
+++ b/brackenladder/lab/membership.py
@@ -112,12 +112,17 @@
             self.settle(size)
             return
         for index in range(size):
-            self.start(f"m{index}", index + 1, at=self.random.randrange(SECOND))
+            self.start(self.named(index), index + 1, at=self.random.randrange(SECOND))
+
+    def named(self, index: int) -> str:
+        """A member's name."""
+        return f"m{index}"
 
     def settle(self, size: int) -> None:
         """All members at once, each with all others known."""
         shared = {
-            f"m{i}": Member(f"m{i}", "emu", i + 1, 0, State.ALIVE, 0, *self.place(i + 1)) for i in range(size)
+            (n := self.named(i)): Member(n, "emu", i + 1, 0, State.ALIVE, 0, *self.place(i + 1))
+            for i in range(size)
         }
         names = list(shared)
         digest = sum(map(fingerprint, shared.values())) % (1 << 32)
--- a/brackenladder/lab/scale/gossip.py
+++ b/brackenladder/lab/scale/gossip.py
@@ -14,13 +14,11 @@
 
 from brackenladder.audit.word import renew_after
 from brackenladder.lab.membership import Node as MemberNode
-from brackenladder.lab.membership import Settled
 from brackenladder.lab.membership import World as MemberWorld
 from brackenladder.lab.network import Net
 from brackenladder.lab.records import Node, World
 from brackenladder.lab.scale.views import name_of, word_of
-from brackenladder.membership.swim import Member, SwimSettings, fingerprint
-from brackenladder.membership.wire import State
+from brackenladder.membership.swim import SwimSettings
 from brackenladder.records.table import Entry, Rules, Send, bucket
 from brackenladder.records.wire import Have, Heads, Want, decode
 from brackenladder.transports.interface import Address
@@ -288,19 +286,9 @@
 
     spent = 0
 
-    def settle(self, size: int) -> None:
-        """As in the lab, with names as long as an installation's."""
-        shared = {(n := name_of(i)): Member(n, "emu", i + 1, 0, State.ALIVE, 0) for i in range(size)}
-        names = list(shared)
-        digest = sum(map(fingerprint, shared.values())) % (1 << 32)
-        for member in shared.values():
-            swim = self.member(member.name, member.port, 0)
-            swim.members, swim.names, swim.live = Settled(shared, member.name), names, size - 1
-            swim.summed = digest
-            swim.join(0, self.seeds)
-            every = self.settings.sync_interval * max(1, size // self.settings.sync_members)
-            swim.next_sync = self.random.randrange(every)
-            self.wake(self.nodes[member.name])
+    def named(self, index: int) -> str:
+        """As long as an installation's."""
+        return name_of(index)
 
     def deliver(self, node: MemberNode, data: bytes, source: tuple[str, int]) -> None:
         began = process_time_ns()
