--- a/brackenladder/lab/scale/added.py
+++ b/brackenladder/lab/scale/added.py
@@ -847,6 +847,8 @@
                     figures, why = flat(stage.holds()), ""
                 else:
                     figures = figures_of(turns, wish.paths, seed) | {"depth": float(wish.depth)}
+                    if wish.depth > 1:  # of a chain's many processes it is not counted
+                        del figures[f"{NODE}_core_percent"]
                     why = void(figures, wish.service_ms)
                 figures["service_ms"], figures["others_load"] = wish.service_ms, round(before, 2)
                 figures["rate"], figures["words_per_s"] = rate, wish.words
@@ -942,7 +944,7 @@
                 f"{path} adds p50 {f[f'{path}_added_p50_ms']:.3f}, p99 {f[f'{path}_added_p99_ms']:.3f}"
                 f" ({low:.3f} to {high:.3f}; all turns {f.get(f'{path}_all_p99_ms', math.inf):.3f}),"
                 f" {f[f'{path}_blocks']:.0f} of {f['blocks']:.0f} blocks,"
-                f" {f[f'{path}_core_percent']:.1f} % of a core"
+                f" {f.get(f'{path}_core_percent', math.nan):.1f} % of a core"
             )
     parts.append(f"yard {f.get('yard_ms', math.nan):.2f} ms")
     parts.append(
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -511,6 +511,7 @@
     assert (point.size, slopes.axis) == (3, "nodes deep")
     assert point.figures["depth"] == 3 and point.figures["rate"] == 20
     assert point.figures["bad_share"] < 1 and point.void
+    assert "node_core_percent" not in point.figures  # not counted is no nought
     assert "| nodes deep | calls/s |" in added.table_of(path)
 
 
