--- a/brackenladder/cli/swarm.py
+++ b/brackenladder/cli/swarm.py
@@ -16,6 +16,7 @@
 from brackenladder.cli import show
 from brackenladder.cli.stop import NotWritable, stop
 from brackenladder.errors import BrackenladderError
+from brackenladder.lab.scale.slopes import load as load_slopes
 from brackenladder.lab.swarm.nodes import SwarmEnded, SwarmError
 from brackenladder.lab.swarm.play import Result, play
 from brackenladder.lab.swarm.record import append
@@ -53,6 +54,8 @@
     changes = {k: v for k, v in (("seed", seed), ("nodes", nodes)) if v is not None}
     try:
         found = load(script, changes, {"count": hollow} if hollow is not None else None)
+        if slopes is not None and slopes.exists():
+            load_slopes(slopes)  # what cannot be added to is told before minutes are played
     except BrackenladderError as e:
         stop(e)
     try:
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -15,6 +15,7 @@
 
 import psutil
 import pytest
+from click.testing import CliRunner
 from loopback import PATIENCE, Bench, play, until
 
 from brackenladder.errors import BrackenladderError
@@ -619,6 +620,22 @@
     assert path.read_text() == "{"
 
 
+def test_a_broken_file_of_slopes_is_told_before_the_run_and_not_after_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failure prevented: minutes are played, the file is found broken then, and what `--json` was to keep is
+    lost with the run."""
+    from brackenladder.cli import swarm as command
+
+    monkeypatch.setattr(command, "run_in", lambda *_: pytest.fail("played"))
+    path = tmp_path / "rest.json"
+    path.write_text("{")
+    script = str(PACKAGES / "scenarios" / "swarm" / "scale.toml")
+    done = CliRunner().invoke(command.swarm, ["run", script, "--slopes", str(path)])
+    assert done.exit_code == 2 and "rest.json: no slopes" in done.stderr
+    assert path.read_text() == "{"
+
+
 # ---- processes ---------------------------------------------------------------------------------------------
 
 
