Review stand-ins: note when an answer ends its connection

Cause: a client that goes on using such a connection sees an end without an answer. Change: the stand-in client reads the Connection header.

--- a/review/stand.py
+++ b/review/stand.py
@@ -443,6 +443,7 @@
 
     def __init__(self, status: int, body: bytes, at: float) -> None:
         self.status, self.body, self.at = status, body, at
+        self.close = False  # whether it says that the connection ends with it
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
@@ -464,7 +465,9 @@
             await reader.readuntil(b"\r\n")
         else:
             body = await reader.readexactly(int(headers.get("content-length", "0")))
-        return Answer(status, body, monotonic())
+        answer = Answer(status, body, monotonic())
+        answer.close = headers.get("connection", "").lower() == "close"
+        return answer
     except (OSError, asyncio.IncompleteReadError):
         return Answer(0, b"", monotonic())
 
