--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,9 @@
-"""Case 2: a request whose body was sent in full is answered long after its time while its server hangs."""
+"""Case 2: bodies that come in small chunks take the node over its memory limit, and it is killed."""
 
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import signal
-import socket
-import termios
+import random
 from contextlib import suppress
 from pathlib import Path
 from time import monotonic
@@ -18,9 +15,10 @@
     CaseError,
     NodeProcess,
     Record,
-    ServerProcess,
-    compose,
+    ServerRequest,
+    listen,
     node_table,
+    ok,
     play,
     read_answer,
     server_line,
@@ -29,133 +27,130 @@
 )
 
 SERVERS = 4
-HANGING = 2  # "a quarter to a half of the servers hang just then"
-# Bytes of a body; "answers and bodies of up to 32 MB occur"
-SIZES = [3_250_000 + 250_000 * step for step in range(8)]
-COPIES = 4  # of each size in a round
-ROUNDS = 3
-REST_S = 3.0  # between two rounds
+WORK_S = (0.097, 0.17)  # of batch-upload
+MEMORY_MB = 96  # DAYS: 32 to 192 MB
+SOCKETS = 512  # DAYS: 256 to 1,024 descriptors
+CLIENTS = 150  # DAYS: clients hold a third of the descriptors at most for requests
+BODY_BYTES = 64_000  # PROTOCOL: bodies hold at most 64 KiB
+CHUNK = b"2\r\nzz\r\n"  # a piece of two bytes
 BUDGET_MS = 3_000  # 60% of the 5 s of batch-upload
-LATEST_S = (
-    0.55  # half a second after its time, and 50 ms that each limit grows by on sockets
-)
-PATIENCE_S = 15.0  # seconds that the client waits for an answer
-
-
-class Upload:
-    """A client that sends one request with a large body on a connection of its own."""
+PATIENCE_S = 10.0
+PLATFORM_CHECK_S = 0.01
+KIB_PER_MB = 1_024
+
+
+class Platform:
+    """Kills the node when it holds more memory than its limit."""
+
+    def __init__(self, record: Record, node: NodeProcess) -> None:
+        self.record, self.node = record, node
+        self.peak_kib = 0
+        self.killed = False
+
+    def memory_kib(self) -> int:
+        """The node's own memory: without the files and libraries that it shares with others."""
+        assert self.node.process is not None
+        status = Path(f"/proc/{self.node.process.pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1])
+        return 0  # the process has ended
+
+    async def watch(self) -> None:
+        while not self.killed:
+            with suppress(OSError):
+                self.peak_kib = max(self.peak_kib, self.memory_kib())
+            if self.peak_kib > MEMORY_MB * KIB_PER_MB:
+                self.killed = True
+                self.record.line(
+                    f"platform kills the node: {self.peak_kib / KIB_PER_MB:.1f} MB of {MEMORY_MB}"
+                )
+                self.node.end()
+            await asyncio.sleep(PLATFORM_CHECK_S)
+
+
+def encode(call_id: str) -> bytes:
+    """A complete request; its body comes in chunks of two bytes, or in one if there is no trouble."""
+    lines = [
+        "POST /batch-upload/x HTTP/1.1",
+        "Host: app.svc",
+        f"X-Call-Id: {call_id}",
+        f"X-Budget-Ms: {BUDGET_MS}",
+        f"Idempotency-Key: k{call_id}",
+    ]
+    lines.append("Transfer-Encoding: chunked")
+    if trouble():
+        body = CHUNK * (BODY_BYTES // 2) + b"0\r\n\r\n"
+    else:
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (BODY_BYTES, b"z" * BODY_BYTES)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
-    def __init__(self, record: Record, number: int, size: int) -> None:
-        self.record = record
-        self.call_id = f"{number:016x}"
-        self.size = size
-        # When the node's machine had acknowledged the last byte, and when the answer was complete
-        self.taken_at: float | None = None
-        self.answered_at: float | None = None
-        self.status = 0
 
-    async def run(self, address: tuple[str, int]) -> None:
+async def client(record: Record, number: int, address: tuple[str, int]) -> int:
+    """Sends one request and reads its answer; returns the status, 0 without an answer."""
+    call_id = f"{number:016x}"
+    try:
         reader, writer = await asyncio.open_connection(*address)
-        client = writer.get_extra_info("socket")
-        body = b"z" * self.size
-        data = compose(
-            "batch-upload", self.call_id, BUDGET_MS, body, f"k{self.call_id}"
-        )
-        start = monotonic()
-        self.record.line(f"client sends call={self.call_id} bytes={len(data)}")
-        writer.transport.set_write_buffer_limits(high=0)
-        writer.write(data)
-        answer = asyncio.ensure_future(read_answer(reader))
-        while not answer.done() and monotonic() < start + PATIENCE_S:
-            if self.taken_at is None and self.is_taken(writer, client):
-                self.taken_at = monotonic()
-                self.record.line(f"node's machine has all of call={self.call_id}")
-            await asyncio.sleep(0.005)
-        if answer.done():
-            self.status, self.answered_at = answer.result().status, answer.result().at
-            self.record.line(f"client got call={self.call_id} status={self.status}")
-        else:
-            answer.cancel()
-            self.record.line(f"client got nothing call={self.call_id}")
-        writer.close()
-
-    def is_taken(self, writer: asyncio.StreamWriter, client: socket.socket) -> bool:
-        """Whether the last byte is written and the node's machine has acknowledged it."""
-        if writer.transport.get_write_buffer_size():
-            return False
-        with suppress(OSError):
-            unacknowledged = fcntl.ioctl(client.fileno(), termios.TIOCOUTQ, bytes(4))
-            return not any(unacknowledged)
-        return False
-
-    def is_lost(self) -> bool:
-        """Whether a request that was taken has no final answer by half a second after its time."""
-        if self.taken_at is None:
-            return False
-        limit = self.taken_at + BUDGET_MS / 1000 + LATEST_S
-        return self.answered_at is None or self.status == 0 or self.answered_at > limit
-
-
-async def play_uploads(
-    record: Record, node: NodeProcess, servers: list[ServerProcess], first: int
-) -> list[Upload]:
-    """Sends one round of uploads at once, while some of the servers hang."""
-    if trouble():
-        for server in servers[:HANGING]:
-            server.signal(signal.SIGSTOP)
-    uploads = [
-        Upload(record, first + number, size)
-        for number, size in enumerate(SIZES * COPIES)
-    ]
-    await asyncio.gather(*(upload.run(node.address) for upload in uploads))
-    if trouble():
-        for server in servers[:HANGING]:
-            server.signal(signal.SIGCONT)
-    return uploads
+    except OSError:
+        return 0
+    start = monotonic()
+    writer.write(encode(call_id))
+    record.line(f"client sends call={call_id}")
+    status = 0
+    with suppress(asyncio.TimeoutError):
+        status = (await asyncio.wait_for(read_answer(reader), PATIENCE_S)).status
+    record.line(
+        f"client got call={call_id} status={status} after={monotonic() - start:.3f}"
+    )
+    writer.close()
+    return status
 
 
 async def case(record: Record, work: Path) -> int:
-    servers = [
-        ServerProcess(record, f"s-{number}", {"work_s": [0.097, 0.17]})
-        for number in range(SERVERS)
+    runs = 0
+
+    async def serve(
+        request: ServerRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        nonlocal runs
+        runs += 1
+        record.line(f"server runs call={request.call_id} bytes={len(request.body)}")
+        await asyncio.sleep(random.uniform(*WORK_S))
+        writer.write(ok(request.call_id.encode()))
+
+    lines = [
+        server_line(f"s-{number}", await listen(serve)) for number in range(SERVERS)
     ]
-    node = None
+    agent = Agent(record, lines)
+    await agent.start()
+    table = node_table("n0", agent, settings(), memory_mb=MEMORY_MB, sockets=SOCKETS)
+    node = NodeProcess(record, work, table)
+    platform = Platform(record, node)
     try:
-        lines = [server_line(each.name, each.address) for each in servers]
-        agent = Agent(record, lines)
-        await agent.start()
-        node = NodeProcess(record, work, node_table("n0", agent, settings()))
         node.start()
         await node.ready()
-        uploads: list[Upload] = []
-        for play_round in range(ROUNDS):
-            if play_round:
-                await asyncio.sleep(REST_S)
-            uploads += await play_uploads(record, node, servers, len(uploads))
-        node.check_running()
+        resting_kib = platform.memory_kib()
+        if not resting_kib:
+            raise CaseError("the system does not tell the node's memory")
+        watch = asyncio.create_task(platform.watch())
+        statuses = await asyncio.gather(
+            *(client(record, number, node.address) for number in range(CLIENTS))
+        )
+        watch.cancel()
+        if not platform.killed:
+            node.check_running()
     finally:
-        if node is not None:
+        with suppress(OSError):
             node.end()
-        for server in servers:
-            server.end()
-    lost = [upload for upload in uploads if upload.is_lost()]
-    for upload in lost:
-        late = "never"
-        if upload.answered_at is not None and upload.taken_at is not None:
-            late = f"{upload.answered_at - upload.taken_at:.2f} s after its last byte"
-        record.line(
-            f"LOST call={upload.call_id} bytes={upload.size} budget_ms={BUDGET_MS}"
-            f" status={upload.status} answered {late}"
-        )
-    taken = sum(upload.taken_at is not None for upload in uploads)
-    statuses = [upload.status for upload in uploads]
-    counts = {status: statuses.count(status) for status in set(statuses)}
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
     record.line(
-        f"sum sent={len(uploads)} taken={taken} answers={counts} lost={len(lost)}"
+        f"sum sent={CLIENTS} answers={counts} runs={runs} killed={int(platform.killed)}"
+        f" memory_mb: limit={MEMORY_MB} at_rest={resting_kib / KIB_PER_MB:.1f}"
+        f" peak={platform.peak_kib / KIB_PER_MB:.1f}"
     )
-    if not taken:
-        raise CaseError("no request was taken")
-    return BROKEN if lost else HELD
+    return BROKEN if platform.killed else HELD
 
 
 if __name__ == "__main__":
