--- a/review/server.py
+++ b/review/server.py
@@ -1,6 +1,6 @@
 """A server in a process of its own: answers each request with its call id after the time of its work.
 
-The argument is a JSON object: `work_s` is the range of that time in seconds.
+The argument is a JSON object: `work_s` is the range of that time in seconds; `seed` is for random numbers.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 
 async def main(options: dict) -> None:
     work = options["work_s"]
+    random.seed(options["seed"])
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError):
--- a/review/stand.py
+++ b/review/stand.py
@@ -9,6 +9,7 @@
 import json
 import logging
 import os
+import random
 import shutil
 import signal
 import socket
@@ -494,7 +495,9 @@
     folder = Path(file).resolve().parent
     record = Record(folder)
     work = Path(tempfile.mkdtemp(prefix="review-"))
-    record.line(f"trouble={int(trouble())} time={time():.3f}")
+    seed = os.environ.get("SEED", "1")
+    random.seed(seed)
+    record.line(f"trouble={int(trouble())} seed={seed} time={time():.3f}")
     # A connection that is still open at the end of a case is no matter for the terminal.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
