Review cases 1 and 3: record what the servers ran

Cause: record.txt has to name what was run, not only what was sent and answered. Change: the servers of cases 1 and 3 record each run.

--- a/review/server.py
+++ b/review/server.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 from contextlib import suppress
+from time import monotonic
 
 from stand import ok, read_request
 
@@ -23,6 +24,7 @@
         with suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 request = await read_request(reader)
+                print(f"{monotonic()} runs call={request.call_id}", flush=True)
                 await asyncio.sleep(random.uniform(*work))
                 writer.write(ok(request.call_id.encode()))
                 await writer.drain()
--- a/review/stand.py
+++ b/review/stand.py
@@ -270,9 +270,17 @@
         self.record.line(f"server {self.name} signal={number.name}")
 
     def end(self) -> None:
+        """Ends the server, and records what it has run."""
         if self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        assert self.process.stdout is not None
+        for line in self.process.stdout.read().decode().splitlines():
+            at, _, what = line.partition(" ")
+            self.record.line(
+                f"server {self.name} {what} at={float(at) - self.record.start:.4f}"
+            )
+        self.process.stdout.close()
 
 
 class Agent:
