--- a/review/stand.py
+++ b/review/stand.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import logging
 import os
@@ -27,6 +28,12 @@
 MS = 1_000  # microseconds
 SECOND = 1_000_000
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+TIME_LIMIT_S = 110  # a case that takes longer is ended, and could not run
+PR_SET_PDEATHSIG = (
+    1  # of prctl: the signal that a process gets when its parent has ended
+)
+# All processes that the case has started
+STARTED: list[subprocess.Popen[bytes]] = []
 
 
 def trouble() -> bool:
@@ -42,6 +49,32 @@
         return int(probe.getsockname()[1])
 
 
+def start_process(command: list[str], **options: Any) -> subprocess.Popen[bytes]:
+    """Starts a process that is killed at the end of the case, also if the case itself is killed."""
+    prctl = ctypes.CDLL(None).prctl
+
+    def die_with_parent() -> None:
+        prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+    # The case has one thread, so that code may run between fork and exec.
+    process = subprocess.Popen(command, preexec_fn=die_with_parent, **options)  # noqa: PLW1509
+    STARTED.append(process)
+    return process
+
+
+def end_processes() -> None:
+    """Kills all processes that the case has started and that still run, stopped ones too."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
+
+def end_case(number: int, frame: object) -> None:
+    """Ends the case at a signal from outside, or at the end of its time."""
+    sys.exit(COULD_NOT_RUN)
+
+
 class CaseError(Exception):
     """The case could not run as meant."""
 
@@ -179,7 +212,7 @@
         }
         log = (self.folder / "node.log").open("ab")
         self.started_at = monotonic()
-        self.process = subprocess.Popen(
+        self.process = start_process(
             ["/bin/sh", "-c", deploy["run"]],
             cwd=ROOT,
             env=environ,
@@ -256,7 +289,7 @@
         self.record = record
         self.name = name
         file = ROOT / "review" / "server.py"
-        self.process = subprocess.Popen(
+        self.process = start_process(
             [sys.executable, str(file), json.dumps(options)],
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
@@ -505,18 +538,25 @@
     work = Path(tempfile.mkdtemp(prefix="review-"))
     seed = os.environ.get("SEED", "1")
     random.seed(seed)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_case)
+    signal.alarm(TIME_LIMIT_S)
     record.line(f"trouble={int(trouble())} seed={seed} time={time():.3f}")
     # A connection that is still open at the end of a case is no matter for the terminal.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    verdict = COULD_NOT_RUN
     try:
         verdict = asyncio.run(case(record, work))
     except CaseError as error:
         record.line(f"could not run: {error}")
-        verdict = COULD_NOT_RUN
     except Exception as error:
         record.line(f"could not run: {type(error).__name__}: {error}")
-        verdict = COULD_NOT_RUN
+    except SystemExit:
+        record.line(
+            f"could not run: ended by a signal, or not done within {TIME_LIMIT_S} s"
+        )
     finally:
+        end_processes()
         shutil.rmtree(work, ignore_errors=True)
     record.line(f"exit={verdict}")
     sys.exit(verdict)
