Show what memory is held for requests and responses in the node's figures

Need: a node was killed for memory while the counted bytes stayed within their budget; neither the log nor /admin/stats told what its memory consisted of. Change: /admin/stats has a table "memory": resident and counted bytes, the budget, requests held, objects that hold body parts, bytes that clients have not read. It is measured on demand, by connection, so that traffic pays nothing.

--- a/loadbalancer/node/metrics.py
+++ b/loadbalancer/node/metrics.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from http import HTTPStatus
 from typing import Any
 
 from loadbalancer.errors import LoadBalancerError
+from loadbalancer.node.memory_figures import MemoryFigures
 
 REJECTED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
@@ -74,12 +76,15 @@
         else:
             self.sighup_rejected += 1
 
-    def figures(self, discovered: int, ejected: int) -> dict[str, Any]:
+    def figures(
+        self, discovered: int, ejected: int, memory: MemoryFigures
+    ) -> dict[str, Any]:
         """Returns all metrics as `/admin/stats` publishes them.
 
         Args:
             discovered: Number of servers in the endpoint list.
             ejected: Number of servers that outlier detection has ejected.
+            memory: What the memory of the process consists of.
         """
         values: dict[str, Any] = {
             "results": {name: dict(counts) for name, counts in self.results.items()},
@@ -87,6 +92,7 @@
             "forwards": self.forwards,
             "discovered": discovered,
             "ejected": ejected,
+            "memory": asdict(memory),
             "sighup_applied": self.sighup_applied,
             "sighup_rejected": self.sighup_rejected,
         }
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -29,6 +29,7 @@
 )
 from loadbalancer.node.listen import listening
 from loadbalancer.node.log import MAX_LINES_PER_S, MAX_STRAY_LINES_PER_S, Log
+from loadbalancer.node.memory_figures import measure_memory
 from loadbalancer.node.metrics import Metrics
 from loadbalancer.node.peers import PeerMessenger
 from loadbalancer.node.requests.deadline_guard import DeadlineGuard, drain_time_us
@@ -218,7 +219,9 @@
     def figures(self) -> tuple[bool, dict[str, Any]]:
         """Returns True, since metrics are always available, and the object of `/admin/stats`."""
         values = self.metrics.figures(
-            len(self.listed or ()), int(self.balancer.stats()["ejected"])
+            len(self.listed or ()),
+            int(self.balancer.stats()["ejected"]),
+            measure_memory(self.client_listener, self.requests),
         )
         if self.feature_host is not None:
             values |= self.feature_host.metrics()
