Bound what requests and responses hold in memory, whatever the form they arrive in

Cause: the memory budget counted the bytes of a body, not the objects that held them, one for each chunk.

Change: MemoryBudget counts what each holder takes now, and all holders state it: requests with their objects, heads before they are complete, what the parser keeps of a trailer, bodies, uploads, unparsed input, held answers, bytes that a client or a server has not taken. BodyBuffer joins the parts of a body as they arrive; what one read brought goes on in one write. Behind eight waiting requests the rest of a read stays unparsed. An incomplete request that holds over 4 KiB is refused while the budget is spent. 32 KiB of trailers or chunk extensions at most.

It works since the number of objects no longer follows from the form of the input.

Changed tests: one of Upload takes what has arrived at once, and checks one count more; a stand-in of a pool has a budget; the bound on waiting requests is lower than it was (a slice of 1 kB for 8 kB).

--- a/loadbalancer/node/client/connection.py
+++ b/loadbalancer/node/client/connection.py
@@ -9,21 +9,18 @@
 from typing import TYPE_CHECKING, cast
 
 from loadbalancer.node.client import client_socket
+from loadbalancer.node.client.input import MAX_PIPELINED_REQUESTS, ClientInput
 from loadbalancer.node.client.interface import ConnectionState
 from loadbalancer.node.client.linger import LINGER_S, LINGER_STREAM_S, start_linger
 from loadbalancer.node.client.request import ClientRequest
 from loadbalancer.node.client.request_reader import PARSE_SLICE_BYTES, RequestReader
 from loadbalancer.node.client.response_head import encode_response
-from loadbalancer.node.client.response_stream import ResponseStream
+from loadbalancer.node.client.response_stream import UNSENT_LIMIT_BYTES, ResponseStream
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.listener import ClientListener
     from loadbalancer.node.upstream.body_buffer import BodySource
 
-# Complete requests that wait while an earlier one is open. At this number reading pauses; those that have
-# been read already may exceed it.
-MAX_PIPELINED_REQUESTS = 8
-
 
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection. One request is open at a time; pipelined requests wait for it.
@@ -42,6 +39,7 @@
         last_active_at: The loop time in seconds of the accept or, later, at which bytes were last received or
             sent.
         reader: Parses the requests.
+        input: The bytes that have been read, and whether more are.
         pipelined: Complete requests that wait until earlier ones are answered, in order.
         open_request: The request that is being answered.
         stream: Writes the response to `open_request` if that is streamed.
@@ -56,9 +54,8 @@
         # Created on first use by `has_hung_up`.
         self.hangup_poll: select.poll | None = None
         self.reader = RequestReader(self)
+        self.input = ClientInput(self)
         self.pipelined: deque[ClientRequest] = deque()
-        self.read_paused = False
-        self.read_paused_at = 0.0
         self.open_request: ClientRequest | None = None
         self.stream = ResponseStream(self)
 
@@ -67,6 +64,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop when the socket is attached to this connection."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=UNSENT_LIMIT_BYTES)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """The buffer for the event loop's next read: one parse slice, or a full buffer within a body.
@@ -82,13 +80,11 @@
         self.data_received(bytes(self.listener.budget.read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes slice by slice, and dispatches what is complete."""
+        """Parses received bytes, and dispatches what is complete."""
         self.last_active_at = self.listener.loop.time()
         if len(data) >= PARSE_SLICE_BYTES and self.check_hangup():
             return  # do not parse a large batch of requests from a client that has already gone
-        for start in range(0, len(data), PARSE_SLICE_BYTES):
-            if not self.reader.ended:
-                self.reader.parse(data[start : start + PARSE_SLICE_BYTES])
+        self.input.receive(data)
         self.dispatch_next()
         if self.open_request is not None and self.open_request.upload is not None:
             self.open_request.upload.forward()
@@ -106,7 +102,7 @@
         ):
             self.dispatch_upload(request)
         else:
-            self.pause()
+            self.input.pause()
 
     def dispatch_upload(self, request: ClientRequest) -> None:
         """Hands a request with a streamed body to the handler, which rejects it if there is no capacity.
@@ -133,24 +129,7 @@
         """Queues a complete request until the earlier ones are answered."""
         self.pipelined.append(request)
         if len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
-            self.pause()
-
-    def pause(self) -> None:
-        """Stops reading from the client for now."""
-        if not self.read_paused and not self.transport.is_closing():
-            self.read_paused = True
-            self.read_paused_at = self.listener.loop.time()
-            self.transport.pause_reading()
-            self.listener.hangup_watch.add(self)
-
-    def resume(self) -> None:
-        """Continues reading. The paused time does not count against the time for a body (`eviction`)."""
-        if self.read_paused and not self.transport.is_closing():
-            self.read_paused = False
-            paused_s = self.listener.loop.time() - self.read_paused_at
-            self.reader.headers_complete_at += paused_s
-            self.listener.hangup_watch.remove(self)
-            self.transport.resume_reading()
+            self.input.pause()
 
     def reject(self, status: int) -> None:
         """Answers immediately with an error status and reads no further.
@@ -189,11 +168,9 @@
             self.dispatch_waiting_upload()
             return
         self.open_request = request = self.pipelined.popleft()
-        if (
-            len(self.pipelined) < MAX_PIPELINED_REQUESTS
-            and not self.reader.is_in_upload()
-        ):
-            self.resume()
+        self.input.proceed()
+        if self.open_request is not request:  # abandoned: what follows is unreadable
+            return
         # 503 (memory budget exhausted) is the only error that is queued behind earlier requests.
         if request.error or self.listener.is_over_capacity(self):
             self.listener.handler.capacity_exceeded(self)
@@ -205,7 +182,7 @@
         request = self.reader.incoming
         if request is None or request.upload is None or self.reader.ended:
             return
-        self.resume()
+        self.input.resume()
         self.dispatch_upload(request)
         incoming = self.reader.incoming
         if incoming is not None and incoming.upload is not None:
@@ -230,6 +207,7 @@
         data = encode_response(status, headers, body, close)
         self.last_active_at = self.listener.loop.time()
         self.transport.write(data)
+        self.stream.count_unsent()
         self.after_response(request, close)
 
     def closes_after(self, request: ClientRequest) -> bool:
@@ -251,7 +229,7 @@
         if close:
             self.close(LINGER_S if request.complete else LINGER_STREAM_S)
             return
-        if self.listener.closing_after_response:
+        if self.listener.closing_after_response and not self.input.unparsed:
             self.reader.ended = True
             self.reader.discard_incoming()
         self.listener.loop.call_soon(self.dispatch_next)
@@ -308,7 +286,7 @@
             return
         self.state = ConnectionState.LINGERING
         self.end_input()
-        self.resume()
+        self.input.resume()
         if self.transport.is_closing():
             return
         if self.has_unsent():
@@ -351,7 +329,7 @@
         """Called by the event loop when the client reads again."""
         self.stream.write_paused = False
         self.last_active_at = self.listener.loop.time()
-        self.stream.release_buffered()
+        self.stream.release_unsent()
         if self.stream.source is not None:
             self.stream.source.resume()
         self.dispatch_next()
@@ -369,7 +347,7 @@
         self.listener.over_capacity.discard(self)
         self.listener.lingering.pop(self, None)
         self.listener.hangup_watch.remove(self)
-        self.stream.release_buffered()
+        self.stream.release_unsent()
         self.end_input()
         self.abandon_open_request()
         self.listener.update_accepting()
@@ -388,6 +366,7 @@
         for request in self.pipelined:
             request.release(self.listener.budget)
         self.pipelined.clear()
+        self.input.drop_unparsed()
         self.reader.discard_incoming()
 
     def has_hung_up(self) -> bool:
--- a/loadbalancer/node/client/eviction.py
+++ b/loadbalancer/node/client/eviction.py
@@ -87,7 +87,7 @@
     REQUEST_TIMEOUT_S ago; the caller distinguishes the two.
     """
     reader = connection.reader
-    if connection.pipelined or reader.ended or connection.read_paused:
+    if connection.pipelined or reader.ended or connection.input.paused:
         return False
     if now - reader.started_at <= REQUEST_TIMEOUT_S:
         return False
--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -20,7 +20,7 @@
 from loadbalancer.node.client.hangup_watch import HangupWatch
 from loadbalancer.node.client.interface import RequestHandler
 from loadbalancer.node.client.linger import LINGER_S
-from loadbalancer.node.upstream.body_buffer import BodyBudget
+from loadbalancer.node.memory_budget import MemoryBudget
 
 LISTEN_BACKLOG = 512
 MAX_ACCEPTS_PER_EVENT = 64  # connections accepted before the loop serves others again
@@ -84,7 +84,7 @@
         self.hangup_watch = HangupWatch(loop)
         self.draining = False  # while draining, `/ready` answers 503
         self.closing_after_response = False  # each connection closes after its response
-        self.budget = BodyBudget(max_held_bytes)
+        self.budget = MemoryBudget(max_held_bytes)
         # The event loop holds no strong reference to a task: without this set, a task could be
         # garbage-collected before it is done.
         self.accept_tasks: set[asyncio.Task[None]] = set()
--- a/loadbalancer/node/client/request.py
+++ b/loadbalancer/node/client/request.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from loadbalancer.node.upstream.body_buffer import BodyBudget, Upload
+from loadbalancer.node.memory_budget import MemoryBudget
+from loadbalancer.node.upstream.body_buffer import Upload
+
+# What a request takes in memory beside the bytes of its head and body: its objects, and those of a header.
+REQUEST_OBJECT_BYTES = 1_024
+HEADER_OBJECT_BYTES = 320
 
 REASON_PHRASES = {
     200: b"OK",
@@ -37,14 +42,14 @@
         lines: The headers in order, each as lower-case name, original name and value.
         headers: The values by lower-case name; the first value of a repeated header.
         length: Bytes of the body; None for a chunked body.
-        pieces: The parts of a held body that have been received.
-        body: The complete body, unless it is streamed.
+        body: The received part of the body, unless it is streamed.
         upload: The body, if it is streamed.
         complete: Whether the last byte has been received.
         completed_at: The loop time in seconds at which the last byte was read.
         keep_alive: Whether the connection may stay open after the response.
         http_version: The HTTP version without its prefix, for example "1.1".
-        held_bytes: Bytes of the head and the held body, which count against the budget until `release`.
+        head_bytes: What the complete head takes in memory; 0 before.
+        held_bytes: What the request takes in memory, as last counted (`MemoryHolder`).
     """
 
     __slots__ = (
@@ -52,6 +57,7 @@
         "complete",
         "completed_at",
         "error",
+        "head_bytes",
         "headers",
         "held_bytes",
         "http_version",
@@ -59,7 +65,6 @@
         "length",
         "lines",
         "method",
-        "pieces",
         "target",
         "upload",
     )
@@ -71,18 +76,35 @@
         self.lines: list[tuple[bytes, bytes, bytes]] = []
         self.headers: dict[bytes, bytes] = {}
         self.length: int | None = 0
-        self.pieces: list[bytes] = []
-        self.body = b""
+        self.body = bytearray()
         self.upload: Upload | None = None
         self.complete = error != 0
         self.completed_at = 0.0
         self.keep_alive = error == 0
         self.http_version = "1.1"
+        self.head_bytes = 0
         self.held_bytes = 0
 
-    def release(self, budget: BodyBudget) -> None:
+    def measure_head(self) -> None:
+        """Sets `head_bytes`, once the head is complete. A header's name is held twice, in both cases."""
+        self.head_bytes = REQUEST_OBJECT_BYTES + len(self.target)
+        for _, name, value in self.lines:
+            self.head_bytes += HEADER_OBJECT_BYTES + 2 * len(name) + len(value)
+
+    def count(self, budget: MemoryBudget, unparsed_bytes: int = 0) -> None:
+        """Counts what the request takes in memory.
+
+        Args:
+            budget: The budget that it counts against.
+            unparsed_bytes: Bytes that the parser may hold for it.
+        """
+        head_bytes = self.head_bytes or (
+            REQUEST_OBJECT_BYTES + HEADER_OBJECT_BYTES * len(self.lines)
+        )
+        budget.count(self, head_bytes + len(self.body) + unparsed_bytes)
+
+    def release(self, budget: MemoryBudget) -> None:
         """Returns the memory that the request holds to the budget."""
-        budget.held_bytes -= self.held_bytes
-        self.held_bytes = 0
+        budget.count(self, 0)
         if self.upload is not None:
             self.upload.release()
--- a/loadbalancer/node/client/request_reader.py
+++ b/loadbalancer/node/client/request_reader.py
@@ -7,8 +7,10 @@
 import httptools
 
 from loadbalancer.node.client.request import SINGLE_VALUE_HEADERS, ClientRequest
+from loadbalancer.node.memory_budget import READ_BUFFER_BYTES_AT_LIMIT
 from loadbalancer.node.upstream.body_buffer import (
     MAX_BODY_BYTES,
+    MAX_FRAMING_RUN_BYTES,
     MAX_HELD_BODY_BYTES,
     Upload,
     is_framing_proportionate,
@@ -19,7 +21,11 @@
 
 MAX_HEAD_BYTES = 32_768
 MAX_HEADER_LINES = 128
-PARSE_SLICE_BYTES = 8_192  # input that is parsed at a time
+PARSE_SLICE_BYTES = 8_192  # input of a body that is parsed at a time
+# The same for heads, of which a slice may hold many.
+HEAD_SLICE_BYTES = 1_024
+# An incomplete request that holds no more than this is not rejected for memory before it is complete.
+MAX_UNCHECKED_BYTES = READ_BUFFER_BYTES_AT_LIMIT
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -35,6 +41,8 @@
         received_bytes: Bytes received of the incoming request, counted in entire slices: bytes of an earlier
             request in its first slice are included.
         body_bytes: Bytes received of its body.
+        body_parts: Parts of the body in the slice that is being parsed.
+        body_ended_at: The value of `received_bytes` with the last byte of body, or with the end of the head.
         request_count: Requests received so far; a request with a streamed body counts when it is dispatched
             and again when it is complete.
         ended: Whether further input from this client is discarded.
@@ -42,6 +50,8 @@
 
     __slots__ = (
         "body_bytes",
+        "body_ended_at",
+        "body_parts",
         "connection",
         "ended",
         "headers_complete",
@@ -64,9 +74,15 @@
         self.headers_complete_at = 0.0
         self.received_bytes = 0
         self.body_bytes = 0
+        self.body_parts: list[bytes] = []
+        self.body_ended_at = 0
         self.request_count = 0
         self.ended = False
 
+    def slice_bytes(self) -> int:
+        """Bytes of input to parse at a time."""
+        return PARSE_SLICE_BYTES if self.is_in_body() else HEAD_SLICE_BYTES
+
     def is_in_body(self) -> bool:
         """Whether the next bytes belong to a request's body."""
         return self.incoming is not None and self.headers_complete
@@ -89,12 +105,37 @@
             self.connection.reject(400)
         if self.incoming is not None:
             self.received_bytes += len(data)
-            if not self.headers_complete and self.received_bytes > MAX_HEAD_BYTES:
+            self.hold_body_parts()
+            self.check_size()
+        self.body_parts.clear()
+        if self.incoming is not None:
+            self.count_incoming(self.incoming)
+
+    def check_size(self) -> None:
+        """Rejects the incoming request if its head, or what frames its body, is too large."""
+        if self.headers_complete and not self.body_ended_at:
+            self.body_ended_at = self.received_bytes
+        if not self.headers_complete:
+            if self.received_bytes > MAX_HEAD_BYTES:
                 self.connection.reject(431)
-            elif self.headers_complete and not is_framing_proportionate(
+        elif (
+            self.received_bytes - self.body_ended_at > MAX_FRAMING_RUN_BYTES
+            or not is_framing_proportionate(
                 self.received_bytes, self.body_bytes, MAX_HEAD_BYTES
-            ):
-                self.connection.reject(413)
+            )
+        ):
+            self.connection.reject(413)
+
+    def count_incoming(self, request: ClientRequest) -> None:
+        """Counts what an incomplete request holds, and rejects it if that exceeds the memory budget."""
+        budget = self.listener.budget
+        request.count(budget, self.received_bytes - self.body_ended_at)
+        is_rejectable = (
+            request.upload is None and request.held_bytes > MAX_UNCHECKED_BYTES
+        )
+        if is_rejectable and not budget.fits(0):
+            self.incoming = None
+            self.reject_over_budget(request)
 
     def discard_incoming(self) -> None:
         """Drops the request that has not been received completely."""
@@ -108,7 +149,7 @@
         """Starts a request. Anything that follows the end of input in the same bytes is ignored."""
         self.incoming = None if self.ended else ClientRequest()
         self.headers_complete = False
-        self.received_bytes = self.body_bytes = 0
+        self.received_bytes = self.body_bytes = self.body_ended_at = 0
         if self.request_count:
             self.started_at = self.listener.loop.time()
 
@@ -142,11 +183,8 @@
         length = int(request.headers.get(b"content-length", b"0"))
         if not self.check_framing(request, length):
             return
-        request.held_bytes = len(request.target)
-        request.held_bytes += sum(
-            len(name) + len(value) for _, name, value in request.lines
-        )
-        self.listener.budget.held_bytes += request.held_bytes
+        request.measure_head()
+        request.count(self.listener.budget)
         if length > MAX_HELD_BODY_BYTES:
             self.start_upload(request)
         elif self.connection.open_request is None:
@@ -182,28 +220,32 @@
         """Starts streaming a body that is too large to hold."""
         request.keep_alive = self.parser.should_keep_alive()
         upload = request.upload = Upload(
-            self.listener.budget, self.connection, request.length
+            self.listener.budget, self.connection.input, request.length
         )
-        for piece in request.pieces:
-            upload.pieces.append(piece)  # already counted in the budget's `held_bytes`
-            request.held_bytes -= len(piece)
-        request.pieces = []
+        upload.append(request.body)
+        request.body = bytearray()
+        request.count(self.listener.budget)
         self.connection.on_upload_started(request)
 
     def on_body(self, body: bytes) -> None:
-        """Adds a part of the body to the held body or to the upload."""
+        """Collects a part of the body, of which a slice may have thousands."""
+        self.body_parts.append(body)
+
+    def hold_body_parts(self) -> None:
+        """Joins the parts of the body in this slice, and adds them to the held body or to the upload."""
         request = self.incoming
-        if request is None or self.ended:
+        if request is None or self.ended or not self.body_parts:
             return
+        body = b"".join(self.body_parts)
+        self.body_parts.clear()
         self.body_bytes += len(body)
+        self.body_ended_at = self.received_bytes
         if self.body_bytes > MAX_BODY_BYTES:
             self.connection.reject(413)
         elif request.upload is not None:
             request.upload.append(body)
         else:
-            request.pieces.append(body)
-            request.held_bytes += len(body)
-            self.listener.budget.held_bytes += len(body)
+            request.body += body
             if self.body_bytes > MAX_HELD_BODY_BYTES:
                 self.start_upload(request)
 
@@ -213,20 +255,21 @@
         After a request that closes the connection nothing more is parsed: the parser treats further bytes as
         an error, and the error response would replace the responses that are still owed.
         """
+        self.hold_body_parts()
         request, self.incoming = self.incoming, None
         if request is None or self.ended:
             return
         self.request_count += 1
         request.complete = True
-        request.completed_at = self.connection.last_active_at
+        request.completed_at = self.connection.input.received_at
         request.keep_alive = request.keep_alive and self.parser.should_keep_alive()
         self.ended = not request.keep_alive
+        request.count(self.listener.budget)
         if request.upload is not None:
             request.upload.complete = True
             self.connection.on_upload_complete(request)
-        elif self.listener.budget.fits(0):
-            request.body = b"".join(request.pieces)
-            request.pieces = []
+            return
+        if self.listener.budget.fits(0):
             self.connection.enqueue(request)
         else:
             self.reject_over_budget(request)
@@ -236,5 +279,6 @@
         self.ended = True
         rejected = ClientRequest(503)
         rejected.target = request.target
+        rejected.complete = request.complete
         request.release(self.listener.budget)
         self.connection.pipelined.append(rejected)
--- a/loadbalancer/node/client/response_stream.py
+++ b/loadbalancer/node/client/response_stream.py
@@ -1,4 +1,4 @@
-"""Streams a response to a client's open request."""
+"""Streams a response to a client's open request, and counts what the client does not read."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
     from loadbalancer.node.client.connection import ClientConnection
     from loadbalancer.node.client.request import ClientRequest
 
+# Bytes of responses that may wait in this process before the client counts as one that does not read.
+UNSENT_LIMIT_BYTES = 16_384
 RESPONSE_BUFFER_BYTES = 131_072  # the kernel's send buffer for a streamed response
 
 
@@ -24,14 +26,15 @@
         chunked: Whether it is written in chunks.
         source: The connection that the body comes from; it is resumed when the client reads again.
         write_paused: Whether the client does not read its responses, so that nothing more should be written.
-        buffered_bytes: Bytes written while `write_paused`, which the kernel has not accepted yet.
+        held_bytes: Bytes written that the kernel has not accepted, counted while `write_paused`
+            (`MemoryHolder`).
     """
 
     __slots__ = (
         "active",
-        "buffered_bytes",
         "chunked",
         "connection",
+        "held_bytes",
         "source",
         "write_paused",
     )
@@ -42,7 +45,7 @@
         self.chunked = False
         self.source: BodySource | None = None
         self.write_paused = False
-        self.buffered_bytes = 0
+        self.held_bytes = 0
 
     def start(
         self,
@@ -83,9 +86,7 @@
             return
         connection.last_active_at = connection.listener.loop.time()
         connection.transport.write(encode_chunk(data) if self.chunked else data)
-        if self.write_paused:
-            self.buffered_bytes += len(data)
-            connection.listener.budget.held_bytes += len(data)
+        self.count_unsent()
 
     def write_end(self) -> None:
         """Writes the last chunk, if the body is chunked."""
@@ -97,7 +98,13 @@
         self.active = False
         self.source = None
 
-    def release_buffered(self) -> None:
-        """Releases the buffered bytes from the budget: the kernel has accepted them, or never will."""
-        self.connection.listener.budget.held_bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
+    def count_unsent(self) -> None:
+        """Counts what the client has not read, after a write."""
+        if self.write_paused:
+            connection = self.connection
+            unsent_bytes = connection.transport.get_write_buffer_size()
+            connection.listener.budget.count(self, unsent_bytes)
+
+    def release_unsent(self) -> None:
+        """Releases the unsent bytes from the budget: the kernel has accepted them, or never will."""
+        self.connection.listener.budget.count(self, 0)
--- a/loadbalancer/node/memory_figures.py
+++ b/loadbalancer/node/memory_figures.py
@@ -80,15 +80,15 @@
 
 def body_parts(request: ClientRequest) -> int:
     """Separate objects that hold the request's body."""
-    upload_parts = len(request.upload.pieces) if request.upload is not None else 0
-    return len(request.pieces) + bool(request.body) + upload_parts
+    waiting_parts = request.upload is not None and bool(request.upload.waiting)
+    return bool(request.body) + waiting_parts
 
 
 def response_parts(request: OpenRequest) -> int:
     """Separate objects that hold the body of the response to a request."""
     if request.attempt is None or request.attempt.connection is None:
         return 0
-    return len(request.attempt.connection.response_reader.pieces)
+    return int(bool(request.attempt.connection.response_reader.body))
 
 
 def resident_bytes() -> int:
--- a/loadbalancer/node/upstream/connection.py
+++ b/loadbalancer/node/upstream/connection.py
@@ -62,6 +62,8 @@
         idle_since: The loop time in seconds at which the connection last became idle.
         active_at: The loop time in seconds at which bytes were last received or written, or reading resumed.
         write_paused: Whether written bytes are still waiting in this process.
+        held_bytes: Bytes of a request written that the kernel has not accepted (`MemoryHolder`); an upload
+            counts its own.
         request_unsent: Whether the server cannot have received the complete request yet.
         request_bytes: Bytes of the request; 0 if its body is streamed.
         has_received_response: Whether an earlier response has been received on this connection.
@@ -78,6 +80,7 @@
         self.idle_since = 0.0
         self.active_at = 0.0
         self.write_paused = False
+        self.held_bytes = 0
         self.read_paused = False
         self.request_unsent = False
         self.request_bytes = 0
@@ -129,7 +132,7 @@
     def send_request(
         self, attempt: Attempt, data: bytes, upload: Upload | None = None
     ) -> None:
-        """Writes the attempt's request; the pieces of an upload follow as they are received."""
+        """Writes the attempt's request; the bytes of an upload follow as they are received."""
         self.attempt = attempt
         self.state = ConnectionState.BUSY
         self.response_reader.reset()
@@ -139,6 +142,9 @@
         self.request_bytes = 0 if upload is not None else len(data)
         if not self.transport.is_closing():
             self.transport.write(data)
+            if self.write_paused:
+                unsent_bytes = self.transport.get_write_buffer_size()
+                self.pool.budget.count(self, unsent_bytes)
             if upload is not None:
                 upload.writer = self.write_upload
                 self.write_upload()
@@ -150,18 +156,18 @@
             attempt.on_sent()
 
     def write_upload(self) -> None:
-        """Writes received pieces of the upload until the kernel accepts no more."""
+        """Writes the received bytes of the upload, unless the kernel accepts no more."""
         upload = self.upload
-        while (
+        if (
             upload is not None
-            and upload.pieces
+            and upload.waiting
             and not self.write_paused
             and not self.transport.is_closing()
         ):
-            piece = upload.take_piece()
+            data = upload.take()
             self.active_at = self.pool.loop.time()
             self.transport.write(
-                piece if upload.length is not None else encode_chunk(piece)
+                data if upload.length is not None else encode_chunk(data)
             )
             if not self.write_paused:
                 upload.mark_sent()
@@ -173,7 +179,7 @@
             upload.source.resume()
 
     def finish_upload(self, upload: Upload) -> None:
-        """Ends the upload's body, all of whose pieces have been written."""
+        """Ends the upload's body, all of whose bytes have been written."""
         self.upload = upload.writer = None
         if upload.length is None:
             self.transport.write(LAST_CHUNK)
@@ -193,6 +199,7 @@
     def resume_writing(self) -> None:
         """Called by the event loop when the kernel has accepted everything that was written."""
         self.write_paused = False
+        self.pool.budget.count(self, 0)
         self.active_at = self.pool.loop.time()
         if self.upload is not None:
             self.upload.mark_sent()
@@ -279,6 +286,7 @@
         """
         if exc is None and self in self.endpoint.idle:
             self.endpoint.record_idle_close(self.pool.loop.time() - self.idle_since)
+        self.pool.budget.count(self, 0)
         self.pool.on_closed(self)
         self.fail()
 
@@ -329,7 +337,7 @@
         if attempt is not None:
             if self.state is ConnectionState.BUSY:
                 self.state = ConnectionState.IDLE
-            self.response_reader.release_pieces()
+            self.response_reader.release()
         if self.read_paused:
             self.resume()
         return attempt
--- a/loadbalancer/node/upstream/pool.py
+++ b/loadbalancer/node/upstream/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from loadbalancer.node.upstream.body_buffer import BodyBudget
+from loadbalancer.node.memory_budget import MemoryBudget
 from loadbalancer.node.upstream.connection import ConnectionState, UpstreamConnection
 from loadbalancer.node.upstream.endpoint import IDLE_CLOSE_MARGIN_S, UpstreamEndpoint
 
@@ -23,7 +23,7 @@
         max_connections: File descriptors that the connections may use.
         connect_timeout_s: Seconds that an attempt waits for a connection.
         idle_time_s: Seconds for which servers keep idle connections open, according to the settings.
-        budget: The memory budget for bodies.
+        budget: The memory budget of the node.
 
     Attributes:
         idle_limit_s: Seconds after which idle connections are closed, derived from the settings. The limit
@@ -43,7 +43,7 @@
         max_connections: int,
         connect_timeout_s: float,
         idle_time_s: float,
-        budget: BodyBudget,
+        budget: MemoryBudget,
     ) -> None:
         self.loop = loop
         self.max_connections = max_connections
--- a/loadbalancer/node/upstream/response_reader.py
+++ b/loadbalancer/node/upstream/response_reader.py
@@ -9,6 +9,7 @@
 from loadbalancer.node.upstream.body_buffer import (
     MAX_BODY_BYTES,
     MAX_FRAMING_RATIO,
+    MAX_FRAMING_RUN_BYTES,
     MAX_HELD_BODY_BYTES,
     is_framing_proportionate,
 )
@@ -49,12 +50,19 @@
         length: Bytes of the body; None if the head does not declare it.
         chunked: Whether the body is chunked.
         received_bytes: Bytes received of the response and of interim responses before it.
+        body: The received part of the body that is held.
+        body_parts: Parts of the body in the bytes that are being parsed.
         body_bytes: Bytes received of its body.
+        body_ended_at: The value of `received_bytes` with the last byte of body, or with the end of the head.
+        held_bytes: What the response takes in memory, as last counted (`MemoryHolder`).
         sink: The receiver of a streamed response; None while the response is held.
     """
 
     __slots__ = (
+        "body",
         "body_bytes",
+        "body_ended_at",
+        "body_parts",
         "chunked",
         "complete",
         "connection",
@@ -68,7 +76,6 @@
         "length",
         "load_report",
         "parser",
-        "pieces",
         "pool",
         "received_bytes",
         "rejected",
@@ -79,7 +86,6 @@
     def __init__(self, pool: ConnectionPool, connection: UpstreamConnection) -> None:
         self.pool = pool
         self.connection = connection
-        self.pieces: list[bytes] = []
         self.held_bytes = 0
         self.sink: ResponseSink | None = None
         self.reset()
@@ -88,7 +94,8 @@
         """Prepares for the next response, before its request is written."""
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
-        self.pieces = []
+        self.body = bytearray()
+        self.body_parts: list[bytes] = []
         self.content_type = b""
         self.rejected = False
         self.load_report = self.hit = b""
@@ -96,20 +103,38 @@
         self.headers_complete = False
         self.length: int | None = None
         self.chunked = False
-        self.received_bytes = self.header_lines = self.body_bytes = 0
+        self.received_bytes = self.header_lines = 0
+        self.body_bytes = self.body_ended_at = 0
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes, and updates `complete` and `has_invalid_bytes`."""
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.hold_body_parts()
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            UnusableResponseError,
+        ):
             self.has_invalid_bytes = True
+        if not self.complete:
+            self.check_size()
+            unparsed_bytes = self.received_bytes - self.body_ended_at
+            self.pool.budget.count(self, len(self.body) + unparsed_bytes)
+
+    def check_size(self) -> None:
+        """Makes the response unusable if its head, or what frames its body, is too large."""
         received_bytes = self.received_bytes
         if not self.headers_complete:
             received_bytes += MAX_HELD_FRAMING_BYTES
-        if not is_framing_proportionate(
-            received_bytes, self.body_bytes, MAX_HEAD_BYTES
+        elif not self.body_ended_at:
+            self.body_ended_at = received_bytes
+        if (
+            not is_framing_proportionate(
+                received_bytes, self.body_bytes, MAX_HEAD_BYTES
+            )
+            or self.received_bytes - self.body_ended_at > MAX_FRAMING_RUN_BYTES
         ):
             self.has_invalid_bytes = True
 
@@ -119,7 +144,7 @@
 
     def response(self) -> Response:
         """The response, with the part of the body that is held."""
-        return self._response(b"".join(self.pieces))
+        return self._response(bytes(self.body))
 
     def _response(self, body: bytes) -> Response:
         return Response(
@@ -132,12 +157,10 @@
             self.hit,
         )
 
-    def release_pieces(self) -> None:
-        """Returns the memory that the response holds to the budget."""
-        self.pieces = []
-        if self.held_bytes:
-            self.pool.budget.held_bytes -= self.held_bytes
-            self.held_bytes = 0
+    def release(self) -> None:
+        """Drops the held body, and returns its memory to the budget."""
+        self.body = bytearray()
+        self.pool.budget.count(self, 0)
 
     # ---- called by the parser -------------------------------------------------------------------------
 
@@ -201,31 +224,40 @@
                 self.start_streaming()
 
     def on_body(self, body: bytes) -> None:
-        """Adds a part of the body to the held pieces, or sends it to the sink.
+        """Collects a part of the body, of which a read may have thousands."""
+        if not self.complete:
+            self.body_parts.append(body)
+
+    def hold_body_parts(self, final: bool = False) -> None:
+        """Joins the parts of the body in this read, and holds them or sends them to the sink.
+
+        Args:
+            final: Whether the body is complete with them. What is held then goes out at once.
 
         Raises:
             UnusableResponseError: The body is too large, or cannot be streamed.
         """
-        if self.complete:
+        if not self.body_parts:
             return
+        body = b"".join(self.body_parts)
+        self.body_parts.clear()
         self.body_bytes += len(body)
+        self.body_ended_at = self.received_bytes
         if self.body_bytes > MAX_BODY_BYTES:
             raise UnusableResponseError
-        max_held_bytes = (
-            MAX_HELD_BODY_BYTES if self.length is not None else MAX_HELD_UNSIZED_BYTES
-        )
-        if self.sink is None and (
-            self.body_bytes > max_held_bytes or not self.pool.budget.fits(len(body))
-        ):
+        if self.sink is None and not final and not self.may_hold(len(body)):
             self.start_streaming()
         if self.sink is not None:
             self.sink.send_chunk(body)
-        elif (
-            self.status == STATUS_OK
-        ):  # the bodies of other responses are not forwarded
-            self.pieces.append(body)
-            self.held_bytes += len(body)
-            self.pool.budget.held_bytes += len(body)
+        elif self.status == STATUS_OK:  # other bodies are not forwarded
+            self.body += body
+
+    def may_hold(self, size_bytes: int) -> bool:
+        """Whether the body may be held with the last `size_bytes` of it."""
+        max_held_bytes = (
+            MAX_HELD_BODY_BYTES if self.length is not None else MAX_HELD_UNSIZED_BYTES
+        )
+        return self.body_bytes <= max_held_bytes and self.pool.budget.fits(size_bytes)
 
     def start_streaming(self) -> None:
         """Starts streaming a response that is too large to hold.
@@ -241,15 +273,16 @@
         self.sink = attempt.start_streaming(self._response(b""), self.connection)
         if self.sink is None:
             raise UnusableResponseError
-        for piece in self.pieces:
-            self.sink.send_chunk(piece)
-        self.release_pieces()
+        if self.body:
+            self.sink.send_chunk(bytes(self.body))
+        self.release()
 
     def on_message_complete(self) -> None:
         """Ends the final response. Interim responses, and bytes after the final one, are ignored."""
         status = self.parser.get_status_code()
         if self.complete or status < FIRST_FINAL_STATUS:
             return
+        self.hold_body_parts(final=True)
         # Must be read now: the parser resets it for the next response.
         self.keep_alive = self.parser.should_keep_alive()
         self.complete = True
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,12 +14,11 @@
 from support import SEC, ask, balancer
 from test_node import FULL, always
 
+from loadbalancer.node.memory_budget import READ_BUFFER_BYTES_AT_LIMIT, MemoryBudget
 from loadbalancer.node.upstream import attempt as attempt_module
 from loadbalancer.node.upstream.body_buffer import (
     MAX_BODY_BYTES,
     MAX_HELD_BODY_BYTES,
-    READ_BUFFER_BYTES_AT_LIMIT,
-    BodyBudget,
     Upload,
 )
 from loadbalancer.policy.api import Outcome
@@ -290,7 +289,7 @@
 
 
 def test_reads_are_smaller_while_the_budget_is_exhausted():
-    budget = BodyBudget(100_000)
+    budget = MemoryBudget(100_000)
     assert len(budget.next_read_buffer()) == MAX_HELD_BODY_BYTES
     budget.held_bytes = 50_000
     assert len(budget.next_read_buffer()) == READ_BUFFER_BYTES_AT_LIMIT
@@ -306,7 +305,7 @@
         def resume(self):
             self.paused = False
 
-    budget, source, consumptions = BodyBudget(1000), Source(), []
+    budget, source, consumptions = MemoryBudget(1000), Source(), []
     upload = Upload(budget, source, None)
     upload.on_consumed = lambda: consumptions.append(1)
     upload.append(b"abc")
@@ -315,9 +314,11 @@
     assert source.paused
     assert budget.held_bytes == 5
     assert not upload.consumed
-    assert upload.take_piece() == b"abc"
+    assert upload.take() == b"abcde"  # what has arrived goes out together
     assert upload.consumed
     assert budget.held_bytes == 5
+    upload.append(b"fg")
+    assert budget.held_bytes == 7
     upload.mark_sent()
     assert budget.held_bytes == 2
     assert consumptions == [1]
@@ -550,7 +551,7 @@
     )
     await until(
         lambda: (
-            any(c.read_paused for c in bench.node.client_listener.connections)
+            any(c.input.paused for c in bench.node.client_listener.connections)
             and bool(server.heads)
         )
     )
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -14,6 +14,7 @@
 
 from loadbalancer.node.client import connection as connection_module
 from loadbalancer.node.client import hangup_watch, linger, request_reader
+from loadbalancer.node.client import input as client_input
 from loadbalancer.node.client import listener as listener_module
 from loadbalancer.node.client.client_socket import set_socket_option
 from loadbalancer.node.client.connection import ClientConnection
@@ -229,7 +230,7 @@
         client.sendall(call("invite"))
         await until(lambda: len(balancer.queue.waiting) == 1)
         client.sendall(b"".join(call("invite") for _ in range(9)))
-    await until(lambda: connection.read_paused and len(balancer.queue.waiting) == 1)
+    await until(lambda: connection.input.paused and len(balancer.queue.waiting) == 1)
     ahead = bench.node.loop.time()
     end(client)
     await until(lambda: not bench.node.requests.by_client)
@@ -809,8 +810,8 @@
         assert (await client.receive())[0] in (200, 503)
         assert (
             len(connection.pipelined)
-            <= connection_module.MAX_PIPELINED_REQUESTS
-            + request_reader.PARSE_SLICE_BYTES // len(READY)
+            <= client_input.MAX_PIPELINED_REQUESTS
+            + request_reader.HEAD_SLICE_BYTES // len(READY)
         )
     client.writer.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -576,7 +576,9 @@
         await loop.create_connection(lambda: connection, "127.0.0.1", server.port)
         lost = loop.create_future()
         connection.pool = type(
-            "Lost", (), {"on_closed": lambda self, c: lost.set_result(None)}
+            "Lost",
+            (),
+            {"on_closed": lambda self, c: lost.set_result(None), "budget": pool.budget},
         )()
         connection.close()
         await lost
