Drop a request's body when its client has gone, while its attempt goes on

Cause: release() took the body out of the count, but the open request kept it until its attempt ended, so that clients that left in turn before hanging servers filled memory that nobody counted (64 KiB each, one for each connection to a server). Change: the body is dropped with its count; no attempt can be encoded after that, since compose needs a client. Result: test_a_body_is_dropped_when_its_client_leaves_before_the_answer failed before (60,000 bytes kept), passes now.

--- a/loadbalancer/node/client/request.py
+++ b/loadbalancer/node/client/request.py
@@ -104,7 +104,8 @@
         budget.count(self, head_bytes + len(self.body) + unparsed_bytes)
 
     def release(self, budget: MemoryBudget) -> None:
-        """Returns the memory that the request holds to the budget."""
+        """Drops the body, which nobody needs any more, and returns the request's memory to the budget."""
+        self.body = bytearray()
         budget.count(self, 0)
         if self.upload is not None:
             self.upload.release()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -277,3 +277,19 @@
     assert statuses == [200] * (len(statuses) - 1) + [400]
     await until(lambda: not bench.node.requests)
     assert bench.node.client_listener.held_bytes == 0
+
+
+async def test_a_body_is_dropped_when_its_client_leaves_before_the_answer():
+    """Failure prevented: clients that leave in turn fill the memory while their attempts go on, uncounted."""
+    bench = await Bench(
+        ScriptedServer(never), policy_limits={"cancel": False, "second_copies": False}
+    ).start()
+    client = await bench.client()
+    client.send(call("invite", body=b"x" * 60_000))
+    await until(lambda: bool(bench.servers[0].heads))
+    client.writer.transport.abort()
+    await until(lambda: not bench.node.requests.by_client)
+    (request,) = bench.node.requests.values()
+    assert request.attempt is not None
+    assert not request.message.body
+    assert bench.node.client_listener.held_bytes == 0
