Start the time of a streamed body when it has arrived, read or not

Cause: the node stops reading where the server does not take the body. A request that has not been read whole had no deadline; the ten seconds of a stalled body ended it.

Change: while reading is paused, the node looks every 0.25 s how many bytes are unread. With a declared length, a body whose rest is there has arrived: its time starts, once, also behind an open request. A body that has not arrived keeps the ten seconds.

Left: a chunked body that its server takes in drips starts its pause anew each time.

--- a/loadbalancer/node/client/client_socket.py
+++ b/loadbalancer/node/client/client_socket.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+import sys
 import termios
 from contextlib import suppress
 
@@ -30,9 +31,15 @@
     view.detach()
 
 
+def unread_bytes(fileno: int) -> int:
+    """Number of received bytes that are pending on the socket."""
+    count = fcntl.ioctl(fileno, termios.FIONREAD, UNREAD_COUNT_BUFFER)
+    return int.from_bytes(count, sys.byteorder)
+
+
 def has_unread(fileno: int) -> bool:
     """Whether received bytes are pending on the socket."""
-    return any(fcntl.ioctl(fileno, termios.FIONREAD, UNREAD_COUNT_BUFFER))
+    return unread_bytes(fileno) > 0
 
 
 def create_hangup_poll(fileno: int) -> select.poll:
--- a/loadbalancer/node/client/input.py
+++ b/loadbalancer/node/client/input.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from loadbalancer.node.client import client_socket
+
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
 
@@ -98,6 +100,29 @@
             self.listener.hangup_watch.remove(self.connection)
             transport.resume_reading()
 
+    def check_arrival(self) -> None:
+        """Notices a streamed body whose last byte may be on this machine, while it is not read.
+
+        A request counts as taken with its last byte, whether or not that has been read. With a declared
+        length its arrival shows in the number of unread bytes; without one, only the parser could tell.
+        """
+        connection = self.connection
+        request = connection.reader.incoming
+        if not self.paused or request is None or request.upload is None:
+            return
+        if request.completed_at or connection.transport.is_closing():
+            return
+        now = self.listener.loop.time()
+        unread_bytes = client_socket.unread_bytes(connection.fileno())
+        is_open = connection.open_request is request
+        if request.length is None:
+            if is_open and unread_bytes:
+                self.listener.handler.body_paused(connection, now - self.paused_at)
+        elif unread_bytes >= request.length - connection.reader.body_bytes:
+            request.completed_at = now
+            if is_open:
+                self.listener.handler.body_arrived(connection)
+
     def drop_unparsed(self) -> None:
         """Drops what waits: nothing more is read from this client."""
         self.unparsed = b""
--- a/loadbalancer/node/client/interface.py
+++ b/loadbalancer/node/client/interface.py
@@ -25,6 +25,20 @@
     def body_received(self, client: ClientConnection, /) -> None:
         """Called when the last byte of the open request's streamed body has arrived."""
 
+    def body_arrived(self, client: ClientConnection, /) -> None:
+        """Called when all of the open request's streamed body is on this machine, before it has been read.
+
+        It was taken with its last byte, so its time runs although reading is paused.
+        """
+
+    def body_paused(self, client: ClientConnection, paused_s: float, /) -> None:
+        """Called repeatedly while a body of unknown length has unread bytes and reading is paused.
+
+        Args:
+            client: The connection of the open request.
+            paused_s: Seconds since reading was paused.
+        """
+
     def capacity_exceeded(self, client: ClientConnection, /) -> None:
         """Rejects the open request, for which there is no capacity.
 
--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -301,10 +301,13 @@
     def close_slow(self) -> None:
         """Ends requests and connections that have exceeded the time for a complete request.
 
+        Bodies that have arrived while reading is paused are noticed on the way.
+
         A client that has completed a request before may keep its connection idle.
         """
         now = self.loop.time()
         for connection in list(self.connections):
+            connection.input.check_arrival()
             if is_request_overdue(connection, now):
                 if connection.reader.incoming is not None:
                     connection.reject(408)
--- a/loadbalancer/node/client/request.py
+++ b/loadbalancer/node/client/request.py
@@ -45,7 +45,8 @@
         body: The received part of the body, unless it is streamed.
         upload: The body, if it is streamed.
         complete: Whether the last byte has been received.
-        completed_at: The loop time in seconds at which the last byte was read.
+        completed_at: The loop time in seconds at which the last byte was read, or was noticed to be on this
+            machine; 0 before.
         keep_alive: Whether the connection may stay open after the response.
         http_version: The HTTP version without its prefix, for example "1.1".
         head_bytes: What the complete head takes in memory; 0 before.
--- a/loadbalancer/node/client/request_reader.py
+++ b/loadbalancer/node/client/request_reader.py
@@ -261,7 +261,7 @@
             return
         self.request_count += 1
         request.complete = True
-        request.completed_at = self.connection.input.received_at
+        request.completed_at = request.completed_at or self.connection.input.received_at
         request.keep_alive = request.keep_alive and self.parser.should_keep_alive()
         self.ended = not request.keep_alive
         request.count(self.listener.budget)
--- a/loadbalancer/node/requests/forwarder.py
+++ b/loadbalancer/node/requests/forwarder.py
@@ -81,7 +81,7 @@
     def remaining_us(self) -> int:
         """Microseconds that are left for the attempt; its full timeout while the request is incomplete."""
         request = self.request
-        if not request.message.complete:
+        if not request.has_arrived():
             return request.attempt_timeout_us
         ends_at = (
             request.earliest_server_start_at(self.started_at)
@@ -195,8 +195,8 @@
             request.message.upload,
         )
         request.attempt = attempt
-        complete = request.message.complete
-        attempt.start(max(0, forwarded.remaining_us()) / 1e6 if complete else None)
+        arrived = request.has_arrived()
+        attempt.start(max(0, forwarded.remaining_us()) / 1e6 if arrived else None)
         forwarded.has_waited = True
 
     def cancel(self, request_id: int, index: int) -> None:
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -18,6 +18,8 @@
 MAX_BUDGET_DIGITS = 9  # of the X-Budget-Ms header
 # Time after which the node may have capacity again for a client that it rejected.
 OVERLOAD_RETRY_AFTER_US = 500_000
+# Longest time between two calls of `body_paused`: what ends before the next one is ended now.
+PAUSE_CHECK_US = 250_000
 METHODS_BY_IDEMPOTENCY = {
     Idempotency.IDEMPOTENT: b"GET",
     Idempotency.WITH_KEY: b"POST",
@@ -47,6 +49,11 @@
     return message.target.partition(b"?")[0]
 
 
+def budget_us_of(request: OpenRequest) -> int:
+    """Microseconds that the client waits for the answer, from the last byte of its request."""
+    return int(request.message.headers[b"x-budget-ms"]) * 1000
+
+
 def idempotency_window_us(request_class: RequestClass) -> int:
     """Microseconds after the start of the first attempt that may have run, in which another may start."""
     idempotency_kind = request_class.idempotency
@@ -114,13 +121,36 @@
             client.send_response(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def body_received(self, client: ClientConnection) -> None:
-        """Starts the deadline of a request whose streamed body is now complete."""
+        """Starts the time of a request whose streamed body is now complete, unless it runs already."""
+        self.body_arrived(client)
+
+    def body_arrived(self, client: ClientConnection) -> None:
+        """Starts the time of a request whose streamed body is on this machine, read or not."""
+        request = self.node.requests.by_client.get(client)
+        if request is not None and not request.completed_at:
+            self.start_time(request)
+
+    def body_paused(self, client: ClientConnection, paused_s: float) -> None:
+        """Ends a request whose body has not been read for the time that its client waits for the answer.
+
+        Its last byte may have arrived when reading was paused, and its length is not known.
+        """
         node = self.node
         request = node.requests.by_client.get(client)
-        if request is None:
+        if request is None or client.stream.active:
             return
-        budget_us = int(request.message.headers[b"x-budget-ms"]) * 1000
-        remaining_us = node.deadline_guard.cap_budget(budget_us)
+        remaining_us = budget_us_of(request) - int(paused_s * 1e6)
+        if node.deadline_guard.cap_budget(remaining_us) <= PAUSE_CHECK_US:
+            node.deadline_guard.cut_short(request)
+
+    def start_time(self, request: OpenRequest) -> None:
+        """Sets the deadline of a request with a streamed body, whose last byte has arrived."""
+        node, client = self.node, request.client
+        assert client is not None
+        waited_us = self.waited_us(request.message)
+        remaining_us = max(
+            0, node.deadline_guard.cap_budget(budget_us_of(request) - waited_us)
+        )
         request.completed_at = node.now()
         request.deadline = request.completed_at + remaining_us
         if not client.stream.active:
@@ -224,6 +254,8 @@
         node, message = self.node, request.message
         node.requests.add(request)
         complete = message.complete
+        # Noticed while the request waited for its turn; its body is still unread.
+        arrived = not complete and bool(message.completed_at)
         if complete:
             node.deadline_guard.start_timer(request, remaining_us)
         else:
@@ -250,6 +282,8 @@
                 repeat,
                 complete,
             )
+        if arrived and request.client is not None:
+            self.start_time(request)
 
     def find_class(self, message: ClientRequest) -> int | None:
         """The number of the class that a request's path names; None if there is no such class."""
@@ -272,8 +306,8 @@
         )
 
     def waited_us(self, message: ClientRequest) -> int:
-        """Microseconds that a complete request has waited behind others on its connection."""
-        if not message.complete:
+        """Microseconds that a request whose last byte has arrived has waited behind others."""
+        if not message.completed_at:
             return 0
         return max(0, int((self.node.loop.time() - message.completed_at) * 1e6))
 
--- a/loadbalancer/node/requests/open_request.py
+++ b/loadbalancer/node/requests/open_request.py
@@ -42,7 +42,8 @@
         attempt_count: Number of attempts that the policy has requested.
         attempt_timeout_us: Microseconds for the pending attempt.
         streaming: Whether the response is being streamed.
-        completed_at: The time at which the last byte of a streamed body was received; 0 until then.
+        completed_at: The time at which the last byte of a streamed body was received, or was noticed to be on
+            this machine; 0 until then.
         idempotency_window_us: See the parameter.
         first_run_at: The time at which the first attempt that may have run started; 0 if there is none.
         attempt: The pending attempt.
@@ -93,6 +94,10 @@
         self.attempt: Attempt | None = None
         self.guard_timer: asyncio.TimerHandle | None = None
 
+    def has_arrived(self) -> bool:
+        """Whether the last byte has reached this machine, so that the time of the request runs."""
+        return self.message.complete or bool(self.completed_at)
+
     def earliest_server_start_at(self, attempt_began_at: int) -> int:
         """When an attempt's server could start: a streamed body is complete only after the attempt starts."""
         return max(attempt_began_at, self.completed_at)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -205,15 +205,21 @@
     await until(lambda: not listener.held_bytes)
 
 
-async def test_the_rest_of_a_read_waits_unparsed_and_is_answered_in_order():
-    """Failure prevented: hundreds of requests of one read become objects at once, or some are lost."""
+def holding_server() -> tuple[Server, asyncio.Event]:
+    """A server that answers nothing until the event is set."""
     release = asyncio.Event()
 
     async def held(request, writer):
         await release.wait()
         return OK
 
-    bench = await Bench(server := Server(held)).start()
+    return Server(held), release
+
+
+async def test_the_rest_of_a_read_waits_unparsed_and_is_answered_in_order():
+    """Failure prevented: hundreds of requests of one read become objects at once, or some are lost."""
+    server, release = holding_server()
+    bench = await Bench(server).start()
     listener = bench.node.client_listener
     client = await bench.client()
     names = [b"%04x" % number for number in range(40)]
@@ -237,13 +243,8 @@
 
 async def test_requests_in_the_rest_of_a_read_are_answered_during_a_drain():
     """Failure prevented: what was read before the connection's end was announced is dropped unparsed."""
-    release = asyncio.Event()
-
-    async def held(request, writer):
-        await release.wait()
-        return OK
-
-    bench = await Bench(server := Server(held)).start()
+    server, release = holding_server()
+    bench = await Bench(server).start()
     client = await bench.client()
     client.send(b"".join(call("invite") for _ in range(30)))
     await until(lambda: len(server.requests) == 1)
@@ -259,13 +260,8 @@
 
 async def test_unreadable_bytes_in_the_rest_of_a_read_end_the_connection():
     """What follows cannot be told apart from a request, as where it is parsed at once."""
-    release = asyncio.Event()
-
-    async def held(request, writer):
-        await release.wait()
-        return OK
-
-    bench = await Bench(server := Server(held)).start()
+    server, release = holding_server()
+    bench = await Bench(server).start()
     client = await bench.client()
     client.send(b"".join(call("invite") for _ in range(20)) + b"nonsense\r\n\r\n")
     await until(lambda: len(server.requests) == 1)
