--- a/loadbalancer/node/memory_figures.py
+++ b/loadbalancer/node/memory_figures.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -12,7 +11,7 @@
     from loadbalancer.node.client.request import ClientRequest
     from loadbalancer.node.requests.open_request import OpenRequest, OpenRequests
 
-STATUS_FILE = Path("/proc/self/status")
+STATUS_FILE = "/proc/self/status"
 RESIDENT_FIELD = "RssAnon:"  # memory of this process alone, without files and libraries
 BYTES_PER_KIB = 1024
 
@@ -94,7 +93,8 @@
 def resident_bytes() -> int:
     """Resident memory of this process, without files and shared libraries; 0 if the system does not tell."""
     try:
-        lines = STATUS_FILE.read_text().splitlines()
+        with open(STATUS_FILE, encoding="ascii", errors="replace") as status:
+            lines = status.readlines()
     except OSError:
         return 0
     for line in lines:
