--- a/loadbalancer/lab/scale/added.py
+++ b/loadbalancer/lab/scale/added.py
@@ -48,7 +48,6 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from functools import partial
-from itertools import pairwise
 from pathlib import Path
 from time import monotonic, perf_counter_ns, process_time_ns, sleep
 from typing import Any, cast
@@ -57,7 +56,6 @@
 import msgspec
 import numpy as np
 import uvloop
-from numpy.typing import NDArray
 
 from loadbalancer.errors import LoadBalancerError
 from loadbalancer.lab.overhead import (
@@ -74,273 +72,38 @@
     wait_for,
     words,
 )
+from loadbalancer.lab.scale.added_page import PARTS, WHOLE, table_of
+from loadbalancer.lab.scale.added_statistics import (
+    CONTROL,
+    DIRECT,
+    FLEET,
+    NODE,
+    PATHS,
+    RELAY,
+    TARGET_MS,
+    Times,
+    Turn,
+    arrivals,
+    figures_of,
+    turns_of,
+    void,
+)
 from loadbalancer.lab.scale.interface import Point, Slopes
 from loadbalancer.lab.steal import stolen_ms
 
-Times = NDArray[np.float64]
-TARGET_MS = 0.48  # added to a call for 99 in 100, by the fleet ahead
 DEPTH = 14  # calls below each other, at most
 BLOCK = 0.025  # seconds of arrivals that each path plays in turn
-LEAD = 0.015  # seconds of a turn that are played and not counted: its caches are the others' until then
 CONNECTIONS = 32  # of the load to each path
 WARM_UP = 2.0  # seconds that each path is played, uncounted, before the first block
 SPIN_NS = 120_000  # before a call is due the load asks the clock without rest: sleeps end late
 DRAIN_NS = 1_000_000_000  # a call without an answer for so long is lost
-DRAWS = 500  # of the bootstrap
-DIRECT_BOUND = TARGET_MS  # ms of the direct path's p99 beyond service time: as large as what is looked for
-TIMER_GRAIN = 1.5  # ms by which an answer after a stated time may come late: the loop's timers are coarse
-# Ms in a turn that a process may wait for its core; a worse turn is left out
-WAIT_BOUND = 0.2
-LATE_MOST = 0.25  # ms by which the load may be late with one call of a turn; the same
-# Share of a path's turns that must be left: of fewer, the short ones are left
-KEPT_BOUND = 0.25
-LATE_BOUND = 0.2  # ms of the load's own lateness, p99
-BAD_BOUND = 0.001  # share of calls that may be refused, lost, or without a connection
-LEAST_TAIL = 10  # calls beyond the quantile without which it is none
-QUANTILES = (0.5, 0.9, 0.99)
 FLEET_TIME = 120.0  # seconds in which a node has to know a whole fleet
 SETTLE = 4.0  # seconds that nodes with control have to find each other
 TRIALS = ("freeze", "threshold", "both")  # as `added_within` has them
-DIRECT, RELAY, NODE, CONTROL = "direct", "relay", "node", "control"
-FLEET = "fleet"  # a node with control on, and a stand-in for the other members of a large fleet
-PATHS = (DIRECT, RELAY, NODE, CONTROL, FLEET)
 YARD = 100_000  # steps of the fixed piece of work
 MEMBERS = 3  # real nodes beside the one with control
 
 
-# ---- the arithmetic ------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True)
-class Turn:
-    """One path's turn at one block. Calls stand in the order in which they were due."""
-
-    block: int
-    path: str
-    latency: Times  # ms from the moment a call was due to its answer's last byte; NaN: none came
-    late: Times  # ms by which the load was late to send it; NaN: it had no connection
-    refused: int = 0  # answers but 200
-    cpu: float = 0.0  # seconds of processor time that the path's process used...
-    seconds: float = 0.0  # ...in so long
-    waited: float = 0.0  # ms that one of the processes (load, path, servers) was left without a core
-    stolen: float = 0.0  # ms, by 10, that the machine's host took from the cores of load, path and servers
-
-    @property
-    def disturbed(self) -> bool:
-        """Whether others had the cores, or the load's, for longer than a figure bears."""
-        late = self.late[~np.isnan(self.late)]
-        return self.waited > WAIT_BOUND or (
-            bool(late.size) and float(late.max()) > LATE_MOST
-        )
-
-
-@dataclass(frozen=True)
-class Interval:
-    """A figure, and 95 in 100 of what the bootstrap gave."""
-
-    value: float
-    low: float
-    high: float
-
-
-def arrivals(
-    rate: float, seconds: float, seed: int, block: int, lead: float = LEAD
-) -> Times:
-    """When the calls of a block are due, in seconds; those below 0 are its lead. The same for each path."""
-    random = np.random.default_rng((seed, block, round(rate * 1000)))
-    span = lead + seconds
-    most = int(rate * span + 10 * math.sqrt(rate * span) + 10)
-    due = np.cumsum(random.exponential(1 / rate, most)) - lead
-    return due[due < seconds]
-
-
-def turns_of(paths: Sequence[str], seed: int, block: int) -> list[str]:
-    """In which order the paths play a block."""
-    return [
-        paths[i] for i in np.random.default_rng((seed, block)).permutation(len(paths))
-    ]
-
-
-def undisturbed(turns: Sequence[Turn]) -> list[Turn]:
-    """Without the disturbed ones. What others do to the machine is told by the system's own count, not by the
-    latencies, so that no turn goes out for what the path did.
-    """
-    return [t for t in turns if not t.disturbed]
-
-
-def by_block(turns: Sequence[Turn], path: str) -> dict[int, Times]:
-    """A path's latencies by block; calls without an answer count as if they had taken for ever."""
-    return {
-        t.block: np.where(np.isnan(t.latency), np.inf, t.latency)
-        for t in turns
-        if t.path == path
-    }
-
-
-def quantile(values: Times, q: float) -> float:
-    """The value that q of all do not exceed: one of them, as nothing lies between a call and a lost one."""
-    return float(np.quantile(values, q, method="higher")) if values.size else math.nan
-
-
-def difference(
-    one: Mapping[int, Times],
-    other: Mapping[int, Times],
-    q: float,
-    seed: int,
-    draws: int = DRAWS,
-) -> Interval:
-    """One path's quantile less the other's. A block is drawn for both at once; of one in which a turn was
-    left out, the other path's counts all the same.
-    """
-    blocks = sorted(one.keys() | other.keys())
-    if not one or not other:
-        return Interval(math.nan, math.nan, math.nan)
-
-    def over(chosen: Sequence[int]) -> float:
-        of_one = quantile(
-            np.concatenate([np.empty(0), *(one[b] for b in chosen if b in one)]), q
-        )
-        of_other = quantile(
-            np.concatenate([np.empty(0), *(other[b] for b in chosen if b in other)]), q
-        )
-        return (
-            of_one - of_other
-            if math.isfinite(of_one) and math.isfinite(of_other)
-            else math.inf
-        )
-
-    random = np.random.default_rng(seed)
-    drawn = [
-        over([blocks[i] for i in random.integers(len(blocks), size=len(blocks))])
-        for _ in range(draws)
-    ]
-    low, high = (
-        np.quantile(drawn, (0.025, 0.975), method="nearest")
-        if draws
-        else (math.nan, math.nan)
-    )
-    return Interval(over(blocks), float(low), float(high))
-
-
-def pairs(one: Mapping[int, Times], other: Mapping[int, Times], q: float) -> float:
-    """The quantile of each call's own difference: the same call, due at the same moment, on both paths. It
-    holds the noise of both, so that it is no less than what is added.
-    """
-    blocks = sorted(one.keys() & other.keys())
-    found = [one[b] - other[b] for b in blocks if one[b].size == other[b].size]
-    return quantile(np.concatenate(found), q) if found else math.nan
-
-
-def core_percent(turns: Sequence[Turn], path: str) -> float:
-    """Processor time of a path's process in its own turns, of one core."""
-    seconds = sum(t.seconds for t in turns if t.path == path)
-    return (
-        100 * sum(t.cpu for t in turns if t.path == path) / seconds if seconds else 0.0
-    )
-
-
-def figures_of(
-    played: Sequence[Turn], paths: Sequence[str], seed: int
-) -> dict[str, float]:
-    """A point's figures, times in ms: of the turns that nobody disturbed, and beside them of all."""
-    turns = undisturbed(played)
-    everything = {path: by_block(played, path) for path in paths}
-    latency = {path: by_block(turns, path) for path in paths}
-    found: dict[str, float] = {"blocks": float(len({t.block for t in played}))}
-    for path in paths:
-        whole = np.concatenate([np.empty(0), *latency[path].values()])
-        for q in QUANTILES:
-            found[f"{path}_p{round(q * 100)}_ms"] = quantile(whole, q)
-        found[f"{path}_blocks"] = float(len(latency[path]))
-        found[f"{path}_calls"] = float(whole.size)
-        found[f"{path}_kept_rate"] = kept_rate(everything[path], latency[path])
-        if path == DIRECT:
-            continue
-        found[f"{path}_core_percent"] = core_percent(turns, path)
-        for q in QUANTILES:
-            added = difference(latency[path], latency[DIRECT], q, seed)
-            put(found, f"{path}_added_p{round(q * 100)}_ms", added)
-        found[f"{path}_pairs_p99_ms"] = pairs(latency[path], latency[DIRECT], 0.99)
-        put(
-            found,
-            f"{path}_all_p99_ms",
-            difference(everything[path], everything[DIRECT], 0.99, seed),
-        )
-    if NODE in paths:
-        for path in paths:
-            if path not in (DIRECT, RELAY, NODE):
-                put(
-                    found,
-                    f"{path}_over_node_p99_ms",
-                    difference(latency[path], latency[NODE], 0.99, seed),
-                )
-    late = np.concatenate([np.empty(0), *(t.late[~np.isnan(t.late)] for t in turns)])
-    found["late_p99_ms"] = quantile(late, 0.99)
-    found["stolen_percent"] = stolen_percent(played)
-    found["bad_share"] = bad_share(played)
-    return {name: round(value, 5) for name, value in found.items()}
-
-
-def stolen_percent(turns: Sequence[Turn]) -> float:
-    """Of the turns' time, what the machine's host took from the cores of the load, the path and the servers,
-    all together, as of one core: a call meets any of them.
-    """
-    seconds = sum(t.seconds for t in turns)
-    return sum(t.stolen for t in turns) / 10 / seconds if seconds else 0.0
-
-
-def kept_rate(played: Mapping[int, Times], kept: Mapping[int, Times]) -> float:
-    """Calls in a turn that is kept, by those in any: well below 1, only the easy turns are left."""
-    if not kept:
-        return math.nan
-    of_kept, of_all = (sum(v.size for v in x.values()) / len(x) for x in (kept, played))
-    return of_kept / of_all if of_all else math.nan
-
-
-def put(found: dict[str, float], name: str, interval: Interval) -> None:
-    found[name] = interval.value
-    found[f"{name}_low"], found[f"{name}_high"] = interval.low, interval.high
-
-
-def bad_share(turns: Sequence[Turn]) -> float:
-    """Of all calls, those that were refused, got no answer, or found no connection."""
-    bad = sum(
-        t.refused + int(np.isnan(t.latency).sum()) + int(np.isnan(t.late).sum())
-        for t in turns
-    )
-    return bad / max(1, sum(t.latency.size for t in turns))
-
-
-def void(figures: Mapping[str, float], service_ms: float) -> str:
-    """Why these figures are none; empty if they are some."""
-    direct = figures["direct_p99_ms"] - service_ms
-    bound = DIRECT_BOUND * figures.get("depth", 1) + (
-        TIMER_GRAIN if service_ms else 0.0
-    )
-    for path in PATHS:
-        calls = figures.get(f"{path}_calls")
-        if (
-            calls is not None
-            and figures[f"{path}_blocks"] < KEPT_BOUND * figures["blocks"]
-        ):
-            return (
-                f"{path}: others disturbed all but {figures[f'{path}_blocks']:.0f} of"
-                f" {figures['blocks']:.0f} turns; play on a quieter machine"
-            )
-        if calls is not None and calls * (1 - max(QUANTILES)) < LEAST_TAIL:
-            return (
-                f"{path}: {calls:.0f} calls in turns that others left alone: fewer than {LEAST_TAIL} lie"
-                " beyond the p99; play for longer"
-            )
-    if not direct <= bound:  # so that no number is no pass
-        return f"the direct path's own p99 is {direct:.2f} ms beyond the service time, over {bound:g} ms"
-    if not figures["late_p99_ms"] <= LATE_BOUND:
-        return f"the load itself was late by {figures['late_p99_ms']:.2f} ms at p99, over {LATE_BOUND:g} ms"
-    if not figures["bad_share"] <= BAD_BOUND:
-        return f"{100 * figures['bad_share']:.2f} % of calls were refused, lost or without a connection"
-    return ""
-
-
 # ---- the servers ---------------------------------------------------------------------------------------
 
 
@@ -1120,196 +883,6 @@
     return "; ".join(parts) + (f"; VOID: {point.void}" if point.void else "")
 
 
-# ---- the page ------------------------------------------------------------------------------------------
-
-PARTS = {  # what holds the loop, as the page calls it
-    "audit: judgement": "timer Audit.tick",
-    "of it: members' words read": "within audit: words read",
-    "of it: the fleet judged": "within audit: the fleet judged",
-    "audit: ledger written": "timer Audit.flush",
-    "membership: timer": "timer Members.due",
-    "membership: datagram": "datagram membership",
-    "records: timer": "timer Spreading.due",
-    "records: datagram": "datagram records",
-    "freeze: look": "timer FreezePart.look",
-    "clients' connections: sweep": "timer Callers.sweep",
-    "servers' connections: sweep": "timer Pool.sweep",
-    "discovery (nobody answers here)": "timer Discovery.ask",
-    "collector, youngest": "collector generation 0",
-    "collector, middle": "collector generation 1",
-    "collector, all": "collector generation 2",
-    "a call, from the client": "call: from the client",
-    "a call, from the server": "call: from the server",
-    "rare: full exchange of members sent": "rare: a full exchange of members is sent",
-    "rare: a member changed, parts told": "rare: a member has changed, all parts told",
-    "rare: a member changed, records told": "rare: a member has changed, records told",
-    "rare: newcomer asks for all heads": "rare: a newcomer asks for all heads",
-    "rare: judgement with all words new": "rare: every word is new, one judgement",
-    "coordinator: tells all, each second": "rare: the coordinator tells all members",
-    "coordinator: judges reports, each second": "rare: the coordinator judges all reports",
-}
-WHOLE = "all of the loop"
-
-
-def interval(f: Mapping[str, float], name: str) -> str:
-    """A figure with its interval, for the page."""
-    if name not in f:
-        return "-"
-    low, high = (f.get(f"{name}_{end}") for end in ("low", "high"))
-    ends = [f"{end:.2f}" if end is not None else "open" for end in (low, high)]
-    return f"{f[name]:.2f} ({ends[0]} to {ends[1]})"
-
-
-def table_of_added(slopes: Slopes) -> str:
-    """What paths add, one line a path and point."""
-    sized = slopes.axis != "calls a second"
-    heads = [
-        "calls/s",
-        "service",
-        "seed",
-        "path",
-        "p50",
-        "p99",
-        "p99 of all turns",
-        "turns kept",
-    ]
-    heads += ["stolen", "yard", ""]
-    heads = [slopes.axis, *heads] if sized else heads
-    rows = []
-    ordered = sorted(
-        slopes.points,
-        key=lambda x: (
-            x.size if sized else 0,
-            x.figures["rate"],
-            x.figures["service_ms"],
-            x.seed,
-        ),
-    )
-    for point in ordered:
-        f, verdict = point.figures, "void" if point.void else "usable"
-        of = [f"{f['rate']:g}", f"{f['service_ms']:g} ms", str(point.seed)]
-        of = [str(point.size), *of] if sized else of
-        yarded = f"{f['yard_ms']:.1f} ms" if "yard_ms" in f else "not taken"
-        stolen = (
-            f"{f['stolen_percent']:.2f} %" if "stolen_percent" in f else "not counted"
-        )
-        direct = [
-            f"{f[name]:.2f}" if name in f else "-"
-            for name in ("direct_p50_ms", "direct_p99_ms")
-        ]
-        rows.append(
-            [
-                *of,
-                "direct itself",
-                *direct,
-                "",
-                kept(f, DIRECT),
-                stolen,
-                yarded,
-                verdict,
-            ]
-        )
-        for path in PATHS[1:]:
-            if f"{path}_blocks" in f:
-                names = [
-                    f"{path}_added_p50_ms",
-                    f"{path}_added_p99_ms",
-                    f"{path}_all_p99_ms",
-                ]
-                rows.append(
-                    [
-                        *of,
-                        path,
-                        *(interval(f, name) for name in names),
-                        kept(f, path),
-                        "",
-                        "",
-                        verdict,
-                    ]
-                )
-    return markdown(heads, rows)
-
-
-def kept(f: Mapping[str, float], path: str) -> str:
-    """How many of a path's turns nobody disturbed."""
-    return f"{f.get(f'{path}_blocks', 0):.0f} of {f['blocks']:.0f}"
-
-
-def table_of_parts(slopes: Slopes) -> str:
-    """What holds the loop by the number of members: ms, the median over seeds of the middle hold, and the
-    longest of all; last the calls in a hundred that wait for a hold for longer than the target.
-    """
-    sizes = sorted({p.size for p in slopes.points})
-
-    def found(size: int, figure: str) -> list[float]:
-        return [
-            p.figures[figure]
-            for p in slopes.points
-            if p.size == size and figure in p.figures
-        ]
-
-    rows = []
-    for name, key in PARTS.items():
-        row = [name]
-        for size in sizes:
-            middle, longest = (
-                found(size, f"{key}: p50_ms"),
-                found(size, f"{key}: longest_ms"),
-            )
-            row.append(
-                f"{np.median(middle):.2f}, {max(longest):.2f}" if middle else "-"
-            )
-        rows.append(row)
-    for name, key in (
-        ("in 100 calls, the judgement alone", PARTS["audit: judgement"]),
-        ("all", WHOLE),
-    ):
-        over = [found(size, f"{key}: over_percent") for size in sizes]
-        rows.append(
-            [
-                f"**{name}**",
-                *(f"{min(x):.2f} to {max(x):.2f}" if x else "-" for x in over),
-            ]
-        )
-    table = markdown(["ms: middle, longest", *map(str, sizes)], rows)
-    by_seed = [
-        used_up(slopes, seed) for seed in sorted({p.seed for p in slopes.points})
-    ]
-    reached = [n for n in by_seed if n is not None]
-    if not reached:
-        return table
-    return f"{table}\n\nOne call in 100 is used up at {min(reached):.0f} to {max(reached):.0f} members."
-
-
-def used_up(slopes: Slopes, seed: int) -> float | None:
-    """The number of members from which on holds alone make more than one call in a hundred wait for longer
-    than the target, on a straight line between the sizes that were played; None if that is not reached.
-    """
-    points = sorted(
-        (p.size, p.figures.get(f"{WHOLE}: over_percent"))
-        for p in slopes.points
-        if p.seed == seed
-    )
-    known = [(size, over) for size, over in points if over is not None]
-    for (size, over), (larger, more) in pairwise(known):
-        if over <= 1 < more:
-            return size + (larger - size) * (1 - over) / (more - over)
-    return None
-
-
-def markdown(heads: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
-    """A table for a page."""
-    lines = [heads, ["---"] * len(heads), *rows]
-    return "\n".join("| " + " | ".join(cells) + " |" for cells in lines)
-
-
-def table_of(path: Path) -> str:
-    """The page's table of a file."""
-    slopes = msgspec.json.decode(path.read_bytes(), type=Slopes)
-    watched = any(f"{WHOLE}: over_percent" in point.figures for point in slopes.points)
-    return table_of_parts(slopes) if watched else table_of_added(slopes)
-
-
 def parser() -> argparse.ArgumentParser:
     found = argparse.ArgumentParser(
         "loadbalancer.lab.scale.added",
--- a/tests/test_added_time.py
+++ b/tests/test_added_time.py
@@ -15,13 +15,19 @@
 import pytest
 import uvloop
 
-from loadbalancer.lab.scale import added
+from loadbalancer.lab.scale import added, added_page, added_statistics
 from loadbalancer.lab.scale.added import (
     Connection,
-    Interval,
     Load,
     Plan,
     Target,
+    keep,
+    main,
+    numbers,
+)
+from loadbalancer.lab.scale.added_page import used_up
+from loadbalancer.lab.scale.added_statistics import (
+    Interval,
     Times,
     Turn,
     arrivals,
@@ -29,14 +35,10 @@
     by_block,
     difference,
     figures_of,
-    keep,
-    main,
-    numbers,
     pairs,
     quantile,
     turns_of,
     undisturbed,
-    used_up,
     void,
 )
 from loadbalancer.lab.scale.added_within import (
@@ -70,7 +72,7 @@
     assert not np.array_equal(one[:50], arrivals(393, 2, 7, 4)[:50])
     assert not np.array_equal(one[:50], arrivals(393, 2, 8, 3)[:50])
     assert (np.diff(one) > 0).all()
-    assert one[0] >= -added.LEAD
+    assert one[0] >= -added_statistics.LEAD
     assert one[-1] < 2
 
 
@@ -187,8 +189,8 @@
 
 def test_a_turn_is_left_out_for_what_others_did_and_not_for_its_latencies() -> None:
     slow = turn(0, "node", [900.0] * 10)
-    waited = turn(1, "node", [0.1] * 10, waited=2 * added.WAIT_BOUND)
-    late = turn(2, "node", [0.1] * 10, late=2 * added.LATE_MOST)
+    waited = turn(1, "node", [0.1] * 10, waited=2 * added_statistics.WAIT_BOUND)
+    late = turn(2, "node", [0.1] * 10, late=2 * added_statistics.LATE_MOST)
     unsent = Turn(3, "node", np.full(2, np.nan), np.full(2, np.nan))
     assert undisturbed([slow, waited, late, unsent]) == [slow, unsent]
 
@@ -210,8 +212,8 @@
         for b in range(4)
         for path in PATHS
     ]
-    assert added.stolen_percent(turns) == pytest.approx(2.0)
-    assert added.stolen_percent([]) == 0.0
+    assert added_statistics.stolen_percent(turns) == pytest.approx(2.0)
+    assert added_statistics.stolen_percent([]) == 0.0
     assert figures_of(turns, PATHS, 1)["stolen_percent"] == pytest.approx(2.0)
 
 
@@ -454,7 +456,7 @@
     assert used_up(slopes, 2) is None
     steep = slopes_of([fleet(100, 0.5), fleet(300, 1.5)], "members")
     assert used_up(steep, 1) == 200
-    table = added.table_of_parts(steep)
+    table = added_page.table_of_parts(steep)
     assert "| audit: judgement | 1.00, 2.00 | 3.00, 6.00 |" in table
     assert table.endswith("One call in 100 is used up at 200 to 200 members.")
 
@@ -465,7 +467,7 @@
         "service_ms": 0.0,
         "yard_ms": 7.46,
     }
-    table = added.table_of_added(
+    table = added_page.table_of_added(
         slopes_of(
             [
                 Point(
@@ -495,7 +497,7 @@
     slopes = slopes_of([Point(size=2800, seed=1, figures=figures)], "members")
     path = tmp_path / "added-time-fleet.json"
     path.write_bytes(msgspec.json.encode(slopes))
-    heads, _, direct, *_ = added.table_of(path).splitlines()
+    heads, _, direct, *_ = added_page.table_of(path).splitlines()
     assert heads.startswith("| members | calls/s |")
     assert direct.startswith("| 2800 | 393 |")
 
@@ -506,10 +508,10 @@
     trials = [
         file for file in files if "-trial-" in file.name
     ]  # these are told, and make no table
-    assert all(added.table_of(file) for file in trials)
+    assert all(added_page.table_of(file) for file in trials)
     assert len(files) > len(trials)
     for file in [file for file in files if file not in trials]:
-        assert added.table_of(file) in page, (
+        assert added_page.table_of(file) in page, (
             f"docs/added-time.md differs from {file.name}: write it anew"
         )
 
@@ -633,7 +635,7 @@
     assert point.figures["bad_share"] < 1
     assert point.void
     assert "node_core_percent" not in point.figures  # not counted is no nought
-    assert "| nodes deep | calls/s |" in added.table_of(path)
+    assert "| nodes deep | calls/s |" in added_page.table_of(path)
 
 
 def test_the_services_of_a_chain_answer_with_what_is_below_them() -> None:
@@ -746,7 +748,7 @@
 
 
 def test_both_modules_mean_the_same_target_and_trials() -> None:
-    assert (added.TARGET_MS, added.TRIALS) == (TARGET_MS, TRIALS)
+    assert (added_statistics.TARGET_MS, added.TRIALS) == (TARGET_MS, TRIALS)
 
 
 def test_callbacks_are_named_for_people() -> None:
