--- a/loadbalancer/node/client/input.py
+++ b/loadbalancer/node/client/input.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.node.client import client_socket
+from loadbalancer.node.client.request_reader import HEAD_SLICE_BYTES
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
@@ -48,8 +49,13 @@
         self.held_bytes = 0
 
     def receive(self, data: bytes) -> None:
-        """Parses received bytes, as far as requests may wait."""
-        self.received_at = self.listener.loop.time()
+        """Parses bytes that the connection has just received, as far as requests may wait."""
+        connection = self.connection
+        self.received_at = connection.last_active_at
+        if not self.unparsed and len(data) <= HEAD_SLICE_BYTES:
+            if not connection.reader.ended:
+                connection.reader.parse(data)
+            return
         self.unparsed += data
         self.parse()
 
--- a/loadbalancer/node/client/request_reader.py
+++ b/loadbalancer/node/client/request_reader.py
@@ -255,7 +255,8 @@
         After a request that closes the connection nothing more is parsed: the parser treats further bytes as
         an error, and the error response would replace the responses that are still owed.
         """
-        self.hold_body_parts()
+        if self.body_parts:
+            self.hold_body_parts()
         request, self.incoming = self.incoming, None
         if request is None or self.ended:
             return
@@ -264,7 +265,8 @@
         request.completed_at = request.completed_at or self.connection.input.received_at
         request.keep_alive = request.keep_alive and self.parser.should_keep_alive()
         self.ended = not request.keep_alive
-        request.count(self.listener.budget)
+        if self.body_bytes:
+            request.count(self.listener.budget)
         if request.upload is not None:
             request.upload.complete = True
             self.connection.on_upload_complete(request)
