--- a/loadbalancer/node/client/connection.py
+++ b/loadbalancer/node/client/connection.py
@@ -16,12 +16,22 @@
 from loadbalancer.node.client.request_reader import PARSE_SLICE_BYTES, RequestReader
 from loadbalancer.node.client.response_head import encode_response
 from loadbalancer.node.client.response_stream import UNSENT_LIMIT_BYTES, ResponseStream
+from loadbalancer.node.end_reasons import EndReason
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.listener import ClientListener
     from loadbalancer.node.upstream.body_buffer import BodySource
 
 
+# Why the connection itself answers with an error status.
+REASON_BY_STATUS = {
+    400: EndReason.UNREADABLE,
+    408: EndReason.REQUEST_TIMEOUT,
+    413: EndReason.TOO_LARGE,
+    431: EndReason.TOO_LARGE,
+}
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection. One request is open at a time; pipelined requests wait for it.
 
@@ -145,7 +155,10 @@
         other_response_active = (
             self.stream.active and self.open_request is not self.reader.incoming
         )
+        incoming = self.reader.incoming or self.open_request
+        call_id = incoming.headers.get(b"x-call-id", b"") if incoming else b""
         self.end_input()
+        self.listener.reasons.refused(REASON_BY_STATUS[status], status, call_id)
         if other_response_active:
             return
         was_streaming = self.stream.active
--- a/loadbalancer/node/client/linger.py
+++ b/loadbalancer/node/client/linger.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.node.client.interface import ConnectionState
+from loadbalancer.node.end_reasons import EndReason
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
@@ -45,4 +46,5 @@
     if now < until and (unsent or now - active_at < LINGER_S):
         loop.call_later(LINGER_S, check_linger, connection, until)
     else:
+        connection.listener.reasons.closed(EndReason.LINGER_ENDED)
         connection.transport.abort()
--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -20,6 +20,7 @@
 from loadbalancer.node.client.hangup_watch import HangupWatch
 from loadbalancer.node.client.interface import RequestHandler
 from loadbalancer.node.client.linger import LINGER_S
+from loadbalancer.node.end_reasons import EndReason, ReasonLog
 from loadbalancer.node.memory_budget import MemoryBudget
 
 LISTEN_BACKLOG = 512
@@ -63,6 +64,7 @@
         capacity: File descriptors that client connections may use, overflow connections included.
         max_held_bytes: Bytes of requests and responses that may be held in memory.
         handler: Receives the requests.
+        reasons: Records why requests are refused and connections closed.
     """
 
     def __init__(
@@ -71,12 +73,14 @@
         capacity: int,
         max_held_bytes: int,
         handler: RequestHandler,
+        reasons: ReasonLog | None = None,
     ) -> None:
         self.loop = loop
         # `capacity` connections are served; `overflow_capacity` more are accepted only to be rejected.
         self.overflow_capacity = overflow_capacity_for(capacity)
         self.capacity = capacity - self.overflow_capacity
         self.handler = handler
+        self.reasons = reasons or ReasonLog()
         self.connections: set[ClientConnection] = set()
         # Connections that have been closed and wait for the client to close its side, the oldest first.
         self.lingering: dict[ClientConnection, None] = {}
@@ -162,6 +166,7 @@
             if connection.last_active_at < still_since and not connection.has_unsent()
         ]
         for connection in stale:
+            self.reasons.closed(EndReason.LINGER_ENDED)
             connection.transport.abort()
 
     def update_accepting(self) -> None:
@@ -282,6 +287,7 @@
             key=lambda candidate: eviction_rank(candidate, now),
         ):
             if closed < max_evictions and not connection.has_unread():
+                self.reasons.closed(EndReason.EVICTED)
                 connection.close()
                 closed += 1
 
@@ -314,6 +320,7 @@
                 elif (
                     connection.over_capacity or not connection.reader.request_count
                 ) and is_idle(connection):
+                    self.reasons.closed(EndReason.IDLE)
                     connection.close()
         self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self.close_slow)
 
@@ -355,6 +362,7 @@
                     and connection in self.lingering
                 )
                 if stuck and not connection.has_unsent():
+                    self.reasons.closed(EndReason.LINGER_ENDED)
                     connection.transport.abort()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
@@ -375,6 +383,7 @@
             return
         settled = now - connection.last_active_at > SETTLE_TIME_S
         if now > answer_deadline or (settled and is_idle(connection)):
+            self.reasons.closed(EndReason.DRAINING)
             connection.close()
 
 
--- a/loadbalancer/node/metrics.py
+++ b/loadbalancer/node/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import asdict
 from http import HTTPStatus
 from typing import Any
@@ -77,7 +78,11 @@
             self.sighup_rejected += 1
 
     def figures(
-        self, discovered: int, ejected: int, memory: MemoryFigures
+        self,
+        discovered: int,
+        ejected: int,
+        memory: MemoryFigures,
+        reasons: Mapping[str, int],
     ) -> dict[str, Any]:
         """Returns all metrics as `/admin/stats` publishes them.
 
@@ -85,6 +90,7 @@
             discovered: Number of servers in the endpoint list.
             ejected: Number of servers that outlier detection has ejected.
             memory: What the memory of the process consists of.
+            reasons: Refusals, closes and retries by reason (`ReasonLog`).
         """
         values: dict[str, Any] = {
             "results": {name: dict(counts) for name, counts in self.results.items()},
@@ -93,6 +99,7 @@
             "discovered": discovered,
             "ejected": ejected,
             "memory": asdict(memory),
+            "reasons": dict(reasons),
             "sighup_applied": self.sighup_applied,
             "sighup_rejected": self.sighup_rejected,
         }
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -20,6 +20,11 @@
 from loadbalancer.node.discovery.endpoint_list_codec import Listing
 from loadbalancer.node.discovery.endpoint_registry import EndpointRegistry
 from loadbalancer.node.effective_settings import effective_settings
+from loadbalancer.node.end_reasons import (
+    MAX_REASON_LINES_PER_S,
+    EndReason,
+    ReasonLog,
+)
 from loadbalancer.node.event_queue import EventQueue, PolicyEvent
 from loadbalancer.node.lifecycle.process_share import ProcessShare
 from loadbalancer.node.lifecycle.reload import (
@@ -91,6 +96,7 @@
         self.log_lines = Log(config.name, MAX_LINES_PER_S)
         # A separate log, so that invalid data cannot use up the lines that report faults.
         self.stray_lines = Log(config.name, MAX_STRAY_LINES_PER_S)
+        self.reasons = ReasonLog(Log(config.name, MAX_REASON_LINES_PER_S))
         self.clock_offset_ns = time_ns() - monotonic_ns()
         self.settings = config.settings
         self.table = ClassTable(config.classes, config.settings)
@@ -117,7 +123,7 @@
     def _make_request_path(self) -> None:
         """Creates the components that process requests."""
         config = self.config
-        self.requests = OpenRequests(self.metrics, self.table)
+        self.requests = OpenRequests(self.metrics, self.table, self.reasons)
         self.deadline_guard = DeadlineGuard(self)
         self.intake = RequestIntake(self, config.tenants)
         self.forwarder = Forwarder(self)
@@ -127,6 +133,7 @@
             config.connections - upstream_connections,
             config.most_held,
             self.intake,
+            self.reasons,
         )
         self.pool = ConnectionPool(
             self.loop,
@@ -222,6 +229,7 @@
             len(self.listed or ()),
             int(self.balancer.stats()["ejected"]),
             measure_memory(self.client_listener, self.requests),
+            self.reasons.counts,
         )
         if self.feature_host is not None:
             values |= self.feature_host.metrics()
@@ -337,7 +345,7 @@
             f"policy event failed event={event.__name__} reason={type(error).__name__}: {error}"
         )
         if event in (self.balancer.request, self.balancer.outcome):
-            self.requests.answer(args[0], 500)
+            self.requests.answer(args[0], 500, reason=EndReason.POLICY_ERROR)
 
     def on_list(self, listing: Listing | None, more: bool = False) -> None:
         """Handles an update of the endpoint list.
@@ -385,11 +393,16 @@
 
     def reject(self, request: int, retry_after: int) -> None:
         """Answers 503 and advises the client to retry after `retry_after` microseconds, if above 0."""
-        self.requests.answer(request, 503, headers=retry_after_header(retry_after))
+        self.requests.answer(
+            request,
+            503,
+            headers=retry_after_header(retry_after),
+            reason=EndReason.POLICY_REJECTED,
+        )
 
     def fail(self, request: int) -> None:
         """Answers 502: the request was not served, and its effects are unknown."""
-        self.requests.answer(request, 502)
+        self.requests.answer(request, 502, reason=EndReason.POLICY_FAILED)
 
     def check_health(self, server: int) -> None:
         """Requests a server's load report, or checks its health if there are no reports."""
--- a/loadbalancer/node/requests/deadline_guard.py
+++ b/loadbalancer/node/requests/deadline_guard.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from loadbalancer.node.end_reasons import EndReason
 from loadbalancer.node.requests.open_request import NO_DEADLINE_US, OpenRequest
 
 if TYPE_CHECKING:
@@ -60,10 +61,10 @@
         """Fails a request that is open after its deadline; the policy should have answered it."""
         self.failed_count += 1
         self.node.log_lines.line(f"guard request expired id={request.id}")
-        self._fail(request, HTTPStatus.GATEWAY_TIMEOUT)
+        self._fail(request, HTTPStatus.GATEWAY_TIMEOUT, EndReason.DEADLINE_GUARD)
 
-    def _fail(self, request: OpenRequest, status: int) -> None:
-        self.node.requests.answer(request.id, status)
+    def _fail(self, request: OpenRequest, status: int, reason: EndReason) -> None:
+        self.node.requests.answer(request.id, status, reason=reason)
         # Ends the request at the policy, as a disconnect of its client does.
         self.node.post(self.node.balancer.client_disconnected, request.id)
 
@@ -90,8 +91,10 @@
                     remaining_us / 1e6, self.cut_short, request
                 )
 
-    def cut_short(self, request: OpenRequest) -> None:
-        """Ends a request that the policy could have kept longer, because the process must end.
+    def cut_short(
+        self, request: OpenRequest, reason: EndReason = EndReason.PROCESS_ENDS
+    ) -> None:
+        """Ends a request that the policy could have kept longer, for example because the process must end.
 
         A request that cannot have run is rejected, whatever its class: its client may retry at another node.
         """
@@ -104,4 +107,5 @@
                 HTTPStatus.GATEWAY_TIMEOUT
                 if may_have_run
                 else HTTPStatus.SERVICE_UNAVAILABLE,
+                reason,
             )
--- a/loadbalancer/node/requests/forwarder.py
+++ b/loadbalancer/node/requests/forwarder.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from loadbalancer.node.end_reasons import EndReason
 from loadbalancer.node.requests.request_head import encode_request
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.load_report import parse_load_report
@@ -180,6 +181,8 @@
             )
             return
         request.attempt_timeout_us = timeout_us
+        if index and request.last_outcome is not None:
+            node.reasons.retried(request.last_outcome.name, request.call_id, index + 1)
         self.start(ForwardedAttempt(self, request, index, server), endpoint)
 
     def start(self, forwarded: ForwardedAttempt, endpoint: UpstreamEndpoint) -> None:
@@ -215,6 +218,7 @@
         """Handles an attempt's end: first answers the client, then reports the outcome to the policy."""
         node, request = self.node, forwarded.request
         request.attempt = None
+        request.last_outcome = outcome
         if outcome not in NEVER_RAN and not request.first_run_at:
             request.first_run_at = forwarded.started_at
         load_report: tuple[float, ...] = ()
@@ -230,10 +234,14 @@
                 request, forwarded.server, forwarded.started_at, outcome, response
             )
         if request.streaming and request.client is not None:
-            is_complete = outcome == Outcome.OK
-            node.requests.answer(
-                request.id, HTTPStatus.OK if is_complete else HTTPStatus.BAD_GATEWAY
-            )
+            if outcome == Outcome.OK:
+                node.requests.answer(request.id, HTTPStatus.OK)
+            else:
+                node.requests.answer(
+                    request.id,
+                    HTTPStatus.BAD_GATEWAY,
+                    reason=EndReason.RESPONSE_BROKEN,
+                )
         self.report(forwarded, outcome, load_report)
 
     def send_held_response(self, request: OpenRequest, response: Response) -> None:
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from loadbalancer.node.end_reasons import EndReason
 from loadbalancer.node.requests.open_request import NO_DEADLINE_US, OpenRequest
 from loadbalancer.policy.api import Idempotency, Outcome, RequestClass
 
@@ -33,10 +34,11 @@
 
 
 class Rejection(NamedTuple):
-    """Why a request is not accepted: the response's status and header lines."""
+    """Why a request is not accepted, with the response's status and header lines."""
 
     status: int
     headers: bytes = b""
+    reason: EndReason = EndReason.INVALID_REQUEST
 
 
 def retry_after_header(wait_us: int) -> bytes:
@@ -141,7 +143,7 @@
             return
         remaining_us = budget_us_of(request) - int(paused_s * 1e6)
         if node.deadline_guard.cap_budget(remaining_us) <= PAUSE_CHECK_US:
-            node.deadline_guard.cut_short(request)
+            node.deadline_guard.cut_short(request, EndReason.BODY_UNREAD)
 
     def start_time(self, request: OpenRequest) -> None:
         """Sets the deadline of a request with a streamed body, whose last byte has arrived."""
@@ -174,7 +176,9 @@
             else 0
         )
         rejection = Rejection(
-            HTTPStatus.SERVICE_UNAVAILABLE, retry_after_header(wait_us)
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            retry_after_header(wait_us),
+            EndReason.NO_CAPACITY,
         )
         message = client.open_request
         class_index = self.find_class(message) if message is not None else None
@@ -195,6 +199,9 @@
         request = self.node.requests.by_client.get(client)
         if request is None:
             return
+        self.node.reasons.refused(
+            EndReason.CLIENT_GONE, 0, request.call_id, request.state()
+        )
         attempt = request.attempt
         cannot_continue = (
             not request.message.complete
@@ -225,14 +232,21 @@
             self.capacity_exceeded(client)
             return
         if self.is_duplicate(message):
-            self.reject(client, class_index, Rejection(HTTPStatus.CONFLICT))
+            self.reject(
+                client,
+                class_index,
+                Rejection(HTTPStatus.CONFLICT, reason=EndReason.DUPLICATE_CALL_ID),
+            )
             return
         waited_us = self.waited_us(message)
         budget_us = int(message.headers[b"x-budget-ms"]) * 1000
         if 0 < budget_us <= waited_us:
             # The time budget starts when the request is received, not when its turn comes: the answer would
             # be late.
-            self.reject(client, class_index, Rejection(HTTPStatus.SERVICE_UNAVAILABLE))
+            late = Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE, reason=EndReason.WAITED_TOO_LONG
+            )
+            self.reject(client, class_index, late)
             return
         remaining_us = node.deadline_guard.cap_budget(budget_us - waited_us)
         request = OpenRequest(
@@ -331,5 +345,8 @@
     ) -> None:
         """Rejects a request without involving the policy, and counts its end."""
         class_name = self.node.table.names[class_index]
+        message = client.open_request
+        call_id = message.headers.get(b"x-call-id", b"") if message else b""
+        self.node.reasons.refused(rejection.reason, rejection.status, call_id)
         self.node.metrics.request_ended(class_name, rejection.status)
         client.send_response(rejection.status, headers=rejection.headers)
--- a/loadbalancer/node/requests/open_request.py
+++ b/loadbalancer/node/requests/open_request.py
@@ -7,12 +7,15 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from loadbalancer.node.end_reasons import EndReason, ReasonLog
+
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
     from loadbalancer.node.client.request import ClientRequest
     from loadbalancer.node.lifecycle.reload import ClassTable
     from loadbalancer.node.metrics import Metrics
     from loadbalancer.node.upstream.attempt import Attempt
+    from loadbalancer.policy.api import Outcome
 
 NO_DEADLINE_US = 1 << 62  # later than any time of the node's clock
 
@@ -46,6 +49,7 @@
             this machine; 0 until then.
         idempotency_window_us: See the parameter.
         first_run_at: The time at which the first attempt that may have run started; 0 if there is none.
+        last_outcome: How the last attempt that ended did so; None before.
         attempt: The pending attempt.
         guard_timer: Ends the request if the policy does not (`DeadlineGuard`).
     """
@@ -63,6 +67,7 @@
         "guard_timer",
         "id",
         "idempotency_window_us",
+        "last_outcome",
         "max_attempts",
         "message",
         "streaming",
@@ -91,6 +96,7 @@
         self.completed_at = 0
         self.idempotency_window_us = idempotency_window_us
         self.first_run_at = 0
+        self.last_outcome: Outcome | None = None
         self.attempt: Attempt | None = None
         self.guard_timer: asyncio.TimerHandle | None = None
 
@@ -98,6 +104,13 @@
         """Whether the last byte has reached this machine, so that the time of the request runs."""
         return self.message.complete or bool(self.completed_at)
 
+    def state(self) -> str:
+        """The request's progress, as `name=value` pairs for the log."""
+        message = self.message
+        body = "complete" if message.complete else "incomplete"
+        outcome = self.last_outcome.name if self.last_outcome is not None else "-"
+        return f"attempts={self.attempt_count} outcome={outcome} body={body}"
+
     def earliest_server_start_at(self, attempt_began_at: int) -> int:
         """When an attempt's server could start: a streamed body is complete only after the attempt starts."""
         return max(attempt_began_at, self.completed_at)
@@ -113,8 +126,11 @@
         last_id: The number of the most recent request.
     """
 
-    def __init__(self, metrics: Metrics, class_table: ClassTable) -> None:
+    def __init__(
+        self, metrics: Metrics, class_table: ClassTable, reasons: ReasonLog
+    ) -> None:
         self.metrics = metrics
+        self.reasons = reasons
         self.class_table = class_table
         self.by_id: dict[int, OpenRequest] = {}
         self.by_client: dict[ClientConnection, OpenRequest] = {}
@@ -142,16 +158,30 @@
         self.metrics.request_accepted()
 
     def answer(
-        self, request_id: int, status: int, body: bytes = b"", headers: bytes = b""
+        self,
+        request_id: int,
+        status: int,
+        body: bytes = b"",
+        headers: bytes = b"",
+        reason: EndReason | None = None,
     ) -> None:
         """Sends the client its final response. Ignored if the request is answered or its client has gone.
 
         A streamed response is completed if `status` is 200; otherwise the connection is reset.
+
+        Args:
+            request_id: The request's number at this node.
+            status: The HTTP status.
+            body: The body of a response that is not streamed.
+            headers: Complete header lines.
+            reason: Why the request was not served; None if it was.
         """
         request = self.by_id.get(request_id)
         if request is None or request.client is None:
             return
         client = request.client
+        if reason is not None:
+            self.reasons.refused(reason, status, request.call_id, request.state())
         class_name = self.class_table.names[request.class_index]
         self.metrics.request_ended(class_name, status)
         self.release(request)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -434,7 +434,7 @@
     metrics = Metrics()
     metrics.add_classes(("any",))
     metrics.reloaded(LoadBalancerError("any"))
-    figures = metrics.figures(0, 0, MemoryFigures())
+    figures = metrics.figures(0, 0, MemoryFigures(), {})
     nested = {*figures["results"]["any"], *figures["memory"]}
     figures = set(figures) - {"results", "memory"} | nested
     assert figures <= named  # every figure is explained
