Run an upload's time from when its last byte may have been written, however it is read

Cause: the time of a streamed body began when the node had read its last byte, and each end of a pause in reading began the wait anew; bytes on the client's side of a full receive window were not counted. Change: ArrivalBounds keeps a lower bound for when unread bytes were written, from what the socket shows; a request's time, the deadline told to its server and the policy's run from it. Requests behind a paused read follow it too.

--- a/loadbalancer/node/client/client_socket.py
+++ b/loadbalancer/node/client/client_socket.py
@@ -15,6 +15,12 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Zeros of the size of a C int: FIONREAD returns the number of unread bytes in a copy of them.
 UNREAD_COUNT_BUFFER = bytes(4)
+# From <asm-generic/socket.h>; its first two values: bytes that the receive queue uses, and their limit.
+SO_MEMINFO = 55
+SOCKET_MEMORY = struct.Struct("=II")
+# The window counts as open while no more than this part of the receive buffer is in use.
+OPEN_WINDOW_DIVISOR = 4
+SMALLEST_RECEIVE_BUFFER_BYTES = 65_536  # assumed where the system does not tell
 
 
 def set_socket_option(fileno: int, option: int, value: int | bytes) -> None:
@@ -37,6 +43,24 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def is_window_open(fileno: int, read_bytes: int = 0) -> bool:
+    """Whether the other side can send more, because the receive buffer has much room.
+
+    Args:
+        fileno: The socket's file descriptor.
+        read_bytes: Bytes that were read just now, which count as if they still were in the buffer.
+    """
+    view = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fileno)
+    try:
+        memory = view.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, SOCKET_MEMORY.size)
+        used_bytes, buffer_bytes = SOCKET_MEMORY.unpack(memory)
+    except (OSError, struct.error):  # the system does not tell
+        used_bytes, buffer_bytes = unread_bytes(fileno), SMALLEST_RECEIVE_BUFFER_BYTES
+    finally:
+        view.detach()
+    return bool(used_bytes + read_bytes <= buffer_bytes // OPEN_WINDOW_DIVISOR)
+
+
 def has_unread(fileno: int) -> bool:
     """Whether received bytes are pending on the socket."""
     return unread_bytes(fileno) > 0
--- a/loadbalancer/node/client/connection.py
+++ b/loadbalancer/node/client/connection.py
@@ -98,6 +98,7 @@
         self.dispatch_next()
         if self.open_request is not None and self.open_request.upload is not None:
             self.open_request.upload.forward()
+        self.input.observe_arrival(len(data))
 
     def on_upload_started(self, request: ClientRequest) -> None:
         """Dispatches a request whose body is streamed, unless it has to wait.
--- a/loadbalancer/node/client/input.py
+++ b/loadbalancer/node/client/input.py
@@ -5,14 +5,19 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.node.client import client_socket
+from loadbalancer.node.client.arrival import ArrivalBounds
 from loadbalancer.node.client.request_reader import HEAD_SLICE_BYTES
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
+    from loadbalancer.node.client.request import ClientRequest
 
 # Complete requests that wait while an earlier one is open. At this number parsing and reading pause; those in
 # the slice that is being parsed may exceed it.
 MAX_PIPELINED_REQUESTS = 8
+# Bytes of a body that are still missing beyond this cannot all have been written: a client's system holds no
+# more for a connection.
+MAX_CLIENT_BUFFER_BYTES = 4 << 20
 
 
 class ClientInput:
@@ -24,18 +29,24 @@
     Attributes:
         paused: Whether nothing is read for now.
         paused_at: The loop time in seconds of the last pause.
+        resumed_at: The loop time in seconds at which reading last continued.
+        arrival: Bounds for when the unread bytes were written.
+        parsed_bytes: Bytes that have been passed to the reader.
         received_at: The loop time in seconds at which bytes were last received.
         unparsed: Bytes that were read and wait; empty while fewer than MAX_PIPELINED_REQUESTS wait.
         held_bytes: Bytes of `unparsed` that count against the memory budget (`MemoryHolder`).
     """
 
     __slots__ = (
+        "arrival",
         "connection",
         "held_bytes",
         "listener",
+        "parsed_bytes",
         "paused",
         "paused_at",
         "received_at",
+        "resumed_at",
         "unparsed",
     )
 
@@ -44,6 +55,9 @@
         self.listener = connection.listener
         self.paused = False
         self.paused_at = 0.0
+        self.resumed_at = 0.0
+        self.arrival = ArrivalBounds()
+        self.parsed_bytes = 0
         self.received_at = 0.0
         self.unparsed = b""
         self.held_bytes = 0
@@ -54,7 +68,7 @@
         self.received_at = connection.last_active_at
         if not self.unparsed and len(data) <= HEAD_SLICE_BYTES:
             if not connection.reader.ended:
-                connection.reader.parse(data)
+                self.parse_slice(data)
             return
         self.unparsed += data
         self.parse()
@@ -71,11 +85,23 @@
             and len(connection.pipelined) < MAX_PIPELINED_REQUESTS
         ):
             end = position + reader.slice_bytes()
-            reader.parse(data[position:end])
+            self.parse_slice(data[position:end])
             position = end
         self.unparsed = b"" if reader.ended else data[position:]
         self.listener.budget.count(self, len(self.unparsed))
 
+    def parse_slice(self, data: bytes) -> None:
+        """Passes a slice to the reader."""
+        if self.arrival.since is not None:
+            self.arrival.advance(self.parsed_bytes)
+        self.connection.reader.parse(data)
+        self.parsed_bytes += len(data)
+
+    def arrived_at(self) -> float:
+        """The loop time in seconds before which the slice that is being parsed was not written."""
+        since = self.arrival.since
+        return self.received_at if since is None else min(self.received_at, since)
+
     def proceed(self) -> None:
         """Parses and reads on, as far as fewer requests wait than before."""
         if self.unparsed:
@@ -93,6 +119,7 @@
         if not self.paused and not transport.is_closing():
             self.paused = True
             self.paused_at = self.listener.loop.time()
+            self.arrival.begin(self.paused_at)
             transport.pause_reading()
             self.listener.hangup_watch.add(self.connection)
 
@@ -101,33 +128,86 @@
         transport = self.connection.transport
         if self.paused and not transport.is_closing():
             self.paused = False
-            paused_s = self.listener.loop.time() - self.paused_at
+            self.resumed_at = self.listener.loop.time()
+            paused_s = self.resumed_at - self.paused_at
             self.connection.reader.headers_complete_at += paused_s
             self.listener.hangup_watch.remove(self.connection)
             transport.resume_reading()
 
+    def observe_arrival(self, read_bytes: int = 0) -> None:
+        """Records what is unread on this machine, where bytes may have waited.
+
+        Args:
+            read_bytes: Bytes that were read just now.
+        """
+        connection = self.connection
+        if self.arrival.since is None or connection.transport.is_closing():
+            return
+        descriptor = connection.fileno()
+        self.arrival.observe(
+            self.listener.loop.time(),
+            self.received_bytes(),
+            client_socket.unread_bytes(descriptor),
+            client_socket.is_window_open(descriptor, read_bytes),
+            reading=not self.paused,
+        )
+
+    def received_bytes(self) -> int:
+        """Bytes that have been read from the client."""
+        return self.parsed_bytes + len(self.unparsed)
+
     def check_arrival(self) -> None:
-        """Notices a streamed body whose last byte may be on this machine, while it is not read.
+        """Notices a streamed body whose last byte may have been written, while it is not read.
 
         A request counts as taken with its last byte, whether or not that has been read. With a declared
-        length its arrival shows in the number of unread bytes; without one, only the parser could tell.
+        length its arrival shows in the number of unread bytes, unless some wait on the client's side; without
+        one, only the parser could tell.
         """
         connection = self.connection
+        self.observe_arrival()
         request = connection.reader.incoming
-        if not self.paused or request is None or request.upload is None:
+        if (
+            self.arrival.since is None
+            or request is None
+            or request.upload is None
+            or request.completed_at
+            or connection.transport.is_closing()
+        ):
             return
-        if request.completed_at or connection.transport.is_closing():
+        unread_bytes = client_socket.unread_bytes(connection.fileno())
+        if request.length is not None:
+            missing_bytes = request.length - connection.reader.body_bytes
+            if unread_bytes >= missing_bytes:
+                self.note_arrival(request, self.received_bytes() + missing_bytes)
+                return
+            missing_bytes -= unread_bytes
+            if (
+                not self.arrival.window_was_full
+                or missing_bytes > MAX_CLIENT_BUFFER_BYTES
+            ):
+                request.incomplete_at = self.listener.loop.time()
+                return
+        elif not (unread_bytes or self.arrival.window_was_full):
             return
+        if connection.open_request is request:
+            self.listener.handler.body_unread(connection, self.waited_s(request))
+
+    def note_arrival(self, request: ClientRequest, end_offset: int) -> None:
+        """Starts the time of a request whose last byte, at `end_offset`, is on this machine."""
+        bound = self.arrival.bound_at(end_offset)
         now = self.listener.loop.time()
-        unread_bytes = client_socket.unread_bytes(connection.fileno())
-        is_open = connection.open_request is request
-        if request.length is None:
-            if is_open and unread_bytes:
-                self.listener.handler.body_paused(connection, now - self.paused_at)
-        elif unread_bytes >= request.length - connection.reader.body_bytes:
-            request.completed_at = now
-            if is_open:
-                self.listener.handler.body_arrived(connection)
+        request.completed_at = max(
+            now if bound is None else bound, request.incomplete_at
+        )
+        if self.connection.open_request is request:
+            self.listener.handler.body_arrived(self.connection)
+
+    def waited_s(self, request: ClientRequest) -> float:
+        """Seconds for which an incomplete request may have been waiting with its last byte unread."""
+        if self.arrival.since is None:
+            return 0.0
+        now = self.listener.loop.time()
+        return now - max(self.arrival.since, request.incomplete_at)
 
     def drop_unparsed(self) -> None:
         """Drops what waits: nothing more is read from this client."""
--- a/loadbalancer/node/client/interface.py
+++ b/loadbalancer/node/client/interface.py
@@ -31,12 +31,12 @@
         It was taken with its last byte, so its time runs although reading is paused.
         """
 
-    def body_paused(self, client: ClientConnection, paused_s: float, /) -> None:
-        """Called repeatedly while a body of unknown length has unread bytes and reading is paused.
+    def body_unread(self, client: ClientConnection, waited_s: float, /) -> None:
+        """Called repeatedly while the last byte of the open request's body may wait unread.
 
         Args:
             client: The connection of the open request.
-            paused_s: Seconds since reading was paused.
+            waited_s: Seconds for which it may have waited.
         """
 
     def capacity_exceeded(self, client: ClientConnection, /) -> None:
--- a/loadbalancer/node/client/request.py
+++ b/loadbalancer/node/client/request.py
@@ -45,8 +45,10 @@
         body: The received part of the body, unless it is streamed.
         upload: The body, if it is streamed.
         complete: Whether the last byte has been received.
-        completed_at: The loop time in seconds at which the last byte was read, or was noticed to be on this
-            machine; 0 before.
+        completed_at: The loop time in seconds before which the last byte was not written, once that has been
+            read or was noticed to be on this machine; 0 before.
+        incomplete_at: The loop time in seconds at which the last byte was known not to be written yet; 0 if
+            that was never seen.
         keep_alive: Whether the connection may stay open after the response.
         http_version: The HTTP version without its prefix, for example "1.1".
         head_bytes: What the complete head takes in memory; 0 before.
@@ -62,6 +64,7 @@
         "headers",
         "held_bytes",
         "http_version",
+        "incomplete_at",
         "keep_alive",
         "length",
         "lines",
@@ -81,6 +84,7 @@
         self.upload: Upload | None = None
         self.complete = error != 0
         self.completed_at = 0.0
+        self.incomplete_at = 0.0
         self.keep_alive = error == 0
         self.http_version = "1.1"
         self.head_bytes = 0
--- a/loadbalancer/node/client/request_reader.py
+++ b/loadbalancer/node/client/request_reader.py
@@ -262,7 +262,9 @@
             return
         self.request_count += 1
         request.complete = True
-        request.completed_at = request.completed_at or self.connection.input.received_at
+        if not request.completed_at:
+            arrived_at = self.connection.input.arrived_at()
+            request.completed_at = max(arrived_at, request.incomplete_at)
         request.keep_alive = request.keep_alive and self.parser.should_keep_alive()
         self.ended = not request.keep_alive
         if self.body_bytes:
--- a/loadbalancer/node/requests/forwarder.py
+++ b/loadbalancer/node/requests/forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.node.end_reasons import EndReason
+from loadbalancer.node.requests.open_request import budget_us_of
 from loadbalancer.node.requests.request_head import encode_request
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.load_report import parse_load_report
@@ -83,13 +84,21 @@
         """Microseconds that are left for the attempt; its full timeout while the request is incomplete."""
         request = self.request
         if not request.has_arrived():
-            return request.attempt_timeout_us
+            return self.remaining_us_unread()
         ends_at = (
             request.earliest_server_start_at(self.started_at)
             + request.attempt_timeout_us
         )
         return min(ends_at, request.deadline) - self.node.now()
 
+    def remaining_us_unread(self) -> int:
+        """Microseconds that are left at least, while the last byte of the request has not been read."""
+        request = self.request
+        if request.client is None:
+            return request.attempt_timeout_us
+        waited_us = int(request.client.input.waited_s(request.message) * 1e6)
+        return min(request.attempt_timeout_us, budget_us_of(request) - waited_us)
+
     def compose(self) -> bytes | None:
         """Encodes the request just before it is written; None if it may no longer be written."""
         request = self.request
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from loadbalancer.node.end_reasons import EndReason
-from loadbalancer.node.requests.open_request import NO_DEADLINE_US, OpenRequest
+from loadbalancer.node.requests.open_request import (
+    NO_DEADLINE_US,
+    OpenRequest,
+    budget_us_of,
+)
 from loadbalancer.policy.api import Idempotency, Outcome, RequestClass
 
 if TYPE_CHECKING:
@@ -19,8 +23,8 @@
 MAX_BUDGET_DIGITS = 9  # of the X-Budget-Ms header
 # Time after which the node may have capacity again for a client that it rejected.
 OVERLOAD_RETRY_AFTER_US = 500_000
-# Longest time between two calls of `body_paused`: what ends before the next one is ended now.
-PAUSE_CHECK_US = 250_000
+# Longest time between two calls of `body_unread`: what ends before the next one needs a call of its own.
+UNREAD_CHECK_US = 250_000
 METHODS_BY_IDEMPOTENCY = {
     Idempotency.IDEMPOTENT: b"GET",
     Idempotency.WITH_KEY: b"POST",
@@ -51,11 +55,6 @@
     return message.target.partition(b"?")[0]
 
 
-def budget_us_of(request: OpenRequest) -> int:
-    """Microseconds that the client waits for the answer, from the last byte of its request."""
-    return int(request.message.headers[b"x-budget-ms"]) * 1000
-
-
 def idempotency_window_us(request_class: RequestClass) -> int:
     """Microseconds after the start of the first attempt that may have run, in which another may start."""
     idempotency_kind = request_class.idempotency
@@ -132,17 +131,18 @@
         if request is not None and not request.completed_at:
             self.start_time(request)
 
-    def body_paused(self, client: ClientConnection, paused_s: float) -> None:
-        """Ends a request whose body has not been read for the time that its client waits for the answer.
-
-        Its last byte may have arrived when reading was paused, and its length is not known.
-        """
+    def body_unread(self, client: ClientConnection, waited_s: float) -> None:
+        """Ends a request whose last byte may have waited unread for as long as its client waits."""
         node = self.node
         request = node.requests.by_client.get(client)
         if request is None or client.stream.active:
             return
-        remaining_us = budget_us_of(request) - int(paused_s * 1e6)
-        if node.deadline_guard.cap_budget(remaining_us) <= PAUSE_CHECK_US:
+        remaining_us = node.deadline_guard.cap_budget(
+            budget_us_of(request) - int(waited_s * 1e6)
+        )
+        if 0 < remaining_us <= UNREAD_CHECK_US:
+            node.loop.call_later(remaining_us / 1e6, client.input.check_arrival)
+        elif remaining_us <= 0:
             node.deadline_guard.cut_short(request, EndReason.BODY_UNREAD)
 
     def start_time(self, request: OpenRequest) -> None:
@@ -161,7 +161,7 @@
                 request.attempt.set_timeout(
                     min(remaining_us, request.attempt_timeout_us) / 1e6
                 )
-        node.post(node.balancer.request_complete, request.id)
+        node.post(node.balancer.request_complete, request.id, remaining_us)
 
     def capacity_exceeded(self, client: ClientConnection) -> None:
         """Rejects a request for which the node itself has no capacity; the policy is not involved.
@@ -238,7 +238,7 @@
                 Rejection(HTTPStatus.CONFLICT, reason=EndReason.DUPLICATE_CALL_ID),
             )
             return
-        waited_us = self.waited_us(message)
+        waited_us = self.waited_us(message) or int(client.input.waited_s(message) * 1e6)
         budget_us = int(message.headers[b"x-budget-ms"]) * 1000
         if 0 < budget_us <= waited_us:
             # The time budget starts when the request is received, not when its turn comes: the answer would
--- a/loadbalancer/node/requests/open_request.py
+++ b/loadbalancer/node/requests/open_request.py
@@ -116,6 +116,11 @@
         return max(attempt_began_at, self.completed_at)
 
 
+def budget_us_of(request: OpenRequest) -> int:
+    """Microseconds that the client waits for the answer, from the last byte of its request."""
+    return int(request.message.headers[b"x-budget-ms"]) * 1000
+
+
 class OpenRequests:
     """All open requests.
 
--- a/loadbalancer/policy/api.py
+++ b/loadbalancer/policy/api.py
@@ -362,8 +362,16 @@
                 member and has capacity, the first attempt is drawn among them.
         """
 
-    def request_complete(self, now: int, request: int) -> None:
-        """The entire request has arrived; its time counts from now on."""
+    def request_complete(
+        self, now: int, request: int, time_left: int | None = None
+    ) -> None:
+        """The entire request has arrived; its time counts from now on.
+
+        Args:
+            now: The current time in microseconds.
+            request: The host's number of the request.
+            time_left: The client's remaining time in microseconds, if some of it has passed unnoticed.
+        """
 
     def not_replayable(self, now: int, request: int) -> None:
         """Part of the request is no longer buffered, so no further attempt can be sent."""
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -222,12 +222,16 @@
             return
         self.dispatcher.attempt(now, opened)
 
-    def request_complete(self, now: int, request: int) -> None:
+    def request_complete(
+        self, now: int, request: int, time_left: int | None = None
+    ) -> None:
         """See `api.Events`."""
         opened = self.requests.get(request)
         if opened is None or not opened.time_left_when_complete:
             return
-        opened.deadline = now + opened.time_left_when_complete
+        if time_left is None:
+            time_left = opened.time_left_when_complete
+        opened.deadline = now + min(time_left, opened.time_left_when_complete)
         opened.time_left_when_complete = 0
         if opened.pending_endpoint is not None:
             opened.sent_at = now
--- a/tests/test_body_arrival.py
+++ b/tests/test_body_arrival.py
@@ -15,6 +15,12 @@
 CLIENT_BUFFER_BYTES = 212_992  # of the node's side of a client's connection
 BUDGET_MS = 600
 NEVER_S = 3 * PATIENCE
+# Of a server that takes a little again and again: a body of SLOW_SIZE outlasts the test, while no pause of
+# the node's reading is as long as SLOW_BUDGET_MS.
+SLOW_SIZE = 900_000
+SLOW_READ_BYTES = 1_024
+SLOW_READ_PAUSE_S = 0.03
+SLOW_BUDGET_MS = 3_000
 FRAMINGS = ["length", "chunks"]
 
 
@@ -53,6 +59,15 @@
     await asyncio.sleep(NEVER_S)
 
 
+async def take_slowly(head, reader, writer):
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES
+    )
+    reader._limit = SLOW_READ_BYTES
+    while await reader.read(SLOW_READ_BYTES):
+        await asyncio.sleep(SLOW_READ_PAUSE_S)
+
+
 async def sent_whole(bench: Bench, data: bytes) -> Client:
     """A client whose request has left it, although the node has stopped reading."""
     client = await bench.client()
@@ -119,6 +134,41 @@
     assert bench.node.client_listener.held_bytes == 0
 
 
+@pytest.mark.usefixtures("_small_buffers")
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_a_body_whose_server_takes_a_little_again_and_again_is_answered_in_its_time(
+    framing,
+):
+    """Failure prevented: the time of a body begins anew whenever its reading continues."""
+    bench = await started(take_slowly)
+    data = framed(framing, pattern(SLOW_SIZE), SLOW_BUDGET_MS)
+    client = await sent_whole(bench, data)
+    assert (await client.receive())[0] in (502, 503, 504)
+    assert await client.ended()
+    await until(lambda: not bench.node.requests)
+    assert bench.node.client_listener.held_bytes == 0
+
+
+@pytest.mark.usefixtures("_small_buffers")
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_a_body_whose_client_is_slower_than_its_server_is_served_whole(framing):
+    """Failure prevented: a body that is still being sent is given up for a pause of its server."""
+
+    async def serve(head, reader, writer):
+        body = await read_body(head, reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+
+    bench = await started(serve)
+    client = await bench.client()
+    data = framed(framing, pattern(SIZE), BUDGET_MS)
+    for start in range(0, len(data), 4_000):
+        client.send(data[start : start + 4_000])
+        await asyncio.sleep(4 * BUDGET_MS / 1000 / (len(data) / 4_000))
+    assert (await client.receive())[0] == 200
+
+
 @pytest.mark.usefixtures("_small_buffers")
 async def test_a_body_that_has_not_arrived_whole_has_no_deadline():
     """Failure prevented: a client that still sends is refused, since its server has paused for a moment."""
