End uploads whose client has stopped within 3 s, and bound the connections they hold

Cause: the time for a body grew with each byte received (40 KB a second), also after the client had stopped, and an upload in progress, which uses no slot of the concurrency limit, held a connection to a server without any bound.

--- a/loadbalancer/node/client/eviction.py
+++ b/loadbalancer/node/client/eviction.py
@@ -14,6 +14,8 @@
 # need at MIN_BODY_BYTES_PER_S.
 BODY_START_TIMEOUT_S = 1.0
 MIN_BODY_BYTES_PER_S = 40_000
+# A client that sends nothing of a streamed body for this time, although it can, has stopped.
+UPLOAD_STALL_TIMEOUT_S = 2.25
 # An incomplete request that receives nothing for this time counts as stalled.
 STALL_TIMEOUT_S = 1.0
 
@@ -80,6 +82,19 @@
     return RANKS_BY_REQUEST_COUNT[request_count], active_at
 
 
+def is_upload_stalled(connection: ClientConnection, now: float) -> bool:
+    """Whether the client has stopped in the middle of a streamed body.
+
+    A body without a length whose unread bytes may be its last has not stopped.
+    """
+    request = connection.reader.incoming
+    if request is None or request.upload is None or connection.reader.ended:
+        return False
+    if request.completed_at or connection.input.may_be_complete(request):
+        return False
+    return now - connection.input.progress_at > UPLOAD_STALL_TIMEOUT_S
+
+
 def is_request_overdue(connection: ClientConnection, now: float) -> bool:
     """Whether a request should have been received completely by now.
 
--- a/loadbalancer/node/client/input.py
+++ b/loadbalancer/node/client/input.py
@@ -32,6 +32,8 @@
         resumed_at: The loop time in seconds at which reading last continued.
         arrival: Bounds for when the unread bytes were written.
         parsed_bytes: Bytes that have been passed to the reader.
+        progress_at: The loop time in seconds at which the client was last seen to send some of a streamed
+            body, or could not send because its receive window was full.
         received_at: The loop time in seconds at which bytes were last received.
         unparsed: Bytes that were read and wait; empty while fewer than MAX_PIPELINED_REQUESTS wait.
         held_bytes: Bytes of `unparsed` that count against the memory budget (`MemoryHolder`).
@@ -45,8 +47,10 @@
         "parsed_bytes",
         "paused",
         "paused_at",
+        "progress_at",
         "received_at",
         "resumed_at",
+        "seen_bytes",
         "unparsed",
     )
 
@@ -58,6 +62,8 @@
         self.resumed_at = 0.0
         self.arrival = ArrivalBounds()
         self.parsed_bytes = 0
+        self.progress_at = 0.0
+        self.seen_bytes = 0
         self.received_at = 0.0
         self.unparsed = b""
         self.held_bytes = 0
@@ -167,14 +173,16 @@
         self.observe_arrival()
         request = connection.reader.incoming
         if (
-            self.arrival.since is None
-            or request is None
+            request is None
             or request.upload is None
             or request.completed_at
             or connection.transport.is_closing()
         ):
             return
         unread_bytes = client_socket.unread_bytes(connection.fileno())
+        self.note_progress(unread_bytes)
+        if self.arrival.since is None:
+            return
         if request.length is not None:
             missing_bytes = request.length - connection.reader.body_bytes
             if unread_bytes >= missing_bytes:
@@ -192,6 +200,26 @@
         if connection.open_request is request:
             self.listener.handler.body_unread(connection, self.waited_s(request))
 
+    def note_progress(self, unread_bytes: int) -> None:
+        """Notices whether the client sends, or could not."""
+        arrived_bytes = self.received_bytes() + unread_bytes
+        if arrived_bytes != self.seen_bytes or self.arrival.window_was_full:
+            self.seen_bytes = arrived_bytes
+            now = self.listener.loop.time()
+            waits = unread_bytes or self.arrival.window_was_full
+            self.progress_at = now if waits else self.received_at
+
+    def may_be_complete(self, request: ClientRequest) -> bool:
+        """Whether the last byte of an incomplete request may wait unread."""
+        if self.arrival.since is None:
+            return False
+        if self.arrival.window_was_full:
+            return True
+        unread_bytes = client_socket.unread_bytes(self.connection.fileno())
+        if request.length is None:
+            return unread_bytes > 0
+        return unread_bytes >= request.length - self.connection.reader.body_bytes
+
     def note_arrival(self, request: ClientRequest, end_offset: int) -> None:
         """Starts the time of a request whose last byte, at `end_offset`, is on this machine."""
         bound = self.arrival.bound_at(end_offset)
--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -15,6 +15,7 @@
     is_fully_answered,
     is_idle,
     is_request_overdue,
+    is_upload_stalled,
     may_be_evicted,
 )
 from loadbalancer.node.client.hangup_watch import HangupWatch
@@ -314,7 +315,9 @@
         now = self.loop.time()
         for connection in list(self.connections):
             connection.input.check_arrival()
-            if is_request_overdue(connection, now):
+            if is_request_overdue(connection, now) or is_upload_stalled(
+                connection, now
+            ):
                 if connection.reader.incoming is not None:
                     connection.reject(408)
                 elif (
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from loadbalancer.node.client.interface import ConnectionState
 from loadbalancer.node.end_reasons import EndReason
 from loadbalancer.node.requests.open_request import (
     NO_DEADLINE_US,
@@ -13,6 +14,7 @@
     budget_us_of,
 )
 from loadbalancer.policy.api import Idempotency, Outcome, RequestClass
+from loadbalancer.policy.upload_limit import admits_upload
 
 if TYPE_CHECKING:
     from loadbalancer.node.client.connection import ClientConnection
@@ -123,6 +125,9 @@
 
     def body_received(self, client: ClientConnection) -> None:
         """Starts the time of a request whose streamed body is now complete, unless it runs already."""
+        request = self.node.requests.by_client.get(client)
+        if request is not None:
+            self.node.requests.uploads_in_progress.discard(request.id)
         self.body_arrived(client)
 
     def body_arrived(self, client: ClientConnection) -> None:
@@ -199,9 +204,10 @@
         request = self.node.requests.by_client.get(client)
         if request is None:
             return
-        self.node.reasons.refused(
-            EndReason.CLIENT_GONE, 0, request.call_id, request.state()
-        )
+        if client.state is not ConnectionState.OPEN:
+            self.node.reasons.refused(
+                EndReason.CLIENT_GONE, 0, request.call_id, request.state()
+            )
         attempt = request.attempt
         cannot_continue = (
             not request.message.complete
@@ -231,6 +237,11 @@
         if len(node.requests) >= node.settings.max_open_requests:
             self.capacity_exceeded(client)
             return
+        if not message.complete and not admits_upload(
+            len(node.requests.uploads_in_progress), node.pool.max_connections
+        ):
+            self.capacity_exceeded(client)
+            return
         if self.is_duplicate(message):
             self.reject(
                 client,
--- a/loadbalancer/node/requests/open_request.py
+++ b/loadbalancer/node/requests/open_request.py
@@ -128,6 +128,7 @@
         by_id: The requests by number.
         by_client: The requests whose client waits, by connection.
         by_call_id: The requests whose client waits, by the client's id.
+        uploads_in_progress: The numbers of the requests whose body is still being received.
         last_id: The number of the most recent request.
     """
 
@@ -140,6 +141,7 @@
         self.by_id: dict[int, OpenRequest] = {}
         self.by_client: dict[ClientConnection, OpenRequest] = {}
         self.by_call_id: dict[bytes, OpenRequest] = {}
+        self.uploads_in_progress: set[int] = set()
         self.last_id = 0
 
     def __len__(self) -> int:
@@ -159,6 +161,8 @@
         """Adds a request whose client waits for the response."""
         assert request.client is not None
         self.by_call_id[request.call_id] = request
+        if not request.message.complete:
+            self.uploads_in_progress.add(request.id)
         self.by_id[request.id] = self.by_client[request.client] = request
         self.metrics.request_accepted()
 
@@ -197,6 +201,7 @@
 
     def release(self, request: OpenRequest) -> None:
         """Detaches the request from its client. The request stays while its attempt is pending."""
+        self.uploads_in_progress.discard(request.id)
         if request.client is not None:
             self.metrics.request_released()
             del self.by_client[request.client]
