Forward no call id again that may have run and that its class keeps from running twice

Cause: an id was known only while its client waited; two tests demanded that it be served again, against the protocol ("every request gets a new one, a client's retry too") and the rule that alert-send never runs twice. The answer is 409, reason may-have-run. The two tests are replaced by stricter ones, for each effect.

--- a/loadbalancer/node/end_reasons.py
+++ b/loadbalancer/node/end_reasons.py
@@ -24,6 +24,7 @@
     BODY_UNREAD = "body-unread"
     RESPONSE_BROKEN = "response-broken"
     DUPLICATE_CALL_ID = "duplicate-call-id"
+    MAY_HAVE_RUN = "may-have-run"
     WAITED_TOO_LONG = "waited-too-long"
     INVALID_REQUEST = "invalid-request"
     NO_CAPACITY = "no-capacity"
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -37,6 +37,7 @@
 from loadbalancer.node.memory_figures import measure_memory
 from loadbalancer.node.metrics import Metrics
 from loadbalancer.node.peers import PeerMessenger
+from loadbalancer.node.requests.call_ids import CallIds
 from loadbalancer.node.requests.deadline_guard import DeadlineGuard, drain_time_us
 from loadbalancer.node.requests.forwarder import Forwarder
 from loadbalancer.node.requests.intake import RequestIntake, retry_after_header
@@ -73,6 +74,7 @@
         post: Passes an event to the policy.
         control: The admin listener; None if there is none.
         process_share: This process's share of the node's limits.
+        call_ids: The call ids that may not be forwarded again.
         feature_host: Runs the features; None until an operators' file is applied.
         on_ended: Called at the end of each attempt, if a feature listens.
         on_request: Passes a request to the policy in place of the node, if a feature knows the replicas of
@@ -105,6 +107,7 @@
         self.post = EventQueue(self.now, self.on_event_failed).post
         self.control: AdminServer | None = None
         self.process_share = ProcessShare(self)
+        self.call_ids = CallIds(lambda: monotonic_ns() // 1000)
         self._make_request_path()
         self._make_discovery_and_peers()
         self.feature_host: NodeFeatureHost | None = None
@@ -176,6 +179,8 @@
         self.post(self.balancer.start)
         if self.config.accept_fd is not None:
             self.process_share.start()
+            registry = self.process_share.registry
+            self.call_ids.share(registry.folder, registry.prefix)
         if self.config.known is not None:
             self.on_list(self.config.known)
         if not self.config.settings.list_must_be_polled:
@@ -212,6 +217,7 @@
         if self.control is not None:
             self.control.close()
         self.process_share.stop()
+        self.call_ids.stop()
         failed_count = self.deadline_guard.failed_count
         if failed_count:
             self.log_lines.line(f"guard requests expired count={failed_count}")
--- a/loadbalancer/node/requests/forwarder.py
+++ b/loadbalancer/node/requests/forwarder.py
@@ -112,10 +112,31 @@
             # The window has closed while the connection was established: the request could run twice.
             return None
         remaining_us = self.remaining_us()
-        if request.client is None or remaining_us <= 0:
+        if request.client is None or remaining_us <= 0 or not self.claim_call_id():
             return None
         return encode_request(request.message, remaining_us // 1000)
 
+    def claim_call_id(self) -> bool:
+        """Whether no other request with this id may have run; answers 409 if one may have."""
+        request = self.request
+        if request.call_id_rule is None or request.claim is not None:
+            return True
+        call_ids = self.node.call_ids
+        request.claim = call_ids.claim(request.call_id, request.call_id_rule)
+        if request.claim is not None:
+            return True
+        self.node.requests.answer(
+            request.id, HTTPStatus.CONFLICT, reason=EndReason.MAY_HAVE_RUN
+        )
+        return False
+
+    def release_call_id(self) -> None:
+        """Takes the claim on the call id back, unless an attempt may have run."""
+        request = self.request
+        if request.claim is not None and not request.first_run_at:
+            self.node.call_ids.release(request.claim)
+            request.claim = None
+
     def stream(self, response: Response, source: BodySource) -> ResponseStream | None:
         """Starts to stream a large response to the client; None if the client has gone.
 
@@ -230,6 +251,7 @@
         request.last_outcome = outcome
         if outcome not in NEVER_RAN and not request.first_run_at:
             request.first_run_at = forwarded.started_at
+        forwarded.release_call_id()
         load_report: tuple[float, ...] = ()
         if response is not None:
             if node.config.inline_reports:
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -14,6 +14,7 @@
     budget_us_of,
 )
 from loadbalancer.policy.api import Idempotency, Outcome, RequestClass
+from loadbalancer.policy.call_id_rules import CallIdRule, call_id_rule
 from loadbalancer.policy.upload_limit import admits_upload
 
 if TYPE_CHECKING:
@@ -234,20 +235,13 @@
         if rejection is not None:
             self.reject(client, class_index, rejection)
             return
-        if len(node.requests) >= node.settings.max_open_requests:
+        if self.is_full(message):
             self.capacity_exceeded(client)
             return
-        if not message.complete and not admits_upload(
-            len(node.requests.uploads_in_progress), node.pool.max_connections
-        ):
-            self.capacity_exceeded(client)
-            return
-        if self.is_duplicate(message):
-            self.reject(
-                client,
-                class_index,
-                Rejection(HTTPStatus.CONFLICT, reason=EndReason.DUPLICATE_CALL_ID),
-            )
+        rule = call_id_rule(node.settings.classes[class_index])
+        rejection = self.check_call_id(message, rule)
+        if rejection is not None:
+            self.reject(client, class_index, rejection)
             return
         waited_us = self.waited_us(message) or int(client.input.waited_s(message) * 1e6)
         budget_us = int(message.headers[b"x-budget-ms"]) * 1000
@@ -269,8 +263,33 @@
             now + remaining_us,
             idempotency_window_us(node.settings.classes[class_index]),
         )
+        request.call_id_rule = rule
         self.open(request, remaining_us)
 
+    def is_full(self, message: ClientRequest) -> bool:
+        """Whether the node has no capacity for one more request, or for one more upload in progress."""
+        node = self.node
+        if len(node.requests) >= node.settings.max_open_requests:
+            return True
+        uploads = len(node.requests.uploads_in_progress)
+        return not message.complete and not admits_upload(
+            uploads, node.pool.max_connections
+        )
+
+    def check_call_id(
+        self, message: ClientRequest, rule: CallIdRule | None
+    ) -> Rejection | None:
+        """The rejection of a request whose id belongs to one that is open or that may have run."""
+        if self.is_duplicate(message):
+            reason = EndReason.DUPLICATE_CALL_ID
+        elif rule is not None and self.node.call_ids.is_claimed(
+            message.headers[b"x-call-id"]
+        ):
+            reason = EndReason.MAY_HAVE_RUN
+        else:
+            return None
+        return Rejection(HTTPStatus.CONFLICT, reason=reason)
+
     def open(self, request: OpenRequest, remaining_us: int) -> None:
         """Hands an accepted request, which has `remaining_us` left, to the policy.
 
--- a/loadbalancer/node/requests/open_request.py
+++ b/loadbalancer/node/requests/open_request.py
@@ -14,8 +14,10 @@
     from loadbalancer.node.client.request import ClientRequest
     from loadbalancer.node.lifecycle.reload import ClassTable
     from loadbalancer.node.metrics import Metrics
+    from loadbalancer.node.requests.call_ids import Claim
     from loadbalancer.node.upstream.attempt import Attempt
     from loadbalancer.policy.api import Outcome
+    from loadbalancer.policy.call_id_rules import CallIdRule
 
 NO_DEADLINE_US = 1 << 62  # later than any time of the node's clock
 
@@ -49,6 +51,8 @@
             this machine; 0 until then.
         idempotency_window_us: See the parameter.
         first_run_at: The time at which the first attempt that may have run started; 0 if there is none.
+        call_id_rule: How the ids of its class are treated; None if it may be repeated at any time.
+        claim: The claim on its call id, from the first attempt that is written.
         last_outcome: How the last attempt that ended did so; None before.
         attempt: The pending attempt.
         guard_timer: Ends the request if the policy does not (`DeadlineGuard`).
@@ -59,6 +63,8 @@
         "attempt_count",
         "attempt_timeout_us",
         "call_id",
+        "call_id_rule",
+        "claim",
         "class_index",
         "client",
         "completed_at",
@@ -96,6 +102,8 @@
         self.completed_at = 0
         self.idempotency_window_us = idempotency_window_us
         self.first_run_at = 0
+        self.call_id_rule: CallIdRule | None = None
+        self.claim: Claim | None = None
         self.last_outcome: Outcome | None = None
         self.attempt: Attempt | None = None
         self.guard_timer: asyncio.TimerHandle | None = None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -964,17 +964,20 @@
         assert bench.node.balancer.limit.in_flight == 1
         release.set()
         assert (await first.receive())[0] == 200
-        assert (await bench.once(call("invite", name=b"7f01")))[
-            0
-        ] == 200  # no request with this id is open any more
         assert not bench.node.requests.by_call_id
+        # no request with this id is open any more, but one has run
+        assert (await bench.once(call("invite", name=b"7f01")))[0] == 409
+        assert len(server.requests) == 1
 
     play(scene)
 
 
 @pytest.mark.parametrize("seen", [False, True])
-def test_a_retry_of_a_request_whose_client_has_left_is_served(seen):
-    """Failure prevented: a client whose connection was lost retries under its id and is rejected."""
+@pytest.mark.parametrize(("klass", "runs"), [("view", 2), ("invite", 1), ("offer", 1)])
+def test_an_id_whose_client_has_left_runs_again_only_where_its_class_allows(
+    klass, runs, seen
+):
+    """Failure prevented: `invite` runs twice, since its id comes again while its first attempt is at work."""
 
     async def scene():
         release = asyncio.Event()
@@ -987,7 +990,7 @@
         bench = await Bench(
             server := Server(held), policy_limits={"cancel": False}
         ).start()
-        (first := await bench.client()).send(call("invite", name=b"7f02"))
+        (first := await bench.client()).send(call(klass, name=b"7f02"))
         await until(lambda: len(server.requests) == 1)
         (connection,) = bench.node.client_listener.connections
         if seen:
@@ -998,15 +1001,40 @@
             first.writer.close()
             await until(connection.has_hung_up)
         (again := await bench.client()).send(
-            call("invite", extra=b"X-Again: 1\r\n", name=b"7f02")
+            call(klass, extra=b"X-Again: 1\r\n", name=b"7f02")
         )
-        await until(lambda: len(server.requests) == 2)
+        if runs > 1:
+            await until(lambda: len(server.requests) == runs)
+            release.set()
+        assert (await again.receive())[0] == (200 if runs > 1 else 409)
         release.set()
-        assert (await again.receive())[0] == 200
         if not seen:
             connection.transport.resume_reading()
         await until(lambda: not bench.node.requests)
         assert not bench.node.requests.by_call_id
+        assert len(server.requests) == runs
+
+    play(scene)
+
+
+def test_an_id_that_was_never_run_may_come_again():
+    """Failure prevented: a request that no server has begun is turned away for good."""
+
+    async def scene():
+        async def refuse(request, writer):
+            if len(server.requests) < 3:
+                return (
+                    b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            return OK
+
+        bench = await Bench(
+            server := Server(refuse), policy_limits={"max_attempts": 2}
+        ).start()
+        assert (await bench.once(call("invite", name=b"7f03")))[0] == 503
+        assert (await bench.once(call("invite", name=b"7f03")))[0] == 200
+        assert (await bench.once(call("invite", name=b"7f03")))[0] == 409
+        assert len(server.requests) == 3
 
     play(scene)
 
