Omit log lines while nobody reads the log, in place of blocking the node

Need: with reasons of refusals in the log a pipe that nobody reads fills sooner, and a write to it would hold up all clients. Change: a line is omitted and counted where it cannot be written without waiting. Tests that take the next line of a node's log pass over the lines that tell reasons, which may come at any time. Result: the new test of an unread pipe passes; test_operation, test_node's reloads and test_zone_failover pass.

--- a/loadbalancer/node/log.py
+++ b/loadbalancer/node/log.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import select
 import sys
 from contextlib import suppress
 from time import monotonic
+from typing import TextIO
 
 MAX_LINES_PER_S = 20
 MAX_STRAY_LINES_PER_S = 5  # for events that any sender of invalid data can cause
 
 
+def is_writable(stream: TextIO) -> bool:
+    """Whether a line can be written without waiting; true where the system cannot tell."""
+    try:
+        poll = select.poll()
+        poll.register(stream.fileno(), select.POLLOUT)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
 class Log:
     """Writes lines and counts those that it omits.
 
@@ -48,7 +60,13 @@
         self.write(text)
 
     def write(self, text: str) -> None:
-        """Writes a line regardless of the limit. A log that cannot be written does not stop the node."""
+        """Writes a line regardless of the limit. A log that cannot be written does not stop the node.
+
+        While nobody reads the pipe that standard error may be, lines are omitted: the write would block.
+        """
+        if not is_writable(sys.stderr):
+            self.omitted += 1
+            return
         with suppress(OSError):
             sys.stderr.write(self.frame(text) + "\n")
             sys.stderr.flush()
--- a/tests/program.py
+++ b/tests/program.py
@@ -20,6 +20,8 @@
 
 from loopback import PATIENCE, Client, Discovery, settings
 
+# Second words of lines that may come at any time; "log lines omitted" follows many of them.
+REASON_LINES = (b"refused", b"closed", b"retried", b"log")
 HELD: list[socket.socket] = []
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER on, with 0 s: a close resets the connection
 
@@ -72,6 +74,14 @@
     )
 
 
+async def log_line(process: asyncio.subprocess.Process) -> bytes:
+    """The next line of a node's log that tells no reason of a refusal, a close or a retry."""
+    while line := await asyncio.wait_for(process.stderr.readline(), PATIENCE):
+        if line.split(b" ")[1] not in REASON_LINES:
+            break
+    return line
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection, discarding bytes that it still holds."""
     writer.get_extra_info("socket").setsockopt(
--- a/tests/test_end_reasons.py
+++ b/tests/test_end_reasons.py
@@ -1,5 +1,8 @@
 """The reasons of refusals, closes and retries: counted, written with the client's id, and bounded."""
 
+import os
+import sys
+
 import pytest
 from loopback import Bench, Server, call, until
 
@@ -45,3 +48,14 @@
     counts = bench.node.reasons.counts
     await until(lambda: counts["refused policy-rejected"] == 1)
     assert counts["retried REJECTED"] >= 1
+
+
+def test_a_log_that_nobody_reads_does_not_stop_the_node(monkeypatch):
+    """Failure prevented: the pipe fills, and the next line blocks the process."""
+    reader, writer = os.pipe()
+    with os.fdopen(writer, "w") as stream, os.fdopen(reader):
+        monkeypatch.setattr(sys, "stderr", stream)
+        log = Log("n0", 1 << 30)
+        for _ in range(20_000):
+            log.line("x" * 100)
+        assert log.omitted > 0
