--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -217,7 +217,7 @@
         if self.control is not None:
             self.control.close()
         self.process_share.stop()
-        self.call_ids.stop()
+        self.call_ids.stop(alone=not self.process_share.registry.siblings().count)
         failed_count = self.deadline_guard.failed_count
         if failed_count:
             self.log_lines.line(f"guard requests expired count={failed_count}")
--- a/loadbalancer/node/requests/call_ids.py
+++ b/loadbalancer/node/requests/call_ids.py
@@ -69,6 +69,7 @@
     """
 
     def __init__(self, path: str) -> None:
+        self._path = path
         self._file = NO_FILE
         with suppress(OSError):
             self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -109,8 +110,11 @@
             if other.token == claim.token:
                 self._write(claim.digest, place, EMPTY)
 
-    def close(self) -> None:
-        """Closes the file; what it holds stays for the other processes."""
+    def close(self, remove: bool) -> None:
+        """Closes the file, and removes it unless other processes need what it holds."""
+        if remove:
+            with suppress(OSError):
+                os.unlink(self._path)
         if self._file != NO_FILE:
             os.close(self._file)
             self._file = NO_FILE
@@ -146,10 +150,14 @@
         if folder is not None:
             self.shared = SharedClaims(os.path.join(folder, prefix + FILE_SUFFIX))
 
-    def stop(self) -> None:
-        """Ends the sharing."""
+    def stop(self, alone: bool = False) -> None:
+        """Ends the sharing.
+
+        Args:
+            alone: Whether the node has no other process, so that nobody needs the file any more.
+        """
         if self.shared is not None:
-            self.shared.close()
+            self.shared.close(remove=alone)
             self.shared = None
 
     def is_claimed(self, call_id: bytes) -> bool:
