--- a/review/rig.py
+++ b/review/rig.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import resource
@@ -26,6 +27,14 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent() -> None:
+    """Called in a new process: it is killed when the case ends, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class NotRunError(Exception):
     """The case could not run."""
 
@@ -564,7 +573,7 @@
         }
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=ROOT, env=environ,
-            stdout=self.log, stderr=self.log, pass_fds=pass_fds,
+            stdout=self.log, stderr=self.log, pass_fds=pass_fds, preexec_fn=die_with_parent,
         )  # fmt: skip
         self.record.line(f"node started pid={self.process.pid}", echo=True)
 
@@ -606,9 +615,15 @@
     record.line(f"trouble={int(TROUBLE)}", echo=True)
 
     async def limited(temporary: str) -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await case(record, Path(temporary))
+        except asyncio.CancelledError:
+            record.line("not run: ended by a signal", echo=True)
         except TimeoutError:
             record.line("not run: out of time", echo=True)
         except (NotRunError, OSError) as error:
