--- a/review/rig.py
+++ b/review/rig.py
@@ -480,12 +480,18 @@
 # ---- the node -----------------------------------------------------------------------------------------
 
 
+GIVEN_PORTS: set[int] = set()
+
+
 def free_port() -> int:
-    """A free port below those that the system gives to clients, another one for each process."""
+    """A free port below those that the system gives to clients, at each call another one."""
     for step in range(1000):
-        port = 20_000 + (os.getpid() * 11 + step) % 12_000
+        port = 20_000 + (os.getpid() * 41 + step) % 12_000
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as probe, suppress(OSError):
             probe.bind((HOST, port))
+            GIVEN_PORTS.add(port)
             return port
     raise NotRunError("no free port")
 
