--- a/review/8/case.py
+++ b/review/8/case.py
@@ -81,6 +81,8 @@
     async def client(number: int) -> None:
         """Uses its connection for one request after the other, for as long as it stays open."""
         while not over.is_set():
+            if term_at:
+                return  # nobody connects anew after SIGTERM
             try:
                 reader, writer = await asyncio.open_connection(HOST, node.port)
             except OSError:
