Review: a fault of a script ends it with 2, not with 1

Cause: an unexpected exception in a case of the rig, or a case that can't be read, ended the script by Python's own status 1, which stands for a broken rule. Seen with a case that raises on purpose.

--- a/review/rig.py
+++ b/review/rig.py
@@ -632,8 +632,8 @@
             record.line("not run: ended by a signal", echo=True)
         except TimeoutError:
             record.line("not run: out of time", echo=True)
-        except (NotRunError, OSError) as error:
-            record.line(f"not run: {error}", echo=True)
+        except Exception as error:  # a fault of the script is no verdict
+            record.line(f"not run: {type(error).__name__}: {error}", echo=True)
         return NOT_RUN
 
     with tempfile.TemporaryDirectory() as temporary:
