Move the drain of the client listener into a module of its own

`ListenerDrain` holds the steps of a drain as short methods; `ClientListener.drain` only starts it. Nothing else changes: the constants moved with their values, and tests patch them at their new place.

--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -10,9 +10,9 @@
 from math import inf
 
 from loadbalancer.node.client.connection import ClientConnection
+from loadbalancer.node.client.drain import ListenerDrain
 from loadbalancer.node.client.eviction import (
     eviction_rank,
-    is_fully_answered,
     is_idle,
     is_request_overdue,
     is_upload_stalled,
@@ -20,7 +20,6 @@
 )
 from loadbalancer.node.client.hangup_watch import HangupWatch
 from loadbalancer.node.client.interface import RequestHandler
-from loadbalancer.node.client.linger import LINGER_S
 from loadbalancer.node.end_reasons import EndReason, ReasonLog
 from loadbalancer.node.memory_budget import MemoryBudget
 
@@ -41,21 +40,6 @@
 MAX_EVICTIONS_PER_PASS = 4
 EVICTION_DIVISOR = 32
 
-# Periods that begin when the drain starts (SIGTERM):
-ACCEPT_PERIOD_S = 0.5  # new connections are still accepted
-# Open connections still accept requests. The period ends earlier where less than LAST_REQUEST_MARGIN_S would
-# be left until everything must be answered (`requests.deadline_guard`: at most 3.4 s after the drain starts).
-REUSE_PERIOD_S = 3.2
-# The same where another process has taken over the listening socket.
-REUSE_PERIOD_SHARED_S = 2.0
-# A request that arrives less than this before everything must be answered is unlikely to be answered in time.
-LAST_REQUEST_MARGIN_S = 0.2
-# A connection that was accepted or used within this time may be about to send a request.
-SETTLE_TIME_S = 0.2
-# Lingering connections are aborted this long after the answer deadline.
-DRAIN_ABORT_DELAY_S = 0.1
-DRAIN_CHECK_INTERVAL_S = 0.02
-
 
 class ClientListener:
     """Listens for clients, and keeps their connections within the budgets.
@@ -330,64 +314,10 @@
     async def drain(self, ends_at: float = inf) -> None:
         """Stops serving: answers every accepted request, then closes the connections.
 
-        Clients may reuse their connections for a while: during a rolling restart, the node that was restarted
-        before this one may not be back yet.
-
         Args:
             ends_at: The loop time in seconds by which everything must be answered.
         """
-        self.draining = True
-        start = self.loop.time()
-        # No client can be answered after this time.
-        answer_deadline = min(
-            ends_at, start + max(ACCEPT_PERIOD_S, REUSE_PERIOD_S) + LINGER_S
-        )
-        shared = self.is_shared
-        if shared and self.listen_socket is not None:
-            # The process that takes over accepts connections from the same socket.
-            self.stop_listening()
-            self.closing_after_response = True
-        while self.listen_socket is not None or self.connections:
-            now = self.loop.time()
-            if self.listen_socket is not None and now >= start + ACCEPT_PERIOD_S:
-                self.stop_listening()
-            reuse_period = REUSE_PERIOD_SHARED_S if shared else REUSE_PERIOD_S
-            reuse_ended = now >= min(
-                ends_at - LAST_REQUEST_MARGIN_S, start + reuse_period
-            )
-            self.closing_after_response = self.closing_after_response or reuse_ended
-            for connection in list(self.connections):
-                if reuse_ended:
-                    self.close_settled(connection, now, answer_deadline)
-                # Clients that never close their side would otherwise keep the process running until SIGKILL.
-                stuck = (
-                    now > answer_deadline + DRAIN_ABORT_DELAY_S
-                    and connection in self.lingering
-                )
-                if stuck and not connection.has_unsent():
-                    self.reasons.closed(EndReason.LINGER_ENDED)
-                    connection.transport.abort()
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-
-    def close_settled(
-        self, connection: ClientConnection, now: float, answer_deadline: float
-    ) -> None:
-        """Closes a connection that owes no response, once no further requests are accepted.
-
-        After `answer_deadline`, a connection whose request is incomplete is closed too: that request was
-        never accepted.
-
-        Args:
-            connection: The connection.
-            now: The loop time in seconds.
-            answer_deadline: The loop time in seconds after which no client can be answered.
-        """
-        if not is_fully_answered(connection):
-            return
-        settled = now - connection.last_active_at > SETTLE_TIME_S
-        if now > answer_deadline or (settled and is_idle(connection)):
-            self.reasons.closed(EndReason.DRAINING)
-            connection.close()
+        await ListenerDrain(self, ends_at).run()
 
 
 def overflow_capacity_for(capacity: int) -> int:
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -13,6 +13,7 @@
 from loopback import OK, PATIENCE, Bench, Client, Server, call, settings, until
 
 from loadbalancer.node.client import connection as connection_module
+from loadbalancer.node.client import drain as drain_module
 from loadbalancer.node.client import hangup_watch, linger, request_reader
 from loadbalancer.node.client import input as client_input
 from loadbalancer.node.client import listener as listener_module
@@ -303,8 +304,8 @@
 
 
 def by_drain(bench: Bench, connection: ClientConnection, monkeypatch) -> None:
-    monkeypatch.setattr(listener_module, "REUSE_PERIOD_S", 0.0)
-    monkeypatch.setattr(listener_module, "SETTLE_TIME_S", 0.0)
+    monkeypatch.setattr(drain_module, "REUSE_PERIOD_S", 0.0)
+    monkeypatch.setattr(drain_module, "SETTLE_TIME_S", 0.0)
     bench.ending = asyncio.create_task(bench.node.drain())
 
 
@@ -460,8 +461,8 @@
         clients.append(plain_client(bench))
         await node_side(bench, clients[-1])
     assert (await client.ask(call()))[0] == 200
-    monkeypatch.setattr(listener_module, "REUSE_PERIOD_S", 0.0)
-    monkeypatch.setattr(listener_module, "ACCEPT_PERIOD_S", 0.0)
+    monkeypatch.setattr(drain_module, "REUSE_PERIOD_S", 0.0)
+    monkeypatch.setattr(drain_module, "ACCEPT_PERIOD_S", 0.0)
     await asyncio.wait_for(listener.drain(bench.node.loop.time() + 0.3), PATIENCE)
     assert not listener.connections
     for end in clients:
@@ -699,8 +700,8 @@
     monkeypatch,
 ):
     """Failure prevented: a client that reads slowly loses, at the exit, bytes that it had time to read."""
-    monkeypatch.setattr(listener_module, "REUSE_PERIOD_S", 0.0)
-    monkeypatch.setattr(listener_module, "ACCEPT_PERIOD_S", 0.0)
+    monkeypatch.setattr(drain_module, "REUSE_PERIOD_S", 0.0)
+    monkeypatch.setattr(drain_module, "ACCEPT_PERIOD_S", 0.0)
     bench = await Bench(Server(large)).start()
     client, connection = await slow_client(bench)
     ends = bench.node.loop.time() + 0.1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1487,9 +1487,9 @@
             return OK
 
         monkeypatch.setattr(
-            "loadbalancer.node.client.listener.ACCEPT_PERIOD_S", 600.0
+            "loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 600.0
         )  # until the test shortens it
-        monkeypatch.setattr("loadbalancer.node.client.listener.REUSE_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
         bench = await Bench(server := Server(held)).start()
         listener = bench.node.client_listener
         idle, early = await bench.client(), await bench.client()
@@ -1499,7 +1499,7 @@
         drain = asyncio.create_task(bench.node.drain())
         # Idle connections close while new ones are still accepted.
         assert await idle.ended()
-        monkeypatch.setattr("loadbalancer.node.client.listener.SETTLE_TIME_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.SETTLE_TIME_S", 600.0)
         late = await bench.client()
         late.send(call("invite"))
         await until(lambda: len(server.requests) == 2)
@@ -1530,7 +1530,7 @@
 
     async def scene():
         monkeypatch.setattr(
-            "loadbalancer.node.client.listener.REUSE_PERIOD_S", 600.0
+            "loadbalancer.node.client.drain.REUSE_PERIOD_S", 600.0
         )  # until the test shortens it
         bench = await Bench(server := Server()).start()
         client, idle = await bench.client(), await bench.client()
@@ -1543,7 +1543,7 @@
         # The process may be killed after that time, whatever the client's own budget.
         assert int(server.requests[-1].headers["x-budget-ms"]) <= 3400
         assert (await client.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
-        monkeypatch.setattr("loadbalancer.node.client.listener.REUSE_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
         assert await idle.ended()
         await asyncio.wait_for(drain, 20)
 
@@ -1555,9 +1555,9 @@
 
     async def scene():
         # No client counts as idle, however slow the host, and new ones are accepted until the test ends it.
-        monkeypatch.setattr("loadbalancer.node.client.listener.ACCEPT_PERIOD_S", 600.0)
-        monkeypatch.setattr("loadbalancer.node.client.listener.REUSE_PERIOD_S", 0.0)
-        monkeypatch.setattr("loadbalancer.node.client.listener.SETTLE_TIME_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.SETTLE_TIME_S", 600.0)
         bench = await Bench(Server()).start()
         answers = 0
         last = 0
@@ -1752,15 +1752,15 @@
             for connection in listener.connections:
                 # As if they had connected at these intervals.
                 connection.last_active_at -= 0.3
-        monkeypatch.setattr("loadbalancer.node.client.listener.ACCEPT_PERIOD_S", 0.0)
-        monkeypatch.setattr("loadbalancer.node.client.listener.REUSE_PERIOD_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 600.0)
         drain = asyncio.create_task(bench.node.drain())
         await until(lambda: listener.listen_socket is None)
         for client in regular:
             assert (await client.ask(call()))[0] == 200
         for client in clients:
             client.writer.close()
-        monkeypatch.setattr("loadbalancer.node.client.listener.REUSE_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
         await asyncio.wait_for(drain, 20)
 
     play(scene)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -33,7 +33,7 @@
 from loopback import PATIENCE, Client, call, settings
 from program import RESET, Program, free_port
 
-from loadbalancer.node.client import connection, linger, listener
+from loadbalancer.node.client import connection, drain, linger
 from loadbalancer.node.config import read
 from loadbalancer.node.node import Node
 
@@ -1088,10 +1088,10 @@
 def short_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     """The times of an end, shorter in a node that lives in this process."""
     for module, name, time in (
-        (listener, "ACCEPT_PERIOD_S", 0.1),
-        (listener, "REUSE_PERIOD_S", 0.4),
-        (listener, "SETTLE_TIME_S", 0.05),
-        (listener, "LINGER_S", 0.2),
+        (drain, "ACCEPT_PERIOD_S", 0.1),
+        (drain, "REUSE_PERIOD_S", 0.4),
+        (drain, "SETTLE_TIME_S", 0.05),
+        (drain, "LINGER_S", 0.2),
         (connection, "LINGER_S", 0.2),
         (connection, "LINGER_STREAM_S", 0.4),
         (linger, "LINGER_S", 0.2),
