--- a/loadbalancer/node/client/connection.py
+++ b/loadbalancer/node/client/connection.py
@@ -29,6 +29,7 @@
     408: EndReason.REQUEST_TIMEOUT,
     413: EndReason.TOO_LARGE,
     431: EndReason.TOO_LARGE,
+    503: EndReason.PROCESS_ENDS,
 }
 
 
--- a/loadbalancer/node/client/listener.py
+++ b/loadbalancer/node/client/listener.py
@@ -8,6 +8,7 @@
 from heapq import nsmallest
 from itertools import islice
 from math import inf
+from typing import TYPE_CHECKING
 
 from loadbalancer.node.client.connection import ClientConnection
 from loadbalancer.node.client.drain import ListenerDrain
@@ -23,6 +24,9 @@
 from loadbalancer.node.end_reasons import EndReason, ReasonLog
 from loadbalancer.node.memory_budget import MemoryBudget
 
+if TYPE_CHECKING:
+    from loadbalancer.node.client.request import ClientRequest
+
 LISTEN_BACKLOG = 512
 MAX_ACCEPTS_PER_EVENT = 64  # connections accepted before the loop serves others again
 # Connections that may be open beyond the capacity, only to be answered with a rejection: at most
@@ -72,6 +76,7 @@
         self.over_capacity: set[ClientConnection] = set()
         self.hangup_watch = HangupWatch(loop)
         self.draining = False  # while draining, `/ready` answers 503
+        self.last_request_at = inf  # loop time after which no request is accepted
         self.closing_after_response = False  # each connection closes after its response
         self.budget = MemoryBudget(max_held_bytes)
         # The event loop holds no strong reference to a task: without this set, a task could be
@@ -311,7 +316,12 @@
                     connection.close()
         self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self.close_slow)
 
-    async def drain(self, ends_at: float = inf) -> None:
+    def admits(self, request: ClientRequest) -> bool:
+        """Whether a request arrived while requests were accepted; one that is incomplete arrives now."""
+        arrived_at = request.completed_at or self.loop.time()
+        return arrived_at <= self.last_request_at
+
+    async def drain(self, ends_at: float) -> None:
         """Stops serving: answers every accepted request, then closes the connections.
 
         Args:
--- a/loadbalancer/node/requests/intake.py
+++ b/loadbalancer/node/requests/intake.py
@@ -235,6 +235,12 @@
         if rejection is not None:
             self.reject(client, class_index, rejection)
             return
+        if not node.client_listener.admits(message):
+            ending = Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE, reason=EndReason.PROCESS_ENDS
+            )
+            self.reject(client, class_index, ending)
+            return
         if self.is_full(message):
             self.capacity_exceeded(client)
             return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1490,6 +1490,7 @@
             "loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 600.0
         )  # until the test shortens it
         monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REQUEST_PERIOD_S", 600.0)
         bench = await Bench(server := Server(held)).start()
         listener = bench.node.client_listener
         idle, early = await bench.client(), await bench.client()
@@ -1532,6 +1533,7 @@
         monkeypatch.setattr(
             "loadbalancer.node.client.drain.REUSE_PERIOD_S", 600.0
         )  # until the test shortens it
+        monkeypatch.setattr("loadbalancer.node.client.drain.REQUEST_PERIOD_S", 600.0)
         bench = await Bench(server := Server()).start()
         client, idle = await bench.client(), await bench.client()
         assert (await idle.ask(call()))[0] == 200
@@ -1558,6 +1560,7 @@
         monkeypatch.setattr("loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 600.0)
         monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 0.0)
         monkeypatch.setattr("loadbalancer.node.client.drain.SETTLE_TIME_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REQUEST_PERIOD_S", 600.0)
         bench = await Bench(Server()).start()
         answers = 0
         last = 0
@@ -1754,6 +1757,7 @@
                 connection.last_active_at -= 0.3
         monkeypatch.setattr("loadbalancer.node.client.drain.ACCEPT_PERIOD_S", 0.0)
         monkeypatch.setattr("loadbalancer.node.client.drain.REUSE_PERIOD_S", 600.0)
+        monkeypatch.setattr("loadbalancer.node.client.drain.REQUEST_PERIOD_S", 600.0)
         drain = asyncio.create_task(bench.node.drain())
         await until(lambda: listener.listen_socket is None)
         for client in regular:
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -1090,8 +1090,8 @@
     for module, name, time in (
         (drain, "ACCEPT_PERIOD_S", 0.1),
         (drain, "REUSE_PERIOD_S", 0.4),
+        (drain, "REQUEST_PERIOD_S", 0.45),
         (drain, "SETTLE_TIME_S", 0.05),
-        (drain, "LINGER_S", 0.2),
         (connection, "LINGER_S", 0.2),
         (connection, "LINGER_STREAM_S", 0.4),
         (linger, "LINGER_S", 0.2),
