Drawn sequences: do not count descriptors that earlier tests left

Cause: `run` counts the process's descriptors before and after its worlds. It is not a fault of the node, and hid how many descriptors the worlds themselves leave.

Change: garbage is collected before the first count. The check is as strict as before: both counts must agree.

--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import fcntl
+import gc
 import json
 import os
 import socket
@@ -1053,6 +1054,7 @@
         await asyncio.sleep(
             0
         )  # the loop keeps one descriptor of its own from the first listener on
+        gc.collect()  # else what earlier tests left is counted before, and closed during the sequences
         before = len(os.listdir("/proc/self/fd"))
         worlds = []
         for n, (push, window, _) in enumerate(drawn):
