--- a/loadbalancer/node/discovery/endpoint_list_reader.py
+++ b/loadbalancer/node/discovery/endpoint_list_reader.py
@@ -12,6 +12,7 @@
     LongListing,
     decode,
 )
+from loadbalancer.node.discovery.newer_entries import NewerEntries
 from loadbalancer.node.log import Log
 from loadbalancer.policy.api import ListUpdateKind
 
@@ -38,6 +39,7 @@
         partial_list: Some, but not all, parts of a full list have been delivered.
         tasks: The tasks that read long lists.
         lock: Held while a long list is read.
+        newer_entries: The entries of answers that were adopted during the delivery of a long list.
         dropped_answers: Number of consecutive answers that could not be used.
         drop_reason: Why the last of them could not be used.
     """
@@ -59,6 +61,7 @@
         self.partial_list = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.lock = asyncio.Lock()
+        self.newer_entries = NewerEntries()
         self.dropped_answers = 0
         self.drop_reason = ""
 
@@ -121,6 +124,7 @@
         that this list does not name.
         """
         is_full = update.kind != ListUpdateKind.CHANGES
+        self.newer_entries.record(update.lines)
         if is_full and self.partial_list:
             self.on_list(update, False)
         self.partial_list = self.partial_list and not is_full
@@ -182,7 +186,8 @@
 
         After each part, requests get as much time as the part took. Long lists are read one at a time, in the
         order of their arrival. A list that is invalid, or outdated once it has been read, changes nothing.
-        Changes that arrive later are delivered between its parts. A move to another address cancels it.
+        Changes that arrive later are delivered between its parts, and the remaining parts do not undo them
+        (`NewerEntries`). A move to another address cancels it.
         """
         async with self.lock:
             try:
@@ -197,10 +202,20 @@
                 return
             news = self.advance_version(long_list, answers_applied)
             on_applied(news is not None)  # the watch continues in the meantime
-            is_full = long_list.kind != ListUpdateKind.CHANGES
-            deliveries = 2 if is_full and self.partial_list else 1  # see `deliver`
-            for _ in range(deliveries if news else 0):
+            if news:
+                await self.deliver_long(long_list)
+
+    async def deliver_long(self, long_list: LongListing) -> None:
+        """Delivers an adopted long list, a full one twice where `deliver` would do so too."""
+        is_full = long_list.kind != ListUpdateKind.CHANGES
+        deliveries = 2 if is_full and self.partial_list else 1
+        if is_full:
+            self.newer_entries.start()
+        try:
+            for _ in range(deliveries):
                 await self.deliver_parts(long_list, is_full)
+        finally:
+            self.newer_entries.stop()
 
     async def deliver_parts(self, long_list: LongListing, is_full: bool) -> None:
         """Delivers all parts of a long list once."""
@@ -210,5 +225,5 @@
             delivered += len(part.lines)
             more = delivered < long_list.count
             self.partial_list = is_full and more
-            self.on_list(part, more)
+            self.on_list(self.newer_entries.bring_up_to_date(part, not more), more)
             await asyncio.sleep(monotonic() - started_at)
