--- a/loadbalancer/node/discovery/endpoint_list_reader.py
+++ b/loadbalancer/node/discovery/endpoint_list_reader.py
@@ -209,8 +209,7 @@
         """Delivers an adopted long list, a full one twice where `deliver` would do so too."""
         is_full = long_list.kind != ListUpdateKind.CHANGES
         deliveries = 2 if is_full and self.partial_list else 1
-        if is_full:
-            self.newer_entries.start()
+        self.newer_entries.start()
         try:
             for _ in range(deliveries):
                 await self.deliver_parts(long_list, is_full)
--- a/tests/test_update_order.py
+++ b/tests/test_update_order.py
@@ -5,10 +5,13 @@
 
 import asyncio
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
-from loopback import PATIENCE, settings
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from loopback import PATIENCE, play, settings
 
 from loadbalancer.node.config import read
 from loadbalancer.node.discovery import endpoint_list_reader
@@ -53,10 +56,23 @@
     return [entry(f"s{i}", state) for i in range(count)]
 
 
-def receive(node: Node, version: int, full: bool, lines: list[dict[str, Any]]) -> None:
+def encode(version: int, full: bool, lines: list[dict[str, Any]]) -> bytearray:
+    """The body of an answer."""
+    table = {"version": version, "full": full, "servers": lines}
+    return bytearray(json.dumps(table).encode())
+
+
+def receive(
+    node: Node,
+    version: int,
+    full: bool,
+    lines: list[dict[str, Any]],
+    answers_applied: int | None = None,
+) -> None:
     """Passes an answer to the node's reader."""
-    body = json.dumps({"version": version, "full": full, "servers": lines})
-    node.discovery.reader.read(bytearray(body.encode()), lambda usable: None)
+    node.discovery.reader.read(
+        encode(version, full, lines), lambda usable: None, answers_applied
+    )
 
 
 async def until_version(node: Node, version: int) -> None:
@@ -153,3 +169,195 @@
     receive(node, 20, True, entries(20))
     await until_delivered(node)
     assert_list_is(node, entries(20))
+
+
+async def test_changes_during_the_delivery_of_long_changes_are_not_undone():
+    """Failure prevented: servers that drain right after an outage of discovery get requests for good."""
+    node = make_node()
+    receive(node, 1, True, entries(20))
+    await until_delivered(node)
+    restarted = [entry(f"s{i}", started_ms=9) for i in range(20)]
+    receive(node, 2, False, restarted)
+    await until_version(node, 2)
+    changed = [entry("s0", "draining"), entry("s18", "draining"), entry("s19", "gone")]
+    receive(node, 3, False, changed)
+    assert node.discovery.reader.tasks  # the long changes are still being delivered
+    await until_delivered(node)
+    newest = {line["id"]: line for line in [*restarted, *changed]}
+    assert_list_is(node, list(newest.values()))
+
+
+async def test_an_interrupted_delivery_of_long_changes_affects_no_later_list():
+    """Failure prevented: what was recorded for one agent's answer replaces entries of another agent's."""
+    node = make_node()
+    receive(node, 1, True, entries(20))
+    await until_delivered(node)
+    receive(node, 2, False, [entry(f"s{i}", started_ms=9) for i in range(20)])
+    await until_version(node, 2)
+    receive(node, 3, False, [entry("s19", "draining")])
+    node.discovery.reader.reset()
+    receive(node, 1, True, entries(20))
+    await until_delivered(node)
+    assert_list_is(node, entries(20))
+
+
+# ---- drawn sequences ---------------------------------------------------------------------------------
+
+SERVERS = 16
+CHANGE = st.tuples(
+    st.sampled_from([f"s{i}" for i in range(SERVERS)]),
+    st.sampled_from(["ready", "ready", "draining", "gone"]),
+)
+STEPS = st.one_of(
+    st.tuples(st.just("change"), st.lists(CHANGE, min_size=1, max_size=SERVERS)),
+    st.tuples(st.just("answer"), st.booleans()),
+    st.tuples(st.just("call"), st.booleans()),
+    st.tuples(st.just("late answer"), st.none()),
+    st.tuples(st.just("run"), st.integers(1, 12)),
+    st.tuples(st.just("move"), st.none()),
+)
+# Most of what was wrong needs short changes within the delivery of a longer answer.
+CROSSING = st.tuples(
+    st.tuples(st.just("change"), st.lists(CHANGE, min_size=8, max_size=SERVERS)),
+    st.tuples(st.just("answer"), st.booleans()),
+    st.tuples(st.just("run"), st.integers(1, 6)),
+    st.tuples(st.just("change"), st.lists(CHANGE, min_size=1, max_size=3)),
+    st.tuples(st.just("answer"), st.just(False)),
+)
+SEQUENCES = st.lists(
+    st.one_of(STEPS.map(lambda step: (step,)), CROSSING), min_size=3, max_size=12
+).map(lambda groups: [step for group in groups for step in group])
+
+
+class Answer(NamedTuple):
+    """An answer of discovery."""
+
+    version: int
+    full: bool
+    lines: list[dict[str, Any]]
+
+
+class Agent:
+    """What a discovery agent knows: the newest entries, and which version changed each of them."""
+
+    def __init__(self, version: int, lines: dict[str, dict[str, Any]]) -> None:
+        self.version = version
+        self.lines = dict(lines)
+        self.changed_in = dict.fromkeys(lines, version)
+
+    def change(self, changes: list[tuple[str, str]], started_ms: int) -> None:
+        """Changes the state of servers; one that becomes ready has been restarted."""
+        self.version += 1
+        for name, state in changes:
+            self.lines[name] = entry(name, state, started_ms)
+            self.changed_in[name] = self.version
+
+    def answer(self, since: int | None, full: bool) -> Answer:
+        """The answer to a call: the full list, without servers that have left, or what has changed."""
+        if full or since is None:
+            lines = [line for line in self.lines.values() if line["state"] != "gone"]
+            return Answer(self.version, True, lines)
+        changed = [
+            line for name, line in self.lines.items() if self.changed_in[name] > since
+        ]
+        return Answer(self.version, False, changed)
+
+
+class Sequence:
+    """Plays drawn steps against a node, and checks that what was received last holds.
+
+    Attributes:
+        left: Servers that an answer delivered at once has drained or removed; no older answer may bring them
+            back.
+        late: An answer to an earlier call, and the number of answers that had been applied at that call.
+    """
+
+    def __init__(self) -> None:
+        self.node = make_node()
+        self.reader = self.node.discovery.reader
+        self.agent = Agent(40, {line["id"]: line for line in entries(SERVERS)})
+        self.started_ms = 0
+        self.left: set[int] = set()
+        self.late: tuple[Answer, int] | None = None
+
+    async def play(self, steps: list[tuple[str, Any]]) -> None:
+        """Plays the steps, lets the agent answer once more, and compares the node with the agent."""
+        for what, argument in steps:
+            await self.step(what, argument)
+            self.check()
+        await self.answer(full=False)
+        await until_delivered(self.node)
+        self.check()
+        assert_list_is(self.node, list(self.agent.lines.values()))
+
+    async def step(self, what: str, argument: Any) -> None:
+        if what == "change":
+            self.started_ms += 1
+            self.agent.change(argument, self.started_ms)
+        elif what == "answer":
+            await self.answer(argument)
+        elif what == "call":
+            answer = self.agent.answer(self.reader.version, argument)
+            self.late = (answer, self.reader.answers_applied)
+        elif what == "late answer" and self.late is not None:
+            (answer, answers_applied), self.late = self.late, None
+            self.pass_on(answer, answers_applied)
+        elif what == "run":
+            for _ in range(argument):
+                await asyncio.sleep(0)
+                self.check()
+        elif what == "move":
+            self.reader.reset()
+            self.late = None  # calls to the other address have ended
+            self.agent = Agent(self.agent.version // 2, self.agent.lines)
+
+    async def answer(self, full: bool) -> None:
+        """The agent answers a call, and the answer is adopted."""
+        answer = self.agent.answer(self.reader.version, full)
+        self.pass_on(answer, None)
+        await until_version(self.node, answer.version)
+
+    def pass_on(self, answer: Answer, answers_applied: int | None) -> None:
+        """Passes an answer to the reader, and records which servers have left with it."""
+        version = self.reader.version
+        outdated = version is not None and answer.version < version
+        if not outdated:
+            self.left -= {
+                number_of(line["id"])
+                for line in answer.lines
+                if line["state"] == "ready"
+            }
+        receive(self.node, *answer, answers_applied)
+        if not outdated and not answer.full and not self.is_long(answer):
+            self.left |= {
+                number_of(line["id"])
+                for line in answer.lines
+                if line["state"] != "ready"
+            }
+
+    @staticmethod
+    def is_long(answer: Answer) -> bool:
+        """Whether the reader delivers an answer in parts."""
+        return len(encode(*answer)) > LONG_ANSWER_BYTES
+
+    def check(self) -> None:
+        """Servers that have left may get no requests."""
+        assert not self.left & ready_at_registry(self.node).keys()
+        assert not self.left & ready_at_policy(self.node).keys()
+
+
+@given(SEQUENCES)
+@hypothesis_settings(
+    max_examples=300,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+def test_the_entry_received_last_holds_whatever_answers_cross(steps):
+    """Failure prevented: an arrangement of answers and moves in which an older entry replaces a newer one."""
+
+    async def scene():
+        await Sequence().play(steps)
+
+    play(scene)
