Reset responses without a length if the process is killed in their middle

What callers see: an HTTP/1.0 client whose response has no length reads a regular end when the node's process is killed, and takes a part of the response for all of it.

Cause: only the end of the connection delimits such a response. The node resets the connection where it gives the response up itself, but the system closes the connections of a killed process regularly.

Change: from the head until the last byte has been handed to the system, the socket resets its connection when it is closed (SO_LINGER, 0 s). Responses with a length or in chunks are as before.

Evidence: test_a_partial_response_that_only_the_end_of_its_connection_delimits_is_reset_by_a_kill, 100,000 of 200,000 bytes and SIGKILL: fails before (a regular end), passes now; the regular end of a complete one passes before and after.

--- a/loadbalancer/node/client/client_socket.py
+++ b/loadbalancer/node/client/client_socket.py
@@ -13,6 +13,8 @@
 
 # SO_LINGER on, with 0 s: a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# SO_LINGER off: a close delivers what has been written.
+DELIVER_ON_CLOSE = struct.pack("ii", 0, 0)
 # Zeros of the size of a C int: FIONREAD returns the number of unread bytes in a copy of them.
 UNREAD_COUNT_BUFFER = bytes(4)
 # From <asm-generic/socket.h>; its first two values: bytes that the receive queue uses, and their limit.
--- a/loadbalancer/node/client/response_stream.py
+++ b/loadbalancer/node/client/response_stream.py
@@ -5,7 +5,11 @@
 import socket
 from typing import TYPE_CHECKING
 
-from loadbalancer.node.client.client_socket import set_socket_option
+from loadbalancer.node.client.client_socket import (
+    DELIVER_ON_CLOSE,
+    RESET_ON_CLOSE,
+    set_socket_option,
+)
 from loadbalancer.node.client.response_head import encode_stream_head
 from loadbalancer.node.upstream.body_buffer import LAST_CHUNK, BodySource, encode_chunk
 
@@ -24,6 +28,7 @@
     Attributes:
         active: Whether the response to the open request is being streamed.
         chunked: Whether it is written in chunks.
+        ends_with_connection: Whether only the end of the connection delimits its body.
         source: The connection that the body comes from; it is resumed when the client reads again.
         write_paused: Whether the client does not read its responses, so that nothing more should be written.
         held_bytes: Bytes written that the kernel has not accepted, counted while `write_paused`
@@ -34,6 +39,7 @@
         "active",
         "chunked",
         "connection",
+        "ends_with_connection",
         "held_bytes",
         "source",
         "write_paused",
@@ -43,6 +49,7 @@
         self.connection = connection
         self.active = False
         self.chunked = False
+        self.ends_with_connection = False
         self.source: BodySource | None = None
         self.write_paused = False
         self.held_bytes = 0
@@ -67,9 +74,12 @@
         self.active = True
         self.source = source
         self.chunked = length is None and request.http_version == "1.1"
-        if length is None and not self.chunked:
-            # Only the end of the connection delimits the body.
+        self.ends_with_connection = length is None and not self.chunked
+        if self.ends_with_connection:
             request.keep_alive = False
+            # If the process is killed, the system closes the connection. A regular end would make the partial
+            # response look complete.
+            set_socket_option(connection.fileno(), socket.SO_LINGER, RESET_ON_CLOSE)
         close = connection.closes_after(request)
         if close:
             request.keep_alive = False
@@ -89,9 +99,12 @@
         self.count_unsent()
 
     def write_end(self) -> None:
-        """Writes the last chunk, if the body is chunked."""
+        """Writes the last chunk, if the body is chunked, or lets the connection end regularly."""
+        connection = self.connection
         if self.chunked:
-            self.connection.transport.write(LAST_CHUNK)
+            connection.transport.write(LAST_CHUNK)
+        elif self.ends_with_connection and not connection.has_unsent():
+            set_socket_option(connection.fileno(), socket.SO_LINGER, DELIVER_ON_CLOSE)
 
     def reset(self) -> None:
         """Ends streaming; nothing is written."""
--- a/tests/test_drain_requests.py
+++ b/tests/test_drain_requests.py
@@ -203,3 +203,43 @@
     assert monotonic() - started_at < EXCUSED_S + MAX_LATE_S / 2
     client.writer.close()
     await asyncio.wait_for(drain, PATIENCE)
+
+
+@pytest.mark.parametrize("killed", [True, False])
+def test_a_partial_response_that_only_the_end_of_its_connection_delimits_is_reset_by_a_kill(
+    tmp_path, killed
+):
+    """Failure prevented: the process is killed, and a part of a response looks like all of it."""
+    body = b"x" * 200_000
+    rest = asyncio.Event()
+
+    async def write_without_length(head, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[:100_000])
+        await rest.wait()
+        writer.write(body[100_000:])
+        writer.close()
+
+    async def scene():
+        server = await ScriptedServer(write_without_length).start()
+        program = await Program(tmp_path, server.entry("s0")).start()
+        try:
+            client = await program.client()
+            client.send(call().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head
+            assert b"content-length" not in head.lower()
+            await client.reader.readexactly(100_000)
+            if killed:
+                program.process.kill()
+                with pytest.raises(ConnectionResetError):
+                    await asyncio.wait_for(client.reader.read(), PATIENCE)
+            else:
+                rest.set()
+                assert await client.reader.readexactly(100_000) == body[100_000:]
+                assert await client.ended()
+            client.writer.close()
+        finally:
+            rest.set()
+            await program.stop()
+
+    play(scene)
