Let clients finish uploads that a drain has rejected, so that they read the 503

Cause: a rejected request counts as complete when its connection closes, so the connection lingers for 1 s at most. A client that reads only once it has sent its whole body gets a reset instead of its answer. Since a drain rejects incomplete requests after 0.6 s, that concerns ordinary clients with slow uploads.

Change: `reject` is told that the client sends on; the connection then lingers while bytes arrive, up to 10 s or the end of the drain, as after other answers to incomplete requests.

Evidence: test_an_upload_that_a_drain_rejects_may_be_sent_to_its_end, a body that is sent on for 2.5 s after the rejection: fails before with a reset, passes now.

--- a/loadbalancer/node/client/connection.py
+++ b/loadbalancer/node/client/connection.py
@@ -143,7 +143,7 @@
         if len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
             self.input.pause()
 
-    def reject(self, status: int) -> None:
+    def reject(self, status: int, client_sends_on: bool = False) -> None:
         """Answers immediately with an error status and reads no further.
 
         After a request with wrong framing, its bytes cannot be told apart from those of the next request. The
@@ -151,6 +151,11 @@
         the response to another request is being streamed, no error is sent: the client would take it for part
         of that response. While the response to the rejected request itself is being streamed, the connection
         is reset instead.
+
+        Args:
+            status: The status of the response.
+            client_sends_on: Whether the client may read the response only after the rest of its request: the
+                connection lingers for as long as bytes arrive, up to LINGER_STREAM_S.
         """
         if self.reader.ended:
             return
@@ -169,6 +174,7 @@
             self.abort_response()
             return
         self.open_request = ClientRequest(status)
+        self.open_request.complete = not client_sends_on
         self.send_response(status)
 
     def dispatch_next(self) -> None:
--- a/loadbalancer/node/client/drain.py
+++ b/loadbalancer/node/client/drain.py
@@ -130,4 +130,4 @@
         return
     if connection.open_request not in (None, request) or connection.stream.active:
         return
-    connection.reject(HTTPStatus.SERVICE_UNAVAILABLE)
+    connection.reject(HTTPStatus.SERVICE_UNAVAILABLE, client_sends_on=True)
--- a/tests/test_drain_requests.py
+++ b/tests/test_drain_requests.py
@@ -163,6 +163,27 @@
     assert not server.requests
 
 
+async def test_an_upload_that_a_drain_rejects_may_be_sent_to_its_end(short_periods):
+    """Failure prevented: a client that reads once it has sent everything gets a reset, not its answer."""
+    bench = await Bench(server := Server()).start()
+    client = await bench.client()
+    data = call("offer", 15000, body=b"x" * 300_000)
+    client.send(data[:200_000])
+    listener = bench.node.client_listener
+    await until(lambda: any(c.reader.incoming for c in listener.connections))
+    drain = asyncio.create_task(bench.node.drain())
+    await until(lambda: bool(listener.lingering))
+    for position in range(200_000, 300_000, 4_000):
+        client.send(data[position : position + 4_000])
+        await client.writer.drain()
+        await asyncio.sleep(0.1)  # 2.5 s in all, longer than a finished client is given
+    status, headers, _ = await client.receive()
+    assert (status, headers["connection"]) == (503, "close")
+    client.writer.close()
+    await asyncio.wait_for(drain, PATIENCE)
+    assert not server.requests
+
+
 async def test_a_request_that_is_read_after_a_drain_accepts_no_more_is_not_forwarded(
     short_periods,
 ):
