Show operators how late discovery answers, in the log and the metrics

Change: AnswerDelay (pure) keeps the delay of the agent's latest answer and detects when it becomes slow, quick, silent and answers again; DelayReport logs each change once, and "discovery" in /admin/stats has nine figures.

--- a/loadbalancer/node/discovery/call.py
+++ b/loadbalancer/node/discovery/call.py
@@ -9,8 +9,8 @@
 
 import httptools
 
-# A call is late if no byte arrives for this time after the agent's waiting time (`wait_s`) has ended.
-SILENCE_S = 0.3
+from loadbalancer.node.discovery.answer_delay import SILENCE_S
+
 # A call is also late if its answer is incomplete after this time, as when it arrives byte by byte.
 ANSWER_TIMEOUT_S = 2.0
 MAX_CALLS = (
@@ -37,6 +37,7 @@
         late: The call in progress is late.
         started_at: Loop time of the call's start in seconds.
         wait_s: Seconds that the agent may wait before it answers.
+        answered_at: Loop time of the latest answer in seconds.
         since_version: Version of the endpoint list in use when the call was made.
         answers_applied: Number of answers that the client had applied when the call was made.
         transport: The connection; None while there is none.
@@ -59,7 +60,7 @@
         self.ended = False
         self.closed_by_answer = False
         self.headers_complete = self.has_length = self.complete = self.late = False
-        self.started_at = self.wait_s = 0.0
+        self.started_at = self.wait_s = self.answered_at = 0.0
         self.since_version: int | None = None
         self.answers_applied = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -158,6 +159,7 @@
     def finish(self, keep_alive: bool) -> None:
         """Delivers a complete answer; a status other than 200 ends the call."""
         self.cancel_timer()  # the time to read the list does not count as silence
+        self.answered_at = self.loop.time()
         if self.parser.get_status_code() != HTTPStatus.OK:
             self.fail()
             return
--- a/loadbalancer/node/discovery/client.py
+++ b/loadbalancer/node/discovery/client.py
@@ -7,12 +7,13 @@
 from math import inf
 from random import random
 
+from loadbalancer.node.discovery.answer_delay import SILENCE_S, AnsweredCall
 from loadbalancer.node.discovery.call import (
     ANSWER_TIMEOUT_S,
     MAX_CALLS,
-    SILENCE_S,
     DiscoveryCall,
 )
+from loadbalancer.node.discovery.delay_report import DelayReport, DiscoveryFigures
 from loadbalancer.node.discovery.endpoint_list_reader import (
     LONG_ANSWER_BYTES,
     EndpointListReader,
@@ -70,6 +71,7 @@
         fetch_call: The open call for the full list.
         poll_call: The open poll.
         last_connect_at: Loop time at which `open_watch` was last called, in seconds.
+        delays: How late the agent answers, as operators see it.
         next_poll_at: Loop time before which no poll is made, in seconds.
         first_request_at: Loop time of the first request to any address, in seconds.
     """
@@ -91,6 +93,7 @@
         self.watch_call: DiscoveryCall | None = None
         self.fetch_call: DiscoveryCall | None = None
         self.poll_call: DiscoveryCall | None = None
+        self.delays = DelayReport(loop.time(), log)
         self.last_connect_at = -inf
         self.retry_timer: asyncio.TimerHandle | None = None
         self.next_poll_at = 0.0
@@ -115,6 +118,7 @@
         """
         self.end_all_calls()
         self.reader.reset()
+        self.delays.restart(self.loop.time())
         self.address = address
         if not self.stopped:
             self.watch_enabled = True
@@ -158,6 +162,7 @@
         """
         version = self.reader.version
         call.since_version = version
+        self.delays.calls += 1
         call.answers_applied = self.reader.answers_applied
         if version is None:
             call.request(ENDPOINTS_PATH, 0.0)
@@ -183,6 +188,7 @@
             longest_silent = min(watch_calls, key=lambda call: call.last_byte_at)
             if longest_silent.last_byte_at + SILENCE_S > self.last_connect_at:
                 return  # all of them receive bytes; the newest one checks again
+            self.delays.given_up += 1
             self.end_call(longest_silent)
         self.watch_call = self.open_call(self.on_watch_answer)
         self.request_changes(self.watch_call, wait_ms)
@@ -203,6 +209,7 @@
 
         An answer to a late call of the watch is still accepted.
         """
+        self.delays.record_late_call(self.loop.time())
         if call is self.watch_call:
             self.reader.report_failure()
             self.open_watch()
@@ -212,6 +219,7 @@
     def on_watch_answer(self, call: DiscoveryCall, body: bytearray | None) -> None:
         """Reads the answer to a call of the watch; None: the call has failed."""
         if body is None:
+            self.delays.given_up += call.late
             self.on_watch_applied(call, False)
             return
         if len(body) > LONG_ANSWER_BYTES:
@@ -228,6 +236,7 @@
         if call not in self.calls:
             return  # another call has become the watch, or the address has changed
         if usable:
+            self.record_answer(call)
             self.continue_watch(call)
             return
         self.end_call(call)
@@ -236,6 +245,13 @@
             self.reopen_watch()
             self.reader.report_failure()
 
+    def record_answer(self, call: DiscoveryCall) -> None:
+        """Records how late a usable answer was."""
+        has_news = self.reader.version != call.since_version
+        self.delays.record(
+            AnsweredCall(call.started_at, call.wait_s, call.answered_at, has_news)
+        )
+
     def promote(self, call: DiscoveryCall) -> None:
         """Makes a call the watch and ends all others except a fetch.
 
@@ -319,6 +335,7 @@
         if self.fetch_call is None and not self.stopped:
             self.fetch_call = self.open_call(self.on_fetch_answer)
             self.fetch_call.answers_applied = self.reader.answers_applied
+            self.delays.calls += 1
             self.fetch_call.request(ENDPOINTS_PATH, 0.0)
 
     def on_fetch_answer(self, call: DiscoveryCall, body: bytearray | None) -> None:
@@ -335,6 +352,10 @@
 
         self.reader.read(body, applied, call.answers_applied)
 
+    def figures(self) -> DiscoveryFigures:
+        """Returns how the agent answers, for operators."""
+        return self.delays.figures(self.loop.time(), len(self.calls))
+
     def end_all_calls(self) -> None:
         """Ends all calls and cancels the timer of the next one."""
         for call in self.calls:
--- a/loadbalancer/node/metrics.py
+++ b/loadbalancer/node/metrics.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from loadbalancer.errors import LoadBalancerError
+from loadbalancer.node.discovery.delay_report import DiscoveryFigures
 from loadbalancer.node.memory_figures import MemoryFigures
 
 REJECTED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -82,6 +83,7 @@
         discovered: int,
         ejected: int,
         memory: MemoryFigures,
+        discovery: DiscoveryFigures,
         reasons: Mapping[str, int],
     ) -> dict[str, Any]:
         """Returns all metrics as `/admin/stats` publishes them.
@@ -90,6 +92,7 @@
             discovered: Number of servers in the endpoint list.
             ejected: Number of servers that outlier detection has ejected.
             memory: What the memory of the process consists of.
+            discovery: How the discovery agent answers.
             reasons: Refusals, closes and retries by reason (`ReasonLog`).
         """
         values: dict[str, Any] = {
@@ -99,6 +102,7 @@
             "discovered": discovered,
             "ejected": ejected,
             "memory": asdict(memory),
+            "discovery": asdict(discovery),
             "reasons": dict(reasons),
             "sighup_applied": self.sighup_applied,
             "sighup_rejected": self.sighup_rejected,
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -21,7 +21,8 @@
 from loadbalancer.node.config import RESERVED_SOCKETS
 from loadbalancer.node.discovery import call as call_module
 from loadbalancer.node.discovery import client as client_module
-from loadbalancer.node.discovery.call import ANSWER_TIMEOUT_S, MAX_CALLS, SILENCE_S
+from loadbalancer.node.discovery.answer_delay import SILENCE_S
+from loadbalancer.node.discovery.call import ANSWER_TIMEOUT_S, MAX_CALLS
 from loadbalancer.node.discovery.client import (
     AGENT_ANSWER_S,
     RETRY_INTERVAL_S,
