--- a/loadbalancer/node/discovery/answer_delay.py
+++ b/loadbalancer/node/discovery/answer_delay.py
@@ -7,9 +7,16 @@
 
 # An answer is late if it is not complete this time after the agent's waiting time (`wait_s`) has ended.
 SILENCE_S = 0.3
+# Longest delay of an answer with which a change arrives within its limit; docs/on-call.md names it.
+MAX_ANSWER_DELAY_S = 4.4
+# At the pace of a slow agent, calls do not stay open for later answers than this.
+MAX_PACED_DELAY_S = 5.0
 SLOW_CONFIRM_S = 1.0  # only late answers for this time: the agent is reported as slow
 QUICK_CONFIRM_S = 5.0  # no late answer for this time: it is reported as quick again
 SILENT_CONFIRM_S = 6.5  # no answer at all for this time: it is reported as silent
+OVERDUE_FACTOR = (
+    2.0  # a slow agent's next answer may take this many times its last delay
+)
 
 
 class DelayEvent(Enum):
@@ -74,6 +81,18 @@
         self._answered_at = now
         self._first_late_at: float | None = None
         self._last_late_at = now
+        self._last_wait_s = 0.0
+
+    def is_slow(self, now: float) -> bool:
+        """Returns whether the next answer is expected late, so that calls are made at a slow agent's pace.
+
+        This ends once that answer is overdue: the agent may have gone down, and has to be called often enough
+        to notice its return.
+        """
+        if not SILENCE_S < self.last_s <= MAX_PACED_DELAY_S:
+            return False
+        expected_s = self._last_wait_s + SILENCE_S + OVERDUE_FACTOR * self.last_s
+        return now < self._answered_at + expected_s
 
     def restart(self, now: float) -> None:
         """Forgets the delay; called when another agent is called from now on."""
@@ -88,7 +107,7 @@
         if self.silent:
             self.silent = False
             events.append(DelayEvent.ANSWERED_AGAIN)
-        self._answered_at = call.answered_at
+        self._answered_at, self._last_wait_s = call.answered_at, call.wait_s
         delay_s = call.delay_s()
         if delay_s is None:
             return events
--- a/loadbalancer/node/discovery/call.py
+++ b/loadbalancer/node/discovery/call.py
@@ -10,14 +10,14 @@
 import httptools
 
 from loadbalancer.node.discovery.answer_delay import SILENCE_S
+from loadbalancer.node.discovery.call_retention import MAX_OLDEST_LIFETIME_S
 
-# A call is also late if its answer is incomplete after this time, as when it arrives byte by byte.
+# A call is also late if its answer is incomplete after this time, even if it arrives at a good rate.
 ANSWER_TIMEOUT_S = 2.0
-MAX_CALLS = (
-    5  # largest number of open calls of the watch; their descriptors are set aside
-)
-# A late call is ended after this time without a byte.
-LATE_CALL_LIFETIME_S = MAX_CALLS * SILENCE_S
+# An answer that arrives byte by byte gets this share of the time.
+SLOW_BODY_SHARE = 0.25
+# A call that has no answer by then ends, unless its client has ended it earlier.
+CALL_LIFETIME_S = MAX_OLDEST_LIFETIME_S
 MIN_LATE_BYTES_PER_S = 200_000  # rate at which a late answer has to arrive
 MAX_ANSWER_BYTES = 20 << 20  # enough for a list of 100,000 servers
 
@@ -29,15 +29,17 @@
         loop: The event loop.
         address: Host and port of the discovery agent.
         on_answer: Called with the body of each answer, and once with None when the connection ends.
-        on_late: Called repeatedly, every SILENCE_S seconds, while a call is late.
+        on_late: Called every SILENCE_S seconds while the call is late.
 
     Attributes:
         ended: The call and its connection have ended.
         closed_by_answer: The last answer closed the connection; a further call opens a new one.
         late: The call in progress is late.
+        retained: The call keeps its place when another one needs a place (`CallRetention`).
         started_at: Loop time of the call's start in seconds.
-        wait_s: Seconds that the agent may wait before it answers.
         answered_at: Loop time of the latest answer in seconds.
+        first_byte_at: Loop time of the first byte of the answer in progress; None before it.
+        wait_s: Seconds that the agent may wait before it answers.
         since_version: Version of the endpoint list in use when the call was made.
         answers_applied: Number of answers that the client had applied when the call was made.
         transport: The connection; None while there is none.
@@ -61,6 +63,9 @@
         self.closed_by_answer = False
         self.headers_complete = self.has_length = self.complete = self.late = False
         self.started_at = self.wait_s = self.answered_at = 0.0
+        self.retained = False
+        self.first_byte_at: float | None = None
+        self.body = bytearray()
         self.since_version: int | None = None
         self.answers_applied = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -79,8 +84,8 @@
         self.body = bytearray()
         self.headers_complete = self.has_length = self.complete = self.late = False
         self.started_at, self.wait_s = self.loop.time(), wait_s
-        self.last_byte_at = self.started_at + wait_s
-        self.late_at = self.last_byte_at + ANSWER_TIMEOUT_S
+        self.due_at = self.last_byte_at = self.started_at + wait_s
+        self.first_byte_at = None
         self.schedule_check(wait_s + SILENCE_S)
         if self.transport is not None:
             self.transport.write(self.request_bytes)
@@ -113,31 +118,44 @@
             self.timer.cancel()
 
     def check_silence(self) -> None:
-        """Detects that the call is late, and ends it after a further time.
+        """Detects that the call is late; the client decides how long it stays open.
 
-        This is the only timeout of a call. A long list is awaited while it arrives at MIN_LATE_BYTES_PER_S or
-        faster; one that stops half-way or arrives byte by byte is not.
+        Only a call that its client has kept for CALL_LIFETIME_S ends here.
         """
         now = self.loop.time()
-        due = min(self.last_byte_at + SILENCE_S, self.late_at)
-        lifetime_end = min(
-            self.last_byte_at + LATE_CALL_LIFETIME_S,
-            self.late_at + len(self.body) / MIN_LATE_BYTES_PER_S,
-        )
-        if not self.late and now < due:
-            self.schedule_check(due - now)
-        elif now >= lifetime_end:
+        late_at = min(self.last_byte_at + SILENCE_S, self.answer_timeout_at())
+        lifetime_s = CALL_LIFETIME_S + len(self.body) / MIN_LATE_BYTES_PER_S
+        if not self.late and now < late_at:
+            self.schedule_check(late_at - now)
+        elif now >= self.due_at + lifetime_s:
             self.fail()
         else:
             self.late = True
             self.schedule_check(SILENCE_S)
             self.on_late(self)
 
+    def answer_timeout_at(self) -> float:
+        """Returns the loop time from which an answer that is still arriving is late."""
+        return self.due_at + min(ANSWER_TIMEOUT_S, self.body_time_s())
+
+    def body_time_s(self) -> float:
+        """Returns the seconds in which the body so far should have arrived."""
+        size_s = len(self.body) / MIN_LATE_BYTES_PER_S
+        return ANSWER_TIMEOUT_S * SLOW_BODY_SHARE + size_s
+
+    def is_receiving(self, now: float) -> bool:
+        """Returns whether an answer is arriving at MIN_LATE_BYTES_PER_S or faster, as a long list does."""
+        if self.first_byte_at is None or now >= self.last_byte_at + SILENCE_S:
+            return False
+        return now < self.first_byte_at + self.body_time_s()
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; bytes after a complete answer end the call."""
         if self.ended:
             return
         self.last_byte_at = self.loop.time()
+        if self.first_byte_at is None:
+            self.first_byte_at = self.last_byte_at
         unrequested = self.complete
         try:
             self.parser.feed_data(data)
--- a/loadbalancer/node/discovery/client.py
+++ b/loadbalancer/node/discovery/client.py
@@ -7,11 +7,12 @@
 from math import inf
 from random import random
 
-from loadbalancer.node.discovery.answer_delay import SILENCE_S, AnsweredCall
-from loadbalancer.node.discovery.call import (
-    ANSWER_TIMEOUT_S,
+from loadbalancer.node.discovery.answer_delay import AnsweredCall
+from loadbalancer.node.discovery.call import DiscoveryCall
+from loadbalancer.node.discovery.call_retention import (
     MAX_CALLS,
-    DiscoveryCall,
+    CallRetention,
+    is_next_retained,
 )
 from loadbalancer.node.discovery.delay_report import DelayReport, DiscoveryFigures
 from loadbalancer.node.discovery.endpoint_list_reader import (
@@ -19,42 +20,25 @@
     EndpointListReader,
     OnList,
 )
+from loadbalancer.node.discovery.propagation import RETRY_INTERVAL_S, WATCH_WAIT_MS
 from loadbalancer.node.log import Log
 
 ENDPOINTS_PATH = "/v1/endpoints"
-# Long-poll time of the watch. It is short, since the agent is on this machine and empty answers cost little.
-WATCH_WAIT_MS = 1_000
-# Shortest interval between two new calls when the first one fails or is answered immediately
-RETRY_INTERVAL_S = 0.1
-AGENT_ANSWER_S = 0.3  # longest time in which a reachable agent answers
 # Time to wait for the agent's first answer; then the list from the configuration file counts as current.
 STARTUP_WAIT_S = 1.0
 STARTUP_WAIT_LIST_S = 5.0  # the same time if a list is being received or read
 POLL_INTERVAL_S = 0.3  # average interval of polls while the list seems outdated
-
-
-def propagation_bound_s(wait_s: float = WATCH_WAIT_MS / 1000) -> float:
-    """Returns the longest time in seconds from a change at the agent to its arrival in the node's list.
-
-    The newest open call may wait `wait_s` seconds. Then it is late, because it is silent or because its
-    answer takes too long, and a new call is made. A call that fails is followed by a new one after
-    RETRY_INTERVAL_S, and a new one is answered within AGENT_ANSWER_S. There is no backoff, so earlier
-    failures add nothing. The time to receive and read a list beyond LONG_ANSWER_BYTES is not included.
-
-    Args:
-        wait_s: Seconds that a call may wait; 0: no open call may wait, as after a move to another agent.
-    """
-    return wait_s + max(SILENCE_S, ANSWER_TIMEOUT_S) + RETRY_INTERVAL_S + AGENT_ANSWER_S
+FETCH_TIMEOUT_S = 5.0  # a fetch without an answer ends then
 
 
 class DiscoveryClient:
     """Keeps the endpoint list current.
 
     The watch is a call that is renewed with each answer. Once it is late, a new call is made on a connection
-    of its own, then the next, without backoff, since the agent is on this machine. Answers to the older calls
-    are accepted for a while, because an agent may be slow, or may send delayed answers once it recovers. The
-    first usable answer makes its call the watch and ends the others. `propagation_bound_s` derives how long
-    this takes.
+    of its own, then the next, without backoff, since the agent is on this machine. The older calls stay open,
+    because the agent may be slow (`CallRetention`). A usable answer ends the calls that are older than its
+    own; the newest call is renewed. While the agent is known to be slow, it gets no more calls than a quick
+    one. `propagation_bound_s` and `slow_propagation_bound_s` derive how long a change takes.
 
     Args:
         loop: The event loop.
@@ -72,6 +56,7 @@
         poll_call: The open poll.
         last_connect_at: Loop time at which `open_watch` was last called, in seconds.
         delays: How late the agent answers, as operators see it.
+        retention: Selects the call that ends when a new one needs its place.
         next_poll_at: Loop time before which no poll is made, in seconds.
         first_request_at: Loop time of the first request to any address, in seconds.
     """
@@ -94,6 +79,7 @@
         self.fetch_call: DiscoveryCall | None = None
         self.poll_call: DiscoveryCall | None = None
         self.delays = DelayReport(loop.time(), log)
+        self.retention = CallRetention()
         self.last_connect_at = -inf
         self.retry_timer: asyncio.TimerHandle | None = None
         self.next_poll_at = 0.0
@@ -153,12 +139,30 @@
         if call in self.calls:
             self.calls.remove(call)
 
+    def watch_calls(self) -> list[DiscoveryCall]:
+        """Returns the open calls of the watch, which are all but a fetch and a poll."""
+        others = (self.fetch_call, self.poll_call)
+        return [call for call in self.calls if call not in others]
+
+    def make_place(self) -> bool:
+        """Ends a call of the watch if there are MAX_CALLS; returns whether there is a place for another."""
+        calls, now = self.watch_calls(), self.loop.time()
+        if len(calls) < MAX_CALLS:
+            return True
+        delays = self.delays
+        index = self.retention.index_to_end(
+            calls, now, delays.is_slow(now), delays.silent_s(now)
+        )
+        if index is None:
+            return False
+        delays.given_up += 1
+        self.end_call(calls[index])
+        return True
+
     def request_changes(self, call: DiscoveryCall, wait_ms: int) -> None:
         """Requests what is newer than the list in use, or the full list if this address has sent none.
 
-        Args:
-            call: The call that carries the request.
-            wait_ms: Milliseconds that the agent may wait for a change.
+        The agent may wait for a change for `wait_ms` milliseconds.
         """
         version = self.reader.version
         call.since_version = version
@@ -173,24 +177,20 @@
     def open_watch(self, wait_ms: int = 0) -> None:
         """Makes a call on a new connection, in addition to the calls that are late.
 
-        If MAX_CALLS are open already, it replaces the one that has been silent for longest.
+        No call is made if all places are taken by calls that receive answers; the newest one checks again.
 
         Args:
             wait_ms: Milliseconds that the agent may wait for a change.
         """
-        self.last_connect_at = self.loop.time()
+        now = self.last_connect_at = self.loop.time()
         if self.retry_timer is not None:
             self.retry_timer.cancel()
             self.retry_timer = None
-        others = (self.fetch_call, self.poll_call)
-        watch_calls = [call for call in self.calls if call not in others]
-        if len(watch_calls) >= MAX_CALLS:
-            longest_silent = min(watch_calls, key=lambda call: call.last_byte_at)
-            if longest_silent.last_byte_at + SILENCE_S > self.last_connect_at:
-                return  # all of them receive bytes; the newest one checks again
-            self.delays.given_up += 1
-            self.end_call(longest_silent)
+        if not self.make_place():
+            return
+        retained = self.delays.is_slow(now) or is_next_retained(self.watch_calls(), now)
         self.watch_call = self.open_call(self.on_watch_answer)
+        self.watch_call.retained = retained
         self.request_changes(self.watch_call, wait_ms)
 
     def reopen_watch(self) -> None:
@@ -205,26 +205,43 @@
             self.retry_timer = self.loop.call_later(delay_s, self.open_watch)
 
     def on_late(self, call: DiscoveryCall) -> None:
-        """Makes a new call of the watch, or ends a poll, after a call has become late.
-
-        An answer to a late call of the watch is still accepted.
-        """
-        self.delays.record_late_call(self.loop.time())
+        """Makes a new call of the watch after its newest one has become late; late answers are accepted."""
+        now = self.loop.time()
+        self.delays.record_late_call(now)
         if call is self.watch_call:
-            self.reader.report_failure()
-            self.open_watch()
+            slow = self.delays.is_slow(now)
+            if not slow:
+                self.reader.report_failure()
+            self.open_watch(WATCH_WAIT_MS if slow else 0)
         elif call is self.poll_call:
-            self.on_poll_answer(call, None)
+            self.keep_late_poll(call)
+        elif call is self.fetch_call and now >= call.started_at + FETCH_TIMEOUT_S:
+            self.delays.given_up += 1
+            self.on_fetch_answer(call, None)
+
+    def keep_late_poll(self, call: DiscoveryCall) -> None:
+        """Makes a late poll a call of the watch, so that the next poll need not wait for it.
+
+        It ends if there is no place: then the watch makes calls often enough.
+        """
+        others = self.watch_calls()
+        self.poll_call = None
+        self.next_poll_at = 0.0
+        if not self.watch_enabled or len(others) >= MAX_CALLS:
+            self.delays.given_up += 1
+            self.end_call(call)
+            return
+        call.retained = is_next_retained(others, call.started_at)
+        call.on_answer = self.on_watch_answer
 
     def on_watch_answer(self, call: DiscoveryCall, body: bytearray | None) -> None:
         """Reads the answer to a call of the watch; None: the call has failed."""
         if body is None:
-            self.delays.given_up += call.late
             self.on_watch_applied(call, False)
             return
         if len(body) > LONG_ANSWER_BYTES:
             # Otherwise a slow agent sends a long list for each of the calls, and each of them is read.
-            self.promote(call)
+            self.end_superseded(call)
         self.reader.read(
             body,
             lambda usable: self.on_watch_applied(call, usable),
@@ -234,7 +251,7 @@
     def on_watch_applied(self, call: DiscoveryCall, usable: bool) -> None:
         """Continues the watch after a usable answer, or replaces a call whose answer cannot be used."""
         if call not in self.calls:
-            return  # another call has become the watch, or the address has changed
+            return  # a newer call has been answered, or the address has changed
         if usable:
             self.record_answer(call)
             self.continue_watch(call)
@@ -247,25 +264,38 @@
 
     def record_answer(self, call: DiscoveryCall) -> None:
         """Records how late a usable answer was."""
+        self.retention.reset()
         has_news = self.reader.version != call.since_version
         self.delays.record(
             AnsweredCall(call.started_at, call.wait_s, call.answered_at, has_news)
         )
 
-    def promote(self, call: DiscoveryCall) -> None:
-        """Makes a call the watch and ends all others except a fetch.
+    def end_superseded(self, call: DiscoveryCall) -> None:
+        """Ends the calls that are older than a call with a usable answer, except a fetch.
 
-        A poll that becomes the watch must not be ended as a poll at its next answer.
+        Newer ones stay open: if the agent is slow, it has worked out this answer some time ago, and they
+        bring what has changed since. If none is newer, the call becomes the watch.
         """
+        is_watch = call is self.watch_call
         for other in list(self.calls):
-            if other not in (call, self.fetch_call):
+            if other is self.fetch_call or other is call:
+                continue
+            if is_watch or other.started_at <= call.started_at:
                 self.end_call(other)
-        self.watch_call, self.poll_call = call, None
+        if self.watch_call not in self.calls:
+            self.watch_call = call
+        if self.poll_call not in self.calls or self.poll_call is self.watch_call:
+            # A poll that becomes the watch must not be ended as a poll at its next answer.
+            self.poll_call = None
         call.on_answer = self.on_watch_answer
 
     def continue_watch(self, call: DiscoveryCall) -> None:
-        """Makes the next request of the watch on this call's connection, and ends the other calls."""
-        self.promote(call)
+        """Makes the next request of the watch on this call's connection, if the call is the newest one."""
+        self.end_superseded(call)
+        if call is not self.watch_call:
+            self.end_call(call)
+            return
+        call.retained = True
         # An agent that answers without waiting must not be called as fast as it answers.
         answered_early = (
             call.wait_s > 0
@@ -301,6 +331,7 @@
             or self.reader.version is None
             or self.poll_call is not None
             or now < self.next_poll_at
+            or self.delays.is_slow(now)  # the watch makes calls often enough
         ):
             return
         self.next_poll_at = now + POLL_INTERVAL_S * (0.5 + random())
@@ -324,6 +355,8 @@
         """Makes a poll with news the watch, and ends any other one."""
         if call not in self.calls:
             return
+        if usable:
+            self.record_answer(call)
         has_news = usable and self.reader.version != call.since_version
         if has_news and self.watch_enabled:
             self.continue_watch(call)
--- a/loadbalancer/node/discovery/delay_report.py
+++ b/loadbalancer/node/discovery/delay_report.py
@@ -58,6 +58,14 @@
         self.calls = 0
         self.given_up = 0
 
+    def is_slow(self, now: float) -> bool:
+        """See `AnswerDelay.is_slow`."""
+        return self.delay.is_slow(now)
+
+    def silent_s(self, now: float) -> float:
+        """See `AnswerDelay.silent_s`."""
+        return self.delay.silent_s(now)
+
     def restart(self, now: float) -> None:
         """See `AnswerDelay.restart`."""
         self.delay.restart(now)
--- a/loadbalancer/node/discovery/endpoint_list_reader.py
+++ b/loadbalancer/node/discovery/endpoint_list_reader.py
@@ -23,6 +23,37 @@
 OnList = Callable[[Listing | None, bool], None]
 
 
+class LongAnswer:
+    """A long answer from its arrival until it has been delivered.
+
+    Args:
+        body: The answer's body.
+        answers_applied: Number of answers that had been applied when the request was made.
+        on_applied: Called with whether the answer could be used.
+    """
+
+    def __init__(
+        self, body: bytearray, answers_applied: int, on_applied: Callable[[bool], None]
+    ) -> None:
+        self.body = body
+        self.answers_applied = answers_applied
+        self._callbacks = [on_applied]
+        self._usable: bool | None = None
+
+    def add_callback(self, on_applied: Callable[[bool], None]) -> None:
+        """Adds a callback for another call with the same answer."""
+        if self._usable is None:
+            self._callbacks.append(on_applied)
+        else:
+            on_applied(self._usable)
+
+    def set_result(self, usable: bool) -> None:
+        """Calls the callbacks with whether the answer could be used."""
+        self._usable = usable
+        for on_applied in self._callbacks:
+            on_applied(usable)
+
+
 class EndpointListReader:
     """Reads answers and delivers those that are news.
 
@@ -35,9 +66,12 @@
     Attributes:
         answered: At least one answer has been applied, from any address.
         answers_applied: Number of answers that have been applied.
+        version_adopted_by: The value of `answers_applied` once the version in use was adopted. If the answer
+            to a later request has a lower version, the agent has restarted.
         failures: Number of consecutive calls without a usable answer.
         partial_list: Some, but not all, parts of a full list have been delivered.
         tasks: The tasks that read long lists.
+        long_answers: The long answers that are being read, or wait for that.
         lock: Held while a long list is read.
         newer_entries: The entries of answers that were adopted during the delivery of a long list.
         dropped_answers: Number of consecutive answers that could not be used.
@@ -57,9 +91,11 @@
         self.log = log
         self.answered = False
         self.answers_applied = 0
+        self.version_adopted_by = 0
         self.failures = 0
         self.partial_list = False
         self.tasks: set[asyncio.Task[None]] = set()
+        self.long_answers: list[LongAnswer] = []
         self.lock = asyncio.Lock()
         self.newer_entries = NewerEntries()
         self.dropped_answers = 0
@@ -73,6 +109,7 @@
 
     def cancel(self) -> None:
         """Cancels the reading of long lists."""
+        self.long_answers.clear()
         for task in self.tasks:
             task.cancel()
 
@@ -112,7 +149,13 @@
                     self.deliver(update)
                 on_applied(news is not None)
                 return
-        task = self.loop.create_task(self.read_long(body, on_applied, answers_applied))
+        for other in self.long_answers:
+            if other.body == body:
+                other.add_callback(on_applied)
+                return
+        answer = LongAnswer(body, answers_applied, on_applied)
+        self.long_answers.append(answer)
+        task = self.loop.create_task(self.read_long(answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -151,15 +194,17 @@
             self.drop_answer("changes received without a full list to apply them to")
             return None
         if self.version is not None and update.version < self.version:
-            if answers_applied != self.answers_applied:
-                return False  # it is older than an applied answer and would restore drained servers
+            if answers_applied < self.version_adopted_by:
+                return False  # it may be older than the list in use, and would restore drained servers
             if is_changes:
                 # A restarted agent counts versions from the beginning. It would be asked forever for changes
                 # since a version that it does not reach.
                 self.version = None
                 return False
-        self.version = update.version
         self.answers_applied += 1
+        if update.version != self.version or not self.version_adopted_by:
+            self.version_adopted_by = self.answers_applied
+        self.version = update.version
         self.answered = True
         self.failures = 0
         if self.dropped_answers > 1:
@@ -176,34 +221,41 @@
             self.drop_reason = reason
             self.log.line(f"discovery response dropped reason={reason}")
 
-    async def read_long(
-        self,
-        body: bytearray,
-        on_applied: Callable[[bool], None],
-        answers_applied: int,
-    ) -> None:
+    async def read_long(self, answer: LongAnswer) -> None:
         """Validates a long list, then delivers it in parts.
 
         After each part, requests get as much time as the part took. Long lists are read one at a time, in the
-        order of their arrival. A list that is invalid, or outdated once it has been read, changes nothing.
-        Changes that arrive later are delivered between its parts, and the remaining parts do not undo them
-        (`NewerEntries`). A move to another address cancels it.
+        order of their arrival; only one of equal lists is read, as several calls bring them. A list that is
+        invalid, or outdated once it has been read, changes nothing. Changes that arrive later are delivered
+        between its parts, and the remaining parts do not undo them (`NewerEntries`). A move to another
+        address cancels it.
         """
-        async with self.lock:
-            try:
-                long_list = LongListing(bytes(body))
+        try:
+            async with self.lock:
+                long_list = await self.check_long(answer.body)
+                if long_list is None:
+                    answer.set_result(False)
+                    return
+                news = self.advance_version(long_list, answer.answers_applied)
+                answer.set_result(news is not None)  # the watch continues meanwhile
+                if news:
+                    await self.deliver_long(long_list)
+        finally:
+            if answer in self.long_answers:
+                self.long_answers.remove(answer)
+
+    async def check_long(self, body: bytearray) -> LongListing | None:
+        """Validates a long list with pauses; None if it is invalid."""
+        try:
+            long_list = LongListing(bytes(body))
+            started_at = monotonic()
+            for _ in long_list.check(PART_SERVERS):
+                await asyncio.sleep(monotonic() - started_at)
                 started_at = monotonic()
-                for _ in long_list.check(PART_SERVERS):
-                    await asyncio.sleep(monotonic() - started_at)
-                    started_at = monotonic()
-            except ListError as error:
-                self.drop_answer(error.line())
-                on_applied(False)
-                return
-            news = self.advance_version(long_list, answers_applied)
-            on_applied(news is not None)  # the watch continues in the meantime
-            if news:
-                await self.deliver_long(long_list)
+        except ListError as error:
+            self.drop_answer(error.line())
+            return None
+        return long_list
 
     async def deliver_long(self, long_list: LongListing) -> None:
         """Delivers an adopted long list, a full one twice where `deliver` would do so too."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -76,7 +76,7 @@
     """Failure prevented: a large list over a slow line never arrives, or one call lasts forever."""
     # Pieces arrive every tenth of a second, in total for longer than the tolerated silence.
     answer_time = 0.5 if rate == "by the byte" else 20.0
-    for module in ("call", "client"):
+    for module in ("call", "propagation"):
         place = f"loadbalancer.node.discovery.{module}"
         monkeypatch.setattr(f"{place}.SILENCE_S", 1.0)
         monkeypatch.setattr(f"{place}.ANSWER_TIMEOUT_S", answer_time)
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -21,15 +21,26 @@
 from loadbalancer.node.config import RESERVED_SOCKETS
 from loadbalancer.node.discovery import call as call_module
 from loadbalancer.node.discovery import client as client_module
-from loadbalancer.node.discovery.answer_delay import SILENCE_S
-from loadbalancer.node.discovery.call import ANSWER_TIMEOUT_S, MAX_CALLS
-from loadbalancer.node.discovery.client import (
+from loadbalancer.node.discovery import propagation
+from loadbalancer.node.discovery.answer_delay import (
+    MAX_ANSWER_DELAY_S,
+    MAX_PACED_DELAY_S,
+    SILENCE_S,
+)
+from loadbalancer.node.discovery.call import ANSWER_TIMEOUT_S
+from loadbalancer.node.discovery.call_retention import (
+    MAX_CALLS,
+    RETAIN_INTERVAL_S,
+    RETAINED_LIFETIME_S,
+)
+from loadbalancer.node.discovery.endpoint_list_codec import LongListing, decode
+from loadbalancer.node.discovery.propagation import (
     AGENT_ANSWER_S,
     RETRY_INTERVAL_S,
     WATCH_WAIT_MS,
     propagation_bound_s,
+    slow_propagation_bound_s,
 )
-from loadbalancer.node.discovery.endpoint_list_codec import LongListing, decode
 from loadbalancer.policy.api import ListUpdateKind
 
 WATCH_WAIT_S = WATCH_WAIT_MS / 1000
@@ -299,7 +310,11 @@
 
 
 async def test_the_number_of_calls_is_limited_and_a_late_answer_is_accepted():
-    """Failure prevented: an outage uses up descriptors, or a late answer of an agent is never accepted."""
+    """Failure prevented: an outage uses up descriptors, or a late answer of an agent is never accepted.
+
+    The answer ends the older calls and its own. The newer ones stay open: a slow agent has worked out this
+    answer some time ago, and they bring what has changed since.
+    """
     agent = await Agent().start()
     held = []
 
@@ -316,13 +331,19 @@
     heard.write(answer(42, True))
     await until(lambda: node.discovery.reader.version == 42)
     ends = [call.transport.get_extra_info("sockname") for call in node.discovery.calls]
-    assert ends == [heard.get_extra_info("peername")]
+    newer = held[held.index(heard) + 1 :]
+    assert newer
+    assert ends == [writer.get_extra_info("peername") for writer in newer]
+    newer[-1].write(answer(42, False))
+    await until(lambda: len(node.discovery.calls) == 1)
+    ends = [call.transport.get_extra_info("sockname") for call in node.discovery.calls]
+    assert ends == [newer[-1].get_extra_info("peername")]
 
 
 async def test_the_number_of_calls_that_receive_bytes_is_limited(monkeypatch):
     """Failure prevented: endless lists, each followed by the next call, use up descriptors."""
     monkeypatch.setattr(call_module, "ANSWER_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(client_module, "ANSWER_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(propagation, "ANSWER_TIMEOUT_S", 0.1)
 
     async def flood(writer):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
@@ -849,5 +870,11 @@
 
 def test_timeouts_are_consistent_with_the_bound():
     """The module's timeouts are consistent with the bound."""
-    assert call_module.LATE_CALL_LIFETIME_S >= SILENCE_S
+    assert RETAINED_LIFETIME_S >= MAX_ANSWER_DELAY_S >= SILENCE_S
+    assert RETAINED_LIFETIME_S <= (MAX_CALLS - 2) * RETAIN_INTERVAL_S
+    assert MAX_CALLS * (WATCH_WAIT_S + SILENCE_S) - WATCH_WAIT_S >= MAX_PACED_DELAY_S
+    assert WATCH_WAIT_S + SILENCE_S <= RETAIN_INTERVAL_S
+    assert slow_propagation_bound_s(MAX_ANSWER_DELAY_S) <= CHANGE_LIMIT_S
+    assert call_module.CALL_LIFETIME_S >= client_module.FETCH_TIMEOUT_S
+    assert client_module.FETCH_TIMEOUT_S >= MAX_ANSWER_DELAY_S
     assert client_module.STARTUP_WAIT_S < client_module.STARTUP_WAIT_LIST_S < 10.0
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import heapq
 import json
-from collections.abc import Callable, Coroutine
-from itertools import count
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from virtual_loop import Loop
 
 from loadbalancer.node.discovery import client as client_module
-from loadbalancer.node.discovery.call import MAX_CALLS, DiscoveryCall
-from loadbalancer.node.discovery.client import (
+from loadbalancer.node.discovery.call import DiscoveryCall
+from loadbalancer.node.discovery.call_retention import MAX_CALLS
+from loadbalancer.node.discovery.client import DiscoveryClient
+from loadbalancer.node.discovery.propagation import (
     AGENT_ANSWER_S,
     WATCH_WAIT_MS,
-    DiscoveryClient,
     propagation_bound_s,
 )
 
@@ -36,71 +35,6 @@
 )
 
 
-class Handle:
-    """A scheduled callback."""
-
-    def __init__(self, call: Callable[[], None]) -> None:
-        self.call: Callable[[], None] | None = call
-
-    def cancel(self) -> None:
-        self.call = None
-
-
-class Loop:
-    """An event loop with a virtual clock, which advances in `run`."""
-
-    def __init__(self, agent: Agent) -> None:
-        self.now = 1000.0
-        self.due: list[tuple[float, int, Handle]] = []
-        self.order = count()
-        self.agent = agent
-
-    def time(self) -> float:
-        return self.now
-
-    def call_later(self, wait: float, call: Callable[..., Any], *args: Any) -> Handle:
-        handle = Handle(lambda: call(*args))
-        heapq.heappush(self.due, (self.now + wait, next(self.order), handle))
-        return handle
-
-    def create_task(self, work: Coroutine[Any, Any, None]) -> Task:
-        return Task(self, work)
-
-    async def create_connection(
-        self, protocol: Callable[[], DiscoveryCall], *address: Any
-    ) -> None:
-        if self.agent.down:
-            raise ConnectionRefusedError
-        call = protocol()
-        call.connection_made(Connection(self.agent, call))  # type: ignore[arg-type]
-
-    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> None:
-        end = self.now + seconds
-        while not until() and self.due and self.due[0][0] <= end:
-            self.now, _, handle = heapq.heappop(self.due)
-            if handle.call is not None:
-                handle.call()
-        if not until():
-            self.now = end
-
-
-class Task:
-    """A coroutine that never waits; it runs at the loop's next iteration."""
-
-    def __init__(self, loop: Loop, work: Coroutine[Any, Any, None]) -> None:
-        self.work = work
-        loop.call_later(0.0, self.step)
-
-    def step(self) -> None:
-        if self.work.cr_frame is not None:  # type: ignore[attr-defined]
-            with pytest.raises(StopIteration):
-                self.work.send(None)
-
-    def cancel(self) -> None:
-        if not self.work.cr_running:  # type: ignore[attr-defined]
-            self.work.close()
-
-
 class Connection:
     """The agent's end of a connection, and the node's transport for it."""
 
@@ -161,6 +95,9 @@
         self.unanswered: list[Connection] = []
         self.loop = Loop(self)
 
+    def connect(self, call: DiscoveryCall) -> None:
+        call.connection_made(Connection(self, call))  # type: ignore[arg-type]
+
     def on_request(self, connection: Connection) -> None:
         self.unanswered.append(connection)
         if self.healthy:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -889,7 +889,7 @@
     """Failure prevented: the node waits for ever for an unanswered poll, and the list becomes stale."""
 
     async def scene():
-        for module in ("call", "client"):
+        for module in ("call", "propagation"):
             place = f"loadbalancer.node.discovery.{module}.SILENCE_S"
             monkeypatch.setattr(place, 0.2)
         rules = settings()["rules"] | {"ask_within": MOMENT}  # polls again soon
