Wait for slow agents when an outdated node asks others than its own

A call to another agent ended at its first lateness, after 0.3 s, and also when the next agent was asked (0.7 s later), so an agent that needs longer never brought its list, however often it was asked. Callers would have seen requests to drained servers until a peer or the node's own agent brought the list.

Change: each agent has a call of its own, three open at most, that waits 5 s; an open call for the same version is not repeated.

--- a/loadbalancer/node/features/endpoint_lines.py
+++ b/loadbalancer/node/features/endpoint_lines.py
@@ -32,6 +32,8 @@
 # Lines of an agent's response that are read without yielding to the event loop.
 AGENT_PART_LINES = 50
 PART_RETRY_US = 150_000  # wait before parts that have not arrived are requested again
+MAX_AGENT_CALLS = 3  # open calls to other discovery agents
+AGENT_TIMEOUT_S = 5.0  # for the answer of another discovery agent, which may be slow
 US_PER_S = 1e6
 LIST_PATH = "/v1/endpoints"
 
@@ -60,6 +62,19 @@
     parts: list[tuple[EndpointRow, ...]]
 
 
+@dataclass(frozen=True, slots=True)
+class AgentCall:
+    """An open call to another discovery agent.
+
+    Attributes:
+        call: The call.
+        version: The version that it is to bring.
+    """
+
+    call: DiscoveryCall
+    version: VersionId
+
+
 @dataclass(slots=True)
 class SendBudget:
     """A token bucket of bytes, refilled at `SEND_RATE_BYTES_PER_S` up to `SEND_BURST_BYTES`.
@@ -104,15 +119,16 @@
         self._peer = ""
         self._requested_at_us = 0
         self._requested_parts: tuple[int, ...] = ()
-        self._call: DiscoveryCall | None = None
+        # The open calls to other agents, the oldest first.
+        self._agent_calls: dict[Address, AgentCall] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._split: SplitList | None = None
         self._budget = SendBudget()
 
     def stop(self) -> None:
         """Cancels all transfers and closes the channel."""
-        if self._call is not None:
-            self._call.end()
+        for agent in list(self._agent_calls):
+            self._end_agent_call(agent)
         for task in self._tasks:
             task.cancel()
         if self.channel is not None:
@@ -210,17 +226,22 @@
     def fetch_from_agent(self, agent: Address, version: VersionId) -> None:
         """Fetches the list of another discovery agent.
 
-        The list is used only if its content is the one that a quorum holds.
+        The list is used only if its content is the one that a quorum holds. Calls to other agents stay open,
+        as these may be slow, and an open call for the same version is not repeated.
 
         Args:
             agent: The agent's address.
             version: The version that a quorum holds.
         """
-        if self._call is not None:
-            self._call.end()
+        open_call = self._agent_calls.get(agent)
+        if open_call is not None and open_call.version == version:
+            return
+        self._end_agent_call(agent)
+        if len(self._agent_calls) >= MAX_AGENT_CALLS:
+            self._end_agent_call(next(iter(self._agent_calls)))
 
         def on_response(call: DiscoveryCall, body: bytearray | None) -> None:
-            call.end()
+            self._end_agent_call(agent)
             if body is None or len(body) > MAX_AGENT_RESPONSE_BYTES:
                 return
             if not version.digest:
@@ -231,11 +252,19 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-        # A call that times out fails, so that another agent can be queried.
-        self._call = DiscoveryCall(
-            self.host.loop, agent, on_response, DiscoveryCall.fail
-        )
-        self._call.request(LIST_PATH, 0.0)
+        def on_late(call: DiscoveryCall) -> None:
+            if self.host.loop.time() >= call.started_at + AGENT_TIMEOUT_S:
+                call.fail()
+
+        call = DiscoveryCall(self.host.loop, agent, on_response, on_late)
+        self._agent_calls[agent] = AgentCall(call, version)
+        call.request(LIST_PATH, 0.0)
+
+    def _end_agent_call(self, agent: Address) -> None:
+        """Ends the call to another agent, if there is one."""
+        open_call = self._agent_calls.pop(agent, None)
+        if open_call is not None:
+            open_call.call.end()
 
     async def _read_agent(
         self, body: bytes, version: VersionId, agent: Address
