Name calls that end unanswered abandoned, and the discovery metrics so

Need: "given up", "keep" and "figures" are words of the earlier house style (shared check of words).

--- a/loadbalancer/node/discovery/answer_delay.py
+++ b/loadbalancer/node/discovery/answer_delay.py
@@ -25,7 +25,7 @@
     BECAME_SLOW = "became slow"
     BECAME_QUICK = "became quick"
     FELL_SILENT = "fell silent"
-    ANSWERED_AGAIN = "answered again"
+    RECOVERED = "recovered"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,13 +36,13 @@
         started_at: Time of the request in seconds.
         wait_s: Seconds that the agent was allowed to wait for a change.
         answered_at: Time of the answer's last byte in seconds.
-        has_news: Whether the answer changed the version of the list.
+        has_changes: Whether the answer changed the version of the list.
     """
 
     started_at: float
     wait_s: float
     answered_at: float
-    has_news: bool
+    has_changes: bool
 
     def delay_s(self) -> float | None:
         """Returns how late the answer was in seconds, at least; None if that cannot be known.
@@ -51,7 +51,7 @@
         """
         elapsed_s = self.answered_at - self.started_at
         after_wait_s = max(0.0, elapsed_s - self.wait_s)
-        if self.has_news and SILENCE_S < elapsed_s <= self.wait_s + SILENCE_S:
+        if self.has_changes and SILENCE_S < elapsed_s <= self.wait_s + SILENCE_S:
             return None
         return after_wait_s
 
@@ -106,7 +106,7 @@
         events = []
         if self.silent:
             self.silent = False
-            events.append(DelayEvent.ANSWERED_AGAIN)
+            events.append(DelayEvent.RECOVERED)
         self._answered_at, self._last_wait_s = call.answered_at, call.wait_s
         delay_s = call.delay_s()
         if delay_s is None:
--- a/loadbalancer/node/discovery/call.py
+++ b/loadbalancer/node/discovery/call.py
@@ -84,7 +84,7 @@
         self.body = bytearray()
         self.headers_complete = self.has_length = self.complete = self.late = False
         self.started_at, self.wait_s = self.loop.time(), wait_s
-        self.due_at = self.last_byte_at = self.started_at + wait_s
+        self.wait_ends_at = self.last_byte_at = self.started_at + wait_s
         self.first_byte_at = None
         self.schedule_check(wait_s + SILENCE_S)
         if self.transport is not None:
@@ -127,7 +127,7 @@
         lifetime_s = CALL_LIFETIME_S + len(self.body) / MIN_LATE_BYTES_PER_S
         if not self.late and now < late_at:
             self.schedule_check(late_at - now)
-        elif now >= self.due_at + lifetime_s:
+        elif now >= self.wait_ends_at + lifetime_s:
             self.fail()
         else:
             self.late = True
@@ -136,7 +136,7 @@
 
     def answer_timeout_at(self) -> float:
         """Returns the loop time from which an answer that is still arriving is late."""
-        return self.due_at + min(ANSWER_TIMEOUT_S, self.body_time_s())
+        return self.wait_ends_at + min(ANSWER_TIMEOUT_S, self.body_time_s())
 
     def body_time_s(self) -> float:
         """Returns the seconds in which the body so far should have arrived."""
--- a/loadbalancer/node/discovery/call_retention.py
+++ b/loadbalancer/node/discovery/call_retention.py
@@ -18,7 +18,9 @@
 RETAIN_INTERVAL_S = 5 * SILENCE_S
 # Seconds beyond its wait for which a retained call stays open: long enough for MAX_ANSWER_DELAY_S
 RETAINED_LIFETIME_S = (MAX_CALLS - 2) * RETAIN_INTERVAL_S
-KEEP_OLDEST_AFTER_S = 10.0  # time without an answer after which the oldest call is kept
+RETAIN_OLDEST_AFTER_S = (
+    10.0  # time without an answer after which the oldest call is kept
+)
 FIRST_OLDEST_LIFETIME_S = 10.0
 TOLERANCE_S = 1e-6  # of times that are calculated
 MAX_OLDEST_LIFETIME_S = 60.0  # an agent that needs longer for each answer is not heard
@@ -89,12 +91,12 @@
         waiting = [call for call in oldest_first(calls) if not call.is_receiving(now)]
         if not waiting:
             return None
-        keep_oldest = not paced and unanswered_s >= KEEP_OLDEST_AFTER_S
-        if keep_oldest and now - waiting[0].started_at >= self.oldest_lifetime_s:
+        retain_oldest = not paced and unanswered_s >= RETAIN_OLDEST_AFTER_S
+        if retain_oldest and now - waiting[0].started_at >= self.oldest_lifetime_s:
             doubled_s = 2 * self.oldest_lifetime_s
             self.oldest_lifetime_s = min(doubled_s, MAX_OLDEST_LIFETIME_S)
             return calls.index(waiting[0])
-        if keep_oldest and len(waiting) > 1:
+        if retain_oldest and len(waiting) > 1:
             waiting = waiting[1:]
         return calls.index(select_call(waiting, now, paced))
 
--- a/loadbalancer/node/discovery/client.py
+++ b/loadbalancer/node/discovery/client.py
@@ -14,7 +14,7 @@
     CallRetention,
     is_next_retained,
 )
-from loadbalancer.node.discovery.delay_report import DelayReport, DiscoveryFigures
+from loadbalancer.node.discovery.delay_report import DelayReport, DiscoveryMetrics
 from loadbalancer.node.discovery.endpoint_list_reader import (
     LONG_ANSWER_BYTES,
     EndpointListReader,
@@ -154,7 +154,7 @@
         )
         if index is None:
             return False
-        delays.given_up += 1
+        delays.abandoned += 1
         self.end_call(calls[index])
         return True
 
@@ -207,12 +207,12 @@
                 self.reader.report_failure()
             self.open_watch(WATCH_WAIT_MS if slow else 0)
         elif call is self.poll_call:
-            self.keep_late_poll(call)
+            self.retain_late_poll(call)
         elif call is self.fetch_call and now >= call.started_at + FETCH_TIMEOUT_S:
-            self.delays.given_up += 1
+            self.delays.abandoned += 1
             self.on_fetch_answer(call, None)
 
-    def keep_late_poll(self, call: DiscoveryCall) -> None:
+    def retain_late_poll(self, call: DiscoveryCall) -> None:
         """Makes a late poll a call of the watch, so that the next poll need not wait for it.
 
         It ends if there is no place: then the watch makes calls often enough.
@@ -221,7 +221,7 @@
         self.poll_call = None
         self.next_poll_at = 0.0
         if not self.watch_enabled or len(others) >= MAX_CALLS:
-            self.delays.given_up += 1
+            self.delays.abandoned += 1
             self.end_call(call)
             return
         call.retained = is_next_retained(others, call.started_at)
@@ -258,9 +258,9 @@
     def record_answer(self, call: DiscoveryCall) -> None:
         """Records how late a usable answer was."""
         self.retention.reset()
-        has_news = self.reader.version != call.since_version
+        has_changes = self.reader.version != call.since_version
         self.delays.record(
-            AnsweredCall(call.started_at, call.wait_s, call.answered_at, has_news)
+            AnsweredCall(call.started_at, call.wait_s, call.answered_at, has_changes)
         )
 
     def end_superseded(self, call: DiscoveryCall) -> None:
@@ -350,8 +350,8 @@
             return
         if usable:
             self.record_answer(call)
-        has_news = usable and self.reader.version != call.since_version
-        if has_news and self.watch_enabled:
+        has_changes = usable and self.reader.version != call.since_version
+        if has_changes and self.watch_enabled:
             self.continue_watch(call)
         else:
             self.end_call(call)
@@ -378,7 +378,7 @@
 
         self.reader.read(body, applied, call.answers_applied)
 
-    def figures(self) -> DiscoveryFigures:
+    def figures(self) -> DiscoveryMetrics:
         """Returns how the agent answers, for operators."""
         return self.delays.figures(self.loop.time(), len(self.calls))
 
--- a/loadbalancer/node/discovery/delay_report.py
+++ b/loadbalancer/node/discovery/delay_report.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DiscoveryFigures:
+class DiscoveryMetrics:
     """How the discovery agent answers, as `/admin/stats` publishes it.
 
     Attributes:
@@ -24,7 +24,7 @@
         slow_periods: Number of times that the agent has become slow.
         seconds_since_answer: Seconds since the latest answer, or since the start.
         calls: Requests to the agent.
-        calls_given_up: Requests that ended without an answer to make place for newer ones.
+        calls_abandoned: Requests that ended without an answer to make place for newer ones.
         open_calls: Calls that are open now.
     """
 
@@ -35,7 +35,7 @@
     slow_periods: int = 0
     seconds_since_answer: float = 0.0
     calls: int = 0
-    calls_given_up: int = 0
+    calls_abandoned: int = 0
     open_calls: int = 0
 
 
@@ -49,14 +49,14 @@
     Attributes:
         delay: The agent's delay.
         calls: Requests to the agent.
-        given_up: Requests that ended without an answer to make place for newer ones.
+        abandoned: Requests that ended without an answer to make place for newer ones.
     """
 
     def __init__(self, now: float, log: Log) -> None:
         self.delay = AnswerDelay(now)
         self.log = log
         self.calls = 0
-        self.given_up = 0
+        self.abandoned = 0
 
     def is_slow(self, now: float) -> bool:
         """See `AnswerDelay.is_slow`."""
@@ -82,7 +82,7 @@
                     f"discovery quick again slow_for_s={call.answered_at - slow_since:.1f}"
                     f" longest_answer_delay_s={self.delay.longest_s:.3f}"
                 )
-            elif event is DelayEvent.ANSWERED_AGAIN:
+            elif event is DelayEvent.RECOVERED:
                 self.log.line(f"discovery answers again silent_for_s={silent_s:.1f}")
 
     def record_late_call(self, now: float) -> None:
@@ -90,14 +90,14 @@
         if self.delay.record_late_call(now):
             self.log.line(f"discovery silent for_s={self.delay.silent_s(now):.1f}")
 
-    def figures(self, now: float, open_calls: int) -> DiscoveryFigures:
+    def figures(self, now: float, open_calls: int) -> DiscoveryMetrics:
         """Returns the present figures.
 
         Args:
             now: The time in seconds.
             open_calls: Number of open calls.
         """
-        return DiscoveryFigures(
+        return DiscoveryMetrics(
             slow=self.delay.slow_since is not None,
             silent=self.delay.silent,
             answer_delay_ms=round(1000 * self.delay.last_s),
@@ -105,6 +105,6 @@
             slow_periods=self.delay.slow_periods,
             seconds_since_answer=round(self.delay.silent_s(now), 3),
             calls=self.calls,
-            calls_given_up=self.given_up,
+            calls_abandoned=self.abandoned,
             open_calls=open_calls,
         )
--- a/loadbalancer/node/metrics.py
+++ b/loadbalancer/node/metrics.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from loadbalancer.errors import LoadBalancerError
-from loadbalancer.node.discovery.delay_report import DiscoveryFigures
+from loadbalancer.node.discovery.delay_report import DiscoveryMetrics
 from loadbalancer.node.memory_figures import MemoryFigures
 
 REJECTED_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -83,7 +83,7 @@
         discovered: int,
         ejected: int,
         memory: MemoryFigures,
-        discovery: DiscoveryFigures,
+        discovery: DiscoveryMetrics,
         reasons: Mapping[str, int],
     ) -> dict[str, Any]:
         """Returns all metrics as `/admin/stats` publishes them.
--- a/tests/test_answer_delay.py
+++ b/tests/test_answer_delay.py
@@ -15,7 +15,7 @@
 
 
 @pytest.mark.parametrize(
-    ("wait_s", "elapsed_s", "has_news", "delay_s"),
+    ("wait_s", "elapsed_s", "has_changes", "delay_s"),
     [
         (0.0, 2.0, True, 2.0),
         (0.0, 0.1, False, 0.1),
@@ -28,9 +28,9 @@
     ],
 )
 def test_the_delay_is_what_an_answer_took_beyond_its_wait(
-    wait_s: float, elapsed_s: float, has_news: bool, delay_s: float | None
+    wait_s: float, elapsed_s: float, has_changes: bool, delay_s: float | None
 ) -> None:
-    call = AnsweredCall(10.0, wait_s, 10.0 + elapsed_s, has_news)
+    call = AnsweredCall(10.0, wait_s, 10.0 + elapsed_s, has_changes)
     assert call.delay_s() == pytest.approx(delay_s)
 
 
@@ -68,6 +68,6 @@
     assert delay.record_late_call(SILENT_CONFIRM_S - 0.1) == []
     assert delay.record_late_call(SILENT_CONFIRM_S) == [DelayEvent.FELL_SILENT]
     assert delay.record_late_call(SILENT_CONFIRM_S + 1.0) == []
-    assert answer(delay, 8.0, 0.0) == [DelayEvent.ANSWERED_AGAIN]
+    assert answer(delay, 8.0, 0.0) == [DelayEvent.RECOVERED]
     delay.restart(9.0)
     assert delay.record_late_call(9.0 + SILENT_CONFIRM_S - 0.1) == []
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -13,7 +13,7 @@
 from support import BASE, SEC, Recorder
 
 from loadbalancer.errors import LoadBalancerError
-from loadbalancer.node.discovery.delay_report import DiscoveryFigures
+from loadbalancer.node.discovery.delay_report import DiscoveryMetrics
 from loadbalancer.node.memory_figures import MemoryFigures
 from loadbalancer.node.metrics import Metrics
 from loadbalancer.policy.api import (
@@ -435,7 +435,7 @@
     metrics = Metrics()
     metrics.add_classes(("any",))
     metrics.reloaded(LoadBalancerError("any"))
-    figures = metrics.figures(0, 0, MemoryFigures(), DiscoveryFigures(), {})
+    figures = metrics.figures(0, 0, MemoryFigures(), DiscoveryMetrics(), {})
     tables = ("memory", "discovery")
     nested = {*figures["results"]["any"]}.union(*(figures[table] for table in tables))
     figures = set(figures) - {"results", *tables} | nested
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -327,10 +327,10 @@
     play = Play(agent)
     play.loop.run(10.0)
     begun = len(agent.request_times)
-    given_up = play.discovery.figures().calls_given_up
+    abandoned = play.discovery.figures().calls_abandoned
     play.loop.run(60.0)
     assert len(agent.request_times) - begun <= 60 / (WATCH_WAIT_MS / 1000)
-    assert play.discovery.figures().calls_given_up == given_up
+    assert play.discovery.figures().calls_abandoned == abandoned
     times = [play.time_to_list() for _ in range(20) if play.loop.run(0.37) is None]  # type: ignore[func-returns-value]
     assert max(times) <= slow_propagation_bound_s(delay_s)
     assert agent.most_open <= MAX_CALLS
