Keep calls to a slow agent open for 4.8 s, so that none ends just before its answer

Cause: retained calls ended after 4.5 s although their places last until the next call but one. Change: they end after 4.8 s, so the limit that is borne is 4.5 s (1.5 s and 4.5 s are the 6 s); what is later by up to 0.3 s is still heard with each call.

--- a/loadbalancer/node/discovery/call_retention.py
+++ b/loadbalancer/node/discovery/call_retention.py
@@ -16,8 +16,9 @@
 MAX_CALLS = 5
 # Interval between the starts of retained calls, a multiple of SILENCE_S
 RETAIN_INTERVAL_S = 5 * SILENCE_S
-# Seconds beyond its wait for which a retained call stays open: long enough for MAX_ANSWER_DELAY_S
-RETAINED_LIFETIME_S = (MAX_CALLS - 2) * RETAIN_INTERVAL_S
+# Seconds beyond its wait for which a retained call stays open: long enough for MAX_ANSWER_DELAY_S. All places
+# but two are for retained calls, and a new one of them takes the place of an unretained call at first.
+RETAINED_LIFETIME_S = (MAX_CALLS - 2) * RETAIN_INTERVAL_S + SILENCE_S
 RETAIN_OLDEST_AFTER_S = (
     10.0  # time without an answer after which the oldest call is kept
 )
