Reserve the ports of the lab's processes, so that none is given out twice

Cause: free_port() bound a port and let it go at once, so that the next search, or a connection, could get the same one.

Change: ReservedPorts keeps each port bound (SO_REUSEADDR, not listening) until the measurement ends.

The test of delayed reuse, which counted one connection too many twice, now also counts those that the node opened, so that its next failure tells whose the surplus one is.

Whether it helps the test of delayed reuse isn't known.

--- a/loadbalancer/lab/live/play.py
+++ b/loadbalancer/lab/live/play.py
@@ -7,7 +7,6 @@
 import os
 import resource
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Callable
@@ -23,6 +22,7 @@
 from loadbalancer.lab.live.load import Load, take_rows
 from loadbalancer.lab.live.wire import Broken, Pool, Unreached
 from loadbalancer.lab.measures import Figures
+from loadbalancer.lab.ports import ReservedPorts
 from loadbalancer.lab.scenario import Scenario
 from loadbalancer.lab.scenario_errors import ScenarioTooLargeError
 from loadbalancer.lab.stage import Tally
@@ -54,6 +54,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.reserved = ReservedPorts()
         self.started: list[asyncio.subprocess.Process] = []
         self.early_ends: list[str] = []
 
@@ -129,13 +130,10 @@
         return path
 
     def configure(self, node: LiveNode) -> Path:
-        """Writes a node's configuration, with a port that is free now; the same one at every start."""
+        """Writes a node's configuration, with the same reserved port at every start."""
         if node.listen[1] == 0:
-            with socket.socket() as free:
-                free.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                free.bind((node.host, 0))
-                node.listen = free.getsockname()
-                node.pool = Pool(node.listen)
+            node.listen = node.host, self.reserved.reserve(node.host)
+            node.pool = Pool(node.listen)
         path = self.folder / f"node-{node.number}.json"
         path.write_text(json.dumps(node.configuration()))
         return path
@@ -155,6 +153,7 @@
                     process.kill()
         for process in self.started:
             await process.wait()
+        self.reserved.close()
 
 
 async def run_live(
--- a/loadbalancer/lab/overhead.py
+++ b/loadbalancer/lab/overhead.py
@@ -28,6 +28,7 @@
 import uvloop
 
 from loadbalancer.errors import LoadBalancerError
+from loadbalancer.lab.ports import ReservedPorts
 
 PACKAGES = Path(__file__).parents[2]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -374,13 +375,6 @@
     }
 
 
-def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
-
-
 def wait_for(port: int, process: subprocess.Popen[str]) -> None:
     """Waits until something listens there."""
     end = monotonic() + READY_TIME
@@ -443,13 +437,14 @@
     relays: list[Turn] = []
     with (
         tempfile.TemporaryDirectory(prefix="lab-") as folder,
+        ReservedPorts() as reserved,
         started(stub, stub_cores) as first,
         started(stub, stub_cores) as second,
     ):
         ports = ports_of(first) + ports_of(second)
-        listen = free_port()
+        listen, discovery = reserved.reserve_many(2)
         config = Path(folder) / "node.json"
-        config.write_text(json.dumps(node_table(ports, listen, free_port())))
+        config.write_text(json.dumps(node_table(ports, listen, discovery)))
         relay_arguments = ["-m", "loadbalancer.lab.overhead", "relay", *map(str, ports)]
         environment = {"LB_CONFIG": str(config), "TMPDIR": folder}
         with (
--- a/loadbalancer/lab/scale/added.py
+++ b/loadbalancer/lab/scale/added.py
@@ -65,13 +65,13 @@
     Downstream,
     MeasureError,
     Relay,
-    free_port,
     node_table,
     ports_of,
     started,
     wait_for,
     words,
 )
+from loadbalancer.lab.ports import ReservedPorts
 from loadbalancer.lab.scale.added_page import PARTS, WHOLE, table_of
 from loadbalancer.lab.scale.added_statistics import (
     CONTROL,
@@ -530,6 +530,7 @@
 
     def __init__(self, wish: Wish, stack: ExitStack) -> None:
         self.wish, self.stack = wish, stack
+        self.reserved = stack.enter_context(ReservedPorts())
         self.folder = Path(
             stack.enter_context(tempfile.TemporaryDirectory(prefix="lab-"))
         )
@@ -583,8 +584,9 @@
         servers: Sequence[int] = (),
     ) -> tuple[int, subprocess.Popen[str]]:
         """A real node, and where it listens."""
-        listen = listen or free_port()
-        table = node_table(list(servers) or self.ports, listen, free_port())
+        listen = listen or self.reserved.reserve()
+        discovery = self.reserved.reserve()
+        table = node_table(list(servers) or self.ports, listen, discovery)
         environment = {
             "LB_CONFIG": str(self.folder / f"{name}.json"),
             "TMPDIR": str(self.folder),
@@ -605,9 +607,10 @@
 
         The services between share two cores, the nodes those that nobody else has.
         """
-        between = [[free_port() for _ in range(2 * SERVERS)] for _ in range(depth - 1)]
-        alone = [[free_port() for _ in range(2 * SERVERS)] for _ in range(depth - 1)]
-        nodes = [free_port() for _ in range(depth)]
+        reserve = self.reserved.reserve_many
+        between = [reserve(2 * SERVERS) for _ in range(depth - 1)]
+        alone = [reserve(2 * SERVERS) for _ in range(depth - 1)]
+        nodes = reserve(depth)
         chains = [Chain(listen, [nodes[i + 1]]) for i, listen in enumerate(between)]
         chains += [
             Chain(listen, below)
@@ -636,7 +639,7 @@
 
     def with_control(self) -> None:
         """A node with control on, and real members of its fleet on the cores that nobody else here has."""
-        ports = [free_port() for _ in range(self.wish.members + 1)]
+        ports = self.reserved.reserve_many(self.wish.members + 1)
         names = [CONTROL, *(f"member{i}" for i in range(1, self.wish.members + 1))]
         electors = names[:3]
         for i in range(len(names) - 1, -1, -1):
@@ -651,7 +654,7 @@
 
     def in_fleet(self) -> None:
         """A node with control on that knows a large fleet, which one process stands in for."""
-        here, there, control = free_port(), free_port(), free_port()
+        here, there, control = self.reserved.reserve_many(3)
         size, within = self.wish.fleet, "loadbalancer.lab.scale.added_within"
         arguments = [
             "-m",
--- a/loadbalancer/lab/scale/roles.py
+++ b/loadbalancer/lab/scale/roles.py
@@ -8,7 +8,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -29,6 +28,7 @@
 from loadbalancer.errors import LoadBalancerError
 from loadbalancer.freeze.messages import INITIAL_VERSION, IncidentList, encode
 from loadbalancer.lab.freeze import World as FreezeWorld
+from loadbalancer.lab.ports import ReservedPorts
 from loadbalancer.lab.scale.clocks import held, settled, timed
 from loadbalancer.lab.scale.views import ZONES
 from loadbalancer.node.discovery.endpoint_list_codec import Line, Listing, decode
@@ -386,9 +386,14 @@
     tables: str, discovery: int, folder: Path, watch: float = 5.0
 ) -> tuple[float, float, float]:
     """A node with these tables: resident and own megabytes, and % of a core at rest."""
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
+    with ReservedPorts() as reserved:
+        return watched_process(tables, reserved.reserve(), discovery, folder, watch)
+
+
+def watched_process(
+    tables: str, port: int, discovery: int, folder: Path, watch: float
+) -> tuple[float, float, float]:
+    """What `one_process` tells, of a node that listens on this port."""
     (folder / "config.json").write_text(json.dumps(configuration(port, discovery)))
     kept = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
     environ = {
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -13,6 +13,7 @@
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.connection import REUSE_DELAY_S, UpstreamConnection
 from loadbalancer.node.upstream.endpoint import MAX_SPARE_CONNECTING
+from loadbalancer.node.upstream.pool import ConnectionPool
 from loadbalancer.policy.api import Outcome
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -492,16 +493,28 @@
     assert [r.headers["x-call-id"] for r in server.requests] == names
 
 
-async def test_reuse_is_delayed_after_a_server_has_sent_surplus_bytes():
+async def test_reuse_is_delayed_after_a_server_has_sent_surplus_bytes(monkeypatch):
     """Failure prevented: connections are reused immediately although a second response may be in transit, or
     each reuse costs a handshake although no server ever sends one.
     """
     bench = await Bench(server := Server(reply_with_id)).start()
     pool, client = bench.node.pool, await bench.client()
+    connect, opened = ConnectionPool.connect, []
+
+    def counted(self, endpoint):
+        opened.append(self.loop.time())
+        connect(self, endpoint)
+
+    def connections() -> int:
+        """Those that the server counts, which are those that the node opened and no other process's."""
+        assert server.connections == len(opened), (opened, server.writers)
+        return server.connections
+
+    monkeypatch.setattr(ConnectionPool, "connect", counted)
     for i in range(4):
         assert (await client.ask(call(name=b"%d" % i)))[0] == 200
     (endpoint,) = pool.endpoints.values()
-    assert server.connections == 1  # no surplus bytes so far: the connection is reused
+    assert connections() == 1  # no surplus bytes so far: the connection is reused
     server.writers[0].write(STALE)
     await until(lambda: not endpoint.idle)
     shift = pool.loop.time()
@@ -509,14 +522,14 @@
         assert (await client.ask(call(name=b"1%d" % i)))[0] == 200
         for idle in endpoint.idle:  # as if no time had passed since the response
             idle.idle_since = pool.loop.time() + 1
-    assert server.connections == 1 + 4
+    assert connections() == 1 + 4
     endpoint.idle[1].idle_since = endpoint.idle[0].idle_since = shift - REUSE_DELAY_S
     assert (await client.ask(call(name=b"2")))[0] == 200
-    assert server.connections == 5
+    assert connections() == 5
     assert len(endpoint.idle) == 4
     pool.max_connections = pool.open_count
     for idle in endpoint.idle:
         idle.idle_since = pool.loop.time() + 1
     assert (await client.ask(call(name=b"3")))[0] == 200
     # The budget is used up: the connection is reused without delay.
-    assert server.connections == 5
+    assert connections() == 5
