--- a/loadbalancer/lab/ports.py
+++ b/loadbalancer/lab/ports.py
@@ -1,7 +1,7 @@
 """Loopback TCP ports that are reserved for processes which listen on them later.
 
-A port that was only found free may be given out again before its process listens on it: to the next search
-for a free port, or as the local port of a connection. A reserved port stays bound until it is given up.
+A port that is only looked up and not kept bound may be assigned again before its process listens on it: to
+the next lookup, or as the local port of a connection. A reserved port stays bound until it is released.
 """
 
 import socket
@@ -12,7 +12,7 @@
 
 
 class ReservedPorts:
-    """Ports that the kernel gives to nobody who asks for any free port; a context manager.
+    """Ports that stay bound, so that the kernel assigns them to no other socket; a context manager.
 
     A process may still listen on a reserved port by its number if it sets SO_REUSEADDR, as asyncio and uvloop
     do, and may do so again after a restart.
@@ -34,11 +34,11 @@
         return port
 
     def reserve_many(self, count: int) -> list[int]:
-        """Reserves so many different ports of 127.0.0.1."""
+        """Reserves `count` different ports of 127.0.0.1; errors as in `reserve`."""
         return [self.reserve() for _ in range(count)]
 
     def close(self) -> None:
-        """Gives up all ports; the processes that listen on them go on."""
+        """Releases all ports; processes that listen on them are not affected."""
         for reserved in self._sockets:
             reserved.close()
         self._sockets.clear()
--- a/loadbalancer/lab/scale/roles.py
+++ b/loadbalancer/lab/scale/roles.py
@@ -387,13 +387,13 @@
 ) -> tuple[float, float, float]:
     """A node with these tables: resident and own megabytes, and % of a core at rest."""
     with ReservedPorts() as reserved:
-        return watched_process(tables, reserved.reserve(), discovery, folder, watch)
+        return measure_process(tables, reserved.reserve(), discovery, folder, watch)
 
 
-def watched_process(
+def measure_process(
     tables: str, port: int, discovery: int, folder: Path, watch: float
 ) -> tuple[float, float, float]:
-    """What `one_process` tells, of a node that listens on this port."""
+    """Returns the same for a node that listens on this port. A NodeNotReady if it does not become ready."""
     (folder / "config.json").write_text(json.dumps(configuration(port, discovery)))
     kept = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
     environ = {
--- a/loadbalancer/node/discovery/client.py
+++ b/loadbalancer/node/discovery/client.py
@@ -377,9 +377,9 @@
 
         self.reader.read(body, applied, call.answers_applied)
 
-    def figures(self) -> DiscoveryMetrics:
+    def metrics(self) -> DiscoveryMetrics:
         """Returns how the agent answers, for operators."""
-        return self.report.figures(self.loop.time(), len(self.calls))
+        return self.report.metrics(self.loop.time(), len(self.calls))
 
     def end_all_calls(self) -> None:
         """Ends all calls and cancels the timer of the next one."""
--- a/loadbalancer/node/discovery/delay_report.py
+++ b/loadbalancer/node/discovery/delay_report.py
@@ -77,8 +77,8 @@
         if self.delay.record_late_call(now):
             self.log.line(f"discovery silent for_s={self.delay.silent_s(now):.1f}")
 
-    def figures(self, now: float, open_calls: int) -> DiscoveryMetrics:
-        """Returns the present figures.
+    def metrics(self, now: float, open_calls: int) -> DiscoveryMetrics:
+        """Returns the current metrics.
 
         Args:
             now: The time in seconds.
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -235,7 +235,7 @@
             len(self.listed or ()),
             int(self.balancer.stats()["ejected"]),
             measure_memory(self.client_listener, self.requests),
-            self.discovery.figures(),
+            self.discovery.metrics(),
             self.reasons.counts,
         )
         if self.feature_host is not None:
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -333,10 +333,10 @@
     play = Play(agent)
     play.loop.run(10.0)
     begun = len(agent.request_times)
-    abandoned = play.discovery.figures().calls_abandoned
+    abandoned = play.discovery.metrics().calls_abandoned
     play.loop.run(60.0)
     assert len(agent.request_times) - begun <= 60 / (WATCH_WAIT_MS / 1000)
-    assert play.discovery.figures().calls_abandoned == abandoned
+    assert play.discovery.metrics().calls_abandoned == abandoned
     times = [play.time_to_list() for _ in range(20) if play.loop.run(0.37) is None]  # type: ignore[func-returns-value]
     assert max(times) <= slow_propagation_bound_s(delay_s)
     assert agent.most_open <= MAX_CALLS
@@ -446,19 +446,19 @@
     agent = Agent([0.0], False, False)
     play = Play(agent)
     play.loop.run(10.0)
-    assert not play.discovery.figures().slow
+    assert not play.discovery.metrics().slow
     agent.delays = [2.0]
     play.loop.run(60.0)
-    figures = play.discovery.figures()
-    assert figures.slow
-    assert figures.slow_periods == 1
-    assert figures.answer_delay_ms == figures.longest_answer_delay_ms == 2000
+    metrics = play.discovery.metrics()
+    assert metrics.slow
+    assert metrics.slow_periods == 1
+    assert metrics.answer_delay_ms == metrics.longest_answer_delay_ms == 2000
     assert play.log.lines == ["discovery slow answer_delay_s=2.000"]
     agent.delays = [0.0]
     play.loop.run(20.0)
-    figures = play.discovery.figures()
-    assert not figures.slow
-    assert figures.answer_delay_ms == 0
+    metrics = play.discovery.metrics()
+    assert not metrics.slow
+    assert metrics.answer_delay_ms == 0
     (line,) = play.log.lines[1:]
     assert line.startswith("discovery quick again slow_for_s=")
     assert line.endswith("longest_answer_delay_s=2.000")
@@ -473,12 +473,12 @@
     play.loop.run(3.0)
     agent.fall_silent()
     play.loop.run(20.0)
-    assert play.discovery.figures().silent
+    assert play.discovery.metrics().silent
     play.recover()
     play.loop.run(20.0)
-    figures = play.discovery.figures()
-    assert not figures.silent
-    assert not figures.slow_periods
+    metrics = play.discovery.metrics()
+    assert not metrics.silent
+    assert not metrics.slow_periods
     assert [line.split(" ")[1] for line in play.log.lines] == ["silent", "answers"]
 
 
